--- /dev/null
+++ b/decode.go
@@ -0,0 +1,180 @@
+package medlarwheel
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// checker is a wire type that reports its own faults.
+type checker interface {
+	Check() Faults
+}
+
+// Decode reads a wire type from JSON. It reports unknown fields, values of the wrong type and values that the type
+// itself rejects, all at once, as Faults.
+func Decode[T any, P interface {
+	*T
+	checker
+}](data []byte) (T, error) {
+	var value T
+	var tree any
+	reader := json.NewDecoder(bytes.NewReader(data))
+	reader.UseNumber()
+	if err := reader.Decode(&tree); err != nil {
+		return value, Faults{{Path: ".", Value: err.Error(), Accepted: "one JSON object"}}
+	}
+	if reader.More() {
+		return value, Faults{{Path: ".", Value: "data after the object", Accepted: "one JSON object"}}
+	}
+	faults := shapeFaults("", tree, reflect.TypeOf(value))
+	if len(faults) > 0 {
+		return value, faults
+	}
+	if err := json.Unmarshal(data, &value); err != nil {
+		return value, Faults{{Path: ".", Value: err.Error(), Accepted: "the documented form"}}
+	}
+	return value, P(&value).Check().Err()
+}
+
+var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+
+// shapeFaults compares a decoded JSON tree with the Go type that is to hold it.
+func shapeFaults(path string, tree any, want reflect.Type) Faults {
+	if want.Kind() == reflect.Pointer {
+		if tree == nil {
+			return nil
+		}
+		return shapeFaults(path, tree, want.Elem())
+	}
+	if reflect.PointerTo(want).Implements(unmarshalerType) {
+		return valueFaults(path, tree, want)
+	}
+	switch want.Kind() {
+	case reflect.Struct:
+		return structFaults(path, tree, want)
+	case reflect.Slice:
+		return sliceFaults(path, tree, want)
+	case reflect.Map:
+		return mapFaults(path, tree, want)
+	default:
+		return valueFaults(path, tree, want)
+	}
+}
+
+func structFaults(path string, tree any, want reflect.Type) Faults {
+	object, ok := tree.(map[string]any)
+	if !ok {
+		return Faults{{Path: orRoot(path), Value: describe(tree), Accepted: "an object"}}
+	}
+	fields := fieldTypes(want)
+	var faults Faults
+	for _, name := range sortedKeys(object) {
+		field, known := fields[name]
+		if !known {
+			faults = faults.Add(join(path, name), "unknown field", strings.Join(sortedKeys(fields), ", "))
+			continue
+		}
+		faults = append(faults, shapeFaults(join(path, name), object[name], field)...)
+	}
+	return faults
+}
+
+func sliceFaults(path string, tree any, want reflect.Type) Faults {
+	list, ok := tree.([]any)
+	if !ok {
+		return Faults{{Path: orRoot(path), Value: describe(tree), Accepted: "a list"}}
+	}
+	var faults Faults
+	for i, element := range list {
+		faults = append(faults, shapeFaults(fmt.Sprintf("%s[%d]", path, i), element, want.Elem())...)
+	}
+	return faults
+}
+
+func mapFaults(path string, tree any, want reflect.Type) Faults {
+	object, ok := tree.(map[string]any)
+	if !ok {
+		return Faults{{Path: orRoot(path), Value: describe(tree), Accepted: "an object"}}
+	}
+	var faults Faults
+	for _, name := range sortedKeys(object) {
+		faults = append(faults, shapeFaults(join(path, name), object[name], want.Elem())...)
+	}
+	return faults
+}
+
+// valueFaults decodes one leaf on its own, so that its error names its path.
+func valueFaults(path string, tree any, want reflect.Type) Faults {
+	data, err := json.Marshal(tree)
+	if err != nil {
+		return Faults{{Path: orRoot(path), Value: describe(tree), Accepted: want.Kind().String()}}
+	}
+	if err := json.Unmarshal(data, reflect.New(want).Interface()); err != nil {
+		return Faults{{Path: orRoot(path), Value: string(data), Accepted: accepted(want)}}
+	}
+	return nil
+}
+
+func accepted(want reflect.Type) string {
+	if want == reflect.TypeFor[Duration]() {
+		return "a duration such as \"1.5s\""
+	}
+	switch want.Kind() {
+	case reflect.String:
+		return "a text"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number"
+	}
+}
+
+func fieldTypes(want reflect.Type) map[string]reflect.Type {
+	fields := make(map[string]reflect.Type, want.NumField())
+	for i := range want.NumField() {
+		field := want.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		fields[name] = field.Type
+	}
+	return fields
+}
+
+func sortedKeys[V any](object map[string]V) []string {
+	names := make([]string, 0, len(object))
+	for name := range object {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func orRoot(path string) string {
+	if path == "" {
+		return "."
+	}
+	return path
+}
+
+func describe(tree any) string {
+	data, err := json.Marshal(tree)
+	if err != nil {
+		return fmt.Sprintf("%T", tree)
+	}
+	return string(data)
+}
--- /dev/null
+++ b/decode_test.go
@@ -0,0 +1,26 @@
+package medlarwheel_test
+
+import (
+	"errors"
+	"testing"
+
+	"medlarwheel"
+)
+
+// Guards against a decoder that stops at the first fault or accepts unknown fields.
+func TestDecodeTemplateListsEveryFault(t *testing.T) {
+	input := `{"name":"Bad Name","kind":"service","class":"urgent","surprise":1,"defaults":{"weight":"two"}}`
+	_, err := medlarwheel.DecodeTemplate([]byte(input))
+	var faults medlarwheel.Faults
+	if !errors.As(err, &faults) {
+		t.Fatalf("got %v, want Faults", err)
+	}
+	if len(faults) != 2 || faults[0].Path != "defaults.weight" || faults[1].Path != "surprise" {
+		t.Fatalf("shape faults: got %v", faults)
+	}
+	input = `{"name":"Bad Name","kind":"service","class":"urgnt","defaults":{"weight":0,"guaranteed-slots":1,"queue-limit":1,"quota":{}}}`
+	_, err = medlarwheel.DecodeTemplate([]byte(input))
+	if !errors.As(err, &faults) || len(faults) != 4 {
+		t.Fatalf("value faults: got %v, want name, class, service and weight", err)
+	}
+}
--- /dev/null
+++ b/error.go
@@ -0,0 +1,46 @@
+package medlarwheel
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// StepError is an error with the step and the peer at which it arose.
+type StepError struct {
+	// Step names the operation, such as "vote" or "transact".
+	Step string
+	// Peer is the address or id of the other side. It is empty for a local step.
+	Peer string
+	// Err is the cause.
+	Err error
+}
+
+// Error formats the step, the peer and the cause.
+func (e *StepError) Error() string {
+	if e.Peer == "" {
+		return fmt.Sprintf("%s: %v", e.Step, e.Err)
+	}
+	return fmt.Sprintf("%s at %s: %v", e.Step, e.Peer, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *StepError) Unwrap() error { return e.Err }
+
+// AtStep wraps err with its step and peer. It returns nil for a nil err.
+func AtStep(step, peer string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &StepError{Step: step, Peer: peer, Err: err}
+}
+
+// Errors that several packages tell apart.
+var (
+	// ErrUnavailable means that the other side could not be reached or answered too late. A write may have taken effect.
+	ErrUnavailable = errors.New("unavailable")
+	// ErrNotFound means that the named object does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrStale means that the caller acted on a superseded epoch, incarnation or token.
+	ErrStale = errors.New("stale")
+)
--- /dev/null
+++ b/faults.go
@@ -0,0 +1,57 @@
+package medlarwheel
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing wrong with an input from outside.
+type Fault struct {
+	// Path leads to the value, such as "service.queue-limit".
+	Path string `json:"path"`
+	// Value is the rejected value as text.
+	Value string `json:"value"`
+	// Accepted describes what would have been accepted.
+	Accepted string `json:"accepted"`
+}
+
+// Faults lists everything wrong with one input. It is an error when it is not empty.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, fault := range f {
+		lines = append(lines, fmt.Sprintf("%s: %s is not accepted; accepted: %s", fault.Path, fault.Value, fault.Accepted))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns f as an error, or nil when f is empty.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
+
+// Add returns f with one more fault.
+func (f Faults) Add(path string, value any, accepted string) Faults {
+	return append(f, Fault{Path: path, Value: fmt.Sprint(value), Accepted: accepted})
+}
+
+// Range returns f, with one more fault if value is outside [low, high].
+func (f Faults) Range(path string, value, low, high int64) Faults {
+	if value >= low && value <= high {
+		return f
+	}
+	return f.Add(path, value, fmt.Sprintf("%d to %d", low, high))
+}
+
+// DurationRange returns f, with one more fault if value is outside [low, high].
+func (f Faults) DurationRange(path string, value, low, high Duration) Faults {
+	if value >= low && value <= high {
+		return f
+	}
+	return f.Add(path, value, fmt.Sprintf("%s to %s", low, high))
+}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,61 @@
+package medlarwheel
+
+import "time"
+
+// Outcome is what a caller learns about its request.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// OutcomeDone means that the answer is the whole answer of the upstream to this request.
+	OutcomeDone Outcome = "done"
+	// OutcomeNotRun means that no attempt of the request key has run or will run without a new call.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown means that the request may or may not have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Reason says why a request was not answered by an upstream.
+type Reason string
+
+// The reasons that accompany OutcomeNotRun and OutcomeUnknown.
+const (
+	ReasonBadRequest       Reason = "bad-request"
+	ReasonUnknownTemplate  Reason = "unknown-template"
+	ReasonNotReady         Reason = "not-ready"
+	ReasonQueueFull        Reason = "queue-full"
+	ReasonQueueTimeout     Reason = "queue-timeout"
+	ReasonDeadline         Reason = "deadline"
+	ReasonQuota            Reason = "quota"
+	ReasonNoUpstream       Reason = "no-upstream"
+	ReasonConnectFailed    Reason = "connect-failed"
+	ReasonKeysExhausted    Reason = "key-memory-full"
+	ReasonKeySealed        Reason = "key-recently-refused"
+	ReasonNoMajority       Reason = "key-group-unreachable"
+	ReasonRecovering       Reason = "key-group-recovering"
+	ReasonAlreadyAttempted Reason = "already-attempted"
+	ReasonAnswerLost       Reason = "answer-lost"
+	ReasonAnswerIncomplete Reason = "answer-incomplete"
+	ReasonSilent           Reason = "upstream-silent"
+	ReasonStopping         Reason = "stopping"
+)
+
+// Refusal is a final answer without an upstream's answer.
+type Refusal struct {
+	Outcome    Outcome       `json:"outcome"`
+	Reason     Reason        `json:"reason"`
+	RetryAfter time.Duration `json:"-"`
+}
+
+// NotRun returns the refusal of a request that was not run.
+func NotRun(reason Reason, retryAfter time.Duration) Refusal {
+	return Refusal{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
+// Unknown returns the refusal of a request that may have run.
+func Unknown(reason Reason, retryAfter time.Duration) Refusal {
+	return Refusal{Outcome: OutcomeUnknown, Reason: reason, RetryAfter: retryAfter}
+}
+
+// Error formats the refusal, so that it can travel as an error.
+func (r Refusal) Error() string { return string(r.Outcome) + ": " + string(r.Reason) }
--- /dev/null
+++ b/template.go
@@ -0,0 +1,180 @@
+package medlarwheel
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Template describes a latency-critical service or a batch job, and how it may share workers with other work.
+type Template struct {
+	Name  TemplateName `json:"name"`
+	Kind  Kind         `json:"kind"`
+	Class Class        `json:"class"`
+	// Service describes the requests of a template of kind service.
+	Service *ServiceSpec `json:"service,omitempty"`
+	// Task describes the tasks that run on workers. A service without Task is run by its owners.
+	Task *TaskSpec `json:"task,omitempty"`
+	// Objective is the service-level objective that the burn report measures.
+	Objective *Objective `json:"objective,omitempty"`
+	// Defaults apply to client accounts that set no parameters of their own.
+	Defaults Parameters `json:"defaults"`
+}
+
+// ServiceSpec describes how requests of a template reach upstreams.
+type ServiceSpec struct {
+	// Upstream is the service whose instances serve the requests.
+	Upstream ServiceName `json:"upstream"`
+	// IdempotentMethods are the HTTP methods that may be sent more than once.
+	IdempotentMethods []string `json:"idempotent-methods,omitempty"`
+	// Slots is the number of requests that one upstream serves at a time.
+	Slots Slots `json:"slots"`
+	// Connections bounds the open connections to one upstream, from all entry instances together.
+	Connections Connections `json:"connections"`
+	// QueueTimeout bounds the time that a request waits for a slot.
+	QueueTimeout Duration `json:"queue-timeout"`
+	// DefaultDeadline applies to a request that names no deadline.
+	DefaultDeadline Duration `json:"default-deadline"`
+	// MaxDeadline bounds the deadline that a request may name.
+	MaxDeadline Duration `json:"max-deadline"`
+	// RequireEcho rejects answers that do not echo the attempt id. Without it only a wrong echo is rejected.
+	RequireEcho bool `json:"require-echo,omitempty"`
+}
+
+// TaskSpec describes the tasks of a template.
+type TaskSpec struct {
+	// Size is the declared need of one task.
+	Size Resources `json:"size"`
+	// Replicas is the number of tasks of a service. A batch job names its own number.
+	Replicas int `json:"replicas,omitempty"`
+	// Gang makes the tasks of a job start together or not at all.
+	Gang bool `json:"gang,omitempty"`
+	// Spread bounds the tasks of one job or service on one rack. Zero sets no bound.
+	Spread int `json:"max-per-rack,omitempty"`
+	// MayShare allows other kinds of work on the same worker.
+	MayShare bool `json:"may-share"`
+	// RunTime is the declared run time of a batch task.
+	RunTime Duration `json:"run-time,omitempty"`
+	// MaxAttempts bounds the failed attempts of a batch task.
+	MaxAttempts int `json:"max-attempts,omitempty"`
+}
+
+// Objective is a service-level objective: a share of requests is answered within a latency.
+type Objective struct {
+	// Latency is the answer time that counts as good.
+	Latency Duration `json:"latency"`
+	// Target is the share of good answers in millionths, such as 999000.
+	Target int `json:"target-millionths"`
+}
+
+// Parameters are the settings of a template per client account.
+type Parameters struct {
+	// Weight is the account's share of what is lent.
+	Weight Weight `json:"weight"`
+	// GuaranteedSlots is the number of requests in flight that the account always gets, over all entry instances.
+	GuaranteedSlots Slots `json:"guaranteed-slots"`
+	// QueueLimit bounds the account's waiting requests per entry instance.
+	QueueLimit int `json:"queue-limit"`
+	// Quota bounds the resources of the account's running tasks of this template. Zero components set no bound.
+	Quota Resources `json:"quota"`
+}
+
+// Bounds of template values, for checks of outside input.
+const (
+	maxSlots         = 1024
+	maxConnections   = 65536
+	maxQueueLimit    = 100_000
+	maxWeight        = 1000
+	maxReplicas      = 50_000
+	maxAttempts      = 100
+	millionths       = 1_000_000
+	minDeadline      = Duration(10 * time.Millisecond)
+	maxDeadline      = Duration(5 * time.Minute)
+	maxQueueTimeout  = Duration(30 * time.Second)
+	maxRunTime       = Duration(30 * 24 * time.Hour)
+	maxObjectiveTime = Duration(10 * time.Minute)
+)
+
+// DecodeTemplate reads a template from JSON and reports every fault at once.
+func DecodeTemplate(data []byte) (Template, error) { return Decode[Template](data) }
+
+// Check reports every fault of t.
+func (t *Template) Check() Faults {
+	faults := CheckName("name", string(t.Name))
+	faults = append(faults, t.Kind.Check("kind")...)
+	faults = append(faults, t.Class.Check("class")...)
+	if t.Kind == KindService && t.Service == nil {
+		faults = faults.Add("service", "missing", "an object, because kind is service")
+	}
+	if t.Kind == KindBatch && t.Service != nil {
+		faults = faults.Add("service", "present", "nothing, because kind is batch")
+	}
+	if t.Kind == KindBatch && t.Task == nil {
+		faults = faults.Add("task", "missing", "an object, because kind is batch")
+	}
+	if t.Service != nil {
+		faults = append(faults, t.Service.check("service")...)
+	}
+	if t.Task != nil {
+		faults = append(faults, t.Task.check("task", t.Kind)...)
+	}
+	if t.Objective != nil {
+		faults = append(faults, t.Objective.check("objective")...)
+	}
+	return append(faults, t.Defaults.Check("defaults")...)
+}
+
+// IsIdempotent reports whether requests with the HTTP method may be sent more than once.
+func (s *ServiceSpec) IsIdempotent(method string) bool {
+	return slices.Contains(s.IdempotentMethods, method)
+}
+
+func (s *ServiceSpec) check(path string) Faults {
+	faults := CheckName(path+".upstream", string(s.Upstream))
+	for i, method := range s.IdempotentMethods {
+		faults = append(faults, checkMethod(fmt.Sprintf("%s.idempotent-methods[%d]", path, i), method)...)
+	}
+	faults = faults.Range(path+".slots", int64(s.Slots), 1, maxSlots)
+	faults = faults.Range(path+".connections", int64(s.Connections), int64(max(1, s.Slots)), maxConnections)
+	faults = faults.DurationRange(path+".queue-timeout", s.QueueTimeout, 0, maxQueueTimeout)
+	faults = faults.DurationRange(path+".max-deadline", s.MaxDeadline, minDeadline, maxDeadline)
+	return faults.DurationRange(path+".default-deadline", s.DefaultDeadline, minDeadline, max(minDeadline, s.MaxDeadline))
+}
+
+func checkMethod(path, method string) Faults {
+	methods := []string{"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH"}
+	if slices.Contains(methods, method) {
+		return nil
+	}
+	return Faults{{Path: path, Value: fmt.Sprintf("%q", method), Accepted: fmt.Sprint(methods)}}
+}
+
+func (s *TaskSpec) check(path string, kind Kind) Faults {
+	faults := s.Size.Check(path + ".size")
+	if s.Size.CPU == 0 && s.Size.Accelerators == 0 {
+		faults = faults.Add(path+".size", "no processor and no accelerator", "at least one of them above zero")
+	}
+	minReplicas := int64(0)
+	if kind == KindService {
+		minReplicas = 1
+	}
+	faults = faults.Range(path+".replicas", int64(s.Replicas), minReplicas, maxReplicas)
+	faults = faults.Range(path+".max-per-rack", int64(s.Spread), 0, maxReplicas)
+	faults = faults.Range(path+".max-attempts", int64(s.MaxAttempts), 0, maxAttempts)
+	return faults.DurationRange(path+".run-time", s.RunTime, 0, maxRunTime)
+}
+
+func (o *Objective) check(path string) Faults {
+	var faults Faults
+	faults = faults.DurationRange(path+".latency", o.Latency, Duration(time.Millisecond), maxObjectiveTime)
+	return faults.Range(path+".target-millionths", int64(o.Target), 1, millionths-1)
+}
+
+// Check reports every fault of p, with paths below path.
+func (p Parameters) Check(path string) Faults {
+	var faults Faults
+	faults = faults.Range(path+".weight", int64(p.Weight), 1, maxWeight)
+	faults = faults.Range(path+".guaranteed-slots", int64(p.GuaranteedSlots), 0, maxQueueLimit)
+	faults = faults.Range(path+".queue-limit", int64(p.QueueLimit), 0, maxQueueLimit)
+	return append(faults, p.Quota.Check(path+".quota")...)
+}
