Add the configuration book, the settings and the connections to upstreams

Cause: the traffic path needs versioned templates, checked settings and connections that never resend a request. Change: medlarcontract merges entries by version and plans conditional writes; medlarsetting reads flags and environment and reports every bad value at once; medlarlink keeps its own connections, accepts only complete responses of the right attempt, and finds silent connections by a probe.

--- /dev/null
+++ b/medlarcontract/plan.go
@@ -0,0 +1,146 @@
+package medlarcontract
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+)
+
+// HeadKey is the table row that holds the version of the last committed change.
+const HeadKey = "config/head"
+
+// RowPrefix is the prefix of every configuration row in the table.
+const RowPrefix = "config/"
+
+// Head is the value of the head row.
+type Head struct {
+	Version medlarwheel.ConfigVersion `json:"version"`
+	Author  medlarwheel.Author        `json:"author"`
+	Key     string                    `json:"key"`
+}
+
+// Change is one change that an operator asks for.
+type Change struct {
+	Author medlarwheel.Author `json:"author"`
+	// Expected is the version of the entry that the operator saw. Zero means that the entry must not exist.
+	Expected  medlarwheel.ConfigVersion `json:"expected"`
+	Key       string                    `json:"key"`
+	Withdrawn bool                      `json:"withdrawn,omitempty"`
+	Template  *medlarwheel.Template     `json:"template,omitempty"`
+	Account   *medlarwheel.Account      `json:"account,omitempty"`
+}
+
+// Check reports every fault of c.
+func (c *Change) Check() medlarwheel.Faults {
+	item := c.item(1)
+	faults := item.Check()
+	if c.Author == "" {
+		faults = faults.Add("author", "empty", "the name of the operator")
+	}
+	return faults
+}
+
+func (c *Change) item(version medlarwheel.ConfigVersion) medlarwheel.ConfigItem {
+	return medlarwheel.ConfigItem{
+		Key: c.Key, Version: version, Author: c.Author, Withdrawn: c.Withdrawn, Template: c.Template, Account: c.Account,
+	}
+}
+
+// VersionConflict reports that an entry has another version than the operator expected. It names the change that won.
+type VersionConflict struct {
+	Key      string                    `json:"key"`
+	Expected medlarwheel.ConfigVersion `json:"expected"`
+	Actual   medlarwheel.ConfigVersion `json:"actual"`
+	Author   medlarwheel.Author        `json:"author"`
+}
+
+// Error names the version and the author that won.
+func (e *VersionConflict) Error() string {
+	return fmt.Sprintf("%s: expected version %d, but version %d by %q is in force", e.Key, e.Expected, e.Actual, e.Author)
+}
+
+// Current is the state of the table that a change is planned on. A missing row has version zero.
+type Current struct {
+	Head medlarwheel.Row
+	Item medlarwheel.Row
+}
+
+// Planned is a change ready to be committed.
+type Planned struct {
+	Version medlarwheel.ConfigVersion
+	Writes  []medlarwheel.Write
+}
+
+// Plan returns the conditional writes that commit a change on top of the current rows. It returns a *VersionConflict
+// if another change has won already.
+func Plan(current Current, change Change) (Planned, error) {
+	if err := change.Check().Err(); err != nil {
+		return Planned{}, err
+	}
+	head, err := decodeRow[Head](current.Head)
+	if err != nil {
+		return Planned{}, errors.WithMessage(err, HeadKey)
+	}
+	item, err := decodeRow[medlarwheel.ConfigItem](current.Item)
+	if err != nil {
+		return Planned{}, errors.WithMessage(err, change.Key)
+	}
+	if conflict := conflictOf(item, change); conflict != nil {
+		return Planned{}, conflict
+	}
+	next := head.Version + 1
+	headValue, err := json.Marshal(Head{Version: next, Author: change.Author, Key: change.Key})
+	if err != nil {
+		return Planned{}, errors.WithMessage(err, "encode head")
+	}
+	itemValue, err := json.Marshal(change.item(next))
+	if err != nil {
+		return Planned{}, errors.WithMessage(err, "encode entry")
+	}
+	return Planned{Version: next, Writes: []medlarwheel.Write{
+		{Key: HeadKey, Expect: current.Head.Version, Value: headValue},
+		{Key: RowPrefix + change.Key, Expect: current.Item.Version, Value: itemValue},
+	}}, nil
+}
+
+// conflictOf compares the entry in the table with what the operator expected. A withdrawn entry counts as missing.
+func conflictOf(item medlarwheel.ConfigItem, change Change) error {
+	if item.Version == change.Expected || (item.Withdrawn && change.Expected == 0) {
+		return nil
+	}
+	return &VersionConflict{Key: change.Key, Expected: change.Expected, Actual: item.Version, Author: item.Author}
+}
+
+func decodeRow[T any](row medlarwheel.Row) (T, error) {
+	var value T
+	if row.Version == 0 || len(row.Value) == 0 {
+		return value, nil
+	}
+	err := json.Unmarshal(row.Value, &value)
+	return value, err
+}
+
+// DeltaFromRows turns the complete list of configuration rows changed since the book was read into a delta. The rows
+// must include the head row whenever they include an entry, which holds because both are written together.
+func DeltaFromRows(after medlarwheel.ConfigVersion, rows []medlarwheel.Row) (medlarwheel.ConfigDelta, error) {
+	delta := medlarwheel.ConfigDelta{After: after, Head: after}
+	for _, row := range rows {
+		if row.Key == HeadKey {
+			head, err := decodeRow[Head](row)
+			if err != nil {
+				return delta, errors.WithMessage(err, row.Key)
+			}
+			delta.Head = max(delta.Head, head.Version)
+			continue
+		}
+		item, err := decodeRow[medlarwheel.ConfigItem](row)
+		if err != nil {
+			return delta, errors.WithMessage(err, row.Key)
+		}
+		delta.Items = append(delta.Items, item)
+	}
+	return delta, nil
+}
--- /dev/null
+++ b/medlarlink/failure.go
@@ -0,0 +1,57 @@
+package medlarlink
+
+import (
+	"fmt"
+
+	"medlarwheel"
+)
+
+// Cause classifies what went wrong on a connection.
+type Cause string
+
+// The causes of a failure.
+const (
+	CauseConnect    Cause = "connect"
+	CauseWrite      Cause = "write"
+	CauseSilent     Cause = "silent"
+	CauseDeadline   Cause = "deadline"
+	CauseIncomplete Cause = "incomplete"
+	CauseMismatch   Cause = "mismatch"
+	CauseClosed     Cause = "closed"
+	CauseNoCapacity Cause = "no-connection-free"
+)
+
+// Failure reports a request that got no complete response.
+type Failure struct {
+	Upstream medlarwheel.UpstreamID
+	Cause    Cause
+	// Sent tells that bytes of the request may have reached the upstream.
+	Sent bool
+	// ProbeAnswered tells that the upstream answered a probe while this connection was silent.
+	ProbeAnswered bool
+	Err           error
+}
+
+// Error names the cause and the upstream.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("call upstream %s: %s: %v", f.Upstream, f.Cause, f.Err)
+}
+
+// Unwrap returns the underlying error.
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Reason returns the reason that a caller is told.
+func (f *Failure) Reason() medlarwheel.Reason {
+	switch f.Cause {
+	case CauseConnect, CauseNoCapacity:
+		return medlarwheel.ReasonConnectFailed
+	case CauseSilent:
+		return medlarwheel.ReasonSilent
+	case CauseDeadline:
+		return medlarwheel.ReasonDeadline
+	case CauseIncomplete, CauseMismatch:
+		return medlarwheel.ReasonAnswerIncomplete
+	default:
+		return medlarwheel.ReasonAnswerLost
+	}
+}
--- /dev/null
+++ b/medlarlink/pool.go
@@ -0,0 +1,162 @@
+package medlarlink
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+)
+
+var errNoConnectionFree = errors.New("every connection of this instance's share is in use")
+
+// pool holds the connections to one upstream incarnation.
+type pool struct {
+	config  *Config
+	address string
+	latency latencyEstimate
+
+	mu   sync.Mutex
+	idle []*conn
+	open medlarwheel.Connections
+	// limit is this instance's share of the upstream's connections.
+	limit medlarwheel.Connections
+	// retireBefore marks for retirement every connection without progress since.
+	retireBefore time.Time
+	closed       bool
+}
+
+// get returns an idle connection that is still usable, or opens one.
+func (p *pool) get(now time.Time) (*conn, error) {
+	for {
+		c := p.takeIdle(now)
+		if c == nil {
+			return p.dial(now)
+		}
+		if c.checkIdle() == nil {
+			return c, nil
+		}
+		p.discard(c)
+	}
+}
+
+// takeIdle removes the most recently used idle connection, closing those that are too old or retired.
+func (p *pool) takeIdle(now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeStale(now)
+	if len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle = p.idle[:last]
+	return c
+}
+
+func (p *pool) closeStale(now time.Time) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if p.isStale(c, now) {
+			p.open--
+			_ = c.Close()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+func (p *pool) isStale(c *conn, now time.Time) bool {
+	return p.closed || c.progress.Before(p.retireBefore) || now.Sub(c.progress) > p.config.IdleTimeout
+}
+
+func (p *pool) dial(now time.Time) (*conn, error) {
+	if !p.reserve() {
+		return nil, errNoConnectionFree
+	}
+	raw, err := p.config.Dialer.Dial(p.address, p.config.DialTimeout)
+	if err != nil {
+		p.unreserve()
+		return nil, err
+	}
+	return newConn(raw, now, p.config), nil
+}
+
+// reserve counts one more open connection if the share allows it, closing an idle one to make room.
+func (p *pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	if p.open >= p.limit && len(p.idle) > 0 {
+		oldest := p.idle[0]
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.open--
+		_ = oldest.Close()
+	}
+	if p.open >= p.limit {
+		return false
+	}
+	p.open++
+	return true
+}
+
+func (p *pool) unreserve() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// put returns a connection after a complete response.
+func (p *pool) put(c *conn, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.progress = now
+	c.stall = 0
+	if p.closed || c.opened.Before(p.retireBefore) || p.open > p.limit {
+		p.open--
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// discard closes a connection that can't be used again.
+func (p *pool) discard(c *conn) {
+	_ = c.Close()
+	p.unreserve()
+}
+
+// retire closes the idle connections without progress since the given time, and those in use once they come back.
+func (p *pool) retire(since, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if since.After(p.retireBefore) {
+		p.retireBefore = since
+	}
+	p.closeStale(now)
+}
+
+func (p *pool) setLimit(limit medlarwheel.Connections, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	p.closeStale(now)
+	for p.open > p.limit && len(p.idle) > 0 {
+		oldest := p.idle[0]
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.open--
+		_ = oldest.Close()
+	}
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.closeStale(time.Time{})
+}
