--- a/account.go
+++ b/account.go
@@ -20,7 +20,7 @@
 	if a.Team != "" {
 		faults = append(faults, CheckName("team", a.Team)...)
 	}
-	faults = append(faults, a.Quota.Check("quota")...)
+	faults = append(faults, a.Quota.CheckQuota("quota")...)
 	for _, name := range sortedKeys(namedParameters(a.Parameters)) {
 		path := "parameters." + name
 		faults = append(faults, CheckName(path, name)...)
--- /dev/null
+++ b/examples_test.go
@@ -0,0 +1,32 @@
+package medlarwheel_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"medlarwheel"
+)
+
+// Guards against documented examples that the decoder refuses.
+func TestExamplesAreAccepted(t *testing.T) {
+	files, err := filepath.Glob("examples/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no examples: %v", err)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasSuffix(file, ".account.json") {
+			_, err = medlarwheel.DecodeAccount(data)
+		} else {
+			_, err = medlarwheel.DecodeTemplate(data)
+		}
+		if err != nil {
+			t.Errorf("%s: %v", file, err)
+		}
+	}
+}
--- a/medlarcontract/book.go
+++ b/medlarcontract/book.go
@@ -71,8 +71,12 @@
 
 // Delta returns the entries changed after a version, in order of their versions.
 func (b *Book) Delta(after medlarwheel.ConfigVersion) medlarwheel.ConfigDelta {
-	delta := medlarwheel.ConfigDelta{After: min(after, b.version), Head: b.version}
-	for _, item := range b.items {
+	return deltaOf(b.items, b.version, after)
+}
+
+func deltaOf(items map[string]medlarwheel.ConfigItem, version, after medlarwheel.ConfigVersion) medlarwheel.ConfigDelta {
+	delta := medlarwheel.ConfigDelta{After: min(after, version), Head: version}
+	for _, item := range items {
 		if item.Version > after {
 			delta.Items = append(delta.Items, item)
 		}
--- a/medlarcontract/snapshot.go
+++ b/medlarcontract/snapshot.go
@@ -83,3 +83,8 @@
 	}
 	return templates
 }
+
+// Delta returns the entries changed after a version, in order of their versions.
+func (s *Snapshot) Delta(after medlarwheel.ConfigVersion) medlarwheel.ConfigDelta {
+	return deltaOf(s.items, s.version, after)
+}
--- /dev/null
+++ b/medlarpeer/server.go
@@ -0,0 +1,75 @@
+package medlarpeer
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel/medlarpeer/peerpb"
+)
+
+const (
+	// maxPeerBody bounds the body of one peer call in bytes.
+	maxPeerBody       = 4 << 20
+	headerReadTimeout = 2 * time.Second
+	bodyReadTimeout   = 10 * time.Second
+)
+
+// ServerConfig holds the settings of a Server.
+type ServerConfig struct {
+	// Key is the system key that every caller must present.
+	Key string
+}
+
+// Server is the listener for other entry instances.
+type Server struct {
+	http *http.Server
+}
+
+// NewServer returns a server that passes authenticated calls to handler.
+func NewServer(config ServerConfig, handler peerpb.Peer) *Server {
+	return &Server{http: &http.Server{
+		Handler:           authenticate(config.Key, peerpb.NewPeerServer(handler)),
+		ReadHeaderTimeout: headerReadTimeout,
+		ReadTimeout:       bodyReadTimeout,
+		IdleTimeout:       idleTimeout,
+	}}
+}
+
+// Serve accepts connections until Stop. It returns nil after Stop.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Stop refuses new calls and waits for those in progress until ctx ends.
+func (s *Server) Stop(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		return s.http.Close()
+	}
+	return nil
+}
+
+// authenticate refuses calls without the system key. Digests of equal length are compared, so that the time taken
+// depends neither on the content nor on the length of the key.
+func authenticate(key string, next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(key))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := sha256.Sum256([]byte(r.Header.Get(HeaderSystemKey)))
+		if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+			http.Error(w, "not a peer of this system", http.StatusForbidden)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxPeerBody)
+		next.ServeHTTP(w, r)
+	})
+}
--- a/template.go
+++ b/template.go
@@ -176,5 +176,5 @@
 	faults = faults.Range(path+".weight", int64(p.Weight), 1, maxWeight)
 	faults = faults.Range(path+".guaranteed-slots", int64(p.GuaranteedSlots), 0, maxQueueLimit)
 	faults = faults.Range(path+".queue-limit", int64(p.QueueLimit), 0, maxQueueLimit)
-	return append(faults, p.Quota.Check(path+".quota")...)
+	return append(faults, p.Quota.CheckQuota(path+".quota")...)
 }
--- a/units.go
+++ b/units.go
@@ -55,12 +55,22 @@
 // IsZero reports whether every component is zero.
 func (r Resources) IsZero() bool { return r == Resources{} }
 
-// Check reports a fault for each component outside the accepted range.
+// Check reports a fault for each component outside the accepted range of one task or worker.
 func (r Resources) Check(path string) Faults {
+	return r.checkWithin(path, Resources{CPU: MaxMilliCPU, Memory: MaxMegaBytes, Accelerators: MaxAccelerators})
+}
+
+// CheckQuota reports a fault for each component outside the accepted range of a quota.
+func (r Resources) CheckQuota(path string) Faults {
+	most := Resources{CPU: MaxMilliCPU, Memory: MaxMegaBytes, Accelerators: MaxAccelerators}
+	return r.checkWithin(path, most.Times(maxQuotaWorkers))
+}
+
+func (r Resources) checkWithin(path string, most Resources) Faults {
 	var faults Faults
-	faults = faults.Range(path+".milli-cpu", int64(r.CPU), 0, MaxMilliCPU)
-	faults = faults.Range(path+".memory-mb", int64(r.Memory), 0, MaxMegaBytes)
-	return faults.Range(path+".accelerators", int64(r.Accelerators), 0, MaxAccelerators)
+	faults = faults.Range(path+".milli-cpu", int64(r.CPU), 0, int64(most.CPU))
+	faults = faults.Range(path+".memory-mb", int64(r.Memory), 0, int64(most.Memory))
+	return faults.Range(path+".accelerators", int64(r.Accelerators), 0, int64(most.Accelerators))
 }
 
 // Upper bounds of one worker's or task's resources, for checks of outside input.
@@ -68,6 +78,8 @@
 	MaxMilliCPU     = 1_024_000
 	MaxMegaBytes    = 64_000_000
 	MaxAccelerators = 64
+	// maxQuotaWorkers is the number of largest workers that a quota may cover.
+	maxQuotaWorkers = 100_000
 )
 
 // Duration is a time.Duration written as text, such as "1.5s", in JSON.
