Add the platform client, an in-memory platform and its stand-in

Cause: the daemon and the other packages need the platform's table, objects and list of instances, and tests need them with faults.

Change: medlarplatform is the HTTP client. Transact reads an operation with a lost answer back and sends it again under the same id when the platform does not know it; MayHaveApplied tells "not applied" from "unknown". A breaker fails calls at once during an outage. medlarplatform/medlarfake holds the in-memory state and a Fake with the client's methods. standin/medlartable serves that state with faults, rate caps and counters; medlarstandin platform runs it.

--- /dev/null
+++ b/cmd/medlarstandin/main.go
@@ -0,0 +1,38 @@
+// Command medlarstandin runs the stand-ins for the systems around medlarwheel: the platform, runners, worker agents, a
+// relay between processes, and a load generator. Every flag may also be set by the environment, with the prefix
+// MEDLARSTANDIN_.
+//
+// # Usage
+//
+//	medlarstandin platform --listen 127.0.0.1:7700
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"medlarwheel/standin/medlarprocess"
+	"medlarwheel/standin/medlartable"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &cobra.Command{
+		Use:               "medlarstandin",
+		Short:             "Stand-ins for the platform, runners and worker agents, with a relay and a load generator",
+		SilenceUsage:      true,
+		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return medlarprocess.ApplyEnvironment(c) },
+	}
+	root.AddCommand(medlartable.Command())
+	if err := root.ExecuteContext(ctx); err != nil {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/medlarplatform/breaker.go
@@ -0,0 +1,80 @@
+package medlarplatform
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// BreakerConfig holds the settings of a Breaker.
+type BreakerConfig struct {
+	// Failures is the number of consecutive failures that opens the breaker.
+	Failures int
+	// MinPause is the pause before the first probe of an open breaker.
+	MinPause time.Duration
+	// MaxPause bounds the pause, which doubles with every failed probe.
+	MaxPause time.Duration
+}
+
+// DefaultBreakerConfig opens after 3 failures and probes every 100 ms to 2 s.
+func DefaultBreakerConfig() BreakerConfig {
+	return BreakerConfig{Failures: 3, MinPause: 100 * time.Millisecond, MaxPause: 2 * time.Second}
+}
+
+// Breaker decides whether a call may be sent to a peer that has failed repeatedly. It reads no clock and takes no lock.
+// Each call that Allow lets through must be followed by one Success or Failure.
+type Breaker struct {
+	config   BreakerConfig
+	failures int
+	open     bool
+	probing  bool
+	pause    time.Duration
+	next     time.Time
+}
+
+// NewBreaker returns a closed breaker.
+func NewBreaker(config BreakerConfig) *Breaker { return &Breaker{config: config} }
+
+// Allow reports whether a call may be sent. While the breaker is open it allows one probe at a time.
+func (b *Breaker) Allow(now time.Time) bool {
+	if !b.open {
+		return true
+	}
+	if b.probing || now.Before(b.next) {
+		return false
+	}
+	b.probing = true
+	return true
+}
+
+// RetryIn returns the time until the next probe, or the least pause while a probe runs.
+func (b *Breaker) RetryIn(now time.Time) time.Duration {
+	if !b.open {
+		return 0
+	}
+	return max(b.next.Sub(now), b.config.MinPause)
+}
+
+// Success closes the breaker.
+func (b *Breaker) Success() { *b = Breaker{config: b.config} }
+
+// Failure counts a failed call. A failure of a call that was sent before the breaker opened does not postpone the probe.
+func (b *Breaker) Failure(now time.Time, random *rand.Rand) {
+	b.failures++
+	switch {
+	case b.open && !b.probing:
+		return
+	case b.open:
+		b.pause = min(2*b.pause, b.config.MaxPause)
+	case b.failures < b.config.Failures:
+		return
+	default:
+		b.pause = b.config.MinPause
+	}
+	b.open, b.probing = true, false
+	b.next = now.Add(jitter(b.pause, random))
+}
+
+// jitter spreads d over half to one and a half times its value, so that instances do not probe together.
+func jitter(d time.Duration, random *rand.Rand) time.Duration {
+	return d/2 + time.Duration(random.Int64N(int64(d)+1))
+}
--- /dev/null
+++ b/medlarplatform/client.go
@@ -0,0 +1,177 @@
+package medlarplatform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+)
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	config Config
+	http   *fasthttp.HostClient
+
+	mu      sync.Mutex // guards breaker and config.Random
+	breaker *Breaker
+}
+
+// New returns a client. It opens no connection yet.
+func New(config Config) *Client {
+	return &Client{
+		config:  config,
+		breaker: NewBreaker(config.Breaker),
+		http: &fasthttp.HostClient{
+			Addr:        config.Address,
+			Name:        "medlarwheel",
+			DialTimeout: dial,
+			// The library would send a request again when the connection closes early. The client decides that itself,
+			// because the first copy may have taken effect.
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			MaxConns:                  config.MaxConnections,
+			MaxIdleConnDuration:       config.MaxIdle,
+			MaxResponseBodySize:       config.MaxBody,
+			DisablePathNormalizing:    true,
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Available reports whether the breaker lets calls through at present.
+func (c *Client) Available() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.breaker.open
+}
+
+// Row reads one row. It returns medlarwheel.ErrNotFound for a row that does not exist.
+func (c *Client) Row(ctx context.Context, key string) (medlarwheel.Row, error) {
+	var row medlarwheel.Row
+	err := c.read(ctx, "row", "/v1/rows/"+escape(key), &row)
+	return row, err
+}
+
+// Changes reads a page of the rows below prefix that changed after a version.
+func (c *Client) Changes(ctx context.Context, prefix string, after medlarwheel.RowVersion, limit int,
+) (medlarwheel.ChangePage, error) {
+	var page medlarwheel.ChangePage
+	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(uint64(after), 10)}, "limit": {strconv.Itoa(limit)}}
+	err := c.read(ctx, "changes", "/v1/changes?"+query.Encode(), &page)
+	return page, err
+}
+
+// PutObject stores an object. Storing the same bytes twice has no further effect.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	return c.change(ctx, "put-object", fasthttp.MethodPut, "/v1/objects/"+escape(name), data)
+}
+
+// Object reads an object. It returns medlarwheel.ErrNotFound for an object that does not exist.
+func (c *Client) Object(ctx context.Context, name string) ([]byte, error) {
+	a, err := c.call(ctx, "object", fasthttp.MethodGet, "/v1/objects/"+escape(name), nil)
+	return a.body, err
+}
+
+// DeleteObject removes an object. Removing a missing object is no error.
+func (c *Client) DeleteObject(ctx context.Context, name string) error {
+	return c.change(ctx, "delete-object", fasthttp.MethodDelete, "/v1/objects/"+escape(name), nil)
+}
+
+// Instances reads the list of instances if its version is higher than after. It reports false when it is not.
+func (c *Client) Instances(ctx context.Context, after uint64) (medlarwheel.InstanceList, bool, error) {
+	a, err := c.call(ctx, "instances", fasthttp.MethodGet, "/v1/instances?after="+strconv.FormatUint(after, 10), nil)
+	if err != nil || a.status == fasthttp.StatusNotModified {
+		return medlarwheel.InstanceList{}, false, err
+	}
+	list, err := medlarwheel.Decode[medlarwheel.InstanceList](a.body)
+	if err != nil {
+		return medlarwheel.InstanceList{}, false, medlarwheel.AtStep("instances", c.config.Address, err)
+	}
+	return list, true, nil
+}
+
+// RegisterEntry adds or changes an entry instance in the list.
+func (c *Client) RegisterEntry(ctx context.Context, entry medlarwheel.EntryInstance) error {
+	return c.register(ctx, "entries", string(entry.ID), entry)
+}
+
+// RegisterUpstream adds or changes an upstream in the list.
+func (c *Client) RegisterUpstream(ctx context.Context, upstream medlarwheel.Upstream) error {
+	return c.register(ctx, "upstreams", string(upstream.ID), upstream)
+}
+
+// RemoveEntry removes an entry instance from the list. Removing a missing one is no error.
+func (c *Client) RemoveEntry(ctx context.Context, id medlarwheel.InstanceID) error {
+	return c.change(ctx, "remove-entry", fasthttp.MethodDelete, "/v1/instances/entries/"+escape(string(id)), nil)
+}
+
+// RemoveUpstream removes an upstream from the list. Removing a missing one is no error.
+func (c *Client) RemoveUpstream(ctx context.Context, id medlarwheel.UpstreamID) error {
+	return c.change(ctx, "remove-upstream", fasthttp.MethodDelete, "/v1/instances/upstreams/"+escape(string(id)), nil)
+}
+
+func (c *Client) register(ctx context.Context, group, id string, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return medlarwheel.AtStep("register", c.config.Address, err)
+	}
+	return c.change(ctx, "register", fasthttp.MethodPut, "/v1/instances/"+group+"/"+escape(id), body)
+}
+
+func (c *Client) change(ctx context.Context, step, method, path string, body []byte) error {
+	_, err := c.call(ctx, step, method, path, body)
+	return err
+}
+
+func (c *Client) read(ctx context.Context, step, path string, into any) error {
+	a, err := c.call(ctx, step, fasthttp.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(a.body, into); err != nil {
+		return medlarwheel.AtStep(step, c.config.Address, fmt.Errorf("answer: %w", err))
+	}
+	return nil
+}
+
+// call makes one exchange and turns every status but success into an error.
+func (c *Client) call(ctx context.Context, step, method, path string, body []byte) (answer, error) {
+	a, err := c.exchange(ctx, method, path, body)
+	if err == nil {
+		err = a.err()
+	}
+	return a, medlarwheel.AtStep(step, c.config.Address, err)
+}
+
+// err returns the error that the status stands for, or nil for success.
+func (a answer) err() error {
+	failure := &statusError{status: a.status, text: string(a.body[:min(len(a.body), maxErrorText)])}
+	switch {
+	case a.status >= 200 && a.status < 300, a.status == fasthttp.StatusNotModified:
+		return nil
+	case a.status == fasthttp.StatusNotFound:
+		return medlarwheel.ErrNotFound
+	case a.status == fasthttp.StatusConflict:
+		return medlarwheel.ErrStale
+	case a.notRun, a.status == fasthttp.StatusTooManyRequests:
+		return &UnavailableError{Effect: EffectNone, RetryAfter: a.retryAfter, Cause: failure}
+	case a.status >= fasthttp.StatusInternalServerError:
+		return &UnavailableError{Effect: EffectUnknown, RetryAfter: a.retryAfter, Cause: failure}
+	}
+	var faults medlarwheel.Faults
+	if json.Unmarshal(a.body, &faults) == nil && len(faults) > 0 {
+		return faults
+	}
+	return failure
+}
+
+// maxErrorText bounds the part of an unexpected answer that goes into an error.
+const maxErrorText = 200
--- /dev/null
+++ b/medlarplatform/client_test.go
@@ -0,0 +1,245 @@
+package medlarplatform_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"medlarwheel"
+	"medlarwheel/medlarplatform"
+	"medlarwheel/standin/medlarprocess"
+	"medlarwheel/standin/medlartable"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m, quiet...) }
+
+// quiet lists the goroutines that the HTTP library keeps for good, or for an idle period after its last connection.
+var quiet = []goleak.Option{
+	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+}
+
+// clock is moved by hand.
+type clock struct{ nanos atomic.Int64 }
+
+func (c *clock) Now() time.Time { return time.Unix(1000, c.nanos.Load()) }
+
+func (c *clock) advance(d time.Duration) { c.nanos.Add(int64(d)) }
+
+// serve runs a stand-in platform and returns it with a client and its clock.
+func serve(t *testing.T, change func(*medlarplatform.Config)) (*medlartable.Server, *medlarplatform.Client, *clock) {
+	t.Helper()
+	now := &clock{}
+	config := medlartable.DefaultConfig()
+	config.Clock, config.WritesPerSecond, config.ReadsPerSecond = now, 0, 0
+	server := medlartable.New(config, zerolog.Nop())
+	return server, connect(t, listen(t, server.Handle), now, change), now
+}
+
+func listen(t *testing.T, handler fasthttp.RequestHandler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- medlarprocess.ServeOn(ctx, listener, handler) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return listener.Addr().String()
+}
+
+func connect(t *testing.T, address string, now medlarwheel.Clock, change func(*medlarplatform.Config),
+) *medlarplatform.Client {
+	t.Helper()
+	config := medlarplatform.DefaultConfig(address)
+	config.Clock, config.Timeout, config.ReadBackPause = now, 5*time.Second, time.Millisecond
+	if change != nil {
+		change(&config)
+	}
+	client := medlarplatform.New(config)
+	t.Cleanup(client.Close)
+	return client
+}
+
+func write(key string, expect medlarwheel.RowVersion, value int) []medlarwheel.Write {
+	return []medlarwheel.Write{{Key: key, Expect: expect, Value: json.RawMessage(strconv.Itoa(value))}}
+}
+
+// Guards against the HTTP library sending a request a second time when the connection closes without an answer, which
+// could apply a write twice.
+func TestRequestIsSentOnce(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var seen atomic.Int64
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			request := &fasthttp.Request{}
+			if request.Read(bufio.NewReader(connection)) == nil {
+				seen.Add(1)
+			}
+			_ = connection.Close()
+		}
+	}()
+	client := connect(t, listener.Addr().String(), &clock{}, nil)
+	if _, err := client.Row(t.Context(), "a"); !medlarplatform.MayHaveApplied(err) {
+		t.Errorf("row: %v, want an unknown effect", err)
+	}
+	if err := client.PutObject(t.Context(), "a", []byte("x")); !errors.Is(err, medlarwheel.ErrUnavailable) {
+		t.Errorf("put: %v, want unavailable", err)
+	}
+	_ = listener.Close()
+	<-served
+	if n := seen.Load(); n != 2 {
+		t.Errorf("server saw %d requests, want 2", n)
+	}
+}
+
+// Guards against double application and false failures when answers are lost after the write took effect: a counter
+// that is raised under random losses must end at the number of successes.
+func TestLostAnswersAreReadBack(t *testing.T) {
+	server, client, _ := serve(t, func(c *medlarplatform.Config) { c.Breaker.Failures = 1 << 20 })
+	const seed, raises = 11, 60
+	t.Logf("seed %d", seed)
+	server.SetFaults(medlartable.Faults{LoseProbability: 0.5, Seed: seed})
+	operations := medlarplatform.NewOperations("entry-1", 1)
+	version := medlarwheel.RowVersion(0)
+	for i := range raises {
+		commit, err := client.Transact(t.Context(), operations.Next(), write("counter/a b%2F", version, i+1))
+		if err != nil {
+			t.Fatalf("raise %d: %v", i, err)
+		}
+		version = commit.Version
+	}
+	row, err := client.Row(t.Context(), "counter/a b%2F")
+	if err != nil || string(row.Value) != strconv.Itoa(raises) || row.Version != raises {
+		t.Errorf("row %+v, %v; want value and version %d", row, err, raises)
+	}
+	if lost := server.Counters().LostAnswers; lost < raises/4 {
+		t.Errorf("only %d answers were lost; the fault did not act", lost)
+	}
+}
+
+// Guards against a conflict being lost with its answer, and against its rows being left out.
+func TestConflictSurvivesLostAnswer(t *testing.T) {
+	server, client, _ := serve(t, nil)
+	if _, err := client.Transact(t.Context(), "a:1:1", write("k", 0, 1)); err != nil {
+		t.Fatal(err)
+	}
+	server.SetFaults(medlartable.Faults{LoseAnswers: 1})
+	_, err := client.Transact(t.Context(), "b:1:1", write("k", 0, 2))
+	var conflict *medlarwheel.ConflictError
+	if !errors.As(err, &conflict) || len(conflict.Rows) != 1 || conflict.Rows[0].Version != 1 {
+		t.Errorf("error %v, want a conflict with the row of version 1", err)
+	}
+}
+
+// Guards against reporting "not applied" for a write whose fate is open, and "unknown" for one that was never sent.
+func TestFailureTellsEffect(t *testing.T) {
+	short := func(c *medlarplatform.Config) {
+		c.ReadBack, c.Timeout, c.Breaker.Failures = 50*time.Millisecond, 20*time.Millisecond, 1<<20
+	}
+	server, client, _ := serve(t, short)
+	unreachable := connect(t, "127.0.0.1:1", &clock{}, short)
+	for _, c := range []struct {
+		name   string
+		client *medlarplatform.Client
+		faults medlartable.Faults
+		want   bool
+	}{
+		{"unreachable", unreachable, medlartable.Faults{}, false},
+		{"refused", client, medlartable.Faults{Outage: medlartable.OutageRefuse}, false},
+		{"rejected", client, medlartable.Faults{Reject: true}, false},
+		{"closed", client, medlartable.Faults{Outage: medlartable.OutageClose}, true},
+		{"silent", client, medlartable.Faults{Outage: medlartable.OutageSilent}, true},
+	} {
+		server.SetFaults(c.faults)
+		_, err := c.client.Transact(t.Context(), medlarwheel.OperationID(c.name), write(c.name, 0, 1))
+		var step *medlarwheel.StepError
+		if !errors.Is(err, medlarwheel.ErrUnavailable) || !errors.As(err, &step) || medlarplatform.MayHaveApplied(err) != c.want {
+			t.Errorf("%s: %v; want an unavailable step with may-have-applied %v", c.name, err, c.want)
+		}
+	}
+}
+
+// Guards against an outage costing a time-out per call: after a few failures calls must not reach the platform, but for
+// one probe per pause, and one success must end it.
+func TestOutageFailsFast(t *testing.T) {
+	server, client, now := serve(t, nil)
+	server.SetFaults(medlartable.Faults{Outage: medlartable.OutageRefuse})
+	for range 100 {
+		if _, err := client.Row(t.Context(), "a"); !errors.Is(err, medlarwheel.ErrUnavailable) {
+			t.Fatal(err)
+		}
+	}
+	if n := server.Counters().Rejected; n != 3 || client.Available() {
+		t.Errorf("%d calls reached the platform, want 3; available %v", n, client.Available())
+	}
+	now.advance(150 * time.Millisecond) // the longest first pause
+	for range 100 {
+		_, err := client.Row(t.Context(), "a")
+		if medlarplatform.RetryAfter(err) < 0 {
+			t.Fatal(err)
+		}
+	}
+	if n := server.Counters().Rejected; n != 4 {
+		t.Errorf("%d calls reached the platform, want one probe more", n)
+	}
+	server.SetFaults(medlartable.Faults{})
+	now.advance(300 * time.Millisecond)
+	for range 2 {
+		if _, err := client.Row(t.Context(), "a"); !errors.Is(err, medlarwheel.ErrNotFound) {
+			t.Errorf("after the outage: %v, want not found", err)
+		}
+	}
+}
+
+// Guards against readers seeing the list before its lag, or again without a change.
+func TestListLagsAndHasVersions(t *testing.T) {
+	_, client, now := serve(t, nil)
+	entry := medlarwheel.EntryInstance{
+		ID: "e1", DataCentre: "d1", PeerAddress: "127.0.0.1:7000", Incarnation: 2, State: medlarwheel.StateLive,
+	}
+	if err := client.RegisterEntry(t.Context(), entry); err != nil {
+		t.Fatal(err)
+	}
+	if _, changed, err := client.Instances(t.Context(), 0); err != nil || changed {
+		t.Errorf("before the lag: changed %v, %v", changed, err)
+	}
+	now.advance(2 * time.Second)
+	list, changed, err := client.Instances(t.Context(), 0)
+	if err != nil || !changed || list.Version != 1 || len(list.Entries) != 1 || list.Entries[0] != entry {
+		t.Errorf("after the lag: %+v, changed %v, %v", list, changed, err)
+	}
+	if _, changed, err := client.Instances(t.Context(), 1); err != nil || changed {
+		t.Errorf("unchanged list: changed %v, %v", changed, err)
+	}
+	entry.Incarnation = 1
+	if err := client.RegisterEntry(t.Context(), entry); !errors.Is(err, medlarwheel.ErrStale) {
+		t.Errorf("lower incarnation: %v, want stale", err)
+	}
+}
--- /dev/null
+++ b/medlarplatform/medlarfake/fake.go
@@ -0,0 +1,163 @@
+package medlarfake
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/medlarplatform"
+)
+
+// Fake is a platform in memory with the methods of medlarplatform.Client. It is safe for concurrent use.
+type Fake struct {
+	// Store holds the table and the objects.
+	Store *Store
+	// List holds the instances.
+	List *Instances
+
+	mu     sync.Mutex
+	down   bool
+	losses int
+	calls  int
+}
+
+// New returns an empty platform whose list has no lag.
+func New(clock medlarwheel.Clock) *Fake {
+	return &Fake{Store: NewStore(), List: NewInstances(clock, 0)}
+}
+
+// SetDown starts or ends an outage, in which every call fails without effect.
+func (f *Fake) SetDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// LoseAnswers makes the next n transactions report an unknown result although they are executed.
+func (f *Fake) LoseAnswers(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.losses = n
+}
+
+// Calls returns the number of calls made so far.
+func (f *Fake) Calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+var (
+	errDown = errors.New("platform is down")
+	errLost = errors.New("answer lost")
+)
+
+// begin counts a call and fails it during an outage or after the end of its context.
+func (f *Fake) begin(ctx context.Context, step string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	cause := ctx.Err()
+	if f.down {
+		cause = errDown
+	}
+	if cause == nil {
+		return nil
+	}
+	return medlarwheel.AtStep(step, "fake", &medlarplatform.UnavailableError{Effect: medlarplatform.EffectNone, Cause: cause})
+}
+
+// Transact is like the method of medlarplatform.Client.
+func (f *Fake) Transact(ctx context.Context, op medlarwheel.OperationID, writes []medlarwheel.Write,
+) (medlarwheel.Commit, error) {
+	if err := f.begin(ctx, "transact"); err != nil {
+		return medlarwheel.Commit{}, err
+	}
+	commit, err := f.Store.Transact(medlarplatform.Transaction{Operation: op, Writes: writes})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.losses > 0 {
+		f.losses--
+		lost := &medlarplatform.UnavailableError{Effect: medlarplatform.EffectUnknown, Cause: errLost}
+		return medlarwheel.Commit{}, medlarwheel.AtStep("transact", "fake", lost)
+	}
+	return commit, err
+}
+
+// Row is like the method of medlarplatform.Client.
+func (f *Fake) Row(ctx context.Context, key string) (medlarwheel.Row, error) {
+	if err := f.begin(ctx, "row"); err != nil {
+		return medlarwheel.Row{}, err
+	}
+	row, err := f.Store.Row(key)
+	return row, medlarwheel.AtStep("row", "fake", err)
+}
+
+// Changes is like the method of medlarplatform.Client.
+func (f *Fake) Changes(ctx context.Context, prefix string, after medlarwheel.RowVersion, limit int,
+) (medlarwheel.ChangePage, error) {
+	if err := f.begin(ctx, "changes"); err != nil {
+		return medlarwheel.ChangePage{}, err
+	}
+	return f.Store.Changes(prefix, after, limit), nil
+}
+
+// PutObject is like the method of medlarplatform.Client.
+func (f *Fake) PutObject(ctx context.Context, name string, data []byte) error {
+	return f.do(ctx, "put-object", func() error { f.Store.PutObject(name, data); return nil })
+}
+
+// Object is like the method of medlarplatform.Client.
+func (f *Fake) Object(ctx context.Context, name string) ([]byte, error) {
+	if err := f.begin(ctx, "object"); err != nil {
+		return nil, err
+	}
+	data, err := f.Store.Object(name)
+	return data, medlarwheel.AtStep("object", "fake", err)
+}
+
+// DeleteObject is like the method of medlarplatform.Client.
+func (f *Fake) DeleteObject(ctx context.Context, name string) error {
+	return f.do(ctx, "delete-object", func() error { f.Store.DeleteObject(name); return nil })
+}
+
+// Instances is like the method of medlarplatform.Client.
+func (f *Fake) Instances(ctx context.Context, after uint64) (medlarwheel.InstanceList, bool, error) {
+	if err := f.begin(ctx, "instances"); err != nil {
+		return medlarwheel.InstanceList{}, false, err
+	}
+	list := f.List.List()
+	if list.Version <= after {
+		return medlarwheel.InstanceList{}, false, nil
+	}
+	return list, true, nil
+}
+
+// RegisterEntry is like the method of medlarplatform.Client.
+func (f *Fake) RegisterEntry(ctx context.Context, entry medlarwheel.EntryInstance) error {
+	return f.do(ctx, "register", func() error { return f.List.PutEntry(entry) })
+}
+
+// RegisterUpstream is like the method of medlarplatform.Client.
+func (f *Fake) RegisterUpstream(ctx context.Context, upstream medlarwheel.Upstream) error {
+	return f.do(ctx, "register", func() error { return f.List.PutUpstream(upstream) })
+}
+
+// RemoveEntry is like the method of medlarplatform.Client.
+func (f *Fake) RemoveEntry(ctx context.Context, id medlarwheel.InstanceID) error {
+	return f.do(ctx, "remove-entry", func() error { f.List.RemoveEntry(id); return nil })
+}
+
+// RemoveUpstream is like the method of medlarplatform.Client.
+func (f *Fake) RemoveUpstream(ctx context.Context, id medlarwheel.UpstreamID) error {
+	return f.do(ctx, "remove-upstream", func() error { f.List.RemoveUpstream(id); return nil })
+}
+
+func (f *Fake) do(ctx context.Context, step string, effect func() error) error {
+	if err := f.begin(ctx, step); err != nil {
+		return err
+	}
+	return medlarwheel.AtStep(step, "fake", effect())
+}
