Add the relay stand-in

Cause: tests of partitions and of silent connections need a place between two processes that passes, holds back or refuses bytes.

Change: medlarstandin relay passes TCP connections of one or more routes.

--- a/cmd/medlarstandin/main.go
+++ b/cmd/medlarstandin/main.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"medlarwheel/standin/medlarprocess"
+	"medlarwheel/standin/medlarrelay"
 	"medlarwheel/standin/medlarrunner"
 	"medlarwheel/standin/medlartable"
 )
@@ -31,7 +32,7 @@
 		SilenceUsage:      true,
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return medlarprocess.ApplyEnvironment(c) },
 	}
-	root.AddCommand(medlartable.Command(), medlarrunner.Command())
+	root.AddCommand(medlartable.Command(), medlarrunner.Command(), medlarrelay.Command())
 	if err := root.ExecuteContext(ctx); err != nil {
 		return 1
 	}
