Add the protocol of worker agents and the agent stand-in

Cause: the daemon commands workers, and its leases need workers in tests.

Change: medlaragentapi has the messages with their self-checks, a client and an estimate of the agent's clock. A lease is counted from the issue of its command on the agent's clock: counted from the arrival, a start or a renewal that is delayed, or read after a pause, would run a task beyond the time at which its owner takes it to have ended. A stop fences the attempt, so that a start that arrives after it is refused. standin/medlaragent simulates a worker with tokens, leases, checkpoints, lagging usage reports, interference, faults and a history of starts and ends.

Conclusion: the tests fail when the tokens of the shard or of the task, the end of the lease, the count from the issue, the fence of a stop, the order of attempts, the repeat of a start, the failure of a checkpoint, or the lower bound of the clock estimate are taken out.

--- a/cmd/medlarstandin/main.go
+++ b/cmd/medlarstandin/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/spf13/cobra"
 
+	"medlarwheel/standin/medlaragent"
 	"medlarwheel/standin/medlarprocess"
 	"medlarwheel/standin/medlarrelay"
 	"medlarwheel/standin/medlarrunner"
@@ -32,7 +33,7 @@
 		SilenceUsage:      true,
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return medlarprocess.ApplyEnvironment(c) },
 	}
-	root.AddCommand(medlartable.Command(), medlarrunner.Command(), medlarrelay.Command())
+	root.AddCommand(medlartable.Command(), medlarrunner.Command(), medlarrelay.Command(), medlaragent.Command())
 	if err := root.ExecuteContext(ctx); err != nil {
 		return 1
 	}
--- /dev/null
+++ b/standin/medlaragent/agent.go
@@ -0,0 +1,175 @@
+package medlaragent
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"medlarwheel"
+	"medlarwheel/medlaragentapi"
+)
+
+// objects is the part of the platform that checkpoints need.
+type objects interface {
+	PutObject(ctx context.Context, name string, data []byte) error
+	Object(ctx context.Context, name string) ([]byte, error)
+}
+
+// Agent puts a clock, an HTTP interface and an object store around a machine.
+type Agent struct {
+	config  Config
+	log     zerolog.Logger
+	objects objects
+
+	mu      sync.Mutex
+	machine *machine
+	// changed is closed when the faults change, so that held calls go on.
+	changed chan struct{}
+}
+
+// New returns an agent without tasks. Store may be nil.
+func New(config Config, store objects, log zerolog.Logger) *Agent {
+	return &Agent{
+		config: config, log: log.With().Str("worker", string(config.ID)).Logger(), objects: store,
+		machine: newMachine(config, config.Clock.Now()), changed: make(chan struct{}),
+	}
+}
+
+// with runs f on the machine, brought up to the present time.
+func (a *Agent) with(f func(m *machine)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.machine.advance(a.machine.sinceStart(a.config.Clock.Now()))
+	a.machine.measure()
+	f(a.machine)
+}
+
+// SetFaults replaces the faults.
+func (a *Agent) SetFaults(f Faults) {
+	a.with(func(m *machine) {
+		m.faults = f
+		close(a.changed)
+		a.changed = make(chan struct{})
+	})
+	a.log.Info().Interface("faults", f).Msg("faults changed")
+}
+
+// waitThaw holds a call while the agent is frozen.
+func (a *Agent) waitThaw(done <-chan struct{}) {
+	for {
+		a.mu.Lock()
+		frozen, changed := a.machine.faults.Freeze, a.changed
+		a.mu.Unlock()
+		if !frozen {
+			return
+		}
+		select {
+		case <-changed:
+		case <-done:
+			return
+		}
+	}
+}
+
+// History returns the starts and ends so far.
+func (a *Agent) History() History {
+	h := History{Worker: a.config.ID}
+	a.with(func(m *machine) {
+		h.Events, h.Dropped = slices.Clone(m.events), m.dropped
+		for reason, count := range m.refusals {
+			h.Refusals = append(h.Refusals, RefusalCount{Reason: reason, Count: count})
+		}
+	})
+	slices.SortFunc(h.Refusals, func(a, b RefusalCount) int { return strings.Compare(string(a.Reason), string(b.Reason)) })
+	return h
+}
+
+// Tasks lists the tasks in order of their ids.
+func (a *Agent) Tasks() medlaragentapi.TaskList {
+	list := medlaragentapi.TaskList{Tasks: []medlaragentapi.TaskStatus{}}
+	a.with(func(m *machine) {
+		list.Stamp = m.stamp()
+		for _, t := range m.tasks {
+			list.Tasks = append(list.Tasks, t.status())
+		}
+	})
+	slices.SortFunc(list.Tasks, func(a, b medlaragentapi.TaskStatus) int {
+		return strings.Compare(string(a.Task.ID), string(b.Task.ID))
+	})
+	return list
+}
+
+// ioTimeout bounds one access to the object store.
+const ioTimeout = 3 * time.Second
+
+// Start starts an attempt. It reads the checkpoint first and looks at the lease afterwards, because reading takes time.
+func (a *Agent) Start(ctx context.Context, r medlaragentapi.StartRequest) (medlaragentapi.TaskAnswer, error) {
+	progress, loadErr := time.Duration(0), error(nil)
+	if r.Checkpoint != "" {
+		progress, loadErr = a.load(ctx, r.Checkpoint)
+	}
+	var answer medlaragentapi.TaskAnswer
+	var err error
+	a.with(func(m *machine) {
+		// A repeated start needs no checkpoint, and the object may be gone by then.
+		if t := m.tasks[r.Task.ID]; loadErr != nil && !t.runs(r.Task) {
+			err = m.refuse(medlaragentapi.RefusedCheckpoint, t)
+			return
+		}
+		answer, err = m.start(r, progress)
+	})
+	a.log.Info().Str("task", string(r.Task.ID)).Uint64("attempt", uint64(r.Task.Attempt)).AnErr("refusal", err).
+		AnErr("checkpoint", loadErr).Msg("start")
+	return answer, err
+}
+
+// Checkpoint writes a checkpoint and ends the attempt.
+func (a *Agent) Checkpoint(ctx context.Context, r medlaragentapi.CheckpointRequest) (medlaragentapi.TaskAnswer, error) {
+	var state *Checkpoint
+	var answer medlaragentapi.TaskAnswer
+	var err error
+	a.with(func(m *machine) { state, answer, err = m.beginCheckpoint(r) })
+	if err != nil || state == nil {
+		return answer, err
+	}
+	saveErr := a.save(ctx, r.Object, state)
+	a.with(func(m *machine) { answer, err = m.endCheckpoint(r, saveErr == nil) })
+	a.log.Info().Str("task", string(r.Task.ID)).Uint64("attempt", uint64(r.Task.Attempt)).AnErr("refusal", err).
+		AnErr("object", saveErr).Msg("checkpoint")
+	return answer, err
+}
+
+var errNoStore = errors.New("no platform is set")
+
+func (a *Agent) load(ctx context.Context, name string) (time.Duration, error) {
+	if a.objects == nil {
+		return 0, errNoStore
+	}
+	ctx, cancel := context.WithTimeout(ctx, ioTimeout)
+	defer cancel()
+	data, err := a.objects.Object(ctx, name)
+	if err != nil {
+		return 0, err
+	}
+	c, err := medlarwheel.Decode[Checkpoint](data)
+	return c.Progress.Std(), err
+}
+
+func (a *Agent) save(ctx context.Context, name string, c *Checkpoint) error {
+	if a.objects == nil {
+		return errNoStore
+	}
+	ctx, cancel := context.WithTimeout(ctx, ioTimeout)
+	defer cancel()
+	data, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	return a.objects.PutObject(ctx, name, data)
+}
--- /dev/null
+++ b/standin/medlaragent/checkpoint.go
@@ -0,0 +1,94 @@
+package medlaragent
+
+import (
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlaragentapi"
+)
+
+// Checkpoint is the content of a checkpoint object.
+type Checkpoint struct {
+	Task     medlaragentapi.TaskRef `json:"task"`
+	Progress medlarwheel.Duration   `json:"progress"`
+}
+
+// Check reports every fault of c.
+func (c *Checkpoint) Check() medlarwheel.Faults {
+	if c.Progress < 0 {
+		return medlarwheel.Faults{}.Add("progress", c.Progress, "0 or more")
+	}
+	return nil
+}
+
+// beginCheckpoint pauses a running attempt and returns what to write. It returns nothing to write for an attempt that
+// was checkpointed to the same object before.
+func (m *machine) beginCheckpoint(r medlaragentapi.CheckpointRequest) (*Checkpoint, medlaragentapi.TaskAnswer, error) {
+	if t := m.tasks[r.Task.ID]; t != nil && t.ref == r.Task && t.state == medlaragentapi.StateCheckpointed {
+		if err := m.fence(r.Command, t); err != nil || t.object != r.Object {
+			return nil, medlaragentapi.TaskAnswer{}, orNotRunning(err, m, t)
+		}
+		answer, err := m.answer(t)
+		return nil, answer, err
+	}
+	t, err := m.running(r.Command, r.Task)
+	if err != nil {
+		return nil, medlaragentapi.TaskAnswer{}, err
+	}
+	if t.paused {
+		return nil, medlaragentapi.TaskAnswer{}, m.refuse(medlaragentapi.RefusedCheckpoint, t)
+	}
+	t.paused = true
+	return &Checkpoint{Task: t.ref, Progress: medlarwheel.Duration(t.progress)}, medlaragentapi.TaskAnswer{}, nil
+}
+
+func orNotRunning(err error, m *machine, t *task) error {
+	if err != nil {
+		return err
+	}
+	return m.refuse(medlaragentapi.RefusedNotRunning, t)
+}
+
+// endCheckpoint ends the paused attempt after its object was written, or lets it run on.
+func (m *machine) endCheckpoint(r medlaragentapi.CheckpointRequest, written bool) (medlaragentapi.TaskAnswer, error) {
+	t := m.tasks[r.Task.ID]
+	if !t.runs(r.Task) {
+		return medlaragentapi.TaskAnswer{}, m.refuse(medlaragentapi.RefusedNotRunning, t)
+	}
+	t.paused = false
+	if !written {
+		return medlaragentapi.TaskAnswer{}, m.refuse(medlaragentapi.RefusedCheckpoint, t)
+	}
+	t.object = r.Object
+	m.finish(t, medlaragentapi.StateCheckpointed)
+	return m.answer(t)
+}
+
+// measure takes a usage measurement when one is due.
+func (m *machine) measure() {
+	if m.now < m.usage.next {
+		return
+	}
+	m.usage.next = m.now + m.config.UsageEvery
+	speeds := m.speeds()
+	tasks := make([]medlaragentapi.TaskUsage, 0, len(speeds))
+	for t, speed := range speeds {
+		tasks = append(tasks, medlaragentapi.TaskUsage{
+			Task: t.ref, Template: t.template, Speed: int(speed * medlaragentapi.FullSpeed), Used: medlarwheel.Resources{
+				CPU: medlarwheel.MilliCPU(min(m.demand(t), float64(m.config.Size.CPU))), Memory: t.need.Memory,
+				Accelerators: t.need.Accelerators,
+			},
+		})
+	}
+	m.usage.add(m.now, tasks)
+}
+
+// report returns a usage report, which the faults may make false.
+func (m *machine) report() medlaragentapi.UsageReport {
+	r := m.usage.report(m.now, m.faults.Usage)
+	r.Stamp = m.stamp()
+	return r
+}
+
+// sinceStart is a clock reading as the machine takes it.
+func (m *machine) sinceStart(now time.Time) time.Duration { return now.Sub(m.started) }
--- /dev/null
+++ b/standin/medlaragent/decide.go
@@ -0,0 +1,198 @@
+package medlaragent
+
+import (
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlaragentapi"
+)
+
+// refuse returns a refusal and counts it.
+func (m *machine) refuse(reason medlaragentapi.RefusedReason, t *task) *medlaragentapi.RefusedError {
+	m.refusals[reason]++
+	refused := &medlaragentapi.RefusedError{Stamp: m.stamp(), Reason: reason}
+	if t != nil {
+		status := t.status()
+		refused.Status = &status
+	}
+	return refused
+}
+
+func (t *task) status() medlaragentapi.TaskStatus {
+	return medlaragentapi.TaskStatus{
+		Task: t.ref, State: t.state, Progress: medlarwheel.Duration(t.progress), LeaseEnd: medlarwheel.Duration(t.leaseEnd),
+		Share: t.share, Object: t.object,
+	}
+}
+
+// runs reports whether t is the named attempt and runs. T may be nil.
+func (t *task) runs(ref medlaragentapi.TaskRef) bool {
+	return t != nil && t.ref == ref && t.state == medlaragentapi.StateRunning
+}
+
+func (m *machine) answer(t *task) (medlaragentapi.TaskAnswer, error) {
+	return medlaragentapi.TaskAnswer{Stamp: m.stamp(), Status: t.status()}, nil
+}
+
+// fence refuses a command of a superseded owner or for another start of the agent. T may be nil.
+func (m *machine) fence(c medlaragentapi.Command, t *task) error {
+	if c.Issued != nil && c.Issued.Incarnation != m.incarnation {
+		return m.refuse(medlaragentapi.RefusedIncarnation, t)
+	}
+	highest := m.tokens[c.Shard]
+	if t != nil {
+		highest = max(highest, t.token)
+	}
+	if c.Token < highest {
+		refused := m.refuse(medlaragentapi.RefusedToken, t)
+		refused.Highest = highest
+		return refused
+	}
+	m.tokens[c.Shard] = c.Token
+	if t != nil {
+		t.token = c.Token
+	}
+	return nil
+}
+
+// leaseEnd returns the end of a lease that is counted from the issue of its command.
+func (m *machine) leaseEnd(c medlaragentapi.Command, term medlarwheel.Duration) time.Duration {
+	if c.Issued == nil {
+		return m.now + term.Std()
+	}
+	return min(c.Issued.Now.Std(), m.now) + term.Std()
+}
+
+// start starts an attempt with the progress of its checkpoint.
+func (m *machine) start(r medlaragentapi.StartRequest, progress time.Duration) (medlaragentapi.TaskAnswer, error) {
+	t := m.tasks[r.Task.ID]
+	if err := m.fence(r.Command, t); err != nil {
+		return medlaragentapi.TaskAnswer{}, err
+	}
+	leaseEnd := m.leaseEnd(r.Command, r.Lease)
+	switch {
+	case leaseEnd <= m.now:
+		return medlaragentapi.TaskAnswer{}, m.refuse(medlaragentapi.RefusedExpired, t)
+	case t == nil:
+	case t.runs(r.Task):
+		t.leaseEnd = max(t.leaseEnd, leaseEnd)
+		return m.answer(t)
+	case r.Task.Attempt <= t.ref.Attempt:
+		return medlaragentapi.TaskAnswer{}, m.refuse(medlaragentapi.RefusedAttempt, t)
+	case t.state == medlaragentapi.StateRunning:
+		return medlaragentapi.TaskAnswer{}, m.refuse(medlaragentapi.RefusedRunning, t)
+	}
+	if m.leaving {
+		return medlaragentapi.TaskAnswer{}, m.refuse(medlaragentapi.RefusedLeaving, t)
+	}
+	if !m.committed().Plus(r.Size).Fits(m.config.Size) {
+		return medlaragentapi.TaskAnswer{}, m.refuse(medlaragentapi.RefusedRoom, t)
+	}
+	t = m.newTask(r, leaseEnd, progress)
+	m.tasks[r.Task.ID] = t
+	m.note(m.now, EventStart, t)
+	return m.answer(t)
+}
+
+func (m *machine) newTask(r medlaragentapi.StartRequest, leaseEnd, progress time.Duration) *task {
+	cpu, memory := m.truth("cpu", r.Task.ID), m.truth("memory", r.Task.ID)
+	t := &task{
+		ref: r.Task, shard: r.Command.Shard, token: r.Command.Token, template: r.Template, declared: r.Size,
+		need: medlarwheel.Resources{
+			CPU:          medlarwheel.MilliCPU(float64(r.Size.CPU) * cpu),
+			Memory:       medlarwheel.MegaBytes(float64(r.Size.Memory) * memory),
+			Accelerators: r.Size.Accelerators,
+		},
+		work:     time.Duration(float64(r.Work) * m.truth("work", r.Task.ID)),
+		progress: progress, leaseEnd: leaseEnd, share: medlaragentapi.FullSpeed, state: medlaragentapi.StateRunning,
+	}
+	if m.faults.FailStarts {
+		t.failAt = m.now + failAfter
+	}
+	return t
+}
+
+// committed returns the declared sizes of all running tasks.
+func (m *machine) committed() medlarwheel.Resources {
+	var sum medlarwheel.Resources
+	for _, t := range m.tasks {
+		if t.state == medlaragentapi.StateRunning {
+			sum = sum.Plus(t.declared)
+		}
+	}
+	return sum
+}
+
+// renew extends the leases of the named attempts that run and that the caller may command.
+func (m *machine) renew(r medlaragentapi.RenewRequest) (medlaragentapi.RenewAnswer, error) {
+	if err := m.fence(r.Command, nil); err != nil {
+		return medlaragentapi.RenewAnswer{}, err
+	}
+	leaseEnd := m.leaseEnd(r.Command, r.Lease)
+	answer := medlaragentapi.RenewAnswer{Stamp: m.stamp(), Tasks: make([]medlaragentapi.TaskStatus, 0, len(r.Tasks))}
+	for _, ref := range r.Tasks {
+		t := m.tasks[ref.ID]
+		if t == nil || t.ref != ref || m.fence(r.Command, t) != nil {
+			answer.Tasks = append(answer.Tasks, medlaragentapi.TaskStatus{Task: ref, State: medlaragentapi.StateUnknown})
+			continue
+		}
+		if t.state == medlaragentapi.StateRunning {
+			t.leaseEnd = max(t.leaseEnd, leaseEnd)
+		}
+		answer.Tasks = append(answer.Tasks, t.status())
+	}
+	return answer, nil
+}
+
+// throttle limits the speed of a running attempt.
+func (m *machine) throttle(r medlaragentapi.ThrottleRequest) (medlaragentapi.TaskAnswer, error) {
+	t, err := m.running(r.Command, r.Task)
+	if err != nil {
+		return medlaragentapi.TaskAnswer{}, err
+	}
+	t.share = r.Share
+	return m.answer(t)
+}
+
+// running returns the named attempt if it runs and the command may act on it.
+func (m *machine) running(c medlaragentapi.Command, ref medlaragentapi.TaskRef) (*task, error) {
+	t := m.tasks[ref.ID]
+	if err := m.fence(c, t); err != nil {
+		return nil, err
+	}
+	if !t.runs(ref) {
+		return nil, m.refuse(medlaragentapi.RefusedNotRunning, t)
+	}
+	return t, nil
+}
+
+// stop ends the named attempt and every earlier one. It remembers an attempt that it has not heard of, so that a start
+// that is still on its way is refused.
+func (m *machine) stop(r medlaragentapi.StopRequest) (medlaragentapi.TaskAnswer, error) {
+	t := m.tasks[r.Task.ID]
+	if err := m.fence(r.Command, t); err != nil {
+		return medlaragentapi.TaskAnswer{}, err
+	}
+	if t != nil && t.ref.Attempt > r.Task.Attempt {
+		other := medlaragentapi.TaskStatus{Task: r.Task, State: medlaragentapi.StateUnknown}
+		return medlaragentapi.TaskAnswer{Stamp: m.stamp(), Status: other}, nil
+	}
+	if t != nil && t.state == medlaragentapi.StateRunning {
+		m.finish(t, medlaragentapi.StateStopped)
+	}
+	if t == nil || t.ref != r.Task {
+		t = &task{ref: r.Task, shard: r.Command.Shard, token: r.Command.Token, state: medlaragentapi.StateStopped}
+		m.tasks[r.Task.ID] = t
+		m.forget(r.Task.ID)
+	}
+	return m.answer(t)
+}
+
+// stopAll ends every running attempt.
+func (m *machine) stopAll() {
+	for _, t := range m.tasks {
+		if t.state == medlaragentapi.StateRunning {
+			m.finish(t, medlaragentapi.StateStopped)
+		}
+	}
+}
