Add the load generator

Change: medlarstandin load sends an open-loop load to entry instances, retries through another one after the time to come back, and compares the answers with the runners' ledgers: keys applied twice, reported as not run although applied, and reported as done although not applied. load direct sends to runners for the baseline.

--- a/cmd/medlarstandin/main.go
+++ b/cmd/medlarstandin/main.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"medlarwheel/standin/medlaragent"
+	"medlarwheel/standin/medlarload"
 	"medlarwheel/standin/medlarprocess"
 	"medlarwheel/standin/medlarrelay"
 	"medlarwheel/standin/medlarrunner"
@@ -33,7 +34,8 @@
 		SilenceUsage:      true,
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return medlarprocess.ApplyEnvironment(c) },
 	}
-	root.AddCommand(medlartable.Command(), medlarrunner.Command(), medlarrelay.Command(), medlaragent.Command())
+	root.AddCommand(medlartable.Command(), medlarrunner.Command(), medlarrelay.Command(), medlaragent.Command(),
+		medlarload.Command())
 	if err := root.ExecuteContext(ctx); err != nil {
 		return 1
 	}
