Count violations of a load run from its begin

Cause: the counters of a runner run on from its start, so the audit of a second load run showed the slot violations of the first one as well: 10,760 violations for 10,743 refusals, after a run with 17.

Change: the generator reads the counters of the runners before the load and takes them off. Runners give the counters without the ledger at /counters.

--- a/standin/medlarload/audit.go
+++ b/standin/medlarload/audit.go
@@ -29,11 +29,10 @@
 	DoneButNotApplied int `json:"done-but-not-applied"`
 	// Examples names some of the offending keys.
 	Examples []Example `json:"examples,omitempty"`
-	// SlotViolations and ConnectionViolations are sums over the runners.
+	// SlotViolations, ConnectionViolations and Unkeyed are sums over the runners since the begin of the load.
 	SlotViolations       uint64 `json:"slot-violations"`
 	ConnectionViolations uint64 `json:"connection-violations"`
-	// Unkeyed counts the applied requests without a key.
-	Unkeyed uint64 `json:"unkeyed"`
+	Unkeyed              uint64 `json:"unkeyed"`
 }
 
 // Example is an offending key.
@@ -55,29 +54,50 @@
 	maxExamples   = 20
 )
 
-// audit reads the ledgers of all runners and compares.
-func (g *generator) audit(started time.Time) *Audit {
-	if len(g.config.Runners) == 0 {
-		return nil
-	}
+// read asks all runners for a report. It also returns what went wrong.
+func (g *generator) read(path string) ([]medlarrunner.Report, []string) {
 	reports := make([]medlarrunner.Report, 0, len(g.config.Runners))
 	var problems []string
 	for _, runner := range g.config.Runners {
 		var report medlarrunner.Report
-		if err := medlarprocess.GetJSON(runner, "/ledger", ledgerTimeout, &report); err != nil {
+		if err := medlarprocess.GetJSON(runner, path, ledgerTimeout, &report); err != nil {
 			problems = append(problems, err.Error())
 			continue
 		}
 		reports = append(reports, report)
 	}
+	return reports, problems
+}
+
+// audit reads the ledgers of all runners and compares. Before has the counters from before the load.
+func (g *generator) audit(started time.Time, before []medlarrunner.Report) *Audit {
+	if len(g.config.Runners) == 0 {
+		return nil
+	}
+	reports, problems := g.read("/ledger")
 	g.tally.mu.Lock()
 	defer g.tally.mu.Unlock()
-	audit := compare(g.tally.keys, reports, started)
+	audit := compare(g.tally.keys, since(reports, before), started)
 	audit.Problems = append(audit.Problems, problems...)
 	audit.Complete = len(audit.Problems) == 0
 	return audit
 }
 
+// since takes the counters from before the load off the reports. A runner that started again counts from zero.
+func since(reports, before []medlarrunner.Report) []medlarrunner.Report {
+	for i := range reports {
+		now := &reports[i]
+		for _, old := range before {
+			if old.ID == now.ID && old.Started.Equal(now.Started) {
+				now.Counters.SlotViolations -= old.Counters.SlotViolations
+				now.Counters.ConnectionViolations -= old.Counters.ConnectionViolations
+				now.Counters.Unkeyed -= old.Counters.Unkeyed
+			}
+		}
+	}
+	return reports
+}
+
 // compare judges the keys of the load by the ledgers.
 func compare(keys map[medlarwheel.RequestKey]*keyRecord, reports []medlarrunner.Report, started time.Time) *Audit {
 	a := &Audit{Runners: len(reports), Keys: len(keys), Complete: true}
--- a/standin/medlarload/generator.go
+++ b/standin/medlarload/generator.go
@@ -46,13 +46,14 @@
 		g.clients = append(g.clients, client)
 	}
 	log.Info().Uint64("seed", config.Seed).Float64("rate", config.Rate).Str("run", g.run).Msg("load begins")
+	before, _ := g.read("/counters")
 	sent := g.arrivals(ctx)
 	g.group.Wait()
 	for _, client := range g.clients {
 		client.CloseIdleConnections()
 	}
 	report := g.tally.report(config, sent)
-	report.Audit = g.audit(started)
+	report.Audit = g.audit(started, before)
 	return report, nil
 }
 
--- a/standin/medlarload/load_test.go
+++ b/standin/medlarload/load_test.go
@@ -138,21 +138,33 @@
 	}
 }
 
-// Guards against a baseline that does not reach the runners or an audit that reads other ledgers.
+// Guards against a baseline that does not reach the runners, an audit that reads other ledgers, and violations of earlier
+// runs that are counted again.
 func TestDirectLoadIsAudited(t *testing.T) {
 	runner := medlarrunner.DefaultConfig()
-	runner.ID, runner.ServiceTime = "r1", time.Millisecond
+	runner.ID, runner.ServiceTime, runner.Slots = "r1", 5*time.Millisecond, 1
 	address := listen(t, medlarrunner.New(runner, zerolog.Nop()).Handle)
 	config := DefaultConfig()
 	config.Direct, config.Targets, config.Runners = true, []string{address}, []string{address}
 	config.Rate, config.MaxRequests = 500, 50
 	config.Mix = []Kind{{Template: "holds", Account: "a", Method: "POST", Keys: KeysPlain, Weight: 1}}
-	report, err := Run(t.Context(), config, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := report.Audit
-	if a == nil || !a.Complete || !a.Clean(true) || a.Keys != 50 || a.Applied != report.Templates[0].Done.Count {
-		t.Errorf("audit %+v of %+v", a, report.Templates)
+	for range 2 {
+		report, err := Run(t.Context(), config, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, calls := report.Audit, report.Templates[0].Calls
+		if a == nil || !a.Complete || !a.Clean(true) || a.Keys != 50 || a.Applied != report.Templates[0].Done.Count {
+			t.Errorf("audit %+v of %+v", a, report.Templates)
+		}
+		refused := uint64(0)
+		for _, c := range calls {
+			if c.Outcome == medlarwheel.OutcomeNotRun {
+				refused += uint64(c.Count)
+			}
+		}
+		if a.SlotViolations != refused || refused == 0 {
+			t.Errorf("%d slot violations in this run, %d refusals", a.SlotViolations, refused)
+		}
 	}
 }
--- a/standin/medlarrunner/ledger.go
+++ b/standin/medlarrunner/ledger.go
@@ -73,3 +73,10 @@
 	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(string(a.Key), string(b.Key)) })
 	return entries, l.dropped
 }
+
+// Dropped returns the number of arrivals that did not fit.
+func (l *Ledger) Dropped() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dropped
+}
--- a/standin/medlarrunner/report.go
+++ b/standin/medlarrunner/report.go
@@ -7,7 +7,7 @@
 	"medlarwheel"
 )
 
-// Report is the answer of GET /ledger.
+// Report is the answer of GET /ledger, and without the keys of GET /counters.
 type Report struct {
 	ID medlarwheel.UpstreamID `json:"id"`
 	// Started is the time of the runner's start. The ledger has nothing from before.
@@ -40,11 +40,17 @@
 
 // Report returns the ledger and the counters.
 func (r *Runner) Report() Report {
-	keys, dropped := r.ledger.Entries()
-	return Report{ID: r.config.ID, Started: r.started, Keys: keys, Counters: Counters{
+	report := r.Summary()
+	report.Keys, report.Counters.Dropped = r.ledger.Entries()
+	return report
+}
+
+// Summary returns the counters without the ledger.
+func (r *Runner) Summary() Report {
+	return Report{ID: r.config.ID, Started: r.started, Counters: Counters{
 		Requests: r.requests.Load(), Busy: r.busy.Load(), SlotViolations: r.slotViolations.Load(),
 		ConnectionViolations: r.connectionViolations.Load(), PeakBusy: r.peakBusy.Load(),
-		PeakConnections: r.peakConnections.Load(), Unkeyed: r.unkeyed.Load(), Dropped: dropped,
+		PeakConnections: r.peakConnections.Load(), Unkeyed: r.unkeyed.Load(), Dropped: r.ledger.Dropped(),
 		AfterLeaving: r.afterLeaving.Load(), LastAfterLeaving: medlarwheel.Duration(r.lastAfterLeaving.Load()),
 	}}
 }
--- a/standin/medlarrunner/runner.go
+++ b/standin/medlarrunner/runner.go
@@ -92,6 +92,8 @@
 		medlarprocess.JSON(ctx, fasthttp.StatusOK, struct{}{})
 	case "/ledger":
 		medlarprocess.JSON(ctx, fasthttp.StatusOK, r.Report())
+	case "/counters":
+		medlarprocess.JSON(ctx, fasthttp.StatusOK, r.Summary())
 	case "/faults":
 		f, err := medlarwheel.Decode[Faults](ctx.PostBody())
 		if err != nil {
