Do not count a lack of own connections as a platform failure

Cause: a call that found all connections in use counted towards the breaker, so three concurrent calls too many suspended all calls to a working platform.

Change: such a call is abandoned; the breaker learns nothing from it.

Conclusion: the new test fails when the call is counted.

--- a/medlarplatform/breaker.go
+++ b/medlarplatform/breaker.go
@@ -21,7 +21,7 @@
 }
 
 // Breaker decides whether a call may be sent to a peer that has failed repeatedly. It reads no clock and takes no lock.
-// Each call that Allow lets through must be followed by one Success or Failure.
+// Each call that Allow lets through must be followed by one Success, Failure or Abandon.
 type Breaker struct {
 	config   BreakerConfig
 	failures int
@@ -57,6 +57,9 @@
 // Success closes the breaker.
 func (b *Breaker) Success() { *b = Breaker{config: b.config} }
 
+// Abandon ends a call that was not sent for a reason of the caller's own, which tells nothing about the peer.
+func (b *Breaker) Abandon() { b.probing = false }
+
 // Failure counts a failed call. A failure of a call that was sent before the breaker opened does not postpone the probe.
 func (b *Breaker) Failure(now time.Time, random *rand.Rand) {
 	b.failures++
--- a/medlarplatform/client_test.go
+++ b/medlarplatform/client_test.go
@@ -218,6 +218,28 @@
 	}
 }
 
+// Guards against the caller's own lack of connections being taken for an outage, which would suspend all calls.
+func TestBusyConnectionsAreNoOutage(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	address := listen(t, func(*fasthttp.RequestCtx) { arrived <- struct{}{}; <-release })
+	client := connect(t, address, &clock{}, func(c *medlarplatform.Config) { c.MaxConnections = 1 })
+	done := make(chan error, 1)
+	go func() { done <- client.DeleteObject(context.Background(), "a") }()
+	<-arrived
+	for range 10 {
+		if err := client.DeleteObject(t.Context(), "a"); !errors.Is(err, fasthttp.ErrNoFreeConns) {
+			t.Fatalf("second call: %v, want no free connection", err)
+		}
+	}
+	if !client.Available() {
+		t.Error("calls are suspended although the platform works")
+	}
+	close(release)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against readers seeing the list before its lag, or again without a change.
 func TestListLagsAndHasVersions(t *testing.T) {
 	_, client, now := serve(t, nil)
--- a/medlarplatform/exchange.go
+++ b/medlarplatform/exchange.go
@@ -37,7 +37,11 @@
 		request.SetBodyRaw(body)
 	}
 	if err := c.http.DoTimeout(request, response, timeout); err != nil {
-		c.report(false)
+		if errors.Is(err, fasthttp.ErrNoFreeConns) {
+			c.abandon()
+		} else {
+			c.report(false)
+		}
 		return answer{}, &UnavailableError{Effect: effectOf(err), Cause: err}
 	}
 	// An answer below 500 shows that the platform works, even if it refuses this call.
@@ -92,6 +96,13 @@
 	c.breaker.Failure(c.config.Clock.Now(), c.config.Random)
 }
 
+// abandon tells the breaker that a call was not sent because all connections are in use.
+func (c *Client) abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.breaker.Abandon()
+}
+
 // pause waits for about d. It reports false when the context ended first.
 func (c *Client) pause(ctx context.Context, d time.Duration) bool {
 	c.mu.Lock()
