Add medlaraccount: admission per class and client account

Cause: an entry instance has a few dozen slots and must keep service for every class and client account in a flood of ten times its capacity, and refuse what cannot be served at once with a useful time to come back. Change: Admission with one bounded queue per lane, guarantees per lane, floors per class, lending by start-time fair queueing (urgent classes first), expected waits from the measured drain rate, standing queues cut to one service time, and refusals whose times to come back spread callers over the drain rate.

--- /dev/null
+++ b/medlaraccount/expire.go
@@ -0,0 +1,109 @@
+package medlaraccount
+
+import (
+	"time"
+
+	"medlarwheel"
+)
+
+// rateFall is the part of its former drain rate below which a lane's waiting requests are judged again. A smaller change
+// is within the error of the measured rate.
+const rateFall = 0.9
+
+// sweepLanes bounds the lanes judged by one call of Expire, so that its cost does not grow with the lanes.
+const sweepLanes = 64
+
+// Expire refuses waiting requests whose queue timeout has passed or that can no longer meet their deadline. The returned
+// slice is valid until the next call.
+func (a *Admission) Expire(now time.Time) []Expired {
+	a.expireOverdue(now)
+	if a.waiting > 0 && now.Sub(a.lastSweep) >= a.config.SweepInterval {
+		a.lastSweep = now
+		a.sweep(now)
+	}
+	a.handedOut, a.expired = a.expired, a.handedOut[:0]
+	return a.handedOut
+}
+
+// NextExpiry returns the time at which Expire is to be called next. It reports false when nothing waits.
+func (a *Admission) NextExpiry() (time.Time, bool) {
+	if len(a.expired) > 0 {
+		return a.lastSweep, true
+	}
+	if a.waiting == 0 {
+		return time.Time{}, false
+	}
+	next := a.lastSweep.Add(a.config.SweepInterval)
+	if overdue := a.giveUps.items[0].giveUp; overdue.Before(next) {
+		next = overdue
+	}
+	return next, true
+}
+
+// expireOverdue refuses the requests whose time to give up has passed.
+func (a *Admission) expireOverdue(now time.Time) {
+	for a.waiting > 0 && now.After(a.giveUps.items[0].giveUp) {
+		e := a.giveUps.items[0]
+		a.expire(now, e, e.reason)
+	}
+}
+
+// sweep judges the waiting requests of lanes that drain more slowly than when the requests were queued. It looks at a
+// bounded number of lanes at a time.
+func (a *Admission) sweep(now time.Time) {
+	if a.config.Order == NewestFirst {
+		return
+	}
+	for range min(sweepLanes, len(a.backlog)) {
+		if len(a.backlog) == 0 {
+			return
+		}
+		a.sweepNext = (a.sweepNext + 1) % len(a.backlog)
+		l := a.backlog[a.sweepNext]
+		if rate := l.rate(now); rate < rateFall*l.checkedRate {
+			l.checkedRate = rate
+			a.judge(now, l)
+		}
+	}
+}
+
+// judge refuses the waiting requests of l that would start too late.
+func (a *Admission) judge(now time.Time, l *lane) {
+	ahead := 0
+	for e := l.waiting.oldest; e != nil; {
+		next := e.next
+		if startsAt(now, ahead, l.checkedRate).After(e.giveUp) {
+			a.expire(now, e, e.reason)
+		} else {
+			ahead++
+		}
+		e = next
+	}
+}
+
+// queueStarted notes that l has its first waiting request.
+func (a *Admission) queueStarted(now time.Time, l *lane) {
+	l.drain.queueStarted(now)
+	l.checkedRate = 0
+	l.sweepPosition = len(a.backlog)
+	a.backlog = append(a.backlog, l)
+}
+
+// queueEnded notes that l has no waiting request left.
+func (a *Admission) queueEnded(l *lane) {
+	last := a.backlog[len(a.backlog)-1]
+	a.backlog[l.sweepPosition] = last
+	last.sweepPosition = l.sweepPosition
+	l.sweepPosition = notInHeap
+	a.backlog = a.backlog[:len(a.backlog)-1]
+}
+
+// expire refuses a waiting request. The next call of Expire tells the caller.
+func (a *Admission) expire(now time.Time, e *entry, reason medlarwheel.Reason) {
+	l := e.lane
+	x := Expired{ID: e.id, Lane: l.key, Waited: now.Sub(e.arrived)}
+	a.dequeue(e)
+	x.Refusal = a.refuse(now, l, reason).Refusal
+	a.release(e)
+	a.expired = append(a.expired, x)
+}
--- /dev/null
+++ b/medlaraccount/flood_test.go
@@ -0,0 +1,165 @@
+package medlaraccount_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlaraccount"
+)
+
+const (
+	urgent     = medlarwheel.ClassUrgent
+	standard   = medlarwheel.ClassStandard
+	background = medlarwheel.ClassBackground
+)
+
+const simSeed = 7
+
+func moderate() []source { return []source{{urgent, 0.3, 5}, {standard, 0.3, 5}, {background, 0.3, 5}} }
+
+// flood returns moderate load with one class at ten times the capacity.
+func flood(class medlarwheel.Class) []source {
+	sources := moderate()
+	sources[class.Rank()].load = 10
+	return sources
+}
+
+func goodShare(classes map[medlarwheel.Class]*tally) float64 {
+	return classes[urgent].share() + classes[standard].share() + classes[background].share()
+}
+
+// Guards against the flood targets of the design page being missed: goodput, tail latency of the protected class, and the
+// share that the other classes keep in either order of flood.
+func TestFloodTargets(t *testing.T) {
+	t.Logf("seed %d", simSeed)
+	run := func(sources []source) map[medlarwheel.Class]*tally {
+		p := newAdmissionPolicy(medlaraccount.DefaultAdmissionConfig(), 0)
+		return simulate(simSeed, p, false, fixedDeadline, sources...)
+	}
+	calm, fromBelow, fromAbove := run(moderate()), run(flood(background)), run(flood(urgent))
+	peak := goodShare(run([]source{{urgent, 0.4, 5}, {standard, 0.4, 5}, {background, 0.4, 5}}))
+	for name, got := range map[string]float64{"background": goodShare(fromBelow), "urgent": goodShare(fromAbove)} {
+		if got < 0.95*peak {
+			t.Errorf("goodput in a flood of %s: %.3f of the capacity, want 95%% of %.3f", name, got, peak)
+		}
+	}
+	before, during := percentile(calm[urgent].latencies, 0.99), percentile(fromBelow[urgent].latencies, 0.99)
+	if during > before*3/2 {
+		t.Errorf("99th percentile of urgent requests: %v in a flood of background work, %v without", during, before)
+	}
+	if got := fromBelow[urgent].share(); got < 0.95*calm[urgent].share() {
+		t.Errorf("urgent work got %.3f in a flood of background work, %.3f without", got, calm[urgent].share())
+	}
+	floor := medlaraccount.DefaultAdmissionConfig().ClassFloor
+	if got := fromAbove[standard].share(); got < 0.95*floor.Standard {
+		t.Errorf("standard work kept %.3f in a flood of urgent work, want its floor %.3f", got, floor.Standard)
+	}
+	if got := fromAbove[background].share(); got < 0.95*floor.Background {
+		t.Errorf("background work kept %.3f in a flood of urgent work, want its floor %.3f", got, floor.Background)
+	}
+	if got := percentile(fromAbove[urgent].refusalDelays, 0.5); got != 0 {
+		t.Errorf("median delay of a refusal in a flood: %v, want at once", got)
+	}
+}
+
+func report(b *testing.B, classes map[medlarwheel.Class]*tally, protected medlarwheel.Class) {
+	b.ReportMetric(goodShare(classes), "goodput")
+	b.ReportMetric(float64(percentile(classes[protected].latencies, 0.99))/1e6, "protected-p99-ms")
+	for _, c := range medlarwheel.Classes() {
+		b.ReportMetric(classes[c].share(), string(c)+"-share")
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkFlood compares Admission with the baselines in both orders of flood, with the same seed. It reports shares of
+// the capacity that answered requests within their deadline.
+func BenchmarkFlood(b *testing.B) {
+	policies := []struct {
+		name string
+		make func() policy
+	}{
+		{"admission", func() policy { return newAdmissionPolicy(medlaraccount.DefaultAdmissionConfig(), 0) }},
+		{"fixed-split", func() policy { return &fifoPolicy{split: true} }},
+		{"unlimited-fifo", func() policy { return &fifoPolicy{} }},
+	}
+	loads := []struct {
+		name      string
+		sources   []source
+		protected medlarwheel.Class
+	}{
+		{"calm", moderate(), urgent}, {"background-flood", flood(background), urgent}, {"urgent-flood", flood(urgent), standard},
+	}
+	for _, load := range loads {
+		for _, p := range policies {
+			b.Run(load.name+"/"+p.name, func(b *testing.B) {
+				for range b.N {
+					report(b, simulate(simSeed, p.make(), false, fixedDeadline, load.sources...), load.protected)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkQueueOrder compares the orders of a lane's queue in a flood, with deadlines from 200 ms to 2 s, with steady and
+// with falling capacity.
+func BenchmarkQueueOrder(b *testing.B) {
+	varied := func(r *rand.Rand) time.Duration { return time.Duration(200+r.IntN(1800)) * time.Millisecond }
+	for _, load := range []float64{1.2, 3, 10} {
+		for _, drops := range []bool{false, true} {
+			for order, name := range []string{"oldest-first", "newest-first"} {
+				b.Run(fmt.Sprintf("load=%g/drops=%v/%s", load, drops, name), func(b *testing.B) {
+					c := medlaraccount.DefaultAdmissionConfig()
+					c.Order = medlaraccount.Order(order)
+					for range b.N {
+						classes := simulate(simSeed, newAdmissionPolicy(c, 0), drops, varied, source{standard, load, 8})
+						got := classes[standard]
+						b.ReportMetric(got.share(), "goodput")
+						b.ReportMetric(float64(percentile(got.latencies, 0.5))/1e6, "p50-ms")
+						b.ReportMetric(float64(percentile(got.latencies, 0.99))/1e6, "p99-ms")
+						b.ReportMetric(float64(percentile(got.refusalDelays, 0.99))/1e6, "refusal-p99-ms")
+						b.ReportMetric(float64(len(got.latencies)-got.good), "wasted")
+						b.ReportMetric(0, "ns/op")
+					}
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkOffer measures one request at ten times the capacity: nine of ten are refused, the tenth is queued, granted and
+// ended. The cost must not grow with the lanes.
+func BenchmarkOffer(b *testing.B) {
+	for _, lanes := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("lanes=%d", lanes), func(b *testing.B) {
+			a := medlaraccount.NewAdmission(medlaraccount.DefaultAdmissionConfig())
+			now := simStart
+			a.SetCapacity(now, simCapacity)
+			keys := make([]medlaraccount.Lane, lanes)
+			for i := range keys {
+				keys[i] = medlaraccount.Lane{Template: "t", Account: medlarwheel.AccountID(fmt.Sprint(i)),
+					Class: medlarwheel.Classes()[i%3]}
+				a.SetShare(keys[i], medlaraccount.Share{Guaranteed: 1, Weight: 1, QueueLimit: 10})
+			}
+			running := make([]medlaraccount.Grant, 0, simCapacity)
+			const step = 150 * time.Microsecond // ten times 65 slots of 100 ms
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(step)
+				key := keys[(i*7919)%lanes]
+				r := medlaraccount.Request{ID: medlaraccount.RequestID(i + 1), Lane: key, Deadline: now.Add(time.Second)}
+				if a.Offer(now, r).Decision == medlaraccount.Admitted {
+					running = append(running, medlaraccount.Grant{ID: r.ID, Lane: key})
+				}
+				if i%10 == 0 && len(running) == simCapacity {
+					a.Done(now, running[0].ID, running[0].Lane)
+					running = append(running[:0], running[1:]...)
+				}
+				running = append(running, a.Next(now)...)
+				a.Expire(now)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/medlaraccount/sim_test.go
@@ -0,0 +1,264 @@
+package medlaraccount_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlaraccount"
+)
+
+// job is one simulated request.
+type job struct {
+	id       medlaraccount.RequestID
+	lane     medlaraccount.Lane
+	arrived  time.Duration
+	deadline time.Duration
+	service  time.Duration
+}
+
+// policy admits jobs. It calls start and refuse of its simulation.
+type policy interface {
+	offer(s *simulation, j *job)
+	done(s *simulation, j *job)
+	tick(s *simulation)
+	resize(s *simulation, capacity int)
+}
+
+// source is a Poisson stream of requests of one class, in multiples of the capacity.
+type source struct {
+	class medlarwheel.Class
+	load  float64
+	lanes int
+}
+
+type event struct {
+	at  time.Duration
+	job *job
+	// from is the source of an arrival. Other events are ticks, or the end of job.
+	from *source
+}
+
+type agenda []event
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(event)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+const (
+	simCapacity = 65
+	simService  = 100 * time.Millisecond
+	simLength   = 20 * time.Second
+	simWarmUp   = 3 * time.Second
+	simTick     = 5 * time.Millisecond
+)
+
+// tally counts what one class got after the warm-up.
+type tally struct {
+	offered, good int
+	goodTime      time.Duration
+	latencies     []time.Duration
+	refusalDelays []time.Duration
+}
+
+// share is the part of the capacity that answered requests within their deadline.
+func (t *tally) share() float64 {
+	return t.goodTime.Seconds() / (simCapacity * (simLength - simWarmUp).Seconds())
+}
+
+type simulation struct {
+	random   *rand.Rand
+	policy   policy
+	now      time.Duration
+	agenda   agenda
+	jobs     map[medlaraccount.RequestID]*job
+	classes  map[medlarwheel.Class]*tally
+	deadline func(*rand.Rand) time.Duration
+}
+
+var simStart = time.Unix(1_700_000_000, 0)
+
+func (s *simulation) clock() time.Time { return simStart.Add(s.now) }
+
+func fixedDeadline(*rand.Rand) time.Duration { return time.Second }
+
+// simulate runs the sources against p for simLength. drops makes the capacity fall to a half for 1 s in every 4 s.
+func simulate(seed uint64, p policy, drops bool, deadline func(*rand.Rand) time.Duration, sources ...source) map[medlarwheel.Class]*tally {
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), policy: p, deadline: deadline,
+		jobs: map[medlaraccount.RequestID]*job{}, classes: map[medlarwheel.Class]*tally{}}
+	for _, c := range medlarwheel.Classes() {
+		s.classes[c] = &tally{}
+	}
+	p.resize(s, simCapacity)
+	heap.Push(&s.agenda, event{})
+	for i := range sources {
+		heap.Push(&s.agenda, event{from: &sources[i]})
+	}
+	var ids medlaraccount.RequestID
+	for s.agenda[0].at < simLength {
+		e := heap.Pop(&s.agenda).(event)
+		s.now = e.at
+		switch {
+		case e.from != nil:
+			ids++
+			s.arrive(e.from, ids)
+		case e.job != nil:
+			s.end(e.job)
+		default:
+			if half := s.now % (4 * time.Second); drops && half == 0 {
+				p.resize(s, simCapacity/2)
+			} else if drops && half == time.Second {
+				p.resize(s, simCapacity)
+			}
+			p.tick(s)
+			heap.Push(&s.agenda, event{at: s.now + simTick})
+		}
+	}
+	return s.classes
+}
+
+func (s *simulation) arrive(from *source, id medlaraccount.RequestID) {
+	rate := from.load * simCapacity / simService.Seconds()
+	heap.Push(&s.agenda, event{at: s.now + time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), from: from})
+	account := medlarwheel.AccountID(string(from.class) + "-" + string(rune('a'+s.random.IntN(from.lanes))))
+	const sigma = 0.5
+	j := &job{id: id, arrived: s.now, deadline: s.now + s.deadline(s.random),
+		lane:    medlaraccount.Lane{Template: "t", Account: account, Class: from.class},
+		service: time.Duration(math.Exp(s.random.NormFloat64()*sigma-sigma*sigma/2) * float64(simService))}
+	s.jobs[id] = j
+	if s.now > simWarmUp {
+		s.classes[from.class].offered++
+	}
+	s.policy.offer(s, j)
+}
+
+func (s *simulation) start(j *job) { heap.Push(&s.agenda, event{at: s.now + j.service, job: j}) }
+
+func (s *simulation) refuse(j *job) {
+	delete(s.jobs, j.id)
+	if s.now > simWarmUp {
+		t := s.classes[j.lane.Class]
+		t.refusalDelays = append(t.refusalDelays, s.now-j.arrived)
+	}
+}
+
+func (s *simulation) end(j *job) {
+	delete(s.jobs, j.id)
+	if t := s.classes[j.lane.Class]; s.now > simWarmUp {
+		t.latencies = append(t.latencies, s.now-j.arrived)
+		if s.now <= j.deadline {
+			t.good++
+			t.goodTime += j.service
+		}
+	}
+	s.policy.done(s, j)
+}
+
+func percentile(values []time.Duration, p float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(p*float64(len(values)-1))]
+}
+
+// admissionPolicy is Admission in the simulation.
+type admissionPolicy struct {
+	*medlaraccount.Admission
+	guaranteed medlarwheel.Slots
+	known      map[medlaraccount.Lane]bool
+}
+
+func newAdmissionPolicy(c medlaraccount.AdmissionConfig, guaranteed medlarwheel.Slots) *admissionPolicy {
+	return &admissionPolicy{medlaraccount.NewAdmission(c), guaranteed, map[medlaraccount.Lane]bool{}}
+}
+
+func (p *admissionPolicy) offer(s *simulation, j *job) {
+	if !p.known[j.lane] {
+		p.known[j.lane] = true
+		p.SetShare(j.lane, medlaraccount.Share{Guaranteed: p.guaranteed, Weight: 1, QueueLimit: 50})
+	}
+	switch p.Offer(s.clock(), medlaraccount.Request{ID: j.id, Lane: j.lane, Deadline: simStart.Add(j.deadline)}).Decision {
+	case medlaraccount.Admitted:
+		s.start(j)
+	case medlaraccount.Refused:
+		s.refuse(j)
+	}
+}
+
+func (p *admissionPolicy) done(s *simulation, j *job) {
+	p.Done(s.clock(), j.id, j.lane)
+	p.wake(s)
+}
+
+func (p *admissionPolicy) tick(s *simulation) { p.wake(s) }
+
+func (p *admissionPolicy) resize(s *simulation, capacity int) {
+	p.SetCapacity(s.clock(), medlarwheel.Slots(capacity))
+}
+
+func (p *admissionPolicy) wake(s *simulation) {
+	for _, g := range p.Next(s.clock()) {
+		s.start(s.jobs[g.ID])
+	}
+	for _, e := range p.Expire(s.clock()) {
+		s.refuse(s.jobs[e.ID])
+	}
+}
+
+// fifoPolicy is the baseline: first come, first served. With split, each class has a third of the capacity and a queue of
+// 50; without, there is one queue without a limit.
+type fifoPolicy struct {
+	split    bool
+	capacity int
+	inFlight [3]int
+	queues   [3][]*job
+}
+
+func (p *fifoPolicy) queueOf(j *job) int {
+	if p.split {
+		return j.lane.Class.Rank()
+	}
+	return 0
+}
+
+func (p *fifoPolicy) offer(s *simulation, j *job) {
+	q := p.queueOf(j)
+	if p.split && len(p.queues[q]) >= 50 {
+		s.refuse(j)
+		return
+	}
+	p.queues[q] = append(p.queues[q], j)
+	p.tick(s)
+}
+
+func (p *fifoPolicy) done(s *simulation, j *job) {
+	p.inFlight[p.queueOf(j)]--
+	p.tick(s)
+}
+
+func (p *fifoPolicy) tick(s *simulation) {
+	limit := p.capacity
+	if p.split {
+		limit /= len(p.queues)
+	}
+	for q := range p.queues {
+		for p.inFlight[q] < limit && len(p.queues[q]) > 0 {
+			s.start(p.queues[q][0])
+			p.queues[q] = p.queues[q][1:]
+			p.inFlight[q]++
+		}
+	}
+}
+
+func (p *fifoPolicy) resize(_ *simulation, capacity int) { p.capacity = capacity }
