--- a/decode.go
+++ b/decode.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -140,6 +141,10 @@
 	for i := range want.NumField() {
 		field := want.Field(i)
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if field.Anonymous && name == "" {
+			maps.Copy(fields, fieldTypes(field.Type))
+			continue
+		}
 		if name == "" || name == "-" {
 			continue
 		}
--- /dev/null
+++ b/medlarcommand/check.go
@@ -0,0 +1,100 @@
+package medlarcommand
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"medlarwheel/medlarsetting"
+)
+
+// Version is the version of the program. The build may set it by a linker flag.
+var Version = "0.1.0"
+
+func newCheckCommand(o *options) *cobra.Command {
+	command := &cobra.Command{
+		Use: "check", Short: "Check settings, templates and client accounts without changing anything",
+		Example: "  medlarwheel check template hold.json",
+	}
+	command.AddCommand(newCheckSettingsCommand(), newCheckFileCommand(o, templateKind()), newCheckFileCommand(o, accountKind()))
+	return command
+}
+
+func newCheckFileCommand(_ *options, kind entryKind) *cobra.Command {
+	return &cobra.Command{
+		Use:     kind.noun + " FILE",
+		Short:   "Check a " + kind.noun + " and list every fault",
+		Example: fmt.Sprintf("  medlarwheel check %s file.json", kind.noun),
+		Args:    exactArguments(1),
+		RunE: func(c *cobra.Command, arguments []string) error {
+			data, err := readInput(arguments[0], c.InOrStdin())
+			if err != nil {
+				return err
+			}
+			name, err := kind.decode(data)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "%s %s is valid\n", kind.noun, name)
+			return err
+		},
+	}
+}
+
+func newCheckSettingsCommand() *cobra.Command {
+	set := medlarsetting.NewSet()
+	command := &cobra.Command{
+		Use:     "settings",
+		Short:   "Check the settings of an entry instance and list every fault",
+		Example: "  MEDLARWHEEL_SYSTEM_KEY=0123456789abcdef medlarwheel check settings --data-centre qld-1 --data-centres qld-1",
+		Args:    exactArguments(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if _, err := set.Load(os.LookupEnv); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(c.OutOrStdout(), "settings are valid")
+			return err
+		},
+	}
+	set.Bind(command.Flags())
+	return command
+}
+
+func newSettingsCommand(o *options) *cobra.Command {
+	set := medlarsetting.NewSet()
+	command := &cobra.Command{
+		Use:     "settings",
+		Short:   "List the settings of an entry instance with value and source",
+		Example: "  medlarwheel settings --output json",
+		Args:    exactArguments(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, invalid := set.Load(os.LookupEnv)
+			readable := table{header: []string{"SETTING", "VALUE", "SOURCE", "ENVIRONMENT", "MEANING"}}
+			for _, e := range set.Entries() {
+				readable.rows = append(readable.rows, []string{e.Name, e.Value, string(e.Source), e.Environment, e.Help})
+			}
+			if err := show(c.OutOrStdout(), o.output, set.Entries(), readable); err != nil {
+				return err
+			}
+			return invalid
+		},
+	}
+	set.Bind(command.Flags())
+	return command
+}
+
+func newVersionCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:     "version",
+		Short:   "Print the version",
+		Example: "  medlarwheel version",
+		Args:    exactArguments(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			value := struct {
+				Version string `json:"version"`
+			}{Version}
+			return show(c.OutOrStdout(), o.output, value, table{header: []string{"VERSION"}, rows: [][]string{{Version}}})
+		},
+	}
+}
--- /dev/null
+++ b/medlarcommand/config.go
@@ -0,0 +1,222 @@
+package medlarcommand
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"medlarwheel"
+	"medlarwheel/medlaroperator"
+)
+
+// watchWait is how long one request of a watch waits for a change.
+const watchWait = 20 * time.Second
+
+// entryKind describes one kind of configuration entry to the commands that handle it.
+type entryKind struct {
+	noun string
+	path string
+	// decode checks the JSON text of an entry and returns its name.
+	decode func(data []byte) (name string, err error)
+}
+
+func templateKind() entryKind {
+	return entryKind{noun: "template", path: medlaroperator.PathTemplates, decode: func(data []byte) (string, error) {
+		t, err := medlarwheel.DecodeTemplate(data)
+		return string(t.Name), err
+	}}
+}
+
+func accountKind() entryKind {
+	return entryKind{noun: "account", path: medlaroperator.PathAccounts, decode: func(data []byte) (string, error) {
+		a, err := medlarwheel.DecodeAccount(data)
+		return string(a.ID), err
+	}}
+}
+
+func newTemplateCommand(o *options) *cobra.Command {
+	command := newEntryKindCommand(o, templateKind(), "publish")
+	command.AddCommand(newWatchCommand(o))
+	return command
+}
+
+func newAccountCommand(o *options) *cobra.Command {
+	return newEntryKindCommand(o, accountKind(), "set")
+}
+
+func newEntryKindCommand(o *options, kind entryKind, verb string) *cobra.Command {
+	command := &cobra.Command{
+		Use:     kind.noun,
+		Short:   "Publish, list, show and withdraw " + kind.noun + "s",
+		Example: fmt.Sprintf("  medlarwheel %s list", kind.noun),
+	}
+	command.AddCommand(newPutCommand(o, kind, verb), newListCommand(o, kind), newShowCommand(o, kind), newWithdrawCommand(o, kind))
+	return command
+}
+
+func newPutCommand(o *options, kind entryKind, verb string) *cobra.Command {
+	var expected uint64
+	command := &cobra.Command{
+		Use:     verb + " FILE",
+		Short:   "Commit a " + kind.noun + " from a JSON file, or from standard input with -",
+		Example: fmt.Sprintf("  medlarwheel %s %s hold.json --author ada --expected 0", kind.noun, verb),
+		Args:    exactArguments(1),
+		RunE: func(c *cobra.Command, arguments []string) error {
+			data, err := readInput(arguments[0], c.InOrStdin())
+			if err != nil {
+				return err
+			}
+			name, err := kind.decode(data)
+			if err != nil {
+				return err
+			}
+			publish, err := o.publish(expected)
+			if err != nil {
+				return err
+			}
+			published, err := o.client().Put(kind.path, name, data, publish)
+			if err != nil {
+				return err
+			}
+			return showPublished(c.OutOrStdout(), o, published)
+		},
+	}
+	command.Flags().Uint64Var(&expected, "expected", 0, "version that the change builds on; 0 means that the entry must not exist")
+	return command
+}
+
+func newWithdrawCommand(o *options, kind entryKind) *cobra.Command {
+	var expected uint64
+	command := &cobra.Command{
+		Use:     "withdraw NAME",
+		Short:   "Withdraw a " + kind.noun,
+		Example: fmt.Sprintf("  medlarwheel %s withdraw hut-hold --author ada --expected 7", kind.noun),
+		Args:    exactArguments(1),
+		RunE: func(c *cobra.Command, arguments []string) error {
+			publish, err := o.publish(expected)
+			if err != nil {
+				return err
+			}
+			published, err := o.client().Withdraw(kind.path, arguments[0], publish)
+			if err != nil {
+				return err
+			}
+			return showPublished(c.OutOrStdout(), o, published)
+		},
+	}
+	command.Flags().Uint64Var(&expected, "expected", 0, "version of the entry that is withdrawn")
+	return command
+}
+
+func newListCommand(o *options, kind entryKind) *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "List the " + kind.noun + "s in force",
+		Example: fmt.Sprintf("  medlarwheel %s list --output json", kind.noun),
+		Args:    exactArguments(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			list, err := medlaroperator.Get[medlaroperator.ConfigList](o.client(), kind.path)
+			if err != nil {
+				return err
+			}
+			readable := table{header: []string{"KEY", "VERSION", "AUTHOR"}}
+			for i := range list.Items {
+				readable.rows = append(readable.rows, itemRow(&list.Items[i]))
+			}
+			return show(c.OutOrStdout(), o.output, list, readable)
+		},
+	}
+}
+
+func newShowCommand(o *options, kind entryKind) *cobra.Command {
+	return &cobra.Command{
+		Use:     "show NAME",
+		Short:   "Show a " + kind.noun + " as JSON",
+		Example: fmt.Sprintf("  medlarwheel %s show hut-hold", kind.noun),
+		Args:    exactArguments(1),
+		RunE: func(c *cobra.Command, arguments []string) error {
+			item, err := o.client().Item(kind.path, arguments[0])
+			if err != nil {
+				return err
+			}
+			return show(c.OutOrStdout(), outputJSON, item, table{})
+		},
+	}
+}
+
+func newWatchCommand(o *options) *cobra.Command {
+	var after uint64
+	var count int
+	command := &cobra.Command{
+		Use:     "watch",
+		Short:   "Print configuration changes as they come into force",
+		Example: "  medlarwheel template watch --after 12",
+		Args:    exactArguments(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			return watch(c.OutOrStdout(), o, medlarwheel.ConfigVersion(after), count)
+		},
+	}
+	command.Flags().Uint64Var(&after, "after", 0, "version to start after")
+	command.Flags().IntVar(&count, "count", 0, "end after this many changes; 0 means never")
+	return command
+}
+
+func watch(w io.Writer, o *options, after medlarwheel.ConfigVersion, count int) error {
+	client := o.client()
+	for seen := 0; count == 0 || seen < count; {
+		delta, err := client.Watch(after, watchWait)
+		if err != nil {
+			return err
+		}
+		for i := range delta.Items {
+			if err := show(w, o.output, delta.Items[i], table{header: itemRow(&delta.Items[i])}); err != nil {
+				return err
+			}
+			seen++
+		}
+		after = max(after, delta.Head)
+	}
+	return nil
+}
+
+func itemRow(item *medlarwheel.ConfigItem) []string {
+	return []string{item.Key, strconv.FormatUint(uint64(item.Version), 10), string(item.Author)}
+}
+
+func showPublished(w io.Writer, o *options, p medlaroperator.Published) error {
+	version := strconv.FormatUint(uint64(p.Version), 10)
+	return show(w, o.output, p, table{header: []string{"KEY", "VERSION"}, rows: [][]string{{p.Key, version}}})
+}
+
+func (o *options) publish(expected uint64) (medlaroperator.Publish, error) {
+	if o.author == "" {
+		return medlaroperator.Publish{}, usageError{errors.New("--author: the name of the operator is required")}
+	}
+	return medlaroperator.Publish{Author: medlarwheel.Author(o.author), Expected: medlarwheel.ConfigVersion(expected)}, nil
+}
+
+func readInput(name string, stdin io.Reader) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(stdin)
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	return data, nil
+}
+
+// exactArguments checks the number of arguments and reports a usage error.
+func exactArguments(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, arguments []string) error {
+		if err := cobra.ExactArgs(n)(c, arguments); err != nil {
+			return usageError{err}
+		}
+		return nil
+	}
+}
--- a/medlarcommand/root.go
+++ b/medlarcommand/root.go
@@ -1,28 +1,130 @@
-// Package medlarcommand is the command line of medlarwheel.
-//
-// # Usage
-//
-//	os.Exit(medlarcommand.Run(os.Args[1:], os.Stdout, os.Stderr))
 package medlarcommand
 
 import (
+	"context"
+	"fmt"
 	"io"
+	"os"
+	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+
+	"medlarwheel"
+	"medlarwheel/medlaroperator"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1
+	ExitBadInput    = 2
+	ExitConflict    = 3
+	ExitNotFound    = 4
+	ExitUnavailable = 5
+	ExitUnknown     = 6
 )
 
+// Environment variables of the operator commands.
+const (
+	environmentEntries     = "MEDLARWHEEL_ENTRY"
+	environmentOperatorKey = "MEDLARWHEEL_OPERATOR_KEY"
+	environmentAuthor      = "MEDLARWHEEL_AUTHOR"
+)
+
+// options are the flags that all operator commands share.
+type options struct {
+	entries []string
+	output  string
+	author  string
+}
+
+func (o *options) client() *medlaroperator.Client {
+	return medlaroperator.NewClient(medlaroperator.ClientConfig{
+		Entries: o.entries, Key: os.Getenv(environmentOperatorKey),
+	})
+}
+
 // Run executes the command line and returns the exit code.
 func Run(arguments []string, stdout, stderr io.Writer) int {
-	root := &cobra.Command{
-		Use:          "medlarwheel",
-		Short:        "Scheduler for colocated latency-critical and batch work",
-		SilenceUsage: true,
-	}
+	root := newRoot()
 	root.SetArgs(arguments)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	if err := root.Execute(); err != nil {
-		return 1
+	err := root.ExecuteContext(context.Background())
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "error:", err)
+	}
+	return exitCode(err)
+}
+
+func newRoot() *cobra.Command {
+	o := &options{}
+	root := &cobra.Command{
+		Use:   "medlarwheel",
+		Short: "Scheduler for colocated latency-critical and batch work",
+		Long: "medlarwheel runs an entry instance, or drives the system through any entry instance.\n\n" +
+			"Exit codes: 0 success, 1 failure, 2 bad input or usage, 3 conflict with another operator, 4 not found,\n" +
+			"5 no entry instance or platform reachable, 6 the change may or may not have taken effect.",
+		Example:       "  medlarwheel template list --entry 127.0.0.1:7000",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Version:       Version,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	flags := root.PersistentFlags()
+	flags.StringSliceVar(&o.entries, "entry", defaultEntries(), "addresses of entry instances (environment "+environmentEntries+")")
+	flags.StringVarP(&o.output, "output", "o", outputTable, "output format: table or json")
+	flags.StringVar(&o.author, "author", os.Getenv(environmentAuthor), "name of the operator (environment "+environmentAuthor+")")
+	root.PersistentPreRunE = func(*cobra.Command, []string) error { return checkOutput(o.output) }
+	root.AddCommand(
+		newEntryCommand(), newTemplateCommand(o), newAccountCommand(o), newMemberCommand(o), newUpstreamCommand(o),
+		newDrainCommand(o), newCheckCommand(o), newSettingsCommand(o), newVersionCommand(o),
+	)
+	return root
+}
+
+func defaultEntries() []string {
+	if value, ok := os.LookupEnv(environmentEntries); ok {
+		return strings.Split(value, ",")
+	}
+	return []string{"127.0.0.1:7000"}
+}
+
+// usageError marks errors of the command line itself.
+type usageError struct{ error }
+
+func (u usageError) Unwrap() error { return u.error }
+
+func exitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var usage usageError
+	var faults medlarwheel.Faults
+	if errors.As(err, &usage) || errors.As(err, &faults) {
+		return ExitBadInput
+	}
+	var failure *medlaroperator.Error
+	if !errors.As(err, &failure) {
+		return ExitFailure
+	}
+	return codeToExit(failure.Code)
+}
+
+func codeToExit(code medlaroperator.Code) int {
+	switch code {
+	case medlaroperator.CodeBadInput:
+		return ExitBadInput
+	case medlaroperator.CodeConflict:
+		return ExitConflict
+	case medlaroperator.CodeNotFound:
+		return ExitNotFound
+	case medlaroperator.CodeUnavailable:
+		return ExitUnavailable
+	case medlaroperator.CodeUnknown:
+		return ExitUnknown
+	default:
+		return ExitFailure
 	}
-	return 0
 }
--- /dev/null
+++ b/medlarentry/apply.go
@@ -0,0 +1,122 @@
+package medlarentry
+
+import (
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlaraccount"
+	"medlarwheel/medlarcontract"
+	"medlarwheel/medlarupstream"
+)
+
+// applyRouting gives the router the live upstreams and limits of every service, and the gates the shares of every
+// client account.
+func (c *control) applyRouting() {
+	book := c.book.Snapshot()
+	specs := serviceSpecs(book)
+	var live []medlarwheel.Upstream
+	c.d.routing.with(func(now time.Time, _ *medlarupstream.Shares, router *medlarupstream.Router) {
+		for service, spec := range specs {
+			upstreams := c.directory.Live(service)
+			router.SetUpstreams(now, service, upstreams, spec)
+			live = append(live, upstreams...)
+		}
+	})
+	c.d.links.Keep(live)
+	if c.routed != c.book.Version() {
+		c.applyShares(book)
+	}
+	c.applied, c.routed = c.directory.Changes(), c.book.Version()
+	c.dirty = true
+}
+
+// serviceSpecs returns the limits of each service. Where templates of one service differ, the lowest limit and the
+// longest deadline hold.
+func serviceSpecs(book *medlarcontract.Snapshot) map[medlarwheel.ServiceName]medlarupstream.Spec {
+	specs := make(map[medlarwheel.ServiceName]medlarupstream.Spec)
+	for _, t := range book.Templates() {
+		if t.Service == nil {
+			continue
+		}
+		spec, ok := specs[t.Service.Upstream]
+		if !ok {
+			spec = medlarupstream.Spec{Slots: t.Service.Slots, Connections: t.Service.Connections}
+		}
+		spec.Slots = min(spec.Slots, t.Service.Slots)
+		spec.Connections = min(spec.Connections, t.Service.Connections)
+		spec.MaxRequest = max(spec.MaxRequest, t.Service.MaxDeadline.Std())
+		specs[t.Service.Upstream] = spec
+	}
+	return specs
+}
+
+// applyShares sets the share of every client account at every template, and of the account for all others.
+func (c *control) applyShares(book *medlarcontract.Snapshot) {
+	instances := max(1, len(c.view.Members(c.d.clock.Now())))
+	accounts := []*medlarwheel.Account{{ID: defaultAccount}}
+	for _, item := range book.Items() {
+		if item.Account != nil {
+			accounts = append(accounts, item.Account)
+		}
+	}
+	for service, shares := range laneShares(book, accounts, instances) {
+		c.d.gates.of(service).setShares(shares)
+	}
+}
+
+func laneShares(book *medlarcontract.Snapshot, accounts []*medlarwheel.Account, instances int) map[medlarwheel.ServiceName]map[medlaraccount.Lane]medlaraccount.Share {
+	byService := make(map[medlarwheel.ServiceName]map[medlaraccount.Lane]medlaraccount.Share)
+	for _, t := range book.Templates() {
+		if t.Service == nil {
+			continue
+		}
+		shares := byService[t.Service.Upstream]
+		if shares == nil {
+			shares = make(map[medlaraccount.Lane]medlaraccount.Share)
+			byService[t.Service.Upstream] = shares
+		}
+		for _, account := range accounts {
+			lane := medlaraccount.Lane{Template: t.Name, Account: account.ID, Class: t.Class}
+			shares[lane] = shareOf(account.ParametersFor(t), t.Service, instances)
+		}
+	}
+	return byService
+}
+
+// shareOf splits the guarantee, which holds over all entry instances, evenly.
+func shareOf(p medlarwheel.Parameters, spec *medlarwheel.ServiceSpec, instances int) medlaraccount.Share {
+	guaranteed := (int(p.GuaranteedSlots) + instances - 1) / instances
+	return medlaraccount.Share{
+		Guaranteed: medlarwheel.Slots(guaranteed), Weight: p.Weight, QueueLimit: p.QueueLimit,
+		QueueTimeout: spec.QueueTimeout.Std(),
+	}
+}
+
+// balance tells the shares what waits at each service, exchanges loans, and gives the gates their capacity.
+func (d *Daemon) balance() {
+	book := d.snapshot.Load().book
+	specs := serviceSpecs(book)
+	waiting := make(map[medlarwheel.ServiceName]int, len(specs))
+	for service := range specs {
+		_, waiting[service] = d.gates.of(service).demand()
+	}
+	d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		for service, spec := range specs {
+			shares.SetDemand(now, service, waiting[service], spec.MaxRequest)
+		}
+	})
+	d.exchangeLoans(d.base)
+	d.applyCapacity(specs)
+}
+
+func (d *Daemon) applyCapacity(specs map[medlarwheel.ServiceName]medlarupstream.Spec) {
+	capacity := make(map[medlarwheel.ServiceName]medlarwheel.Slots, len(specs))
+	d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		for service := range specs {
+			capacity[service] = shares.Capacity(now, service)
+		}
+	})
+	for service, n := range capacity {
+		d.gates.of(service).setCapacity(n)
+	}
+}
--- /dev/null
+++ b/medlarentry/call.go
@@ -0,0 +1,126 @@
+package medlarentry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/medlaraccount"
+	"medlarwheel/medlarclaim"
+	"medlarwheel/medlarlink"
+)
+
+// CallPrefix begins the path of every call. The template's name and the upstream's path follow.
+const CallPrefix = "/v1/call/"
+
+// Headers of calls and their answers.
+const (
+	HeaderAccount    = "Medlar-Client-Account"
+	HeaderDeadline   = "Medlar-Deadline"
+	HeaderOutcome    = "Medlar-Outcome"
+	HeaderReason     = "Medlar-Reason"
+	HeaderRetryAfter = "Medlar-Retry-After"
+)
+
+const (
+	// defaultAccount is the client account of requests that name none.
+	defaultAccount medlarwheel.AccountID = "default"
+	minDeadline                          = 10 * time.Millisecond
+)
+
+// call is one request of a caller.
+type call struct {
+	template   *medlarwheel.Template
+	account    medlarwheel.AccountID
+	key        medlarwheel.RequestKey
+	hash       medlarclaim.KeyHash
+	minted     time.Time
+	home       medlarwheel.DataCentreID
+	attempt    medlarwheel.AttemptID
+	idempotent bool
+	arrived    time.Time
+	deadline   time.Time
+	// path is the path and query for the upstream.
+	path string
+}
+
+// isProtected reports whether the request must run at most once over all its attempts.
+func (c *call) isProtected() bool { return !c.idempotent && c.key != "" }
+
+func (c *call) lane() medlaraccount.Lane {
+	return medlaraccount.Lane{Template: c.template.Name, Account: c.account, Class: c.template.Class}
+}
+
+func (c *call) answerKey() answerKey {
+	return answerKey{key: c.hash, attempt: medlarclaim.HashAttempt(c.attempt)}
+}
+
+// parseCall reads a request. A refusal with faults is a bad request.
+func (d *Daemon) parseCall(ctx *fasthttp.RequestCtx, s *snapshot) (*call, *medlarwheel.Refusal, medlarwheel.Faults) {
+	now := d.clock.Now()
+	rest := strings.TrimPrefix(string(ctx.Path()), CallPrefix)
+	name, path, _ := strings.Cut(rest, "/")
+	template, ok := s.book.Template(medlarwheel.TemplateName(name))
+	if !ok || template.Service == nil {
+		refusal := medlarwheel.NotRun(medlarwheel.ReasonUnknownTemplate, 0)
+		return nil, &refusal, nil
+	}
+	c := &call{
+		template:   template,
+		account:    defaultAccount,
+		attempt:    d.attempts.next(),
+		idempotent: template.Service.IsIdempotent(string(ctx.Method())),
+		arrived:    now,
+		path:       "/" + path,
+	}
+	if query := ctx.QueryArgs(); query.Len() > 0 {
+		c.path += "?" + string(ctx.URI().QueryString())
+	}
+	faults := d.parseHeaders(ctx, c)
+	if len(faults) > 0 {
+		refusal := medlarwheel.NotRun(medlarwheel.ReasonBadRequest, 0)
+		return nil, &refusal, faults
+	}
+	return c, nil, nil
+}
+
+func (d *Daemon) parseHeaders(ctx *fasthttp.RequestCtx, c *call) medlarwheel.Faults {
+	var faults medlarwheel.Faults
+	if account := string(ctx.Request.Header.Peek(HeaderAccount)); account != "" {
+		faults = append(faults, medlarwheel.CheckName(HeaderAccount, account)...)
+		c.account = medlarwheel.AccountID(account)
+	}
+	faults = append(faults, c.parseDeadline(string(ctx.Request.Header.Peek(HeaderDeadline)))...)
+	key := medlarwheel.RequestKey(ctx.Request.Header.Peek(medlarlink.HeaderRequestKey))
+	if key == "" {
+		return faults
+	}
+	parts, keyFaults := medlarclaim.ParseKey(key)
+	for _, fault := range keyFaults {
+		fault.Path = medlarlink.HeaderRequestKey
+		faults = append(faults, fault)
+	}
+	c.key = key
+	c.hash = medlarclaim.HashKey(key)
+	c.minted = parts.Minted
+	c.home = medlarclaim.HomeDataCentre(key, d.settings.DataCentres)
+	return faults
+}
+
+func (c *call) parseDeadline(text string) medlarwheel.Faults {
+	spec := c.template.Service
+	if text == "" {
+		c.deadline = c.arrived.Add(spec.DefaultDeadline.Std())
+		return nil
+	}
+	limit := spec.MaxDeadline.Std()
+	wanted, err := time.ParseDuration(text)
+	if err != nil || wanted < minDeadline || wanted > limit {
+		accepted := "a duration from " + minDeadline.String() + " to " + limit.String()
+		return medlarwheel.Faults{{Path: HeaderDeadline, Value: text, Accepted: accepted}}
+	}
+	c.deadline = c.arrived.Add(wanted)
+	return nil
+}
--- /dev/null
+++ b/medlarentry/exchange.go
@@ -0,0 +1,171 @@
+package medlarentry
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"medlarwheel"
+	"medlarwheel/medlardatacentre"
+	"medlarwheel/medlarpeer/peerpb"
+	"medlarwheel/medlarupstream"
+)
+
+// exchange merges state with a few peers.
+func (d *Daemon) exchange(ctx context.Context) {
+	type round struct {
+		targets []medlardatacentre.Target
+		request *peerpb.ExchangeRequest
+	}
+	r := ask(d, func(c *control) round {
+		now := d.clock.Now()
+		c.view.Beat(now)
+		c.dirty = true
+		return round{c.view.Targets(now, c.random), c.exchangeRequest(now)}
+	})
+	var group errgroup.Group
+	for _, target := range r.targets {
+		group.Go(func() error {
+			d.exchangeWith(ctx, target, r.request)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (d *Daemon) exchangeWith(ctx context.Context, target medlardatacentre.Target, request *peerpb.ExchangeRequest) {
+	limited, cancel := d.peers.Context(ctx)
+	defer cancel()
+	sent := d.clock.Now()
+	response, err := d.peers.Peer(target.Address).Exchange(limited, request)
+	if err != nil || response.Sender == nil {
+		d.metrics.count("peer-failure.exchange")
+		return
+	}
+	behind := ask(d, func(c *control) bool { return c.mergeResponse(response, sent) })
+	if behind {
+		d.fetchConfig(ctx, target.Address)
+	}
+}
+
+// fetchConfig reads the configuration changes that a peer has and this instance has not.
+func (d *Daemon) fetchConfig(ctx context.Context, address string) {
+	limited, cancel := d.peers.Context(ctx)
+	defer cancel()
+	after := d.snapshot.Load().book.Version()
+	response, err := d.peers.Peer(address).FetchConfig(limited, &peerpb.FetchConfigRequest{After: uint64(after)})
+	if err != nil {
+		d.metrics.count("peer-failure.fetch-config")
+		return
+	}
+	delta, err := medlarwheel.Decode[medlarwheel.ConfigDelta](response.Delta)
+	if err != nil {
+		d.log.Error().Str("event", "config-unreadable").Str("peer", address).AnErr("error", err).Send()
+		return
+	}
+	d.post(func(c *control) { c.applyConfig(delta, address) })
+}
+
+func (c *control) exchangeRequest(now time.Time) *peerpb.ExchangeRequest {
+	return &peerpb.ExchangeRequest{
+		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now)), ConfigVersion: uint64(c.book.Version()),
+		Rosters: c.epochsToWire(nil), Observations: observationsToWire(c.directory.Observations(now)), InDoubt: c.inDoubt(),
+	}
+}
+
+// answerExchange merges a peer's state and returns the own.
+func (c *control) answerExchange(request *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
+	now := c.d.clock.Now()
+	c.view.Merge(now, membersFromWire(append(request.Members, request.Sender)))
+	c.observe(now, request.Observations)
+	if request.ConfigVersion > uint64(c.book.Version()) || !c.book.IsLoaded() {
+		c.d.exchangeNow()
+	}
+	c.dirty = true
+	return &peerpb.ExchangeResponse{
+		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now)), ConfigVersion: uint64(c.book.Version()),
+		Rosters: c.epochsToWire(request.Rosters), Observations: observationsToWire(c.directory.Observations(now)),
+		InDoubt: c.inDoubt(),
+	}
+}
+
+// mergeResponse merges a peer's answer and reports whether the peer has a newer configuration.
+func (c *control) mergeResponse(response *peerpb.ExchangeResponse, sent time.Time) bool {
+	now := c.d.clock.Now()
+	c.view.Merge(now, membersFromWire(append(response.Members, response.Sender)))
+	c.observe(now, response.Observations)
+	epoch := medlarwheel.Epoch(0)
+	for _, state := range response.Rosters {
+		if state.DataCentre == string(c.d.settings.DataCentre) {
+			epoch = medlarwheel.Epoch(state.Epoch)
+		}
+		c.mergeRoster(state)
+	}
+	contact := medlarupstream.Contact{
+		Peer: medlarwheel.InstanceID(response.Sender.Instance), Epoch: epoch, InDoubt: response.InDoubt, Sent: sent,
+	}
+	c.d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		shares.Contact(now, contact)
+	})
+	c.dirty = true
+	loaded := response.ConfigVersion > 0
+	return response.ConfigVersion > uint64(c.book.Version()) || (loaded && !c.book.IsLoaded())
+}
+
+func (c *control) mergeRoster(state *peerpb.RosterState) {
+	if len(state.Roster) == 0 || medlarwheel.Epoch(state.Epoch) <= c.rosters.Roster(medlarwheel.DataCentreID(state.DataCentre)).Epoch {
+		return
+	}
+	roster, err := medlardatacentre.DecodeRoster(state.Roster)
+	if err != nil {
+		c.d.log.Error().Str("event", "roster-unreadable").Str("roster", state.DataCentre).AnErr("error", err).Send()
+		return
+	}
+	c.applyRoster(roster, "peer")
+}
+
+func (c *control) observe(now time.Time, observations []*peerpb.UpstreamObservation) {
+	for _, o := range observations {
+		c.directory.Observe(now, medlarupstream.Observation{
+			Upstream: medlarwheel.UpstreamID(o.Upstream), Incarnation: medlarwheel.Incarnation(o.Incarnation),
+			Leaving: o.Leaving, Source: medlarupstream.SourcePeer,
+		})
+	}
+}
+
+func (c *control) inDoubt() bool {
+	doubt := false
+	c.d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		doubt = shares.InDoubt(now)
+	})
+	return doubt
+}
+
+func (c *control) selfToWire(now time.Time) *peerpb.Member {
+	for _, m := range c.view.Members(now) {
+		if m.ID == c.d.settings.Instance {
+			return memberToWire(&m)
+		}
+	}
+	return nil
+}
+
+// epochsToWire lists the epochs of all rosters, with the text of those that are newer than the peer's.
+func (c *control) epochsToWire(peer []*peerpb.RosterState) []*peerpb.RosterState {
+	theirs := make(map[string]uint64, len(peer))
+	for _, state := range peer {
+		theirs[state.DataCentre] = state.Epoch
+	}
+	var states []*peerpb.RosterState
+	for _, r := range c.rosters.All() {
+		state := &peerpb.RosterState{DataCentre: string(r.DataCentre), Epoch: uint64(r.Epoch)}
+		if peer != nil && state.Epoch > theirs[state.DataCentre] {
+			if text, err := encodeRow(r); err == nil {
+				state.Roster = text
+			}
+		}
+		states = append(states, state)
+	}
+	return states
+}
--- /dev/null
+++ b/medlarentry/handle.go
@@ -0,0 +1,34 @@
+package medlarentry
+
+import (
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel/medlaroperator"
+)
+
+// handle serves one request on the port for callers and operators.
+func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case strings.HasPrefix(path, CallPrefix):
+		d.handleCall(ctx)
+	case path == medlaroperator.PathHealth:
+		ctx.SetBodyString("ok")
+	case path == medlaroperator.PathReady:
+		d.handleReady(ctx)
+	default:
+		d.handleOperator(ctx)
+	}
+}
+
+// handleReady answers the load balancer. An instance is ready when it has a configuration and is not stopping.
+func (d *Daemon) handleReady(ctx *fasthttp.RequestCtx) {
+	if d.ready.Load() {
+		ctx.SetBodyString("ready")
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.SetBodyString("not ready")
+}
--- /dev/null
+++ b/medlarentry/inspect.go
@@ -0,0 +1,47 @@
+package medlarentry
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/medlaroperator"
+)
+
+func (d *Daemon) listMembers(ctx *fasthttp.RequestCtx, _ string) {
+	s := d.snapshot.Load()
+	list := medlaroperator.MemberList{
+		Config: s.book.Version(), Rosters: make(map[medlarwheel.DataCentreID]medlarwheel.Epoch), Members: []medlaroperator.Member{},
+	}
+	for dc, group := range s.groups {
+		list.Rosters[dc] = group.epoch
+	}
+	for i := range s.members {
+		list.Members = append(list.Members, memberOf(&s.members[i], d.settings.Instance))
+	}
+	writeJSON(ctx, list)
+}
+
+func (d *Daemon) listUpstreams(ctx *fasthttp.RequestCtx, _ string) {
+	list := medlaroperator.UpstreamList{Upstreams: []medlaroperator.UpstreamStatus{}}
+	for _, s := range d.routing.states() {
+		list.Upstreams = append(list.Upstreams, medlaroperator.UpstreamStatus{
+			Upstream: s.Upstream, Healthy: !s.Ejected, InFlight: medlarwheel.Slots(s.InFlight),
+			OwnSlots: medlarwheel.Slots(s.Owned), Connections: d.links.Open(s.Upstream),
+		})
+	}
+	writeJSON(ctx, list)
+}
+
+// updateGauges refreshes the gauges that are derived from other state.
+func (d *Daemon) updateGauges() {
+	s := d.snapshot.Load()
+	d.metrics.gauge("config-version", int64(s.book.Version()))
+	d.metrics.gauge("members", int64(len(s.members)))
+	d.metrics.gauge("claims", int64(d.seat.len()))
+	for service, gate := range d.gates.all() {
+		report := gate.report()
+		d.metrics.gauge("capacity."+string(service), int64(report.Capacity))
+		d.metrics.gauge("in-flight."+string(service), int64(report.InFlight))
+		d.metrics.gauge("waiting."+string(service), int64(report.Waiting))
+	}
+}
--- /dev/null
+++ b/medlarentry/loans.go
@@ -0,0 +1,139 @@
+package medlarentry
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"medlarwheel"
+	"medlarwheel/medlarpeer/peerpb"
+	"medlarwheel/medlarupstream"
+)
+
+// loanMessages are the messages to one lender.
+type loanMessages struct {
+	asks     []medlarupstream.LoanRequest
+	renewals []medlarupstream.Renewal
+	returns  []medlarupstream.Return
+}
+
+// exchangeLoans sends the messages that the shares ask for, one call to each lender, and applies the answers.
+func (d *Daemon) exchangeLoans(ctx context.Context) {
+	byLender := make(map[medlarwheel.InstanceID]*loanMessages)
+	of := func(lender medlarwheel.InstanceID) *loanMessages {
+		if byLender[lender] == nil {
+			byLender[lender] = &loanMessages{}
+		}
+		return byLender[lender]
+	}
+	d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		for _, r := range shares.WantReturn(now) {
+			of(r.Lender).returns = append(of(r.Lender).returns, r)
+		}
+		for _, r := range shares.WantRenew(now) {
+			of(r.Lender).renewals = append(of(r.Lender).renewals, r)
+		}
+		for _, r := range shares.WantBorrow(now) {
+			of(r.Lender).asks = append(of(r.Lender).asks, r)
+		}
+	})
+	var group errgroup.Group
+	for lender, messages := range byLender {
+		group.Go(func() error {
+			d.sendLoans(ctx, lender, messages)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (d *Daemon) sendLoans(ctx context.Context, lender medlarwheel.InstanceID, m *loanMessages) {
+	address, ok := d.snapshot.Load().peerAddress(lender)
+	if !ok {
+		return
+	}
+	limited, cancel := d.peers.Context(ctx)
+	defer cancel()
+	response, err := d.peers.Peer(address).Borrow(limited, m.toWire(d.settings.Instance, lender))
+	if err != nil {
+		d.metrics.count("peer-failure.borrow")
+		return
+	}
+	d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		for _, grant := range response.Grants {
+			shares.Borrowed(now, grantFromWire(lender, grant))
+		}
+		for _, r := range response.Renewed {
+			shares.Renewed(now, medlarupstream.RenewalReply{Nonce: r.Nonce, Granted: r.Granted, Run: time.Duration(r.RunNs)})
+		}
+	})
+}
+
+// lend answers the messages of a borrower.
+func (d *Daemon) lend(borrower medlarwheel.InstanceID, request *peerpb.BorrowRequest) *peerpb.BorrowResponse {
+	response := &peerpb.BorrowResponse{}
+	d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		for _, id := range request.Returns {
+			shares.Return(now, borrower, medlarupstream.Return{Lender: d.settings.Instance, Loan: loanIDFromWire(id)})
+		}
+		for _, r := range request.Renewals {
+			reply := shares.Renew(now, borrower, medlarupstream.Renewal{
+				Nonce: r.Nonce, Lender: d.settings.Instance, Loan: loanIDFromWire(r.Loan), Run: time.Duration(r.RunNs),
+			})
+			response.Renewed = append(response.Renewed, &peerpb.LoanRenewed{Nonce: reply.Nonce, Granted: reply.Granted, RunNs: int64(reply.Run)})
+		}
+		for _, a := range request.Asks {
+			reply := shares.Lend(now, borrower, medlarupstream.LoanRequest{
+				Nonce: a.Nonce, Lender: d.settings.Instance, Service: medlarwheel.ServiceName(a.Service),
+				Slots: medlarwheel.Slots(a.Slots), Run: time.Duration(a.RunNs),
+			})
+			response.Grants = append(response.Grants, grantToWire(reply))
+		}
+	})
+	return response
+}
+
+func (m *loanMessages) toWire(borrower, lender medlarwheel.InstanceID) *peerpb.BorrowRequest {
+	request := &peerpb.BorrowRequest{Instance: string(borrower), Lender: string(lender)}
+	for _, a := range m.asks {
+		request.Asks = append(request.Asks, &peerpb.LoanAsk{
+			Nonce: a.Nonce, Service: string(a.Service), Slots: uint32(a.Slots), RunNs: int64(a.Run),
+		})
+	}
+	for _, r := range m.renewals {
+		request.Renewals = append(request.Renewals, &peerpb.LoanRenewal{Nonce: r.Nonce, Loan: loanIDToWire(r.Loan), RunNs: int64(r.Run)})
+	}
+	for _, r := range m.returns {
+		request.Returns = append(request.Returns, loanIDToWire(r.Loan))
+	}
+	return request
+}
+
+func grantToWire(reply medlarupstream.LoanReply) *peerpb.LoanGrant {
+	grant := &peerpb.LoanGrant{Nonce: reply.Nonce}
+	for _, l := range reply.Loans {
+		grant.Loans = append(grant.Loans, &peerpb.Loan{
+			Id: loanIDToWire(l.ID), Upstream: string(l.Upstream), Slot: uint32(l.Slot), RunNs: int64(l.Run),
+		})
+	}
+	return grant
+}
+
+func grantFromWire(lender medlarwheel.InstanceID, grant *peerpb.LoanGrant) medlarupstream.LoanReply {
+	reply := medlarupstream.LoanReply{Nonce: grant.Nonce, Lender: lender}
+	for _, l := range grant.Loans {
+		reply.Loans = append(reply.Loans, medlarupstream.Loan{
+			ID: loanIDFromWire(l.Id), Upstream: medlarwheel.UpstreamID(l.Upstream), Slot: int(l.Slot), Run: time.Duration(l.RunNs),
+		})
+	}
+	return reply
+}
+
+func loanIDToWire(id medlarupstream.LoanID) *peerpb.LoanId {
+	return &peerpb.LoanId{Incarnation: uint64(id.Incarnation), Number: id.Number}
+}
+
+func loanIDFromWire(id *peerpb.LoanId) medlarupstream.LoanID {
+	return medlarupstream.LoanID{Incarnation: medlarwheel.Incarnation(id.GetIncarnation()), Number: id.GetNumber()}
+}
--- /dev/null
+++ b/medlarentry/peerhandler.go
@@ -0,0 +1,115 @@
+package medlarentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"medlarwheel"
+	"medlarwheel/medlarclaim"
+	"medlarwheel/medlarpeer/peerpb"
+)
+
+const (
+	// maxAnswerWait bounds the time that a peer's question for an answer waits for a running attempt.
+	maxAnswerWait = 5 * time.Second
+	// votePage is the number of votes in one page of a recovery.
+	votePage = 5000
+)
+
+// peerHandler answers other entry instances.
+type peerHandler struct {
+	d *Daemon
+}
+
+// Exchange merges the state of a peer and returns this instance's.
+func (h *peerHandler) Exchange(_ context.Context, request *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
+	if request.Sender == nil {
+		return nil, twirp.RequiredArgumentError("sender")
+	}
+	return ask(h.d, func(c *control) *peerpb.ExchangeResponse { return c.answerExchange(request) }), nil
+}
+
+// FetchConfig returns the configuration entries changed after a version.
+func (h *peerHandler) FetchConfig(_ context.Context, request *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error) {
+	book := h.d.snapshot.Load().book
+	if !book.IsLoaded() {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "no configuration yet")
+	}
+	data, err := encodeRow(book.Delta(medlarwheel.ConfigVersion(request.After)))
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.FetchConfigResponse{Delta: data}, nil
+}
+
+// Vote answers a batch of ballots at this instance's seat.
+func (h *peerHandler) Vote(_ context.Context, request *peerpb.VoteRequest) (*peerpb.VoteResponse, error) {
+	if medlarwheel.InstanceID(request.Seat) != h.d.settings.Instance {
+		return nil, twirp.NewError(twirp.FailedPrecondition, errSeatElsewhere.Error())
+	}
+	questions := make([]medlarclaim.Question, 0, len(request.Items))
+	for _, item := range request.Items {
+		q, err := questionFromWire(item)
+		if err != nil {
+			return nil, twirp.InvalidArgumentError("items", err.Error())
+		}
+		questions = append(questions, q)
+	}
+	answers, err := h.d.seat.answerAll(medlarwheel.DataCentreID(request.DataCentre), medlarwheel.Epoch(request.Epoch), questions)
+	if err != nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
+	response := &peerpb.VoteResponse{Items: make([]*peerpb.VoteItem, 0, len(answers))}
+	for _, a := range answers {
+		response.Items = append(response.Items, answerToWire(a))
+	}
+	if len(answers) > 0 {
+		response.Known = vectorToWire(answers[len(answers)-1].Known)
+	}
+	return response, nil
+}
+
+// FetchVotes returns a page of votes to a recovering seat.
+func (h *peerHandler) FetchVotes(_ context.Context, request *peerpb.FetchVotesRequest) (*peerpb.FetchVotesResponse, error) {
+	page, err := h.d.seat.page(medlarwheel.DataCentreID(request.DataCentre), medlarclaim.FetchRequest{
+		From:        medlarwheel.InstanceID(request.Instance),
+		Incarnation: medlarwheel.Incarnation(request.Incarnation),
+		Epoch:       medlarwheel.Epoch(request.Epoch),
+		Offset:      request.Offset,
+	})
+	if err != nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
+	return pageToWire(page), nil
+}
+
+// Borrow answers a borrower's messages about slot loans.
+func (h *peerHandler) Borrow(_ context.Context, request *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error) {
+	if medlarwheel.InstanceID(request.Lender) != h.d.settings.Instance {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "another lender is meant")
+	}
+	return h.d.lend(medlarwheel.InstanceID(request.Instance), request), nil
+}
+
+// FetchAnswer returns the recorded answer of an attempt, waiting for a running one for a bounded time.
+func (h *peerHandler) FetchAnswer(ctx context.Context, request *peerpb.FetchAnswerRequest) (*peerpb.FetchAnswerResponse, error) {
+	key, err := keyFromWire(request.Key)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("key", err.Error())
+	}
+	limited, cancel := context.WithTimeout(ctx, min(maxAnswerWait, max(0, time.Duration(request.WaitNs))))
+	defer cancel()
+	found, running := h.d.answers.wait(limited, answerKey{key: key, attempt: medlarclaim.AttemptHash(request.Attempt)})
+	return recordedToWire(found, running), nil
+}
+
+// FetchBurn returns the counters of the burn report.
+func (h *peerHandler) FetchBurn(context.Context, *peerpb.FetchBurnRequest) (*peerpb.FetchBurnResponse, error) {
+	data, err := encodeRow(h.d.burnCounters())
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.FetchBurnResponse{Counters: data}, nil
+}
--- /dev/null
+++ b/medlarentry/poll.go
@@ -0,0 +1,137 @@
+package medlarentry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlarcontract"
+	"medlarwheel/medlardatacentre"
+	"medlarwheel/medlarupstream"
+)
+
+// rosterPrefix is the prefix of the roster rows in the table.
+const rosterPrefix = "roster/"
+
+// pageSize is the number of rows of one read of changes.
+const pageSize = 500
+
+func connections(n int) medlarwheel.Connections { return medlarwheel.Connections(n) }
+
+// pollList reads the instance list when it has changed.
+func (d *Daemon) pollList(ctx context.Context) {
+	after := ask(d, func(c *control) uint64 { return c.listVersion })
+	sent := d.clock.Now()
+	list, changed, err := d.platform.Instances(ctx, after)
+	if err != nil {
+		d.metrics.count("platform-failure.instances")
+		return
+	}
+	d.platformAnswered(sent)
+	if !changed {
+		return
+	}
+	d.post(func(c *control) {
+		now := d.clock.Now()
+		c.listVersion = max(c.listVersion, list.Version)
+		c.directory.ApplyList(now, list)
+		c.view.ApplyList(now, list)
+		c.dirty = true
+	})
+}
+
+// platformAnswered tells the shares that this instance is in contact with the platform.
+func (d *Daemon) platformAnswered(sent time.Time) {
+	d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		shares.Contact(now, medlarupstream.Contact{Sent: sent, Epoch: d.seat.currentEpoch()})
+	})
+}
+
+// configPoller reads configuration and roster rows that have changed since its last read.
+type configPoller struct {
+	d              *Daemon
+	config, roster medlarwheel.RowVersion
+}
+
+func (p *configPoller) poll(ctx context.Context) {
+	p.pollConfig(ctx)
+	p.pollRosters(ctx)
+}
+
+func (p *configPoller) pollConfig(ctx context.Context) {
+	rows, next, err := p.d.readChanges(ctx, medlarcontract.RowPrefix, p.config)
+	if err != nil {
+		p.d.metrics.count("platform-failure.config")
+		return
+	}
+	applied := ask(p.d, func(c *control) bool { return c.applyConfigRows(rows) })
+	if applied {
+		p.config = next
+	}
+}
+
+// applyConfigRows merges rows of the table. The rows start where the last read ended, so they leave no gap.
+func (c *control) applyConfigRows(rows []medlarwheel.Row) bool {
+	delta, err := medlarcontract.DeltaFromRows(c.book.Version(), rows)
+	if err != nil {
+		c.d.log.Error().Str("event", "config-row-unreadable").AnErr("error", err).Send()
+		return false
+	}
+	delta.After = min(delta.After, c.book.Version())
+	return c.applyConfig(delta, "table")
+}
+
+func (c *control) applyConfig(delta medlarwheel.ConfigDelta, source string) bool {
+	before, wasLoaded := c.book.Version(), c.book.IsLoaded()
+	changed, err := c.book.Apply(delta)
+	if err != nil {
+		c.d.log.Error().Str("event", "config-refused").Str("source", source).AnErr("error", err).Send()
+		return false
+	}
+	if c.book.Version() != before || !wasLoaded {
+		c.dirty = true
+		c.d.log.Info().Str("event", "config-applied").Str("source", source).Int("changed", len(changed)).
+			Uint64("version", uint64(c.book.Version())).Send()
+	}
+	return true
+}
+
+func (p *configPoller) pollRosters(ctx context.Context) {
+	rows, next, err := p.d.readChanges(ctx, rosterPrefix, p.roster)
+	if err != nil {
+		p.d.metrics.count("platform-failure.roster")
+		return
+	}
+	p.roster = next
+	for _, row := range rows {
+		p.d.applyRosterRow(row)
+	}
+}
+
+func (d *Daemon) applyRosterRow(row medlarwheel.Row) {
+	roster, err := medlardatacentre.DecodeRoster(row.Value)
+	if err != nil {
+		d.log.Error().Str("event", "roster-unreadable").Str("row", row.Key).AnErr("error", err).Send()
+		return
+	}
+	d.post(func(c *control) { c.applyRoster(roster, "table") })
+}
+
+// readChanges reads all rows below prefix that changed after a version.
+func (d *Daemon) readChanges(ctx context.Context, prefix string, after medlarwheel.RowVersion) ([]medlarwheel.Row, medlarwheel.RowVersion, error) {
+	var rows []medlarwheel.Row
+	for {
+		page, err := d.platform.Changes(ctx, prefix, after, pageSize)
+		if err != nil {
+			return nil, after, err
+		}
+		rows = append(rows, page.Rows...)
+		after = page.Next
+		if !page.More {
+			return rows, after, nil
+		}
+	}
+}
+
+func encodeRow(value any) (json.RawMessage, error) { return json.Marshal(value) }
--- /dev/null
+++ b/medlarentry/publish.go
@@ -0,0 +1,113 @@
+package medlarentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/medlarcontract"
+	"medlarwheel/medlaroperator"
+	"medlarwheel/medlarplatform"
+)
+
+const (
+	// maxPublishTries bounds the tries of a change that lost the race for the head row to a change of another entry.
+	maxPublishTries = 20
+	// defaultComeBack is the time to come back when the platform gives none.
+	defaultComeBack = time.Second
+)
+
+var errPublishRace = errors.New("too many concurrent changes")
+
+// publish commits a change and waits until it is in force on this instance.
+func (d *Daemon) publish(ctx context.Context, change medlarcontract.Change) (medlarwheel.ConfigVersion, error) {
+	for range maxPublishTries {
+		version, err := d.tryPublish(ctx, change)
+		var conflict *medlarwheel.ConflictError
+		if errors.As(err, &conflict) {
+			// Another change took the head row. Plan again on top of it: it fails if the same entry was changed.
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		d.pollConfigNow()
+		d.awaitConfig(ctx, version-1)
+		d.exchangeNow()
+		return version, nil
+	}
+	return 0, errPublishRace
+}
+
+func (d *Daemon) tryPublish(ctx context.Context, change medlarcontract.Change) (medlarwheel.ConfigVersion, error) {
+	if err := change.Check().Err(); err != nil {
+		return 0, err
+	}
+	current, err := d.readCurrent(ctx, change.Key)
+	if err != nil {
+		return 0, err
+	}
+	plan, err := medlarcontract.Plan(current, change)
+	if err != nil {
+		return 0, err
+	}
+	_, err = d.platform.Transact(ctx, d.operations.Next(), plan.Writes)
+	return plan.Version, err
+}
+
+// readCurrent reads the entry before the head: a change of the entry between both reads then shows in the head's version
+// and fails the commit.
+func (d *Daemon) readCurrent(ctx context.Context, key string) (medlarcontract.Current, error) {
+	item, err := d.rowOrEmpty(ctx, medlarcontract.RowPrefix+key)
+	if err != nil {
+		return medlarcontract.Current{}, err
+	}
+	head, err := d.rowOrEmpty(ctx, medlarcontract.HeadKey)
+	return medlarcontract.Current{Head: head, Item: item}, err
+}
+
+func (d *Daemon) rowOrEmpty(ctx context.Context, key string) (medlarwheel.Row, error) {
+	row, err := d.platform.Row(ctx, key)
+	if errors.Is(err, medlarwheel.ErrNotFound) {
+		return medlarwheel.Row{Key: key}, nil
+	}
+	return row, err
+}
+
+// awaitConfig waits until the configuration has a version above after, or ctx ends, and returns the changes.
+func (d *Daemon) awaitConfig(ctx context.Context, after medlarwheel.ConfigVersion) medlarwheel.ConfigDelta {
+	for {
+		current := d.snapshot.Load()
+		if current.book.Version() > after {
+			return current.book.Delta(after)
+		}
+		select {
+		case <-current.replaced:
+		case <-ctx.Done():
+			return medlarwheel.ConfigDelta{After: after, Head: max(after, current.book.Version())}
+		}
+	}
+}
+
+// platformError describes a failed call to the platform to an operator.
+func platformError(err error) *medlaroperator.Error {
+	retryAfter := medlarplatform.RetryAfter(err)
+	if retryAfter == 0 {
+		retryAfter = defaultComeBack
+	}
+	if medlarplatform.MayHaveApplied(err) {
+		return &medlaroperator.Error{
+			Code: medlaroperator.CodeUnknown, Message: err.Error() + "; the change may have taken effect, read it back",
+			RetryAfter: medlarwheel.Duration(retryAfter),
+		}
+	}
+	if errors.Is(err, medlarwheel.ErrUnavailable) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errPublishRace) {
+		return &medlaroperator.Error{
+			Code: medlaroperator.CodeUnavailable, Message: err.Error() + "; nothing was changed",
+			RetryAfter: medlarwheel.Duration(retryAfter),
+		}
+	}
+	return &medlaroperator.Error{Code: medlaroperator.CodeInternal, Message: err.Error()}
+}
--- /dev/null
+++ b/medlarentry/routing.go
@@ -0,0 +1,141 @@
+package medlarentry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"medlarwheel"
+	"medlarwheel/medlarlink"
+	"medlarwheel/medlarupstream"
+)
+
+// permit is the right to run one request at one upstream.
+type permit = medlarupstream.Permit
+
+// routing holds the router and the shares of upstreams under one lock. Requests that find no free slot wait for the next
+// one that is released or borrowed.
+type routing struct {
+	clock medlarwheel.Clock
+	// leaving is called with an upstream that announces that it is leaving.
+	leaving func(medlarwheel.Upstream)
+
+	mu      sync.Mutex
+	shares  *medlarupstream.Shares
+	router  *medlarupstream.Router
+	freed   chan struct{}
+	waiting int
+}
+
+func newRouting(clock medlarwheel.Clock, config medlarupstream.SharesConfig, leaving func(medlarwheel.Upstream)) *routing {
+	shares := medlarupstream.NewShares(config)
+	return &routing{
+		clock: clock, leaving: leaving, shares: shares, router: medlarupstream.NewRouter(shares), freed: make(chan struct{}),
+	}
+}
+
+// with runs f under the lock and wakes the requests that wait for a slot.
+func (r *routing) with(f func(now time.Time, shares *medlarupstream.Shares, router *medlarupstream.Router)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.clock.Now(), r.shares, r.router)
+	r.wake()
+}
+
+func (r *routing) wake() {
+	if r.waiting > 0 {
+		close(r.freed)
+		r.freed = make(chan struct{})
+	}
+}
+
+// acquire takes a permit at an upstream that was not tried yet. It waits for a slot as long as the template lets a
+// request queue, but not after a failed try.
+func (r *routing) acquire(c *call, tried []medlarwheel.UpstreamID) (medlarwheel.Upstream, permit, bool) {
+	end := c.arrived.Add(c.template.Service.QueueTimeout.Std())
+	if len(tried) > 0 || end.After(c.deadline) {
+		end = c.deadline
+	}
+	hash := xxhash.Sum64String(string(c.attempt))
+	for {
+		r.mu.Lock()
+		now := r.clock.Now()
+		u, p, ok := r.router.Pick(now, c.template.Service.Upstream, hash, c.deadline, tried)
+		freed := r.freed
+		give := !ok && (len(tried) > 0 || !now.Before(end))
+		if !ok && !give {
+			r.waiting++
+		}
+		r.mu.Unlock()
+		if ok || give {
+			return u, p, ok
+		}
+		r.await(freed, end.Sub(now))
+	}
+}
+
+func (r *routing) await(freed <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-freed:
+	case <-timer.C:
+	}
+	r.mu.Lock()
+	r.waiting--
+	r.mu.Unlock()
+}
+
+// release gives a permit back and applies what the request showed.
+func (r *routing) release(p permit, u medlarwheel.Upstream, report medlarlink.Report, failure *medlarlink.Failure) {
+	r.mu.Lock()
+	now := r.clock.Now()
+	r.router.Finish(now, p, medlarupstream.Ended{Event: eventOf(failure), Latency: report.Latency})
+	if failure != nil && failure.Cause == medlarlink.CauseSilent {
+		r.router.Probed(now, u.ID, failure.ProbeAnswered)
+	}
+	r.wake()
+	r.mu.Unlock()
+	if report.Leaving {
+		r.leaving(u)
+	}
+}
+
+func eventOf(failure *medlarlink.Failure) medlarupstream.Event {
+	if failure == nil {
+		return medlarupstream.EventSuccess
+	}
+	switch failure.Cause {
+	case medlarlink.CauseConnect:
+		return medlarupstream.EventConnectFailure
+	case medlarlink.CauseSilent:
+		return medlarupstream.EventSilent
+	case medlarlink.CauseDeadline:
+		return medlarupstream.EventProbeFailure
+	case medlarlink.CauseIncomplete, medlarlink.CauseMismatch, medlarlink.CauseClosed, medlarlink.CauseWrite:
+		return medlarupstream.EventIncomplete
+	default:
+		return medlarupstream.EventNone
+	}
+}
+
+// Open counts one more connection to an upstream against this instance's share.
+func (r *routing) Open(id medlarwheel.UpstreamID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.shares.Open(r.clock.Now(), id)
+}
+
+// Closed counts one connection less.
+func (r *routing) Closed(id medlarwheel.UpstreamID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shares.Closed(id)
+}
+
+func (r *routing) states() []medlarupstream.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.router.States()
+}
--- /dev/null
+++ b/medlarentry/run.go
@@ -0,0 +1,114 @@
+package medlarentry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/medlarlink"
+)
+
+// maxUpstreamTries bounds the upstreams that one request is sent to.
+const maxUpstreamTries = 3
+
+// run sends the request to an upstream and, where that is safe, to another one when it fails. It reports whether bytes
+// of the request may have reached an upstream that did not reject it.
+func (d *Daemon) run(c *call, request *fasthttp.Request, gate *gate) (result *answer, sent bool) {
+	var tried []medlarwheel.UpstreamID
+	refusal := medlarwheel.NotRun(medlarwheel.ReasonNoUpstream, defaultComeBack)
+	for len(tried) < maxUpstreamTries {
+		upstream, permit, ok := d.routing.acquire(c, tried)
+		if !ok {
+			break
+		}
+		result, failure := d.send(c, request, upstream, permit)
+		if result != nil {
+			return result, true
+		}
+		tried = append(tried, upstream.ID)
+		refusal = refusalFor(failure, sent)
+		sent = sent || failure.Sent
+		if (sent && !c.idempotent) || !gate.mayRetry() || !d.clock.Now().Before(c.deadline) {
+			break
+		}
+	}
+	return refused(refusal), sent
+}
+
+// refusalFor tells a caller about a failure. Once bytes may have been received the outcome is unknown.
+func refusalFor(failure *medlarlink.Failure, sentBefore bool) medlarwheel.Refusal {
+	if failure.Sent || sentBefore {
+		return medlarwheel.Unknown(failure.Reason(), defaultComeBack)
+	}
+	return medlarwheel.NotRun(failure.Reason(), defaultComeBack)
+}
+
+// send makes one attempt at one upstream. Exactly one of the results is set.
+func (d *Daemon) send(c *call, request *fasthttp.Request, u medlarwheel.Upstream, permit permit) (*answer, *medlarlink.Failure) {
+	out, in := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(out)
+	defer fasthttp.ReleaseResponse(in)
+	prepare(out, request, c, u)
+	report, err := d.links.Do(medlarlink.Call{
+		Upstream: u, Attempt: c.attempt, Deadline: c.deadline, Idempotent: c.idempotent,
+		RequireEcho: c.template.Service.RequireEcho, Request: out, Response: in,
+	})
+	var failure *medlarlink.Failure
+	if err != nil && !errors.As(err, &failure) {
+		failure = &medlarlink.Failure{Upstream: u.ID, Cause: medlarlink.CauseClosed, Sent: true, Err: err}
+	}
+	if failure == nil && report.NotRun {
+		failure = &medlarlink.Failure{Upstream: u.ID, Cause: medlarlink.CauseRejected, Err: errUpstreamRejected}
+	}
+	d.routing.release(permit, u, report, failure)
+	if failure != nil {
+		d.logFailure(c, failure)
+		return nil, failure
+	}
+	return answerOf(in), nil
+}
+
+var errUpstreamRejected = errors.New("upstream rejected the request before it had any effect")
+
+// hopHeaders are meaningful for one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// prepare fills in the request for the upstream.
+func prepare(out, request *fasthttp.Request, c *call, u medlarwheel.Upstream) {
+	request.Header.CopyTo(&out.Header)
+	for _, name := range hopHeaders {
+		out.Header.Del(name)
+	}
+	out.Header.Del(HeaderDeadline)
+	out.SetRequestURI("http://" + u.Address + c.path)
+	out.Header.SetHost(u.Address)
+	out.SetBodyRaw(request.Body())
+}
+
+// ownHeaders are set by this instance on every answer and are not taken over from an upstream.
+var ownHeaders = []string{
+	HeaderOutcome, HeaderReason, HeaderRetryAfter, medlarlink.HeaderAttempt, medlarlink.HeaderLeaving, medlarlink.HeaderNotRun,
+	fasthttp.HeaderContentLength, fasthttp.HeaderContentType,
+}
+
+// answerOf copies a complete response, because the response object is reused.
+func answerOf(response *fasthttp.Response) *answer {
+	a := &answer{status: response.StatusCode(), body: slices.Clone(response.Body())}
+	a.headers = append(a.headers, headerField{fasthttp.HeaderContentType, string(response.Header.ContentType())})
+	for name, value := range response.Header.All() {
+		if field := string(name); !slices.Contains(hopHeaders, field) && !slices.Contains(ownHeaders, field) {
+			a.headers = append(a.headers, headerField{field, string(value)})
+		}
+	}
+	return a
+}
+
+// roundUpSeconds returns d in whole seconds, at least one.
+func roundUpSeconds(d time.Duration) int {
+	return max(1, int((d+time.Second-1)/time.Second))
+}
--- /dev/null
+++ b/medlarentry/serve.go
@@ -0,0 +1,117 @@
+package medlarentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/medlarclaim"
+)
+
+// handleCall serves one request of a caller.
+func (d *Daemon) handleCall(ctx *fasthttp.RequestCtx) {
+	s := d.snapshot.Load()
+	if !s.book.IsLoaded() {
+		d.respond(ctx, nil, refused(medlarwheel.NotRun(medlarwheel.ReasonNotReady, time.Second)))
+		return
+	}
+	c, refusal, faults := d.parseCall(ctx, s)
+	if refusal != nil {
+		d.respond(ctx, nil, refused(*refusal))
+		if len(faults) > 0 {
+			ctx.SetContentType(contentTypeJSON)
+			ctx.SetBody(encodeFaults(faults))
+		}
+		return
+	}
+	d.respond(ctx, c, d.serve(c, &ctx.Request))
+}
+
+// serve admits the request, claims its key if it must run at most once, and runs it.
+func (d *Daemon) serve(c *call, request *fasthttp.Request) *answer {
+	gate := d.gates.of(c.template.Service.Upstream)
+	ticket, refusal := gate.enter(c.lane(), c.deadline)
+	if refusal != nil {
+		return d.refuse(c, *refusal)
+	}
+	defer ticket.leave()
+	gate.fresh()
+	if !c.isProtected() {
+		result, _ := d.run(c, request, gate)
+		return result
+	}
+	return d.serveProtected(c, request, gate)
+}
+
+func (d *Daemon) serveProtected(c *call, request *fasthttp.Request, gate *gate) *answer {
+	decision := d.ballot(medlarclaim.KindClaim, c)
+	switch decision.Kind {
+	case medlarclaim.DecisionGranted:
+		return d.runClaimed(c, request, gate)
+	case medlarclaim.DecisionHeld:
+		d.releaseLater(c, decision.Release)
+		return d.duplicate(c, decision)
+	case medlarclaim.DecisionLate:
+		return d.refuse(c, medlarwheel.NotRun(medlarwheel.ReasonNoMajority, decision.Refusal.RetryAfter))
+	default:
+		d.releaseLater(c, decision.Release)
+		return refused(decision.Refusal)
+	}
+}
+
+// runClaimed runs a request whose key this attempt holds, and records the end at the seats.
+func (d *Daemon) runClaimed(c *call, request *fasthttp.Request, gate *gate) *answer {
+	d.answers.begin(c.answerKey())
+	result, sent := d.run(c, request, gate)
+	d.answers.finish(c.answerKey(), result, d.clock.Now())
+	kind := medlarclaim.KindComplete
+	if !sent {
+		kind = medlarclaim.KindRelease
+	}
+	d.background(func() { d.ballot(kind, c) })
+	return result
+}
+
+// refuse gives a request up that has not been sent by this attempt. For a protected request the refusal must hold for
+// every attempt of the key, so the key is sealed first.
+func (d *Daemon) refuse(c *call, refusal medlarwheel.Refusal) *answer {
+	if !c.isProtected() {
+		return refused(refusal)
+	}
+	decision := d.ballot(medlarclaim.KindSeal, c)
+	switch decision.Kind {
+	case medlarclaim.DecisionNotRun:
+		if !d.clock.Now().Before(decision.Until) {
+			return refused(medlarwheel.Unknown(medlarwheel.ReasonNoMajority, decision.Refusal.RetryAfter))
+		}
+		refusal.RetryAfter = max(refusal.RetryAfter, decision.Refusal.RetryAfter)
+		return refused(refusal)
+	case medlarclaim.DecisionHeld:
+		return d.duplicate(c, decision)
+	default:
+		return refused(decision.Refusal)
+	}
+}
+
+// duplicate answers an attempt whose key another attempt holds: with that attempt's answer if it can be had in time.
+func (d *Daemon) duplicate(c *call, decision medlarclaim.Decision) *answer {
+	unknown := medlarwheel.Unknown(medlarwheel.ReasonAlreadyAttempted, decision.Refusal.RetryAfter)
+	ctx, cancel := context.WithDeadline(d.base, c.deadline)
+	defer cancel()
+	key := answerKey{key: c.hash, attempt: decision.HolderAttempt}
+	var found *answer
+	if decision.Holder == d.settings.Instance {
+		found, _ = d.answers.wait(ctx, key)
+	} else {
+		found = d.fetchAnswer(ctx, decision.Holder, key)
+	}
+	if found == nil || (found.refusal != nil && found.refusal.Outcome == medlarwheel.OutcomeNotRun) {
+		// The holder never sent its request, but a third attempt may have claimed the key since.
+		return refused(unknown)
+	}
+	return found
+}
+
+func refused(refusal medlarwheel.Refusal) *answer { return &answer{refusal: &refusal} }
--- /dev/null
+++ b/medlarentry/shutdown.go
@@ -0,0 +1,41 @@
+package medlarentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel/medlarpeer"
+)
+
+// shutdown stops without cutting off a request: it fails readiness, tells its peers, waits until the load balancer has
+// noticed, finishes the requests in flight, and only then stops answering peers.
+func (d *Daemon) shutdown(server *fasthttp.Server, peers *medlarpeer.Server) {
+	d.log.Info().Str("event", "stopping").Send()
+	d.ready.Store(false)
+	d.leave()
+	d.pause(d.settings.BalancerDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
+	defer cancel()
+	if err := server.ShutdownWithContext(ctx); err != nil {
+		d.log.Error().Str("event", "stop-timeout").AnErr("error", err).Send()
+	}
+	d.work.Wait()
+	d.handOver(ctx)
+	if err := peers.Stop(ctx); err != nil {
+		d.log.Error().Str("event", "stop-peers").AnErr("error", err).Send()
+	}
+	d.endBase()
+	d.gates.close()
+	d.links.Close()
+	d.peers.Close()
+	d.platform.Close()
+	d.log.Info().Str("event", "stopped").Send()
+}
+
+func (d *Daemon) pause(wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	<-timer.C
+}
--- /dev/null
+++ b/medlarentry/votewire.go
@@ -0,0 +1,155 @@
+package medlarentry
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/medlarclaim"
+	"medlarwheel/medlarpeer/peerpb"
+)
+
+var errBadKeyHash = errors.New("key hash has not 16 bytes")
+
+// pairs between the domain and the wire. Unknown values of the wire map to the zero value and are refused.
+var (
+	kindToWire = map[medlarclaim.Kind]peerpb.BallotKind{
+		medlarclaim.KindClaim:    peerpb.BallotKind_BALLOT_KIND_CLAIM,
+		medlarclaim.KindSeal:     peerpb.BallotKind_BALLOT_KIND_SEAL,
+		medlarclaim.KindComplete: peerpb.BallotKind_BALLOT_KIND_COMPLETE,
+		medlarclaim.KindRelease:  peerpb.BallotKind_BALLOT_KIND_RELEASE,
+	}
+	verdictToWire = map[medlarclaim.Verdict]peerpb.VoteAnswer{
+		medlarclaim.VerdictGranted:     peerpb.VoteAnswer_VOTE_ANSWER_GRANTED,
+		medlarclaim.VerdictHeld:        peerpb.VoteAnswer_VOTE_ANSWER_HELD,
+		medlarclaim.VerdictSealed:      peerpb.VoteAnswer_VOTE_ANSWER_SEALED,
+		medlarclaim.VerdictStaleEpoch:  peerpb.VoteAnswer_VOTE_ANSWER_STALE_EPOCH,
+		medlarclaim.VerdictRecovering:  peerpb.VoteAnswer_VOTE_ANSWER_RECOVERING,
+		medlarclaim.VerdictFull:        peerpb.VoteAnswer_VOTE_ANSWER_FULL,
+		medlarclaim.VerdictQuarantined: peerpb.VoteAnswer_VOTE_ANSWER_QUARANTINED,
+	}
+	pageStateToWire = map[medlarclaim.PageState]peerpb.VotePageState{
+		medlarclaim.PageComplete:   peerpb.VotePageState_VOTE_PAGE_STATE_COMPLETE,
+		medlarclaim.PageRecovering: peerpb.VotePageState_VOTE_PAGE_STATE_RECOVERING,
+		medlarclaim.PageIncomplete: peerpb.VotePageState_VOTE_PAGE_STATE_INCOMPLETE,
+	}
+	kindFromWire      = invert(kindToWire)
+	verdictFromWire   = invert(verdictToWire)
+	pageStateFromWire = invert(pageStateToWire)
+)
+
+func invert[K, V comparable](m map[K]V) map[V]K {
+	inverted := make(map[V]K, len(m))
+	for k, v := range m {
+		inverted[v] = k
+	}
+	return inverted
+}
+
+func questionToWire(q medlarclaim.Question) *peerpb.BallotItem {
+	item := &peerpb.BallotItem{
+		Kind: kindToWire[q.Kind], Key: q.Key[:], Attempt: string(q.Attempt), WaitedNs: int64(q.Waited), Holder: string(q.Holder),
+	}
+	if !q.Minted.IsZero() {
+		item.MintedUnixMs = q.Minted.UnixMilli()
+	}
+	return item
+}
+
+func questionFromWire(item *peerpb.BallotItem) (medlarclaim.Question, error) {
+	kind, ok := kindFromWire[item.Kind]
+	if !ok {
+		return medlarclaim.Question{}, errors.Errorf("ballot kind %d is not known", item.Kind)
+	}
+	key, err := keyFromWire(item.Key)
+	if err != nil {
+		return medlarclaim.Question{}, err
+	}
+	q := medlarclaim.Question{
+		Kind: kind, Key: key, Attempt: medlarwheel.AttemptID(item.Attempt),
+		Holder: medlarwheel.InstanceID(item.Holder), Waited: time.Duration(max(0, item.WaitedNs)),
+	}
+	if item.MintedUnixMs > 0 {
+		q.Minted = time.UnixMilli(item.MintedUnixMs)
+	}
+	return q, nil
+}
+
+func keyFromWire(data []byte) (medlarclaim.KeyHash, error) {
+	var key medlarclaim.KeyHash
+	if len(data) != len(key) {
+		return key, errBadKeyHash
+	}
+	copy(key[:], data)
+	return key, nil
+}
+
+func answerToWire(a medlarclaim.Answer) *peerpb.VoteItem {
+	return &peerpb.VoteItem{
+		Answer: verdictToWire[a.Verdict], Holder: string(a.Holder), HolderAttempt: uint64(a.HolderAttempt), Completed: a.Completed,
+	}
+}
+
+func answerFromWire(item *peerpb.VoteItem, known medlarclaim.IncarnationVector) (medlarclaim.Answer, error) {
+	verdict, ok := verdictFromWire[item.Answer]
+	if !ok {
+		return medlarclaim.Answer{}, errors.Errorf("vote answer %d is not known", item.Answer)
+	}
+	return medlarclaim.Answer{
+		Verdict: verdict, Holder: medlarwheel.InstanceID(item.Holder),
+		HolderAttempt: medlarclaim.AttemptHash(item.HolderAttempt), Completed: item.Completed, Known: known,
+	}, nil
+}
+
+func vectorToWire(v medlarclaim.IncarnationVector) []*peerpb.IncarnationEntry {
+	entries := make([]*peerpb.IncarnationEntry, 0, len(v))
+	for _, e := range v {
+		entries = append(entries, &peerpb.IncarnationEntry{Instance: string(e.Instance), Incarnation: uint64(e.Incarnation)})
+	}
+	return entries
+}
+
+func vectorFromWire(entries []*peerpb.IncarnationEntry) medlarclaim.IncarnationVector {
+	var v medlarclaim.IncarnationVector
+	for _, e := range entries {
+		v = v.Raised(medlarwheel.InstanceID(e.Instance), medlarwheel.Incarnation(e.Incarnation))
+	}
+	return v
+}
+
+func pageToWire(p medlarclaim.Page) *peerpb.FetchVotesResponse {
+	response := &peerpb.FetchVotesResponse{
+		State: pageStateToWire[p.State], Incarnation: uint64(p.Incarnation), Epoch: uint64(p.Epoch),
+		Offset: p.Offset, Next: p.Next, More: p.More,
+	}
+	for i := range p.Records {
+		r := &p.Records[i]
+		response.Records = append(response.Records, &peerpb.VoteRecord{
+			Key: r.Key[:], Attempt: uint64(r.Attempt), Holder: string(r.Holder), Completed: r.Completed, AgeNs: int64(r.Age),
+		})
+	}
+	return response
+}
+
+func pageFromWire(response *peerpb.FetchVotesResponse) (medlarclaim.Page, error) {
+	state, ok := pageStateFromWire[response.State]
+	if !ok {
+		return medlarclaim.Page{}, errors.Errorf("page state %d is not known", response.State)
+	}
+	page := medlarclaim.Page{
+		State: state, Incarnation: medlarwheel.Incarnation(response.Incarnation), Epoch: medlarwheel.Epoch(response.Epoch),
+		Offset: response.Offset, Next: response.Next, More: response.More,
+	}
+	for _, r := range response.Records {
+		key, err := keyFromWire(r.Key)
+		if err != nil {
+			return medlarclaim.Page{}, err
+		}
+		page.Records = append(page.Records, medlarclaim.VoteRecord{
+			Key: key, Attempt: medlarclaim.AttemptHash(r.Attempt), Holder: medlarwheel.InstanceID(r.Holder),
+			Completed: r.Completed, Age: time.Duration(max(0, r.AgeNs)),
+		})
+	}
+	return page, nil
+}
--- a/medlarlink/call_test.go
+++ b/medlarlink/call_test.go
@@ -98,12 +98,33 @@
 
 func itoa(n int) string { return string(fasthttp.AppendUint(nil, n)) }
 
+// budget allows a fixed number of open connections.
+type budget struct {
+	mu          sync.Mutex
+	open, limit int
+}
+
+func (b *budget) Open(medlarwheel.UpstreamID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.open >= b.limit {
+		return false
+	}
+	b.open++
+	return true
+}
+
+func (b *budget) Closed(medlarwheel.UpstreamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.open--
+}
+
 func newLinks(t *testing.T, u medlarwheel.Upstream) *medlarlink.Links {
 	t.Helper()
-	config := medlarlink.DefaultConfig()
+	config := medlarlink.DefaultConfig(&budget{limit: 8})
 	config.SilenceFloor = 50 * time.Millisecond
 	links := medlarlink.New(config)
-	links.SetLimit(u, 8)
 	t.Cleanup(links.Close)
 	return links
 }
--- a/medlarlink/config.go
+++ b/medlarlink/config.go
@@ -32,12 +32,22 @@
 	return f(address, timeout)
 }
 
+// Budget counts the open connections to an upstream against this instance's share of its connections.
+type Budget interface {
+	// Open counts one more connection, if the share allows it.
+	Open(id medlarwheel.UpstreamID) bool
+	// Closed counts one connection less.
+	Closed(id medlarwheel.UpstreamID)
+}
+
 // Config holds the settings of the connections to upstreams.
 type Config struct {
 	// Dialer opens connections.
 	Dialer Dialer
 	// Clock tells the time.
 	Clock medlarwheel.Clock
+	// Budget bounds the open connections to each upstream.
+	Budget Budget
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
 	// IdleTimeout is the age at which an idle connection is closed.
@@ -53,10 +63,11 @@
 }
 
 // DefaultConfig returns the settings for production.
-func DefaultConfig() Config {
+func DefaultConfig(budget Budget) Config {
 	return Config{
 		Dialer:          DialerFunc(dialTCP),
 		Clock:           medlarwheel.SystemClock{},
+		Budget:          budget,
 		DialTimeout:     500 * time.Millisecond,
 		IdleTimeout:     30 * time.Second,
 		SilenceFloor:    250 * time.Millisecond,
--- a/medlarlink/doc.go
+++ b/medlarlink/doc.go
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	links := medlarlink.New(medlarlink.DefaultConfig())
+//	links := medlarlink.New(medlarlink.DefaultConfig(budget))
 //	defer links.Close()
 //	report, err := links.Do(medlarlink.Call{Upstream: u, Attempt: id, Deadline: deadline, Request: req, Response: resp})
 //	var failure *medlarlink.Failure
--- a/medlarlink/failure.go
+++ b/medlarlink/failure.go
@@ -19,6 +19,8 @@
 	CauseMismatch   Cause = "mismatch"
 	CauseClosed     Cause = "closed"
 	CauseNoCapacity Cause = "no-connection-free"
+	// CauseRejected is an upstream that rejected the request before it had any effect.
+	CauseRejected Cause = "rejected"
 )
 
 // Failure reports a request that got no complete response.
@@ -45,6 +47,8 @@
 	switch f.Cause {
 	case CauseConnect, CauseNoCapacity:
 		return medlarwheel.ReasonConnectFailed
+	case CauseRejected:
+		return medlarwheel.ReasonQueueFull
 	case CauseSilent:
 		return medlarwheel.ReasonSilent
 	case CauseDeadline:
--- a/medlarlink/links.go
+++ b/medlarlink/links.go
@@ -45,10 +45,8 @@
 	}
 }
 
-// SetLimit sets this instance's share of the connections to an upstream.
-func (l *Links) SetLimit(u medlarwheel.Upstream, limit medlarwheel.Connections) {
-	l.pool(u).setLimit(limit, l.config.Clock.Now())
-}
+// Trim closes up to n idle connections to an upstream.
+func (l *Links) Trim(u medlarwheel.Upstream, n medlarwheel.Connections) { l.pool(u).trim(n) }
 
 // Keep closes the connections to every upstream that is not listed.
 func (l *Links) Keep(upstreams []medlarwheel.Upstream) {
@@ -94,7 +92,7 @@
 	if p, ok := l.pools[key]; ok {
 		return p
 	}
-	p = &pool{config: &l.config, address: u.Address, limit: 1}
+	p = &pool{config: &l.config, upstream: u.ID, address: u.Address}
 	l.pools[key] = p
 	return p
 }
--- a/medlarlink/pool.go
+++ b/medlarlink/pool.go
@@ -13,15 +13,14 @@
 
 // pool holds the connections to one upstream incarnation.
 type pool struct {
-	config  *Config
-	address string
-	latency latencyEstimate
+	config   *Config
+	upstream medlarwheel.UpstreamID
+	address  string
+	latency  latencyEstimate
 
 	mu   sync.Mutex
 	idle []*conn
 	open medlarwheel.Connections
-	// limit is this instance's share of the upstream's connections.
-	limit medlarwheel.Connections
 	// retireBefore marks for retirement every connection without progress since.
 	retireBefore time.Time
 	closed       bool
@@ -59,8 +58,7 @@
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		if p.isStale(c, now) {
-			p.open--
-			_ = c.Close()
+			p.release(c)
 			continue
 		}
 		kept = append(kept, c)
@@ -85,30 +83,44 @@
 	return newConn(raw, now, p.config), nil
 }
 
-// reserve counts one more open connection if the share allows it, closing an idle one to make room.
+// reserve counts one more open connection if the budget allows it, closing an idle one to make room.
 func (p *pool) reserve() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return false
 	}
-	if p.open >= p.limit && len(p.idle) > 0 {
-		oldest := p.idle[0]
-		p.idle = append(p.idle[:0], p.idle[1:]...)
-		p.open--
-		_ = oldest.Close()
-	}
-	if p.open >= p.limit {
-		return false
+	if !p.config.Budget.Open(p.upstream) {
+		p.closeOldest(1)
+		if !p.config.Budget.Open(p.upstream) {
+			return false
+		}
 	}
 	p.open++
 	return true
 }
 
+// closeOldest closes up to n idle connections, those unused for longest first. It needs the lock.
+func (p *pool) closeOldest(n int) {
+	n = min(n, len(p.idle))
+	for _, c := range p.idle[:n] {
+		p.release(c)
+	}
+	p.idle = append(p.idle[:0], p.idle[n:]...)
+}
+
+// release closes a connection and counts it as closed. It needs the lock.
+func (p *pool) release(c *conn) {
+	_ = c.Close()
+	p.open--
+	p.config.Budget.Closed(p.upstream)
+}
+
 func (p *pool) unreserve() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.open--
-	p.mu.Unlock()
+	p.config.Budget.Closed(p.upstream)
 }
 
 // put returns a connection after a complete response.
@@ -117,9 +129,8 @@
 	defer p.mu.Unlock()
 	c.progress = now
 	c.stall = 0
-	if p.closed || c.opened.Before(p.retireBefore) || p.open > p.limit {
-		p.open--
-		_ = c.Close()
+	if p.closed || c.opened.Before(p.retireBefore) {
+		p.release(c)
 		return
 	}
 	p.idle = append(p.idle, c)
@@ -141,17 +152,11 @@
 	p.closeStale(now)
 }
 
-func (p *pool) setLimit(limit medlarwheel.Connections, now time.Time) {
+// trim closes up to n idle connections.
+func (p *pool) trim(n medlarwheel.Connections) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = limit
-	p.closeStale(now)
-	for p.open > p.limit && len(p.idle) > 0 {
-		oldest := p.idle[0]
-		p.idle = append(p.idle[:0], p.idle[1:]...)
-		p.open--
-		_ = oldest.Close()
-	}
+	p.closeOldest(int(n))
 }
 
 func (p *pool) close() {
