Admit a quarter more requests than slots, so that claims overlap with service

Cause: a request held its admission while it claimed its key, so slots stood idle for the time of the claim: 1,303/s of 1,600/s in a flood of 10 times capacity. Change: the gates admit 25% above the slots; the router's permits stay the bound towards upstreams. The refusal target of 5 ms is still missed with all processes on one busy machine.

--- a/medlarentry/apply.go
+++ b/medlarentry/apply.go
@@ -117,6 +117,14 @@
 		}
 	})
 	for service, n := range capacity {
-		d.gates.of(service).setCapacity(n)
+		d.gates.of(service).setCapacity(admissible(n))
 	}
 }
+
+// claimOverlap is the part of the capacity, as a divisor, that is admitted on top of it. Those requests claim their keys
+// while others are being served; the permits of the router remain the bound towards the upstreams.
+const claimOverlap = 4
+
+func admissible(capacity medlarwheel.Slots) medlarwheel.Slots {
+	return capacity + (capacity+claimOverlap-1)/claimOverlap
+}
