Give a key back before the caller is told to come back, and keep the permit of a silent request

Cause: a claim that was never sent was released after the answer, so a prompt retry met its own earlier claim and got an unknown outcome. A request on a silent connection gave its slot back while the upstream may still work on it. Change: the release is recorded first; a duplicate of an attempt that was never sent asks for a seal and can answer not-run; the permit of a silent request is kept until its deadline.

--- a/medlarentry/routing.go
+++ b/medlarentry/routing.go
@@ -87,19 +87,26 @@
 	r.mu.Unlock()
 }
 
-// release gives a permit back and applies what the request showed.
-func (r *routing) release(p permit, u medlarwheel.Upstream, report medlarlink.Report, failure *medlarlink.Failure) {
-	r.mu.Lock()
-	now := r.clock.Now()
-	r.router.Finish(now, p, medlarupstream.Ended{Event: eventOf(failure), Latency: report.Latency})
-	if failure != nil && failure.Cause == medlarlink.CauseSilent {
-		r.router.Probed(now, u.ID, failure.ProbeAnswered)
-	}
-	r.wake()
-	r.mu.Unlock()
+// release gives a permit back and applies what the request showed. After a silent connection the permit is kept until the
+// deadline, because the upstream may still be working on the request.
+func (r *routing) release(p permit, u medlarwheel.Upstream, deadline time.Time, report medlarlink.Report, failure *medlarlink.Failure) {
 	if report.Leaving {
 		r.leaving(u)
 	}
+	if failure != nil && failure.Cause == medlarlink.CauseSilent {
+		r.with(func(now time.Time, _ *medlarupstream.Shares, router *medlarupstream.Router) {
+			router.Probed(now, u.ID, failure.ProbeAnswered)
+		})
+		time.AfterFunc(deadline.Sub(r.clock.Now()), func() { r.finish(p, report, failure) })
+		return
+	}
+	r.finish(p, report, failure)
+}
+
+func (r *routing) finish(p permit, report medlarlink.Report, failure *medlarlink.Failure) {
+	r.with(func(now time.Time, _ *medlarupstream.Shares, router *medlarupstream.Router) {
+		router.Finish(now, p, medlarupstream.Ended{Event: eventOf(failure), Latency: report.Latency})
+	})
 }
 
 func eventOf(failure *medlarlink.Failure) medlarupstream.Event {
--- a/medlarentry/run.go
+++ b/medlarentry/run.go
@@ -63,7 +63,7 @@
 	if failure == nil && report.NotRun {
 		failure = &medlarlink.Failure{Upstream: u.ID, Cause: medlarlink.CauseRejected, Err: errUpstreamRejected}
 	}
-	d.routing.release(permit, u, report, failure)
+	d.routing.release(permit, u, c.deadline, report, failure)
 	if failure != nil {
 		d.logFailure(c, failure)
 		return nil, failure
--- a/medlarentry/serve.go
+++ b/medlarentry/serve.go
@@ -61,16 +61,18 @@
 	}
 }
 
-// runClaimed runs a request whose key this attempt holds, and records the end at the seats.
+// runClaimed runs a request whose key this attempt holds, and records the end at the seats. An attempt that was never
+// sent gives its key back before the caller is told to come back.
 func (d *Daemon) runClaimed(c *call, request *fasthttp.Request, gate *gate) *answer {
 	d.answers.begin(c.answerKey())
 	result, sent := d.run(c, request, gate)
-	d.answers.finish(c.answerKey(), result, d.clock.Now())
-	kind := medlarclaim.KindComplete
 	if !sent {
-		kind = medlarclaim.KindRelease
+		d.ballot(medlarclaim.KindRelease, c)
+	}
+	d.answers.finish(c.answerKey(), result, d.clock.Now())
+	if sent {
+		d.background(func() { d.ballot(medlarclaim.KindComplete, c) })
 	}
-	d.background(func() { d.ballot(kind, c) })
 	return result
 }
 
@@ -81,23 +83,26 @@
 		return refused(refusal)
 	}
 	decision := d.ballot(medlarclaim.KindSeal, c)
-	switch decision.Kind {
-	case medlarclaim.DecisionNotRun:
-		if !d.clock.Now().Before(decision.Until) {
-			return refused(medlarwheel.Unknown(medlarwheel.ReasonNoMajority, decision.Refusal.RetryAfter))
-		}
-		refusal.RetryAfter = max(refusal.RetryAfter, decision.Refusal.RetryAfter)
-		return refused(refusal)
-	case medlarclaim.DecisionHeld:
+	if decision.Kind == medlarclaim.DecisionHeld {
 		return d.duplicate(c, decision)
-	default:
+	}
+	return d.sealed(decision, refusal)
+}
+
+// sealed returns the refusal if the ballot proved that it is true for the key.
+func (d *Daemon) sealed(decision medlarclaim.Decision, refusal medlarwheel.Refusal) *answer {
+	if decision.Kind != medlarclaim.DecisionNotRun {
 		return refused(decision.Refusal)
 	}
+	if !d.clock.Now().Before(decision.Until) {
+		return refused(medlarwheel.Unknown(medlarwheel.ReasonNoMajority, decision.Refusal.RetryAfter))
+	}
+	refusal.RetryAfter = max(refusal.RetryAfter, decision.Refusal.RetryAfter)
+	return refused(refusal)
 }
 
 // duplicate answers an attempt whose key another attempt holds: with that attempt's answer if it can be had in time.
 func (d *Daemon) duplicate(c *call, decision medlarclaim.Decision) *answer {
-	unknown := medlarwheel.Unknown(medlarwheel.ReasonAlreadyAttempted, decision.Refusal.RetryAfter)
 	ctx, cancel := context.WithDeadline(d.base, c.deadline)
 	defer cancel()
 	key := answerKey{key: c.hash, attempt: decision.HolderAttempt}
@@ -107,9 +112,12 @@
 	} else {
 		found = d.fetchAnswer(ctx, decision.Holder, key)
 	}
-	if found == nil || (found.refusal != nil && found.refusal.Outcome == medlarwheel.OutcomeNotRun) {
-		// The holder never sent its request, but a third attempt may have claimed the key since.
-		return refused(unknown)
+	if found == nil {
+		return refused(medlarwheel.Unknown(medlarwheel.ReasonAlreadyAttempted, decision.Refusal.RetryAfter))
+	}
+	if found.refusal != nil && found.refusal.Outcome == medlarwheel.OutcomeNotRun {
+		// The holder never sent its request and gave the key back, but a third attempt may have claimed it since.
+		return d.sealed(d.ballot(medlarclaim.KindSeal, c), *found.refusal)
 	}
 	return found
 }
