--- a/medlarentry/daemon.go
+++ b/medlarentry/daemon.go
@@ -32,6 +32,7 @@
 	platform   *medlarplatform.Client
 	operations *medlarplatform.Operations
 	peers      *medlarpeer.Client
+	traffic    *medlarpeer.Traffic
 	votes      *voteClient
 	links      *medlarlink.Links
 	routing    *routing
@@ -79,6 +80,7 @@
 		answers:  newAnswers(),
 		attempts: newAttemptIDs(settings.Instance, incarnation),
 		metrics:  newMeters(),
+		traffic:  &medlarpeer.Traffic{},
 		routes:   operatorRoutes(),
 		events:   make(chan event, eventQueue),
 
@@ -90,7 +92,7 @@
 	platform.Timeout = settings.PlatformTimeout
 	d.platform = medlarplatform.New(platform)
 	d.operations = medlarplatform.NewOperations(settings.Instance, incarnation)
-	d.peers = medlarpeer.NewClient(medlarpeer.ClientConfig{Key: settings.SystemKey, Timeout: settings.PeerTimeout})
+	d.peers = medlarpeer.NewClient(medlarpeer.ClientConfig{Key: settings.SystemKey, Timeout: settings.PeerTimeout, Traffic: d.traffic})
 	d.votes = newVoteClient(d.base, d.peers)
 	d.routing = newRouting(clock, medlarupstream.DefaultSharesConfig(settings.Instance, settings.DataCentre, incarnation), d.upstreamLeaving)
 	d.links = medlarlink.New(medlarlink.DefaultConfig(d.routing))
@@ -112,7 +114,7 @@
 		return medlarwheel.AtStep("listen for peers", d.settings.ListenPeer, err)
 	}
 	server := d.callerServer()
-	peerServer := medlarpeer.NewServer(medlarpeer.ServerConfig{Key: d.settings.SystemKey}, &peerHandler{d})
+	peerServer := medlarpeer.NewServer(medlarpeer.ServerConfig{Key: d.settings.SystemKey, Traffic: d.traffic}, &peerHandler{d})
 	var group errgroup.Group
 	group.Go(func() error { return medlarwheel.AtStep("serve callers", d.settings.Listen, server.Serve(callers)) })
 	group.Go(func() error { return medlarwheel.AtStep("serve peers", d.settings.ListenPeer, peerServer.Serve(peers)) })
--- a/medlarentry/inspect.go
+++ b/medlarentry/inspect.go
@@ -37,6 +37,8 @@
 	s := d.snapshot.Load()
 	d.metrics.gauge("config-version", int64(s.book.Version()))
 	d.metrics.gauge("members", int64(len(s.members)))
+	d.metrics.gauge("peer-bytes-in", d.traffic.In())
+	d.metrics.gauge("peer-bytes-out", d.traffic.Out())
 	d.metrics.gauge("claims", int64(d.seat.len()))
 	for service, gate := range d.gates.all() {
 		report := gate.report()
--- a/medlarentry/shutdown.go
+++ b/medlarentry/shutdown.go
@@ -29,7 +29,7 @@
 	d.endBase()
 	d.gates.close()
 	d.links.Close()
-	d.peers.Close()
+	d.peers.CloseIdle()
 	d.platform.Close()
 	d.log.Info().Str("event", "stopped").Send()
 }
--- a/medlarpeer/batcher_test.go
+++ b/medlarpeer/batcher_test.go
@@ -76,7 +76,7 @@
 		ctx, cancel := client.Context(t.Context())
 		answer, err := client.Peer(listener.Addr().String()).FetchConfig(ctx, &peerpb.FetchConfigRequest{After: 5})
 		cancel()
-		client.Close()
+		client.CloseIdle()
 		if (err == nil) != accepted || (accepted && answer.Delta[0] != 5) {
 			t.Errorf("key %q: got %v, %v", key, answer, err)
 		}
--- a/medlarpeer/client.go
+++ b/medlarpeer/client.go
@@ -28,6 +28,8 @@
 	Key string
 	// Timeout bounds one call.
 	Timeout time.Duration
+	// Traffic counts the bytes of the connections. Nil counts nothing.
+	Traffic *Traffic
 }
 
 // Client holds the clients of all peers by address.
@@ -45,7 +47,7 @@
 	return &Client{
 		config: config,
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         counted(dialer, config.Traffic),
 			MaxIdleConnsPerHost: idleConnsPerPeer,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
@@ -54,6 +56,16 @@
 	}
 }
 
+func counted(dialer *net.Dialer, traffic *Traffic) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil || traffic == nil {
+			return c, err
+		}
+		return &countedConn{Conn: c, traffic: traffic}, nil
+	}
+}
+
 // Peer returns the client of the peer at address.
 func (c *Client) Peer(address string) peerpb.Peer {
 	c.mu.Lock()
@@ -86,11 +98,8 @@
 	}
 }
 
-// Close closes the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
-
-// CloseIdle drops idle connections, so that the next call opens a fresh one. Used after a timeout, because the connection
-// may have gone silent.
+// CloseIdle closes the idle connections, so that the next call opens a fresh one. Used at the end, and after a timeout
+// because the connection may have gone silent.
 func (c *Client) CloseIdle() { c.transport.CloseIdleConnections() }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/medlarpeer/server.go
+++ b/medlarpeer/server.go
@@ -24,16 +24,19 @@
 type ServerConfig struct {
 	// Key is the system key that every caller must present.
 	Key string
+	// Traffic counts the bytes of the connections. Nil counts nothing.
+	Traffic *Traffic
 }
 
 // Server is the listener for other entry instances.
 type Server struct {
-	http *http.Server
+	http    *http.Server
+	traffic *Traffic
 }
 
 // NewServer returns a server that passes authenticated calls to handler.
 func NewServer(config ServerConfig, handler peerpb.Peer) *Server {
-	return &Server{http: &http.Server{
+	return &Server{traffic: config.Traffic, http: &http.Server{
 		Handler:           authenticate(config.Key, peerpb.NewPeerServer(handler)),
 		ReadHeaderTimeout: headerReadTimeout,
 		ReadTimeout:       bodyReadTimeout,
@@ -43,6 +46,9 @@
 
 // Serve accepts connections until Stop. It returns nil after Stop.
 func (s *Server) Serve(listener net.Listener) error {
+	if s.traffic != nil {
+		listener = &countedListener{Listener: listener, traffic: s.traffic}
+	}
 	err := s.http.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
