Add slot shares with loans, and the router

Cause: 8 slots of a runner are shared by up to 9 instances; without a hard split they are overrun as soon as instances cannot talk, and with a fixed split idle slots are lost. Change: Shares splits slots by rendezvous hash over the roster and lends idle ones. A share is in use while the platform, a majority of members without doubt, or all members confirmed the epoch within 8 s; one peer would let two members that are cut off together go on. Connections follow slots; a lent slot takes one along. Router takes the less loaded of two random upstreams with a free slot, in the own data centre first.

--- /dev/null
+++ b/medlarupstream/connection.go
@@ -0,0 +1,65 @@
+package medlarupstream
+
+import (
+	"time"
+
+	"medlarwheel"
+)
+
+// ConnectionLimit returns the number of connections that this instance may have open to an upstream now. Each own slot
+// brings an equal part of the upstream's connections. A lent slot takes one of them along, for the borrower. While the
+// own share is not usable, only its requests in flight keep a connection.
+func (s *Shares) ConnectionLimit(now time.Time, id medlarwheel.UpstreamID) medlarwheel.Connections {
+	s.advance(now)
+	h, ok := s.shares[id]
+	if !ok {
+		return 0
+	}
+	perSlot := h.spec.Connections / medlarwheel.Connections(max(1, h.spec.Slots))
+	var limit medlarwheel.Connections
+	for i := range h.slots {
+		sl := &h.slots[i]
+		switch {
+		case !sl.owned || sl.pending || now.Before(sl.usableAt) || !s.standing(now):
+			if sl.busy {
+				limit++
+			}
+		case sl.lending != nil:
+			limit += perSlot - 1
+		default:
+			limit += perSlot
+		}
+	}
+	for _, l := range h.loans {
+		if l.busy || l.usable(now) {
+			limit++
+		}
+	}
+	return limit
+}
+
+// Open counts one more connection to an upstream, if the limit allows it.
+func (s *Shares) Open(now time.Time, id medlarwheel.UpstreamID) bool {
+	h, ok := s.shares[id]
+	if !ok || h.open >= s.ConnectionLimit(now, id) {
+		return false
+	}
+	h.open++
+	return true
+}
+
+// Closed counts one connection less.
+func (s *Shares) Closed(id medlarwheel.UpstreamID) {
+	if h, ok := s.shares[id]; ok {
+		h.open = max(0, h.open-1)
+	}
+}
+
+// Excess returns the number of idle connections to an upstream that must be closed.
+func (s *Shares) Excess(now time.Time, id medlarwheel.UpstreamID) medlarwheel.Connections {
+	h, ok := s.shares[id]
+	if !ok {
+		return 0
+	}
+	return max(0, h.open-s.ConnectionLimit(now, id))
+}
--- /dev/null
+++ b/medlarupstream/roster.go
@@ -0,0 +1,221 @@
+package medlarupstream
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"medlarwheel"
+)
+
+// Roster names the members that split the upstreams of a data centre.
+type Roster struct {
+	DataCentre medlarwheel.DataCentreID `json:"data-centre"`
+	Epoch      medlarwheel.Epoch        `json:"epoch"`
+	Members    []medlarwheel.InstanceID `json:"members"`
+	// First tells that this is the data centre's first roster and that this process was running when it was written, so
+	// no other process can have used the slots before.
+	First bool `json:"-"`
+}
+
+// Contact is an answer from a roster peer or the platform.
+type Contact struct {
+	// Peer is the member that answered. It is empty for the platform.
+	Peer medlarwheel.InstanceID
+	// Epoch is the roster epoch that the other side uses.
+	Epoch medlarwheel.Epoch
+	// InDoubt tells that the peer itself is in doubt.
+	InDoubt bool
+	// Sent is the time before the question was sent. The zero time marks word of the peer that came by way of others: it
+	// tells the peer's epoch, but not that the peer can be reached.
+	Sent time.Time
+}
+
+// heard is the last word of one member about the present epoch.
+type heard struct {
+	adopted bool
+	// at is when the member was last heard, and surelyAt when it was last heard without doubt.
+	at       time.Time
+	surelyAt time.Time
+}
+
+// ownRoster is the roster of the own data centre, with what shows that it is still in force.
+type ownRoster struct {
+	Roster
+	self  medlarwheel.InstanceID
+	peers map[medlarwheel.InstanceID]*heard
+	// settled tells that every member is known to use the epoch, and restFrom since when. The zero time stands for slots
+	// that nobody used before.
+	settled  bool
+	restFrom time.Time
+	// standingUntil is the time at which the evidence becomes too old.
+	standingUntil time.Time
+}
+
+// SetRoster sets the roster of a data centre. One with a lower epoch is ignored.
+func (s *Shares) SetRoster(now time.Time, r Roster) {
+	s.advance(now)
+	if r.DataCentre != s.config.DataCentre {
+		if r.Epoch > s.others[r.DataCentre].Epoch {
+			s.others[r.DataCentre] = r
+		}
+		return
+	}
+	own := &s.roster
+	if r.Epoch <= own.Epoch {
+		return
+	}
+	// After a gap, a slot may have had another owner in between without this instance knowing.
+	gap := own.Epoch > 0 && r.Epoch > own.Epoch+1
+	fresh := own.Epoch == 0 && r.First
+	own.Roster, own.self, own.settled = r, s.config.Instance, fresh
+	if !fresh {
+		own.restFrom = now
+	}
+	own.peers = make(map[medlarwheel.InstanceID]*heard, len(r.Members))
+	for _, m := range r.Members {
+		if m != s.config.Instance {
+			own.peers[m] = &heard{}
+		}
+	}
+	for _, h := range s.sortedShares() {
+		if h.upstream.DataCentre == s.config.DataCentre {
+			s.assign(h, gap)
+		}
+	}
+	own.keepSole(now, s.config.StopAfter)
+	s.settle(now)
+	s.refreshAll(now)
+}
+
+// assign sets which slots of h this instance owns. A slot that it gains rests, and so do all after a gap.
+func (s *Shares) assign(h *share, gap bool) {
+	for len(h.slots) < int(h.spec.Slots) {
+		h.slots = append(h.slots, slot{})
+	}
+	own := &s.roster
+	for i := range h.slots {
+		sl := &h.slots[i]
+		owned := i < int(h.spec.Slots) && own.Epoch > 0 && Owner(h.upstream.ID, i, own.Members) == s.config.Instance
+		if owned && (gap || !sl.owned) {
+			s.rest(h, sl)
+		}
+		sl.owned = owned
+		sl.pending = sl.pending && owned
+	}
+}
+
+// rest keeps a gained slot from use until others have surely stopped using it.
+func (s *Shares) rest(h *share, sl *slot) {
+	sl.pending = !s.roster.settled
+	if s.roster.settled && !s.roster.restFrom.IsZero() {
+		sl.usableAt = s.roster.restFrom.Add(s.config.ReuseDelay + h.spec.MaxRequest)
+	}
+}
+
+// Contact notes an answer from a roster peer or the platform.
+func (s *Shares) Contact(now time.Time, c Contact) {
+	s.advance(now)
+	own := &s.roster
+	if c.Epoch != own.Epoch || own.Epoch == 0 {
+		return
+	}
+	if c.Peer == "" {
+		own.extend(c.Sent.Add(s.config.StopAfter))
+		return
+	}
+	p, ok := own.peers[c.Peer]
+	if !ok {
+		return
+	}
+	p.adopted = true
+	if c.Sent.After(p.at) {
+		p.at = c.Sent
+	}
+	if !c.InDoubt && c.Sent.After(p.surelyAt) {
+		p.surelyAt = c.Sent
+	}
+	own.extend(own.evidence().Add(s.config.StopAfter))
+	if s.settle(now) {
+		s.refreshAll(now)
+	}
+}
+
+// settle starts the rest of moved slots once every member uses the epoch. It reports whether that is so since this call.
+func (s *Shares) settle(now time.Time) bool {
+	own := &s.roster
+	if own.settled {
+		return false
+	}
+	for _, p := range own.peers {
+		if !p.adopted {
+			return false
+		}
+	}
+	own.settled, own.restFrom = true, now
+	for _, h := range s.sortedShares() {
+		for i := range h.slots {
+			if sl := &h.slots[i]; sl.pending {
+				s.rest(h, sl)
+			}
+		}
+	}
+	return true
+}
+
+// sortedShares lists the shares in a fixed order, so that decisions do not depend on the order of a map.
+func (s *Shares) sortedShares() []*share {
+	return slices.SortedFunc(maps.Values(s.shares), func(a, b *share) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
+}
+
+func (s *Shares) refreshAll(now time.Time) {
+	for _, h := range s.sortedShares() {
+		s.refresh(now, h)
+	}
+}
+
+// InDoubt reports whether this instance lacks the contact that it needs to use its share.
+func (s *Shares) InDoubt(now time.Time) bool {
+	s.advance(now)
+	return !s.standing(now)
+}
+
+func (s *Shares) standing(now time.Time) bool { return now.Before(s.roster.standingUntil) }
+
+func (r *ownRoster) extend(until time.Time) {
+	if until.After(r.standingUntil) {
+		r.standingUntil = until
+	}
+}
+
+// evidence returns the latest time at which the epoch was surely in force: when a majority of the members that are not in
+// doubt used it, or all members in doubt or not. One peer would not do, because two members that are cut off together
+// would keep each other going.
+func (r *ownRoster) evidence() time.Time {
+	all, sure := make([]time.Time, 0, len(r.peers)), make([]time.Time, 0, len(r.peers))
+	for _, p := range r.peers {
+		all, sure = append(all, p.at), append(sure, p.surelyAt)
+	}
+	latestFirst := func(a, b time.Time) int { return b.Compare(a) }
+	slices.SortFunc(all, latestFirst)
+	slices.SortFunc(sure, latestFirst)
+	others := len(r.Members) / 2 // with this instance, a majority
+	if others == 0 || others > len(sure) {
+		return time.Time{}
+	}
+	if majority := sure[others-1]; majority.After(all[len(all)-1]) {
+		return majority
+	}
+	return all[len(all)-1]
+}
+
+// keepSole keeps the only member going without contact, except after a pause: a replacement may have started meanwhile.
+func (r *ownRoster) keepSole(now time.Time, stopAfter time.Duration) {
+	if len(r.Members) != 1 || r.Members[0] != r.self {
+		return
+	}
+	if r.standingUntil.IsZero() || now.Before(r.standingUntil) {
+		r.extend(now.Add(stopAfter))
+	}
+}
--- /dev/null
+++ b/medlarupstream/router.go
@@ -0,0 +1,177 @@
+package medlarupstream
+
+import (
+	"slices"
+	"time"
+
+	"medlarwheel"
+)
+
+// Router chooses the upstream of each request. It is not safe for concurrent use, and uses its Shares under the same lock.
+type Router struct {
+	shares *Shares
+	// limited holds the shares whose limit is below their slots.
+	limited []*share
+}
+
+// NewRouter returns a Router that takes its permits from shares.
+func NewRouter(shares *Shares) *Router {
+	return &Router{shares: shares}
+}
+
+// SetUpstreams sets the upstreams of a service that get new requests, such as those of Directory.Live.
+func (r *Router) SetUpstreams(now time.Time, service medlarwheel.ServiceName, live []medlarwheel.Upstream, spec Spec) {
+	kept := make(map[medlarwheel.UpstreamID]bool, len(live))
+	for _, u := range live {
+		kept[u.ID] = true
+		r.shares.SetUpstream(now, u, spec)
+	}
+	for _, h := range r.shares.sortedShares() {
+		if h.upstream.Service == service && h.listed && !kept[h.upstream.ID] {
+			r.shares.RemoveUpstream(now, h.upstream.ID)
+		}
+	}
+}
+
+// maxProbes bounds the candidates that one pick looks at after the first two.
+const maxProbes = 8
+
+// Pick takes a permit for a request at one of the upstreams of a service with a free slot: in the own data centre if there
+// is one, on an own slot if there is one. Of two chosen by the hash it takes the one with less load. Upstreams in exclude
+// are passed over. Pick reports false when no permit is to be had now.
+func (r *Router) Pick(now time.Time, service medlarwheel.ServiceName, hash uint64, deadline time.Time,
+	exclude []medlarwheel.UpstreamID) (medlarwheel.Upstream, Permit, bool) {
+	s := r.shares
+	s.advance(now)
+	if sv, ok := s.services[service]; ok {
+		for _, p := range sv.pools {
+			if s.standing(now) {
+				if h, permit, ok := r.pickFrom(now, &p.own, hash, deadline, exclude); ok {
+					return h.upstream, permit, true
+				}
+			}
+			if h, permit, ok := r.pickFrom(now, &p.loan, hash, deadline, exclude); ok {
+				return h.upstream, permit, true
+			}
+		}
+	}
+	return medlarwheel.Upstream{}, Permit{}, false
+}
+
+// pickFrom tries the less loaded of two random members, then the other, then their neighbours.
+func (r *Router) pickFrom(now time.Time, set *sampleSet, hash uint64, deadline time.Time,
+	exclude []medlarwheel.UpstreamID) (*share, Permit, bool) {
+	n := uint64(len(set.members))
+	if n == 0 {
+		return nil, Permit{}, false
+	}
+	first, second := hash%n, (hash>>32)%n
+	if set.members[second].lessLoaded(set.members[first]) {
+		first, second = second, first
+	}
+	for i := range min(n, uint64(len(exclude))+maxProbes) + 2 {
+		at := first
+		switch {
+		case i == 1:
+			at = second
+		case i > 1:
+			at = (first + i - 1) % n
+		}
+		if at >= uint64(len(set.members)) {
+			break // a refresh has removed members
+		}
+		h := set.members[at]
+		if slices.Contains(exclude, h.upstream.ID) {
+			continue
+		}
+		if permit, ok := r.shares.acquire(now, h, deadline); ok {
+			return h, permit, true
+		}
+	}
+	return nil, Permit{}, false
+}
+
+// lessLoaded compares the requests known to be at two upstreams, relative to their limits.
+func (h *share) lessLoaded(o *share) bool {
+	return (h.inFlight+h.lent)*o.limit < (o.inFlight+o.lent)*h.limit
+}
+
+// Ended is what the end of a request showed.
+type Ended struct {
+	Event Event
+	// Latency is the time to the complete answer, and Expected the usual one of the template.
+	Latency  time.Duration
+	Expected time.Duration
+}
+
+// Finish gives a permit back and applies what the request showed about its upstream.
+func (r *Router) Finish(now time.Time, p Permit, e Ended) {
+	s := r.shares
+	s.advance(now)
+	if !s.release(now, p) {
+		return
+	}
+	h := p.share
+	if h.listed {
+		h.health.Observe(now, e.Event, p.trial)
+	}
+	if e.Event == EventSuccess {
+		h.gradient.Observe(now, e.Latency, e.Expected)
+		r.limit(h)
+	}
+	s.refresh(now, h)
+	s.forget(h)
+}
+
+// Probed applies the result of a probe.
+func (r *Router) Probed(now time.Time, id medlarwheel.UpstreamID, ok bool) {
+	h, known := r.shares.shares[id]
+	if !known || !h.listed {
+		return
+	}
+	event := EventProbeFailure
+	if ok {
+		event = EventProbeSuccess
+	}
+	h.health.Observe(now, event, false)
+	r.shares.refresh(now, h)
+}
+
+// Tick raises limits that get no samples. Call it about once a second.
+func (r *Router) Tick(now time.Time) {
+	r.limited = slices.DeleteFunc(r.limited, func(h *share) bool {
+		h.limited = h.listed && h.gradient.Recover(now)
+		h.limit = int(h.gradient.Limit())
+		r.shares.refresh(now, h)
+		return !h.limited
+	})
+}
+
+func (r *Router) limit(h *share) {
+	h.limit = int(h.gradient.Limit())
+	if h.limit < int(h.spec.Slots) && !h.limited {
+		h.limited = true
+		r.limited = append(r.limited, h)
+	}
+}
+
+// State describes one upstream to operators.
+type State struct {
+	medlarwheel.Upstream
+	Ejected  bool              `json:"ejected"`
+	Limit    medlarwheel.Slots `json:"limit"`
+	InFlight int               `json:"in-flight"`
+	Owned    int               `json:"owned-slots"`
+	Lent     int               `json:"lent-slots"`
+	Borrowed int               `json:"borrowed-slots"`
+}
+
+// States returns the state of every upstream in the order of their ids.
+func (r *Router) States() []State {
+	states := make([]State, 0, len(r.shares.shares))
+	for _, h := range r.shares.sortedShares() {
+		states = append(states, State{Upstream: h.upstream, Ejected: h.health.ejected, Limit: medlarwheel.Slots(h.limit),
+			InFlight: h.inFlight, Owned: h.counted.owned, Lent: h.lent, Borrowed: len(h.loans)})
+	}
+	return states
+}
