End a planned stop while the seat is still recovering

Cause: two of eight instances did not end after SIGTERM when their platform and peers stopped with them. The stop waited for background work, and a seat recovery whose sources are gone never ends. Change: a recovery ends with the stop, and the wait for background work is bounded by the stop timeout.

--- a/medlarentry/seat.go
+++ b/medlarentry/seat.go
@@ -141,6 +141,9 @@
 		}
 		select {
 		case <-ticker.C:
+		case <-h.d.stop:
+			// A stop waits for background work, and a recovery without its sources never ends.
+			return
 		case <-h.d.base.Done():
 			return
 		}
--- a/medlarentry/shutdown.go
+++ b/medlarentry/shutdown.go
@@ -21,7 +21,7 @@
 	if err := server.ShutdownWithContext(ctx); err != nil {
 		d.log.Error().Str("event", "stop-timeout").AnErr("error", err).Send()
 	}
-	d.work.Wait()
+	d.awaitWork(ctx)
 	d.handOver(ctx)
 	if err := peers.Stop(ctx); err != nil {
 		d.log.Error().Str("event", "stop-peers").AnErr("error", err).Send()
@@ -34,6 +34,20 @@
 	d.log.Info().Str("event", "stopped").Send()
 }
 
+// awaitWork waits for the background work of finished requests until ctx ends.
+func (d *Daemon) awaitWork(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		d.work.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		d.log.Error().Str("event", "stop-timeout").Str("step", "background work").Send()
+	}
+}
+
 func (d *Daemon) pause(wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
