Add process-level tests of retries through another instance

Cause: the daemon's guarantees about retries were checked inside one process only. Change: medlarproof builds both programs, starts two data centres with two entry instances each, and checks that a retry through another instance gets the first answer, and that a killed instance's requests never run twice.

--- /dev/null
+++ b/medlarproof/process_test.go
@@ -0,0 +1,146 @@
+package medlarproof
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "medlarproof")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	build := exec.Command("go", "build", "-o", folder+string(filepath.Separator), "medlarwheel/cmd/...")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	programs = folder
+	defer func() {
+		if shared != nil {
+			shared.stop()
+		}
+	}()
+	return m.Run()
+}
+
+// process is a started program.
+type process struct {
+	name    string
+	command *exec.Cmd
+	logs    *logBuffer
+	// ended is closed after the end, when err is set.
+	ended chan struct{}
+	err   error
+}
+
+// start runs a program until it is stopped.
+func start(t testing.TB, name, program string, arguments ...string) *process {
+	t.Helper()
+	p := &process{name: name, logs: &logBuffer{}, ended: make(chan struct{})}
+	p.command = exec.Command(filepath.Join(programs, program), arguments...)
+	p.command.Env = append(os.Environ(), "MEDLARWHEEL_SYSTEM_KEY=medlarproof-system-key", "MEDLARWHEEL_AUTHOR=medlarproof")
+	p.command.Stdout, p.command.Stderr = p.logs, p.logs
+	if err := p.command.Start(); err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	go func() {
+		p.err = p.command.Wait()
+		close(p.ended)
+	}()
+	return p
+}
+
+func (p *process) signal(t testing.TB, s syscall.Signal) {
+	t.Helper()
+	if err := p.command.Process.Signal(s); err != nil {
+		t.Fatalf("signal %s to %s: %v", s, p.name, err)
+	}
+}
+
+// kill ends the process without warning and waits for its end.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.ended
+}
+
+// logBuffer collects the output of a process. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+// Write appends to the log.
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.data.Write(p)
+}
+
+// lines returns the lines that contain every part.
+func (l *logBuffer) lines(parts ...string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+lines:
+	for _, line := range strings.Split(l.data.String(), "\n") {
+		for _, part := range parts {
+			if !strings.Contains(line, part) {
+				continue lines
+			}
+		}
+		found = append(found, line)
+	}
+	return found
+}
+
+// tail returns the last lines.
+func (l *logBuffer) tail(n int) string {
+	all := l.lines()
+	return strings.Join(all[max(0, len(all)-n):], "\n")
+}
+
+// freeAddress returns a loopback address whose port was free a moment ago.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// pollInterval is the time between two looks at a condition of another process.
+const pollInterval = 20 * time.Millisecond
+
+// await waits until the condition holds and fails the test when it does not within the limit. It returns the time taken.
+func await(t testing.TB, limit time.Duration, what string, condition func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !condition() {
+		if time.Since(begin) > limit {
+			t.Fatalf("not within %s: %s", limit, what)
+		}
+		<-ticker.C
+	}
+	return time.Since(begin)
+}
--- /dev/null
+++ b/medlarproof/retry_test.go
@@ -0,0 +1,76 @@
+package medlarproof
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"medlarwheel"
+)
+
+// Guards against a retry through another instance that runs the request again, or that gets another answer than the one
+// that the first caller got.
+func TestRetryGetsTheSameAnswer(t *testing.T) {
+	s := sharedSystem(t)
+	v := service{name: "holds", runners: 2, slots: 8, serviceTime: 20 * time.Millisecond}
+	runners := s.addService(t, v)
+	s.awaitCapacity(t, v)
+	for i, key := range []medlarwheel.RequestKey{"dc-1:retry", "dc-2:retry", "plain-retry"} {
+		path := fmt.Sprint("holds/", i)
+		first := call(s.entries[0], "POST", v.name, path, key, maxDeadline)
+		if first.outcome != medlarwheel.OutcomeDone || first.reply().Key != key {
+			t.Fatalf("%s: first call: %+v", key, first)
+		}
+		for _, e := range s.entries {
+			again := call(e, "POST", v.name, path, key, maxDeadline)
+			if again.outcome != medlarwheel.OutcomeDone || again.body != first.body || again.status != first.status {
+				t.Errorf("%s through %s: %+v, want the first answer %s", key, e.id, again, first.body)
+			}
+		}
+		if n := applied(t, runners)[key]; n != 1 {
+			t.Errorf("%s was applied %d times, want once", key, n)
+		}
+	}
+}
+
+// Guards against a second run of a request whose instance was killed while the request ran, and against a refusal that
+// says not-run of such a request.
+func TestRetryAfterKill(t *testing.T) {
+	s := newSystem(t, nil)
+	v := service{name: "holds", runners: 2, slots: 8, serviceTime: 300 * time.Millisecond}
+	runners := s.addService(t, v)
+	s.awaitCapacity(t, v)
+	keys := []medlarwheel.RequestKey{"dc-1:a", "dc-1:b", "dc-2:a", "dc-2:b", "plain-a", "plain-b"}
+	victim := s.entries[0]
+	var group sync.WaitGroup
+	for _, key := range keys {
+		group.Go(func() { call(victim, "POST", v.name, "kill", key, maxDeadline) })
+	}
+	await(t, 5*time.Second, "a request at a runner", func() bool { return len(applied(t, runners)) >= len(keys)/2 })
+	before := applied(t, runners)
+	victim.kill()
+	group.Wait()
+	for _, e := range s.entries[1:] {
+		for _, key := range keys {
+			group.Go(func() {
+				r := call(e, "POST", v.name, "kill", key, maxDeadline)
+				t.Logf("%s through %s: %s %s after %s", key, e.id, r.outcome, r.reason, r.took.Round(time.Millisecond))
+				switch {
+				case r.err != nil || r.outcome == "":
+					t.Errorf("%s through %s: no answer: %+v", key, e.id, r)
+				case r.outcome == medlarwheel.OutcomeNotRun && before[key] > 0:
+					t.Errorf("%s through %s: reported as not run, but it ran before the kill", key, e.id)
+				case r.outcome == medlarwheel.OutcomeDone && r.reply().Key != key:
+					t.Errorf("%s through %s: answer of another request: %s", key, e.id, r.body)
+				}
+			})
+		}
+	}
+	group.Wait()
+	for key, n := range applied(t, runners) {
+		if n > 1 {
+			t.Errorf("%s was applied %d times", key, n)
+		}
+	}
+}
--- /dev/null
+++ b/medlarproof/system_test.go
@@ -0,0 +1,321 @@
+package medlarproof
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/medlaroperator"
+	"medlarwheel/standin/medlarprocess"
+	"medlarwheel/standin/medlarrunner"
+)
+
+const (
+	dataCentreOne medlarwheel.DataCentreID = "dc-1"
+	dataCentreTwo medlarwheel.DataCentreID = "dc-2"
+
+	readTimeout = 2 * time.Second
+	// capacityLimit covers the rest of slots that change their owner, 10 s plus the longest deadline, and the start.
+	capacityLimit = 30 * time.Second
+	// maxDeadline is the longest deadline of the templates. Slots that change their owner rest that much longer.
+	maxDeadline = time.Second
+)
+
+// entry is an entry instance.
+type entry struct {
+	*process
+	id            medlarwheel.InstanceID
+	dataCentre    medlarwheel.DataCentreID
+	callers, peer string
+}
+
+// runner is a runner of a service.
+type runner struct {
+	*process
+	id              medlarwheel.UpstreamID
+	dataCentre      medlarwheel.DataCentreID
+	listen, control string
+}
+
+// system is a running system.
+type system struct {
+	platform   string
+	entries    []*entry
+	processes  []*process
+	extraFlags map[medlarwheel.InstanceID][]string
+}
+
+// shared is the system of the tests that leave every entry instance running.
+var shared *system
+
+// sharedSystem returns the shared system, started by its first user.
+func sharedSystem(t testing.TB) *system {
+	t.Helper()
+	if shared == nil {
+		shared = startSystem(t, nil)
+	}
+	shared.reportLogs(t)
+	return shared
+}
+
+// newSystem starts a system that ends with the test.
+func newSystem(t testing.TB, extraFlags map[medlarwheel.InstanceID][]string) *system {
+	t.Helper()
+	s := startSystem(t, extraFlags)
+	t.Cleanup(s.stop)
+	s.reportLogs(t)
+	return s
+}
+
+func startSystem(t testing.TB, extraFlags map[medlarwheel.InstanceID][]string) *system {
+	t.Helper()
+	s := &system{platform: freeAddress(t), extraFlags: extraFlags}
+	s.add(start(t, "platform", "medlarstandin", "platform", "--listen", s.platform))
+	await(t, 5*time.Second, "platform answers", func() bool {
+		var counters struct{}
+		return medlarprocess.GetJSON(s.platform, "/v1/counters", readTimeout, &counters) == nil
+	})
+	for i, dc := range []medlarwheel.DataCentreID{dataCentreOne, dataCentreOne, dataCentreTwo, dataCentreTwo} {
+		s.entries = append(s.entries, &entry{
+			id: medlarwheel.InstanceID(fmt.Sprintf("entry-%d", i+1)), dataCentre: dc,
+			callers: freeAddress(t), peer: freeAddress(t),
+		})
+	}
+	for _, e := range s.entries {
+		s.startEntry(t, e)
+	}
+	for _, e := range s.entries {
+		await(t, 10*time.Second, string(e.id)+" ready", e.isReady)
+	}
+	return s
+}
+
+func (s *system) add(p *process) *process {
+	s.processes = append(s.processes, p)
+	return p
+}
+
+// startEntry starts an entry instance, also again after its end.
+func (s *system) startEntry(t testing.TB, e *entry) {
+	t.Helper()
+	var seeds []string
+	for _, other := range s.entries {
+		if other != e {
+			seeds = append(seeds, other.peer)
+		}
+	}
+	arguments := []string{
+		"entry", "--instance", string(e.id), "--data-centre", string(e.dataCentre), "--data-centres", "dc-1,dc-2",
+		"--listen", e.callers, "--listen-peer", e.peer, "--platform", s.platform, "--seeds", strings.Join(seeds, ","),
+		"--balancer-delay", "500ms",
+	}
+	e.process = s.add(start(t, string(e.id), "medlarwheel", append(arguments, s.extraFlags[e.id]...)...))
+}
+
+// stop ends all processes, each by its id.
+func (s *system) stop() {
+	for _, p := range s.processes {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		p.kill()
+	}
+}
+
+// reportLogs prints the ends of the logs when the test fails.
+func (s *system) reportLogs(t testing.TB) {
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, e := range s.entries {
+				t.Logf("log of %s:\n%s", e.id, e.logs.tail(12))
+			}
+		}
+	})
+}
+
+// callers returns the addresses for callers.
+func (s *system) callers() []string {
+	addresses := make([]string, 0, len(s.entries))
+	for _, e := range s.entries {
+		addresses = append(addresses, e.callers)
+	}
+	return addresses
+}
+
+func (e *entry) isReady() bool {
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+e.callers+medlaroperator.PathReady, readTimeout)
+	return err == nil && status == fasthttp.StatusOK
+}
+
+func (e *entry) operator() *medlaroperator.Client {
+	return medlaroperator.NewClient(medlaroperator.ClientConfig{Entries: []string{e.callers}})
+}
+
+// upstream returns what the instance knows of an upstream.
+func (e *entry) upstream(id medlarwheel.UpstreamID) (medlaroperator.UpstreamStatus, bool) {
+	list, err := medlaroperator.Get[medlaroperator.UpstreamList](e.operator(), medlaroperator.PathUpstreams)
+	if err != nil {
+		return medlaroperator.UpstreamStatus{}, false
+	}
+	for _, u := range list.Upstreams {
+		if u.ID == id {
+			return u, true
+		}
+	}
+	return medlaroperator.UpstreamStatus{}, false
+}
+
+// gauge returns a gauge of the instance, or zero.
+func (e *entry) gauge(name string) int {
+	var values map[string]struct {
+		Value int `json:"value"`
+	}
+	if medlarprocess.GetJSON(e.callers, medlaroperator.PathMetrics, readTimeout, &values) != nil {
+		return 0
+	}
+	return values[name].Value
+}
+
+// service describes the runners and the template that a test adds.
+type service struct {
+	name        string
+	class       medlarwheel.Class
+	runners     int
+	slots       int
+	serviceTime time.Duration
+	deadline    time.Duration
+	flags       []string
+	// unregistered leaves the runners out of the platform's list.
+	unregistered bool
+}
+
+func (s *service) template() medlarwheel.Template {
+	if s.class == "" {
+		s.class = medlarwheel.ClassUrgent
+	}
+	if s.deadline == 0 {
+		s.deadline = maxDeadline
+	}
+	deadline := medlarwheel.Duration(s.deadline)
+	return medlarwheel.Template{
+		Name: medlarwheel.TemplateName(s.name), Kind: medlarwheel.KindService, Class: s.class,
+		Service: &medlarwheel.ServiceSpec{
+			Upstream: medlarwheel.ServiceName(s.name), IdempotentMethods: []string{"GET", "HEAD"},
+			Slots: medlarwheel.Slots(s.slots), Connections: medlarwheel.Connections(8 * s.slots),
+			QueueTimeout: medlarwheel.Duration(400 * time.Millisecond), DefaultDeadline: deadline, MaxDeadline: deadline,
+			RequireEcho: true,
+		},
+		Defaults: medlarwheel.Parameters{Weight: 1, GuaranteedSlots: 2, QueueLimit: 200},
+	}
+}
+
+// addService starts the runners of a service, half of them in each data centre, and publishes its template.
+func (s *system) addService(t testing.TB, v service) []*runner {
+	t.Helper()
+	var runners []*runner
+	for i := range v.runners {
+		r := &runner{
+			id:         medlarwheel.UpstreamID(fmt.Sprintf("%s-%d", v.name, i+1)),
+			dataCentre: []medlarwheel.DataCentreID{dataCentreOne, dataCentreTwo}[i%2],
+			listen:     freeAddress(t), control: freeAddress(t),
+		}
+		arguments := []string{
+			"runner", "--listen", r.listen, "--control", r.control, "--id", string(r.id), "--service", v.name,
+			"--data-centre", string(r.dataCentre), "--slots", fmt.Sprint(v.slots), "--connections", fmt.Sprint(8 * v.slots),
+			"--service-time", v.serviceTime.String(),
+		}
+		if !v.unregistered {
+			arguments = append(arguments, "--platform", s.platform)
+		}
+		r.process = s.add(start(t, string(r.id), "medlarstandin", append(arguments, v.flags...)...))
+		runners = append(runners, r)
+	}
+	for _, r := range runners {
+		await(t, 5*time.Second, string(r.id)+" answers", func() bool { _, err := r.report(); return err == nil })
+	}
+	publish(t, s.entries[0], v.template(), 0)
+	return runners
+}
+
+// awaitCapacity waits until the instances together may use every slot of the service, and each of them some.
+func (s *system) awaitCapacity(t testing.TB, v service) {
+	t.Helper()
+	took := await(t, capacityLimit, "capacity of "+v.name, func() bool {
+		sum := 0
+		for _, e := range s.entries {
+			sum += e.gauge("capacity." + v.name)
+		}
+		return sum >= v.runners*v.slots
+	})
+	t.Logf("service %s has its capacity after %s", v.name, took.Round(time.Millisecond))
+}
+
+// publish publishes a template and returns its version.
+func publish(t testing.TB, e *entry, template medlarwheel.Template, expected medlarwheel.ConfigVersion) medlarwheel.ConfigVersion {
+	t.Helper()
+	published, err := tryPublish(e, template, expected, "medlarproof")
+	if err != nil {
+		t.Fatalf("publish %s: %v", template.Name, err)
+	}
+	return published.Version
+}
+
+func tryPublish(e *entry, template medlarwheel.Template, expected medlarwheel.ConfigVersion, author medlarwheel.Author) (medlaroperator.Published, error) {
+	data, err := json.Marshal(template)
+	if err != nil {
+		return medlaroperator.Published{}, err
+	}
+	return e.operator().Put(medlaroperator.PathTemplates, string(template.Name), data,
+		medlaroperator.Publish{Author: author, Expected: expected})
+}
+
+func (r *runner) report() (medlarrunner.Report, error) {
+	var report medlarrunner.Report
+	err := medlarprocess.GetJSON(r.control, "/ledger", readTimeout, &report)
+	return report, err
+}
+
+func (r *runner) counters(t testing.TB) medlarrunner.Counters {
+	t.Helper()
+	report, err := r.report()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report.Counters
+}
+
+// applied returns how often each key was applied over the runners.
+func applied(t testing.TB, runners []*runner) map[medlarwheel.RequestKey]int {
+	t.Helper()
+	counts := map[medlarwheel.RequestKey]int{}
+	for _, r := range runners {
+		report, err := r.report()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range report.Keys {
+			counts[e.Key] += e.Applied
+		}
+	}
+	return counts
+}
+
+// post sends a JSON value to a control path of a stand-in.
+func post(t testing.TB, address, path string, value any) {
+	t.Helper()
+	body, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request, response := &fasthttp.Request{}, &fasthttp.Response{}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + address + path)
+	request.SetBody(body)
+	if err := fasthttp.DoTimeout(request, response, readTimeout); err != nil || response.StatusCode() != fasthttp.StatusOK {
+		t.Fatalf("post %s%s: status %d, %v, %s", address, path, response.StatusCode(), err, response.Body())
+	}
+}
