--- a/medlarclaim/decision.go
+++ b/medlarclaim/decision.go
@@ -41,6 +41,8 @@
 	// Release lists the seats that have or may have a vote of the attempt. An attempt that is not going to be sent asks
 	// them for a release, or all seats for a seal, which releases as well.
 	Release []medlarwheel.InstanceID
+	// Fenced tells that a seat fenced the key although no majority did. A seal can then still lead to "not run".
+	Fenced bool
 	// Until is the time up to which a grant or "not run" may be acted on.
 	Until time.Time
 }
@@ -74,7 +76,8 @@
 	if b.question.Kind == KindSeal {
 		return t.fenced+t.open < b.majority()
 	}
-	return t.granted+t.open < b.majority()
+	// Fences of a majority answer a claim as well: the key was refused and has not run.
+	return max(t.granted, t.fenced)+t.open < b.majority()
 }
 
 func (b *Ballot) undecided(t *tally) Decision {
@@ -107,6 +110,7 @@
 
 // refuse adds the seats that may have a vote of the attempt.
 func (b *Ballot) refuse(d Decision) Decision {
+	d.Fenced = len(b.seatsIn(stateFenced)) > 0
 	if b.question.Kind == KindClaim {
 		d.Release = b.seatsIn(stateFailed, stateGranted, stateSuperseded)
 	}
--- a/medlarentry/ballot.go
+++ b/medlarentry/ballot.go
@@ -138,10 +138,3 @@
 	route := voteRoute{seat: seat, address: group.address(seat), dataCentre: group.dataCentre, epoch: group.epoch}
 	return d.votes.ask(route, q)
 }
-
-// releaseLater gives votes of an attempt back that is not going to be sent.
-func (d *Daemon) releaseLater(c *call, seats []medlarwheel.InstanceID) {
-	if len(seats) > 0 {
-		d.background(func() { d.ballot(medlarclaim.KindRelease, c) })
-	}
-}
--- a/medlarentry/control.go
+++ b/medlarentry/control.go
@@ -27,6 +27,7 @@
 	random    *rand.Rand
 	// listVersion is the version of the last instance list.
 	listVersion uint64
+	list        medlarwheel.InstanceList
 	// applied is the directory's change count that the router has.
 	applied uint64
 	// routed is the configuration version that the router and the gates have.
--- a/medlarentry/daemon.go
+++ b/medlarentry/daemon.go
@@ -125,6 +125,7 @@
 	case <-ctx.Done():
 	case <-d.stop:
 	}
+	d.requestStop()
 	d.shutdown(server, peerServer)
 	return group.Wait()
 }
--- a/medlarentry/exchange.go
+++ b/medlarentry/exchange.go
@@ -43,10 +43,36 @@
 		d.metrics.count("peer-failure.exchange")
 		return
 	}
-	behind := ask(d, func(c *control) bool { return c.mergeResponse(response, sent) })
-	if behind {
+	news := ask(d, func(c *control) peerNews { return c.mergeResponse(response, sent) })
+	if news.config {
 		d.fetchConfig(ctx, target.Address)
 	}
+	if news.list && !d.platform.Available() {
+		d.fetchList(ctx, target.Address)
+	}
+}
+
+// peerNews tells what a peer has newer than this instance.
+type peerNews struct {
+	config bool
+	list   bool
+}
+
+// fetchList reads the instance list that a peer has, while the platform is out of reach.
+func (d *Daemon) fetchList(ctx context.Context, address string) {
+	limited, cancel := d.peers.Context(ctx)
+	defer cancel()
+	response, err := d.peers.Peer(address).FetchList(limited, &peerpb.FetchListRequest{})
+	if err != nil {
+		d.metrics.count("peer-failure.fetch-list")
+		return
+	}
+	list, err := medlarwheel.Decode[medlarwheel.InstanceList](response.List)
+	if err != nil {
+		d.log.Error().Str("event", "list-unreadable").Str("peer", address).AnErr("error", err).Send()
+		return
+	}
+	d.post(func(c *control) { c.applyList(list) })
 }
 
 // fetchConfig reads the configuration changes that a peer has and this instance has not.
@@ -70,7 +96,7 @@
 func (c *control) exchangeRequest(now time.Time) *peerpb.ExchangeRequest {
 	return &peerpb.ExchangeRequest{
 		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now)), ConfigVersion: uint64(c.book.Version()),
-		Rosters: c.epochsToWire(nil), Observations: observationsToWire(c.directory.Observations(now)), InDoubt: c.inDoubt(),
+		ListVersion: c.listVersion, Rosters: c.epochsToWire(), Observations: observationsToWire(c.directory.Observations(now)), InDoubt: c.inDoubt(),
 	}
 }
 
@@ -85,13 +111,13 @@
 	c.dirty = true
 	return &peerpb.ExchangeResponse{
 		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now)), ConfigVersion: uint64(c.book.Version()),
-		Rosters: c.epochsToWire(request.Rosters), Observations: observationsToWire(c.directory.Observations(now)),
+		ListVersion: c.listVersion, Rosters: c.rostersToWire(request.Rosters), Observations: observationsToWire(c.directory.Observations(now)),
 		InDoubt: c.inDoubt(),
 	}
 }
 
-// mergeResponse merges a peer's answer and reports whether the peer has a newer configuration.
-func (c *control) mergeResponse(response *peerpb.ExchangeResponse, sent time.Time) bool {
+// mergeResponse merges a peer's answer and reports what the peer has newer.
+func (c *control) mergeResponse(response *peerpb.ExchangeResponse, sent time.Time) peerNews {
 	now := c.d.clock.Now()
 	c.view.Merge(now, membersFromWire(append(response.Members, response.Sender)))
 	c.observe(now, response.Observations)
@@ -110,7 +136,10 @@
 	})
 	c.dirty = true
 	loaded := response.ConfigVersion > 0
-	return response.ConfigVersion > uint64(c.book.Version()) || (loaded && !c.book.IsLoaded())
+	return peerNews{
+		config: response.ConfigVersion > uint64(c.book.Version()) || (loaded && !c.book.IsLoaded()),
+		list:   response.ListVersion > c.listVersion,
+	}
 }
 
 func (c *control) mergeRoster(state *peerpb.RosterState) {
@@ -151,21 +180,29 @@
 	return nil
 }
 
-// epochsToWire lists the epochs of all rosters, with the text of those that are newer than the peer's.
-func (c *control) epochsToWire(peer []*peerpb.RosterState) []*peerpb.RosterState {
+// epochsToWire lists the epochs of all rosters.
+func (c *control) epochsToWire() []*peerpb.RosterState {
+	var states []*peerpb.RosterState
+	for _, r := range c.rosters.All() {
+		states = append(states, &peerpb.RosterState{DataCentre: string(r.DataCentre), Epoch: uint64(r.Epoch)})
+	}
+	return states
+}
+
+// rostersToWire lists the epochs of all rosters, with the text of those that are newer than the peer's.
+func (c *control) rostersToWire(peer []*peerpb.RosterState) []*peerpb.RosterState {
 	theirs := make(map[string]uint64, len(peer))
 	for _, state := range peer {
 		theirs[state.DataCentre] = state.Epoch
 	}
-	var states []*peerpb.RosterState
-	for _, r := range c.rosters.All() {
-		state := &peerpb.RosterState{DataCentre: string(r.DataCentre), Epoch: uint64(r.Epoch)}
-		if peer != nil && state.Epoch > theirs[state.DataCentre] {
-			if text, err := encodeRow(r); err == nil {
-				state.Roster = text
-			}
+	states := c.epochsToWire()
+	for _, state := range states {
+		if state.Epoch <= theirs[state.DataCentre] {
+			continue
+		}
+		if text, err := encodeRow(c.rosters.Roster(medlarwheel.DataCentreID(state.DataCentre))); err == nil {
+			state.Roster = text
 		}
-		states = append(states, state)
 	}
 	return states
 }
--- a/medlarentry/peerhandler.go
+++ b/medlarentry/peerhandler.go
@@ -44,6 +44,16 @@
 	return &peerpb.FetchConfigResponse{Delta: data}, nil
 }
 
+// FetchList returns the last instance list of this instance.
+func (h *peerHandler) FetchList(context.Context, *peerpb.FetchListRequest) (*peerpb.FetchListResponse, error) {
+	list := ask(h.d, func(c *control) medlarwheel.InstanceList { return c.list })
+	data, err := encodeRow(list)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.FetchListResponse{List: data}, nil
+}
+
 // Vote answers a batch of ballots at this instance's seat.
 func (h *peerHandler) Vote(_ context.Context, request *peerpb.VoteRequest) (*peerpb.VoteResponse, error) {
 	if medlarwheel.InstanceID(request.Seat) != h.d.settings.Instance {
--- a/medlarentry/poll.go
+++ b/medlarentry/poll.go
@@ -32,13 +32,19 @@
 	if !changed {
 		return
 	}
-	d.post(func(c *control) {
-		now := d.clock.Now()
-		c.listVersion = max(c.listVersion, list.Version)
-		c.directory.ApplyList(now, list)
-		c.view.ApplyList(now, list)
-		c.dirty = true
-	})
+	d.post(func(c *control) { c.applyList(list) })
+}
+
+// applyList merges an instance list. It is kept for peers that can't reach the platform.
+func (c *control) applyList(list medlarwheel.InstanceList) {
+	if list.Version <= c.listVersion {
+		return
+	}
+	now := c.d.clock.Now()
+	c.listVersion, c.list = list.Version, list
+	c.directory.ApplyList(now, list)
+	c.view.ApplyList(now, list)
+	c.dirty = true
 }
 
 // platformAnswered tells the shares that this instance is in contact with the platform.
--- a/medlarentry/run.go
+++ b/medlarentry/run.go
@@ -19,7 +19,7 @@
 func (d *Daemon) run(c *call, request *fasthttp.Request, gate *gate) (result *answer, sent bool) {
 	var tried []medlarwheel.UpstreamID
 	refusal := medlarwheel.NotRun(medlarwheel.ReasonNoUpstream, defaultComeBack)
-	for len(tried) < maxUpstreamTries {
+	for tries := 0; tries < maxUpstreamTries; {
 		upstream, permit, ok := d.routing.acquire(c, tried)
 		if !ok {
 			break
@@ -28,7 +28,11 @@
 		if result != nil {
 			return result, true
 		}
-		tried = append(tried, upstream.ID)
+		tries++
+		if !failure.ProbeAnswered {
+			// An upstream that answered a probe is healthy; only the connection was lost.
+			tried = append(tried, upstream.ID)
+		}
 		refusal = refusalFor(failure, sent)
 		sent = sent || failure.Sent
 		if (sent && !c.idempotent) || !gate.mayRetry() || !d.clock.Now().Before(c.deadline) {
--- a/medlarentry/serve.go
+++ b/medlarentry/serve.go
@@ -45,26 +45,38 @@
 	return d.serveProtected(c, request, gate)
 }
 
+// serveProtected claims the key and runs the request. The attempt is recorded before its first vote, so that a duplicate
+// that meets the vote finds it.
 func (d *Daemon) serveProtected(c *call, request *fasthttp.Request, gate *gate) *answer {
+	d.answers.begin(c.answerKey())
 	decision := d.ballot(medlarclaim.KindClaim, c)
-	switch decision.Kind {
-	case medlarclaim.DecisionGranted:
+	if decision.Kind == medlarclaim.DecisionGranted {
 		return d.runClaimed(c, request, gate)
-	case medlarclaim.DecisionHeld:
-		d.releaseLater(c, decision.Release)
+	}
+	if len(decision.Release) > 0 {
+		d.ballot(medlarclaim.KindRelease, c)
+	}
+	d.answers.finish(c.answerKey(), refused(neverSent(decision)), d.clock.Now())
+	switch {
+	case decision.Kind == medlarclaim.DecisionHeld:
 		return d.duplicate(c, decision)
-	case medlarclaim.DecisionLate:
-		return d.refuse(c, medlarwheel.NotRun(medlarwheel.ReasonNoMajority, decision.Refusal.RetryAfter))
+	case decision.Kind == medlarclaim.DecisionNotRun:
+		return d.sealed(decision, decision.Refusal)
+	case decision.Kind == medlarclaim.DecisionLate || decision.Fenced:
+		return d.refuse(c, medlarwheel.NotRun(medlarwheel.ReasonKeySealed, decision.Refusal.RetryAfter))
 	default:
-		d.releaseLater(c, decision.Release)
 		return refused(decision.Refusal)
 	}
 }
 
+// neverSent is what duplicates of an attempt without a claim are told: the attempt gave its votes back.
+func neverSent(decision medlarclaim.Decision) medlarwheel.Refusal {
+	return medlarwheel.NotRun(medlarwheel.ReasonKeySealed, decision.Refusal.RetryAfter)
+}
+
 // runClaimed runs a request whose key this attempt holds, and records the end at the seats. An attempt that was never
 // sent gives its key back before the caller is told to come back.
 func (d *Daemon) runClaimed(c *call, request *fasthttp.Request, gate *gate) *answer {
-	d.answers.begin(c.answerKey())
 	result, sent := d.run(c, request, gate)
 	if !sent {
 		d.ballot(medlarclaim.KindRelease, c)
