Let moved slots be used at once when every earlier user has given them up

Cause: a moved slot rested 10 s plus the longest deadline after every roster change, so a joining instance and a fresh data centre had nothing to serve with (13 s with deadlines of 1 s, 5 min with the longest). Change: members say when they have nothing in flight on slots that they do not own. When all have, and the roster names no process that was removed without notice, moved slots need no rest.

--- a/medlarupstream/directory.go
+++ b/medlarupstream/directory.go
@@ -48,7 +48,7 @@
 type record struct {
 	// upstream is the listed upstream. Its incarnation may be lower than known.
 	upstream medlarwheel.Upstream
-	// known is the highest incarnation seen, and ended tells that it is leaving or was removed.
+	// known is the highest incarnation seen, and ended tells that it is leaving.
 	known medlarwheel.Incarnation
 	ended bool
 	// listed tells that the last list showed the upstream. unlisted is its place among the others.
@@ -61,8 +61,9 @@
 
 func (r *record) live() bool { return r.listed && !r.ended && r.upstream.Incarnation == r.known }
 
-// Directory merges the platform's lagging list, the upstreams' own announcements and the observations of peers. An end is
-// final for an incarnation: only a higher incarnation in the list readmits an upstream.
+// Directory merges the platform's lagging list, the upstreams' own announcements and the observations of peers. Leaving is
+// final for an incarnation: only a higher incarnation in the list readmits an upstream. One that the list does not show
+// gets no work as long as that is so.
 type Directory struct {
 	config  DirectoryConfig
 	version uint64
@@ -107,10 +108,8 @@
 	}
 	for id, r := range d.records {
 		if r.listed && !shown[id] {
-			// A higher incarnation that a peer saw first is not listed yet, and does not end with the lower one.
-			if r.upstream.Incarnation == r.known {
-				d.end(now, r, SourceList)
-			}
+			// Not an end: a later list that shows the upstream again readmits it, so that one wrong list does not take
+			// every upstream out for good.
 			d.unlist(r)
 			d.changed()
 		}
--- a/medlarupstream/roster.go
+++ b/medlarupstream/roster.go
@@ -17,6 +17,9 @@
 	// First tells that this is the data centre's first roster and that this process was running when it was written, so
 	// no other process can have used the slots before.
 	First bool `json:"-"`
+	// Unclean tells that a process was removed lately without having given up its slots, so that its requests may still
+	// be in flight. It stays set for at least ReuseDelay and the longest Spec.MaxRequest.
+	Unclean bool `json:"unclean,omitempty"`
 }
 
 // Contact is an answer from a roster peer or the platform.
@@ -27,6 +30,8 @@
 	Epoch medlarwheel.Epoch
 	// InDoubt tells that the peer itself is in doubt.
 	InDoubt bool
+	// Drained tells that the peer uses Epoch and has nothing in flight or lent on slots that it does not own under it.
+	Drained bool
 	// Sent is the time before the question was sent. The zero time marks word of the peer that came by way of others: it
 	// tells the peer's epoch, but not that the peer can be reached.
 	Sent time.Time
@@ -35,6 +40,7 @@
 // heard is the last word of one member about the present epoch.
 type heard struct {
 	adopted bool
+	drained bool
 	// at is when the member was last heard, and surelyAt when it was last heard without doubt.
 	at       time.Time
 	surelyAt time.Time
@@ -49,6 +55,8 @@
 	// that nobody used before.
 	settled  bool
 	restFrom time.Time
+	// drained tells that every process that may have used a moved slot before has given it up, so that none has to rest.
+	drained bool
 	// standingUntil is the time at which the evidence becomes too old.
 	standingUntil time.Time
 }
@@ -69,7 +77,7 @@
 	// After a gap, a slot may have had another owner in between without this instance knowing.
 	gap := own.Epoch > 0 && r.Epoch > own.Epoch+1
 	fresh := own.Epoch == 0 && r.First
-	own.Roster, own.self, own.settled = r, s.config.Instance, fresh
+	own.Roster, own.self, own.settled, own.drained = r, s.config.Instance, fresh, fresh
 	if !fresh {
 		own.restFrom = now
 	}
@@ -129,7 +137,7 @@
 	if !ok {
 		return
 	}
-	p.adopted = true
+	p.adopted, p.drained = true, p.drained || c.Drained
 	if c.Sent.After(p.at) {
 		p.at = c.Sent
 	}
@@ -142,21 +150,25 @@
 	}
 }
 
-// settle starts the rest of moved slots once every member uses the epoch. It reports whether that is so since this call.
+// settle starts the rest of moved slots once every member uses the epoch, and ends it at once when every process that may
+// have used them is a member and has given them up. It reports whether either is so since this call.
 func (s *Shares) settle(now time.Time) bool {
 	own := &s.roster
-	if own.settled {
+	adopted, drained := true, !own.Unclean
+	for _, p := range own.peers {
+		adopted, drained = adopted && p.adopted, drained && p.drained
+	}
+	if !adopted || own.drained || (own.settled && !drained) {
 		return false
 	}
-	for _, p := range own.peers {
-		if !p.adopted {
-			return false
-		}
+	own.settled, own.drained, own.restFrom = true, drained, now
+	if drained {
+		own.restFrom = time.Time{}
 	}
-	own.settled, own.restFrom = true, now
 	for _, h := range s.sortedShares() {
 		for i := range h.slots {
-			if sl := &h.slots[i]; sl.pending {
+			if sl := &h.slots[i]; sl.pending || drained {
+				sl.usableAt = time.Time{}
 				s.rest(h, sl)
 			}
 		}
@@ -164,6 +176,30 @@
 	return true
 }
 
+// Drained reports whether this instance has nothing in flight or lent on slots that it does not own under its roster.
+func (s *Shares) Drained(now time.Time) bool {
+	s.advance(now)
+	for _, h := range s.shares {
+		for i := range h.slots {
+			if sl := &h.slots[i]; !sl.owned && (sl.busy || sl.lending != nil) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Idle reports whether this instance has nothing in flight or lent at all, so that it can leave the roster cleanly.
+func (s *Shares) Idle(now time.Time) bool {
+	s.advance(now)
+	for _, h := range s.shares {
+		if h.inFlight > 0 || h.lent > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // sortedShares lists the shares in a fixed order, so that decisions do not depend on the order of a map.
 func (s *Shares) sortedShares() []*share {
 	return slices.SortedFunc(maps.Values(s.shares), func(a, b *share) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
--- a/medlarupstream/shares.go
+++ b/medlarupstream/shares.go
@@ -62,6 +62,9 @@
 //   - A lender does not use a lent slot until it is returned, or the last term and the longest run stated with it have
 //     passed. A borrower starts only requests whose deadline lies before that time by its own clock, less the guard.
 //   - A new process treats all its slots as moved, because it does not know what an earlier one lent or left running.
+//   - Moved slots need no rest when the roster is not Unclean and every other member says under its epoch that it has
+//     given up what it does not own. The caller passes on only the word of the processes that the roster names, and
+//     hides its own membership from Shares while the roster names an earlier process of its instance.
 //
 // They rest on three assumptions. Clock rates differ by less than Guard over Term and Spec.MaxRequest, which is 1.8% for
 // requests of 5 s and 0.03% for 5 minutes. Running members hear of a roster change before the next one, but for a minority
