medlarclaim: apply a quarantine mark only once

Cause: a roster carries the mark of a loss for 10 minutes, and each adoption of a roster would have prolonged the quarantine of its seats. Change: Quarantine changes nothing unless the loss is later than the known one. Conclusion: a quarantine lasts for the retention time after it was first learned.

--- a/medlarclaim/seat.go
+++ b/medlarclaim/seat.go
@@ -66,13 +66,11 @@
 func (s *Seat) Retire(epoch medlarwheel.Epoch) { s.floor = max(s.floor, epoch) }
 
 // Quarantine makes the seat refuse, for the retention time, keys whose votes may have been lost up to the time from.
-// It lets pass keys that were minted later.
+// It lets pass keys that were minted later. A time no later than that of an earlier call changes nothing.
 func (s *Seat) Quarantine(now, from time.Time) {
-	at := s.clock(now)
 	if from.After(s.quarantine.from) {
-		s.quarantine.from = from
+		s.quarantine = quarantine{from: from, until: s.clock(now) + s.config.Retention}
 	}
-	s.quarantine.until = max(s.quarantine.until, at+s.config.Retention)
 }
 
 // Expire removes all expired votes.
