Add medlardatacentre: view of members, rosters and their plan

Cause: entry instances need a common membership without a full mesh, and each data centre needs agreed seats for its claim group that change without losing votes. Change: View merges digests, the platform's list and seeds. PlanRoster keeps every seat whose incarnation is still a member and replaces the others. A change is safe without proof as long as n-m+1 of n seats are kept (m is a majority); otherwise it waits until the lost seats that are not proved to have ended are no majority, and marks the new group with a quarantine. Dead in the view alone is no proof: the seats may be cut off and go on granting. RosterMap keeps the latest rosters and holds back the slot shares of removed members. A roster of one seat loses its votes with it.

--- /dev/null
+++ b/medlardatacentre/plan.go
@@ -0,0 +1,147 @@
+package medlardatacentre
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"medlarwheel"
+)
+
+const (
+	// settleTime is the time after a change of seats in which new seats are not counted on for the next change. Copying
+	// 600,000 votes takes seconds.
+	settleTime = 30 * time.Second
+	// markTime is the time after which a quarantine mark and a removed member are dropped from the roster. It is longer
+	// than the retention of votes and the reuse delay of slots.
+	markTime = 10 * time.Minute
+	// maxRemoved bounds the removed members in a roster.
+	maxRemoved = 64
+)
+
+// planner holds the state of one call of PlanRoster.
+type planner struct {
+	current Roster
+	next    Roster
+	now     time.Time
+	view    map[medlarwheel.InstanceID]*Member
+}
+
+// PlanRoster returns the roster that should follow current, and whether it differs. The plan depends on the arguments
+// only. An empty current roster with a data centre leads to the first one. now is wall clock time.
+//
+// Members: alive ones are added, leaving ones removed, dead ones removed unless more look dead, without proof, than alive.
+// A suspect or unknown member stays as it is.
+//
+// Seats, with n seats of which a majority m grants a claim: a seat is kept as long as its incarnation is a member. If at
+// least n-m+1 seats are kept, their votes include one of every granted claim. New seats copy the votes of the kept
+// ones, and the kept ones refuse the old epoch from then on, so such a change is safe without any proof that the lost
+// seats have ended. With 3 seats that is the loss of one, with 2 the loss of one, with 1 none; adding seats is always of
+// this kind. A group of two may therefore shrink to one, and a single one may grow.
+//
+// If fewer seats are kept, votes are lost, and the lost seats could still grant claims among themselves. The plan then
+// waits until so many of them are proved to have ended (leaving, restarted, or dead and no longer listed) that the
+// others are no majority, and marks every seat of the new group with a quarantine.
+func PlanRoster(current Roster, members []Member, now time.Time) (Roster, bool) {
+	p := planner{current: current, now: now, view: make(map[medlarwheel.InstanceID]*Member)}
+	for i := range members {
+		if members[i].DataCentre == current.DataCentre {
+			p.view[members[i].Instance] = &members[i]
+		}
+	}
+	p.next = Roster{
+		DataCentre:     current.DataCentre,
+		Epoch:          current.Epoch + 1,
+		Seats:          current.Seats,
+		Sources:        current.Sources,
+		SeatsChangedAt: current.SeatsChangedAt,
+		Removed:        slices.Clone(current.Removed),
+	}
+	p.planMembers()
+	seatsChanged := p.planSeats()
+	if !seatsChanged && slices.Equal(p.next.Members, current.Members) {
+		return current, false
+	}
+	p.prune()
+	return p.next, true
+}
+
+// fate is what became of an incarnation.
+type fate uint8
+
+const (
+	fateHere fate = iota
+	// fateDead is an incarnation that looks dead but may be cut off.
+	fateDead
+	// fateEnded is an incarnation that does not act any more.
+	fateEnded
+)
+
+func (p *planner) fate(id medlarwheel.InstanceID, incarnation medlarwheel.Incarnation) fate {
+	m, known := p.view[id]
+	switch {
+	case !known || m.Incarnation < incarnation:
+		return fateHere
+	case m.Incarnation > incarnation, m.Status == StatusLeaving:
+		return fateEnded
+	case m.Status == StatusDead && m.Unlisted:
+		return fateEnded
+	case m.Status == StatusDead:
+		return fateDead
+	default:
+		return fateHere
+	}
+}
+
+func (p *planner) planMembers() {
+	unproved, here := 0, 0
+	for _, m := range p.current.Members {
+		if p.fate(m.Instance, m.Incarnation) == fateDead {
+			unproved++
+		}
+	}
+	for id := range p.view {
+		if p.alive(id) {
+			here++
+		}
+	}
+	// If more members look dead than alive, this instance is rather cut off from them.
+	keepDead := unproved > here
+	for _, m := range p.current.Members {
+		switch f := p.fate(m.Instance, m.Incarnation); {
+		case f == fateHere, f == fateDead && keepDead:
+			if seen, known := p.view[m.Instance]; known && seen.Incarnation == m.Incarnation {
+				m.PeerAddress = seen.PeerAddress
+			}
+			p.next.Members = append(p.next.Members, m)
+		case !p.alive(m.Instance):
+			p.next.Removed = append(p.next.Removed, RemovedMember{
+				Instance: m.Instance, Incarnation: m.Incarnation, RemovedEpoch: p.next.Epoch, RemovedAt: p.now,
+			})
+		}
+	}
+	for id, m := range p.view {
+		if _, member := p.next.Member(id); !member && m.Status == StatusAlive {
+			p.next.Members = append(p.next.Members, RosterMember{
+				Instance: id, Incarnation: m.Incarnation, PeerAddress: m.PeerAddress, JoinedEpoch: p.next.Epoch,
+			})
+		}
+	}
+	slices.SortFunc(p.next.Members, func(a, b RosterMember) int { return cmp.Compare(a.Instance, b.Instance) })
+}
+
+func (p *planner) alive(id medlarwheel.InstanceID) bool {
+	m, known := p.view[id]
+	return known && m.Status == StatusAlive
+}
+
+// prune drops what is too old, and removed members that have joined again.
+func (p *planner) prune() {
+	p.next.Removed = slices.DeleteFunc(p.next.Removed, func(r RemovedMember) bool {
+		_, member := p.next.Member(r.Instance)
+		return member || p.now.Sub(r.RemovedAt) >= markTime
+	})
+	if extra := len(p.next.Removed) - maxRemoved; extra > 0 {
+		p.next.Removed = p.next.Removed[extra:]
+	}
+}
--- /dev/null
+++ b/medlardatacentre/roster.go
@@ -0,0 +1,175 @@
+package medlardatacentre
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlarclaim"
+)
+
+// MaxSeats bounds the seats of a claim group.
+const MaxSeats = 3
+
+// RosterMember is one entry instance of a data centre.
+type RosterMember struct {
+	Instance    medlarwheel.InstanceID  `json:"instance"`
+	Incarnation medlarwheel.Incarnation `json:"incarnation"`
+	PeerAddress string                  `json:"peer-address"`
+	// JoinedEpoch is the first epoch with this incarnation.
+	JoinedEpoch medlarwheel.Epoch `json:"joined-epoch"`
+}
+
+// Seat is one voting member of the claim group.
+type Seat struct {
+	Instance    medlarwheel.InstanceID  `json:"instance"`
+	Incarnation medlarwheel.Incarnation `json:"incarnation"`
+	// SinceEpoch is the first epoch in which this incarnation holds the seat.
+	SinceEpoch medlarwheel.Epoch `json:"since-epoch"`
+	// QuarantineFrom marks the loss of votes cast up to that time. It is zero if none were lost lately.
+	QuarantineFrom time.Time `json:"quarantine-from,omitzero"`
+}
+
+// RemovedMember is a member whose share of upstream slots must not be reused yet.
+type RemovedMember struct {
+	Instance    medlarwheel.InstanceID  `json:"instance"`
+	Incarnation medlarwheel.Incarnation `json:"incarnation"`
+	// RemovedEpoch is the first epoch without the member.
+	RemovedEpoch medlarwheel.Epoch `json:"removed-epoch"`
+	// RemovedAt is the planner's time of the removal. It only decides when the entry is dropped.
+	RemovedAt time.Time `json:"removed-at"`
+}
+
+// Roster is the agreed record of one data centre. It is the value of the row "roster/<data-centre>".
+type Roster struct {
+	DataCentre medlarwheel.DataCentreID `json:"data-centre"`
+	Epoch      medlarwheel.Epoch        `json:"epoch"`
+	Members    []RosterMember           `json:"members"`
+	// Seats are in the order in which ballots ask them.
+	Seats []Seat `json:"seats"`
+	// Sources are the seats from which seats that joined with the last change of seats copy votes. Together they know
+	// every claim of the earlier groups. The first roster has none, since no vote was cast before it.
+	Sources []medlarwheel.InstanceID `json:"sources,omitempty"`
+	// SeatsChangedAt is the planner's time of the last change of seats.
+	SeatsChangedAt time.Time `json:"seats-changed-at,omitzero"`
+	// Removed lists recently removed members.
+	Removed []RemovedMember `json:"removed,omitempty"`
+}
+
+// DecodeRoster reads a roster from JSON and reports every fault at once.
+func DecodeRoster(data []byte) (Roster, error) { return medlarwheel.Decode[Roster](data) }
+
+// Seat returns the seat of the instance.
+func (r *Roster) Seat(id medlarwheel.InstanceID) (Seat, bool) {
+	i := slices.IndexFunc(r.Seats, func(s Seat) bool { return s.Instance == id })
+	if i < 0 {
+		return Seat{}, false
+	}
+	return r.Seats[i], true
+}
+
+// Member returns the member entry of the instance.
+func (r *Roster) Member(id medlarwheel.InstanceID) (RosterMember, bool) {
+	i := slices.IndexFunc(r.Members, func(m RosterMember) bool { return m.Instance == id })
+	if i < 0 {
+		return RosterMember{}, false
+	}
+	return r.Members[i], true
+}
+
+// Check reports every fault of r.
+func (r *Roster) Check() medlarwheel.Faults {
+	faults := medlarwheel.CheckName("data-centre", string(r.DataCentre))
+	if r.Epoch == 0 {
+		faults = faults.Add("epoch", 0, "1 or more")
+	}
+	c := rosterChecker{epoch: r.Epoch, faults: faults}
+	members := make(map[medlarwheel.InstanceID]struct{})
+	for i, m := range r.Members {
+		path := fmt.Sprintf("members[%d]", i)
+		c.once(members, path, m.Instance)
+		c.past(path+".joined-epoch", m.JoinedEpoch)
+		c.faults = append(c.faults, medlarwheel.CheckAddress(path+".peer-address", m.PeerAddress)...)
+	}
+	seats := make(map[medlarwheel.InstanceID]struct{})
+	for i, s := range r.Seats {
+		path := fmt.Sprintf("seats[%d]", i)
+		c.once(seats, path, s.Instance)
+		c.past(path+".since-epoch", s.SinceEpoch)
+	}
+	c.faults = c.faults.Range("seats", int64(len(r.Seats)), 0, MaxSeats)
+	for i, id := range r.Sources {
+		if _, seat := seats[id]; !seat {
+			c.faults = c.faults.Add(fmt.Sprintf("sources[%d]", i), id, "an instance with a seat")
+		}
+	}
+	removed := make(map[medlarwheel.InstanceID]struct{})
+	for i, m := range r.Removed {
+		path := fmt.Sprintf("removed[%d]", i)
+		c.once(removed, path, m.Instance)
+		c.past(path+".removed-epoch", m.RemovedEpoch)
+		if _, member := members[m.Instance]; member {
+			c.faults = c.faults.Add(path+".instance", m.Instance, "an instance that is no member")
+		}
+	}
+	return c.faults
+}
+
+type rosterChecker struct {
+	epoch  medlarwheel.Epoch
+	faults medlarwheel.Faults
+}
+
+func (c *rosterChecker) once(seen map[medlarwheel.InstanceID]struct{}, path string, id medlarwheel.InstanceID) {
+	c.faults = append(c.faults, medlarwheel.CheckName(path+".instance", string(id))...)
+	if _, twice := seen[id]; twice {
+		c.faults = c.faults.Add(path+".instance", id, "each instance once")
+	}
+	seen[id] = struct{}{}
+}
+
+func (c *rosterChecker) past(path string, epoch medlarwheel.Epoch) {
+	if epoch == 0 || epoch > c.epoch {
+		c.faults = c.faults.Add(path, epoch, "1 up to the epoch of the roster")
+	}
+}
+
+// RecoveryPlan tells a process what to do about its seat in a roster.
+type RecoveryPlan struct {
+	// IsSeat is false for an instance without a seat.
+	IsSeat bool
+	// Founding lets the seat vote at once.
+	Founding bool
+	// Sources and Sufficient are the arguments of medlarclaim.Seat.Recover for any other seat.
+	Sources    []medlarclaim.Source
+	Sufficient bool
+	// QuarantineFrom is the mark of the seat, for medlarclaim.Seat.Quarantine. It is zero without one.
+	QuarantineFrom time.Time
+}
+
+// Recovery returns the plan of a process that has not recovered since the SinceEpoch of its seat.
+//
+// A process with a later incarnation than its seat has restarted within the epoch. It copies the votes of all other
+// seats, which suffice unless there are none. A running recovery goes on in a later roster with the same SinceEpoch,
+// except that sources without a seat in it are lost (medlarclaim.Recovery.Lose).
+func (r *Roster) Recovery(self medlarwheel.InstanceID, incarnation medlarwheel.Incarnation) RecoveryPlan {
+	own, isSeat := r.Seat(self)
+	if !isSeat || incarnation < own.Incarnation {
+		return RecoveryPlan{}
+	}
+	plan := RecoveryPlan{IsSeat: true, QuarantineFrom: own.QuarantineFrom}
+	restarted := incarnation > own.Incarnation
+	if !restarted && len(r.Sources) == 0 && own.QuarantineFrom.IsZero() {
+		plan.Founding = true
+		return plan
+	}
+	for _, s := range r.Seats {
+		if s.Instance != self && (restarted || slices.Contains(r.Sources, s.Instance)) {
+			plan.Sources = append(plan.Sources, medlarclaim.Source{Instance: s.Instance, Incarnation: s.Incarnation})
+		}
+	}
+	// A seat that is named as a source itself but has not recovered lacks what the others expect it to know.
+	plan.Sufficient = len(plan.Sources) > 0 && (restarted || !slices.Contains(r.Sources, self))
+	return plan
+}
--- /dev/null
+++ b/medlardatacentre/roster_test.go
@@ -0,0 +1,286 @@
+package medlardatacentre_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"medlarwheel"
+	"medlarwheel/medlardatacentre"
+)
+
+// subsets returns all sets of exactly size of the ids.
+func subsets(ids []medlarwheel.InstanceID, size int) [][]medlarwheel.InstanceID {
+	if size == 0 {
+		return [][]medlarwheel.InstanceID{nil}
+	}
+	var sets [][]medlarwheel.InstanceID
+	for i, id := range ids {
+		for _, rest := range subsets(ids[i+1:], size-1) {
+			sets = append(sets, append([]medlarwheel.InstanceID{id}, rest...))
+		}
+	}
+	return sets
+}
+
+func majorities(seats []medlardatacentre.Seat) [][]medlarwheel.InstanceID {
+	var ids []medlarwheel.InstanceID
+	for _, s := range seats {
+		ids = append(ids, s.Instance)
+	}
+	return subsets(ids, len(ids)/2+1)
+}
+
+func intersects(a, b []medlarwheel.InstanceID) bool {
+	return slices.ContainsFunc(a, func(id medlarwheel.InstanceID) bool { return slices.Contains(b, id) })
+}
+
+// knows reports whether a seat of a majority of the next group holds, or copies, a vote of the old majority.
+func knows(next *medlardatacentre.Roster, majority, old, kept []medlarwheel.InstanceID) bool {
+	for _, id := range majority {
+		if slices.Contains(kept, id) {
+			if slices.Contains(old, id) {
+				return true
+			}
+		} else if intersects(next.Sources, old) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkPlan fails if the change loses a vote that could have granted a claim, unless the plan marks it.
+func checkPlan(t *rapid.T, current, next medlardatacentre.Roster, view map[medlarwheel.InstanceID]medlardatacentre.Member, now time.Time) {
+	if faults := next.Check(); len(faults) > 0 || next.Epoch != current.Epoch+1 {
+		t.Fatalf("epoch %d after %d: %v", next.Epoch, current.Epoch, faults)
+	}
+	checkDamping(t, current, next, view, now)
+	var kept, running []medlarwheel.InstanceID
+	for i, s := range current.Seats {
+		if after, still := next.Seat(s.Instance); still && after.Incarnation == s.Incarnation {
+			kept = append(kept, s.Instance)
+			if after.SinceEpoch != s.SinceEpoch {
+				t.Fatalf("kept seat %s got another epoch", s.Instance)
+			}
+			if len(next.Seats) == len(current.Seats) && next.Seats[i].Instance != s.Instance {
+				t.Fatalf("kept seat %s got another place", s.Instance)
+			}
+		} else if m := view[s.Instance]; m.Incarnation == s.Incarnation && m.Status == medlardatacentre.StatusDead && !m.Unlisted {
+			running = append(running, s.Instance)
+		}
+	}
+	lost := false
+	for _, majority := range majorities(next.Seats) {
+		for _, old := range majorities(current.Seats) {
+			lost = lost || !knows(&next, majority, old, kept)
+		}
+	}
+	if len(current.Seats) == 0 || !lost {
+		return
+	}
+	if len(running) >= len(current.Seats)/2+1 {
+		t.Fatalf("replaced a majority that may be running: %+v by %+v", current.Seats, next.Seats)
+	}
+	for _, s := range next.Seats {
+		if !s.QuarantineFrom.Equal(now) {
+			t.Fatalf("votes are lost without a mark: %+v by %+v", current.Seats, next.Seats)
+		}
+	}
+}
+
+// checkDamping fails if the plan acts on weak evidence.
+func checkDamping(t *rapid.T, current, next medlardatacentre.Roster, view map[medlarwheel.InstanceID]medlardatacentre.Member, now time.Time) {
+	here, dead := 0, 0
+	for _, m := range view {
+		if m.Status == medlardatacentre.StatusAlive {
+			here++
+		}
+	}
+	for _, m := range current.Members {
+		if seen := view[m.Instance]; seen.Incarnation == m.Incarnation && seen.Status == medlardatacentre.StatusDead && !seen.Unlisted {
+			dead++
+		}
+	}
+	for _, m := range current.Members {
+		seen, known := view[m.Instance]
+		same := seen.Incarnation == m.Incarnation
+		weak := !known || same && seen.Status == medlardatacentre.StatusSuspect ||
+			same && seen.Status == medlardatacentre.StatusDead && !seen.Unlisted && dead > here
+		if _, member := next.Member(m.Instance); weak && !member {
+			t.Fatalf("member %s was removed while seen as %+v", m.Instance, seen)
+		}
+	}
+	for _, s := range next.Seats {
+		if s.SinceEpoch == next.Epoch && view[s.Instance].Status != medlardatacentre.StatusAlive {
+			t.Fatalf("new seat for %+v", view[s.Instance])
+		}
+	}
+	settled := now.Sub(current.SeatsChangedAt) >= 30*time.Second || len(current.Sources) == 0
+	for _, id := range next.Sources {
+		if next.SeatsChangedAt.Equal(now) && !settled && next.Seats[0].QuarantineFrom.IsZero() && !slices.Contains(current.Sources, id) {
+			t.Fatalf("seat %s is a source, but may not have recovered", id)
+		}
+	}
+}
+
+// Guards against plans that lose votes without a mark, replace a majority that may be running, remove a suspect member,
+// or depend on the order of members.
+func TestPlanRosterKeepsVotes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := noon
+		current := medlardatacentre.Roster{DataCentre: "dc"}
+		view := map[medlarwheel.InstanceID]medlardatacentre.Member{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(rapid.SampledFrom([]time.Duration{time.Second, 31 * time.Second, 11 * time.Minute}).Draw(t, "step"))
+			change(t, view)
+			var members []medlardatacentre.Member
+			for _, id := range slices.Sorted(maps.Keys(view)) {
+				members = append(members, view[id])
+			}
+			next, changed := medlardatacentre.PlanRoster(current, members, now)
+			slices.Reverse(members)
+			if again, _ := medlardatacentre.PlanRoster(current, members, now); fmt.Sprint(again) != fmt.Sprint(next) {
+				t.Fatalf("the plan depends on the order: %+v and %+v", next, again)
+			}
+			if !changed {
+				continue
+			}
+			checkPlan(t, current, next, view, now)
+			if more, again := medlardatacentre.PlanRoster(next, members, now.Add(time.Minute)); again && !slices.Equal(more.Members, next.Members) {
+				t.Fatalf("members change again without news: %+v and %+v", next, more)
+			}
+			current = next
+		}
+	})
+}
+
+// change gives one to three of five instances another state.
+func change(t *rapid.T, view map[medlarwheel.InstanceID]medlardatacentre.Member) {
+	states := []medlardatacentre.Status{medlardatacentre.StatusAlive, medlardatacentre.StatusAlive, medlardatacentre.StatusSuspect, medlardatacentre.StatusDead, medlardatacentre.StatusLeaving}
+	for range rapid.IntRange(1, 3).Draw(t, "changes") {
+		i := rapid.IntRange(1, 5).Draw(t, "instance")
+		id := medlarwheel.InstanceID(fmt.Sprintf("entry-%d", i))
+		m, known := view[id]
+		if known && rapid.IntRange(0, 19).Draw(t, "forgotten") == 0 {
+			delete(view, id)
+			continue
+		}
+		if !known {
+			m = medlardatacentre.Member{Instance: id, DataCentre: "dc", PeerAddress: fmt.Sprintf("10.0.0.%d:7000", i)}
+		}
+		if !known || rapid.IntRange(0, 3).Draw(t, "restart") == 0 || m.Status == medlardatacentre.StatusLeaving {
+			m.Incarnation++
+		}
+		m.Status = rapid.SampledFrom(states).Draw(t, "status")
+		m.Unlisted = m.Status == medlardatacentre.StatusDead && rapid.Bool().Draw(t, "unlisted")
+		view[id] = m
+	}
+}
+
+func alive(ids ...medlarwheel.InstanceID) []medlardatacentre.Member {
+	var members []medlardatacentre.Member
+	for i, id := range ids {
+		members = append(members, medlardatacentre.Member{
+			Instance: id, DataCentre: "north", PeerAddress: fmt.Sprintf("10.0.0.%d:7000", i+1), Incarnation: 1, Status: medlardatacentre.StatusAlive,
+		})
+	}
+	return members
+}
+
+// exampleRoster is the roster after the start of four instances, the end of one and the loss of two seats.
+func exampleRoster() medlardatacentre.Roster {
+	members := alive("entry-1", "entry-2", "entry-3", "entry-4")
+	roster, _ := medlardatacentre.PlanRoster(medlardatacentre.Roster{DataCentre: "north"}, members[:1], noon)
+	roster, _ = medlardatacentre.PlanRoster(roster, members, noon.Add(time.Second))
+	members[1].Status, members[2].Incarnation = medlardatacentre.StatusLeaving, 2
+	roster, _ = medlardatacentre.PlanRoster(roster, members, noon.Add(time.Minute))
+	return roster
+}
+
+// Guards against an accidental change of the stored form, and against one that does not read back.
+func TestRosterGolden(t *testing.T) {
+	const path = "testdata/roster.json"
+	roster := exampleRoster()
+	got, err := json.MarshalIndent(roster, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got = append(got, '\n')
+	if *update {
+		if err := os.WriteFile(path, got, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil || !bytes.Equal(got, want) {
+		t.Fatalf("got %s, want %s (%v)", got, want, err)
+	}
+	back, err := medlardatacentre.DecodeRoster(want)
+	if again, _ := json.MarshalIndent(back, "", "  "); err != nil || !bytes.Equal(append(again, '\n'), want) {
+		t.Fatalf("read back: %s, %v", again, err)
+	}
+	bad := bytes.Replace(want, []byte(`"since-epoch": 3`), []byte(`"since-epoch": 9`), 1)
+	bad = bytes.Replace(bad, []byte(`"entry-2"`), []byte(`"entry-1"`), 1)
+	var faults medlarwheel.Faults
+	if _, err := medlardatacentre.DecodeRoster(bad); !errors.As(err, &faults) || len(faults) < 2 {
+		t.Fatalf("bad roster: got %v", err)
+	}
+}
+
+// Guards against a process that votes without the votes it has to copy.
+func TestRosterRecovery(t *testing.T) {
+	one, _ := medlardatacentre.PlanRoster(medlardatacentre.Roster{DataCentre: "north"}, alive("entry-1"), noon)
+	three, _ := medlardatacentre.PlanRoster(one, alive("entry-1", "entry-2", "entry-3"), noon.Add(time.Second))
+	members := alive("entry-1", "entry-2", "entry-3", "entry-4")
+	members[2].Status = medlardatacentre.StatusDead
+	replaced, _ := medlardatacentre.PlanRoster(three, members, noon.Add(time.Minute))
+	cases := []struct {
+		name             string
+		roster           medlardatacentre.Roster
+		instance         medlarwheel.InstanceID
+		incarnation      medlarwheel.Incarnation
+		founding, enough bool
+		sources          int
+	}{
+		{"first seat", one, "entry-1", 1, true, false, 0},
+		{"single seat restarted", one, "entry-1", 2, false, false, 0},
+		{"joining seat", three, "entry-2", 1, false, true, 1},
+		{"one of three restarted", three, "entry-1", 2, false, true, 2},
+		{"replacement", replaced, "entry-4", 1, false, true, 2},
+		{"source that has not recovered", replaced, "entry-2", 1, false, false, 1},
+	}
+	for _, c := range cases {
+		plan := c.roster.Recovery(c.instance, c.incarnation)
+		if !plan.IsSeat || plan.Founding != c.founding || plan.Sufficient != c.enough || len(plan.Sources) != c.sources {
+			t.Errorf("%s: got %+v", c.name, plan)
+		}
+	}
+}
+
+// Guards against a roster that goes back, and against slot shares that are reused too early.
+func TestRosterMap(t *testing.T) {
+	m := medlardatacentre.NewRosterMap()
+	roster := exampleRoster()
+	if !m.Merge(noon, roster) || m.Merge(noon, roster) || m.Epoch("north") != roster.Epoch || len(m.Seats("north")) != 3 {
+		t.Fatalf("got epoch %d, seats %v", m.Epoch("north"), m.Seats("north"))
+	}
+	later := roster
+	later.Epoch++
+	if !m.Merge(noon.Add(9*time.Second), later) || m.Merge(noon, roster) {
+		t.Fatal("epochs do not grow only")
+	}
+	if held := m.Held("north", noon.Add(9*time.Second)); !slices.Equal(held, []medlarwheel.InstanceID{"entry-2"}) {
+		t.Fatalf("before 10 s: got %v", held)
+	}
+	if held := m.Held("north", noon.Add(medlardatacentre.ShareHold)); len(held) != 0 {
+		t.Fatalf("after 10 s: got %v", held)
+	}
+}
--- /dev/null
+++ b/medlardatacentre/view.go
@@ -0,0 +1,243 @@
+package medlardatacentre
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"medlarwheel"
+)
+
+// View is one instance's knowledge of all entry instances.
+type View struct {
+	config  ViewConfig
+	self    Member
+	entries map[medlarwheel.InstanceID]*entry
+	// tombstones holds the last state of forgotten members.
+	tombstones map[medlarwheel.InstanceID]tombstone
+	retained   map[medlarwheel.InstanceID]struct{}
+	seeds      []string
+	list       listState
+	lastBeat   time.Time
+	// cursor is where the rotating part of the next digest starts.
+	cursor int
+}
+
+type entry struct {
+	Member
+	// progressed is when the member's counter or incarnation last grew.
+	progressed time.Time
+}
+
+type tombstone struct {
+	incarnation medlarwheel.Incarnation
+	heartbeat   Heartbeat
+	leaving     bool
+	at          time.Time
+}
+
+// listState is what the platform's last list says.
+type listState struct {
+	version uint64
+	at      time.Time
+	// live holds the live instances.
+	live map[medlarwheel.InstanceID]struct{}
+}
+
+// NewView returns a view that knows only its own instance.
+func NewView(self medlarwheel.EntryInstance, config ViewConfig) *View {
+	return &View{
+		config: config,
+		self: Member{
+			Instance:    self.ID,
+			DataCentre:  self.DataCentre,
+			PeerAddress: self.PeerAddress,
+			Incarnation: self.Incarnation,
+			Leaving:     self.State == medlarwheel.StateLeaving,
+		},
+		entries:    make(map[medlarwheel.InstanceID]*entry),
+		tombstones: make(map[medlarwheel.InstanceID]tombstone),
+		retained:   make(map[medlarwheel.InstanceID]struct{}),
+	}
+}
+
+// Beat counts one more heartbeat of this instance, and forgets members that were silent for too long.
+func (v *View) Beat(now time.Time) {
+	if pause := now.Sub(v.lastBeat); !v.lastBeat.IsZero() && pause > v.config.PauseLimit {
+		for _, e := range v.entries {
+			e.progressed = e.progressed.Add(pause)
+		}
+	}
+	v.lastBeat = now
+	v.self.Heartbeat++
+	v.forget(now)
+}
+
+// Leave announces that this instance is leaving. It is final.
+func (v *View) Leave(now time.Time) {
+	v.self.Leaving = true
+	v.Beat(now)
+}
+
+// AddSeed names the peer address of an instance from the settings.
+func (v *View) AddSeed(address string) {
+	if !slices.Contains(v.seeds, address) {
+		v.seeds = append(v.seeds, address)
+	}
+}
+
+// Retain names the instances that are not forgotten, in place of those named before. They are the members of the
+// data centre's roster: PlanRoster takes an unknown member for a living one.
+func (v *View) Retain(instances []medlarwheel.InstanceID) {
+	clear(v.retained)
+	for _, id := range instances {
+		v.retained[id] = struct{}{}
+	}
+}
+
+// Merge adds what a peer knows. It returns ErrSuperseded if a higher incarnation of this instance is among the members.
+func (v *View) Merge(now time.Time, members []Member) error {
+	var err error
+	for i := range members {
+		if e := v.merge(now, &members[i]); e != nil {
+			err = e
+		}
+	}
+	return err
+}
+
+// ApplyList adds the entry instances of the platform's list. Older lists than the last one are ignored. The list can
+// add an instance, raise its incarnation and tell that it is leaving. It never counts as progress of a known
+// incarnation.
+func (v *View) ApplyList(now time.Time, list medlarwheel.InstanceList) error {
+	if list.Version < v.list.version {
+		return nil
+	}
+	v.list = listState{version: list.Version, at: now, live: make(map[medlarwheel.InstanceID]struct{})}
+	var err error
+	for i := range list.Entries {
+		listed := &list.Entries[i]
+		if listed.State == medlarwheel.StateLive {
+			v.list.live[listed.ID] = struct{}{}
+		}
+		e := v.merge(now, &Member{
+			Instance:    listed.ID,
+			DataCentre:  listed.DataCentre,
+			PeerAddress: listed.PeerAddress,
+			Incarnation: listed.Incarnation,
+			Leaving:     listed.State == medlarwheel.StateLeaving,
+		})
+		if e != nil {
+			err = e
+		}
+	}
+	return err
+}
+
+func (v *View) merge(now time.Time, m *Member) error {
+	if m.Instance == v.self.Instance {
+		if m.Incarnation > v.self.Incarnation {
+			return medlarwheel.AtStep("merge members", m.PeerAddress, ErrSuperseded)
+		}
+		return nil
+	}
+	if t, forgotten := v.tombstones[m.Instance]; forgotten {
+		if !t.olderThan(m) {
+			return nil
+		}
+		delete(v.tombstones, m.Instance)
+	}
+	e := v.entries[m.Instance]
+	switch {
+	case e == nil || m.Incarnation > e.Incarnation:
+		v.entries[m.Instance] = &entry{Member: *m, progressed: now}
+	case m.Incarnation < e.Incarnation:
+	default:
+		leaving := e.Leaving || m.Leaving
+		if m.Heartbeat > e.Heartbeat {
+			e.Member, e.progressed = *m, now
+		}
+		e.Leaving = leaving
+	}
+	return nil
+}
+
+func (t *tombstone) olderThan(m *Member) bool {
+	if m.Incarnation != t.incarnation {
+		return m.Incarnation > t.incarnation
+	}
+	return !t.leaving && m.Heartbeat > t.heartbeat
+}
+
+// Members returns all known members with their status, ordered by instance.
+func (v *View) Members(now time.Time) []Member {
+	members := []Member{v.own()}
+	for _, e := range v.entries {
+		m := e.Member
+		m.Status = v.status(now, e)
+		m.Unlisted = m.Status == StatusDead && v.unlisted(e)
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
+	return members
+}
+
+func (v *View) own() Member {
+	m := v.self
+	m.Status = StatusAlive
+	if m.Leaving {
+		m.Status = StatusLeaving
+	}
+	return m
+}
+
+func (v *View) status(now time.Time, e *entry) Status {
+	silent := now.Sub(e.progressed)
+	switch {
+	case e.Leaving:
+		return StatusLeaving
+	case silent >= v.config.DeadAfter:
+		return StatusDead
+	case silent >= v.config.SuspectAfter:
+		return StatusSuspect
+	default:
+		return StatusAlive
+	}
+}
+
+// unlisted reports whether the last list lacks the member and is newer than its last progress by more than the lag of
+// lists. A list that lacks this instance itself proves nothing, nor does one that names an earlier incarnation.
+func (v *View) unlisted(e *entry) bool {
+	if _, complete := v.list.live[v.self.Instance]; !complete {
+		return false
+	}
+	_, live := v.list.live[e.Instance]
+	return !live && v.list.at.Sub(e.progressed) >= v.config.ListLag
+}
+
+// forget replaces members that were silent for too long by tombstones.
+func (v *View) forget(now time.Time) {
+	for id, e := range v.entries {
+		if _, keep := v.retained[id]; !keep && now.Sub(e.progressed) >= v.config.ForgetAfter {
+			delete(v.entries, id)
+			v.tombstones[id] = tombstone{incarnation: e.Incarnation, heartbeat: e.Heartbeat, leaving: e.Leaving, at: now}
+		}
+	}
+	maps.DeleteFunc(v.tombstones, func(_ medlarwheel.InstanceID, t tombstone) bool {
+		return now.Sub(t.at) >= v.config.TombstoneFor
+	})
+	for len(v.tombstones) > v.config.MaxTombstones {
+		v.dropOldestTombstone()
+	}
+}
+
+func (v *View) dropOldestTombstone() {
+	var oldest medlarwheel.InstanceID
+	for id, t := range v.tombstones {
+		if o := v.tombstones[oldest]; oldest == "" || t.at.Before(o.at) || (t.at.Equal(o.at) && id < oldest) {
+			oldest = id
+		}
+	}
+	delete(v.tombstones, oldest)
+}
