Join the membership and roster packages, and hand slots over without a rest

Cause: the daemon ran on an interim membership, and a joining or stopping instance left its share of the slots idle. Change: medlardatacentre's view, rosters, seats and recovery plans replace the interim version. A removed or replaced process stays listed in the roster until it gives up its slots, which a planned stop does at its end; peers say when they have drained. The time by which a removed share rests is counted by medlarupstream alone, so the roster map lost its own count. The evidence that an epoch is in force now comes from reading the roster row and no longer from any platform call. A crash still lets the slots of the lost process rest for 10 s plus the longest deadline.

--- a/medlardatacentre/doc.go
+++ b/medlardatacentre/doc.go
@@ -25,7 +25,7 @@
 //
 // When a roster arrives:
 //
-//	if rosters.Merge(now, roster) {
+//	if rosters.Merge(roster) {
 //		plan := roster.Recovery(self, incarnation)
 //		...
 //	}
--- a/medlardatacentre/plan.go
+++ b/medlardatacentre/plan.go
@@ -114,7 +114,7 @@
 				m.PeerAddress = seen.PeerAddress
 			}
 			p.next.Members = append(p.next.Members, m)
-		case !p.alive(m.Instance):
+		default:
 			p.next.Removed = append(p.next.Removed, RemovedMember{
 				Instance: m.Instance, Incarnation: m.Incarnation, RemovedEpoch: p.next.Epoch, RemovedAt: p.now,
 			})
@@ -135,13 +135,28 @@
 	return known && m.Status == StatusAlive
 }
 
-// prune drops what is too old, and removed members that have joined again.
+// prune drops what is too old, and processes that are members again: those speak for themselves. A replaced process stays
+// listed, because it may have left requests behind.
 func (p *planner) prune() {
 	p.next.Removed = slices.DeleteFunc(p.next.Removed, func(r RemovedMember) bool {
-		_, member := p.next.Member(r.Instance)
-		return member || p.now.Sub(r.RemovedAt) >= markTime
+		member, ok := p.next.Member(r.Instance)
+		return (ok && member.Incarnation == r.Incarnation) || p.now.Sub(r.RemovedAt) >= markTime
 	})
 	if extra := len(p.next.Removed) - maxRemoved; extra > 0 {
 		p.next.Removed = p.next.Removed[extra:]
 	}
 }
+
+// GiveUp returns the roster that follows r once a removed process has given up its slots, and whether r lists it. Only
+// that process may ask for it, after its last request has ended.
+func (r *Roster) GiveUp(instance medlarwheel.InstanceID, incarnation medlarwheel.Incarnation) (Roster, bool) {
+	next := *r
+	next.Removed = slices.DeleteFunc(slices.Clone(r.Removed), func(m RemovedMember) bool {
+		return m.Instance == instance && m.Incarnation == incarnation
+	})
+	if len(next.Removed) == len(r.Removed) {
+		return *r, false
+	}
+	next.Epoch++
+	return next, true
+}
--- a/medlardatacentre/roster.go
+++ b/medlardatacentre/roster.go
@@ -31,7 +31,8 @@
 	QuarantineFrom time.Time `json:"quarantine-from,omitzero"`
 }
 
-// RemovedMember is a member whose share of upstream slots must not be reused yet.
+// RemovedMember is a process that was removed without having given up its share of upstream slots. Its requests may still
+// be in flight.
 type RemovedMember struct {
 	Instance    medlarwheel.InstanceID  `json:"instance"`
 	Incarnation medlarwheel.Incarnation `json:"incarnation"`
@@ -53,7 +54,7 @@
 	Sources []medlarwheel.InstanceID `json:"sources,omitempty"`
 	// SeatsChangedAt is the planner's time of the last change of seats.
 	SeatsChangedAt time.Time `json:"seats-changed-at,omitzero"`
-	// Removed lists recently removed members.
+	// Removed lists recently removed processes that have not given up their slots.
 	Removed []RemovedMember `json:"removed,omitempty"`
 }
 
@@ -104,13 +105,12 @@
 			c.faults = c.faults.Add(fmt.Sprintf("sources[%d]", i), id, "an instance with a seat")
 		}
 	}
-	removed := make(map[medlarwheel.InstanceID]struct{})
 	for i, m := range r.Removed {
 		path := fmt.Sprintf("removed[%d]", i)
-		c.once(removed, path, m.Instance)
+		c.faults = append(c.faults, medlarwheel.CheckName(path+".instance", string(m.Instance))...)
 		c.past(path+".removed-epoch", m.RemovedEpoch)
-		if _, member := members[m.Instance]; member {
-			c.faults = c.faults.Add(path+".instance", m.Instance, "an instance that is no member")
+		if member, ok := r.Member(m.Instance); ok && member.Incarnation == m.Incarnation {
+			c.faults = c.faults.Add(path+".instance", m.Instance, "a process that is no member")
 		}
 	}
 	return c.faults
--- a/medlarentry/announce.go
+++ b/medlarentry/announce.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"medlarwheel"
+	"medlarwheel/medlarupstream"
 )
 
 // announce keeps this instance in the platform's list.
@@ -33,11 +34,45 @@
 	})
 }
 
-// handOver gives up what other instances can take over at once.
+// handOver gives up what other instances can take over at once: with every request ended, its slots.
 func (d *Daemon) handOver(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, time.Second)
+	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	_ = d.platform.RemoveEntry(limited, d.settings.Instance)
+	for limited.Err() == nil && !d.giveUpSlots(limited) {
+		d.pause(handOverPause)
+	}
+	if err := d.platform.RemoveEntry(limited, d.settings.Instance); err != nil {
+		d.metrics.count("platform-failure.instances")
+	}
+}
+
+const (
+	// handOverTimeout bounds the time that a planned stop takes for the hand-over of slots. Without it they rest.
+	handOverTimeout = 5 * time.Second
+	handOverPause   = 50 * time.Millisecond
+)
+
+// giveUpSlots clears the mark that this process was removed with requests in flight. It reports whether nothing is left
+// to do.
+func (d *Daemon) giveUpSlots(ctx context.Context) bool {
+	idle := false
+	d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) { idle = shares.Idle(now) })
+	row, current, err := d.readRoster(ctx)
+	if err != nil || !idle {
+		return false
+	}
+	if member, ok := current.Member(d.settings.Instance); ok && member.Incarnation == d.incarnation {
+		next, changed := d.planRoster(current)
+		if changed {
+			d.commitRoster(ctx, row, next)
+		}
+		return !changed
+	}
+	next, listed := current.GiveUp(d.settings.Instance, d.incarnation)
+	if listed {
+		d.commitRoster(ctx, row, next)
+	}
+	return !listed
 }
 
 // burnCounters returns the counters of the burn report.
--- a/medlarentry/exchange.go
+++ b/medlarentry/exchange.go
@@ -103,7 +103,7 @@
 // answerExchange merges a peer's state and returns the own.
 func (c *control) answerExchange(request *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
 	now := c.d.clock.Now()
-	c.view.Merge(now, membersFromWire(append(request.Members, request.Sender)))
+	c.merge(now, append(request.Members, request.Sender))
 	c.observe(now, request.Observations)
 	if request.ConfigVersion > uint64(c.book.Version()) || !c.book.IsLoaded() {
 		c.d.exchangeNow()
@@ -112,14 +112,14 @@
 	return &peerpb.ExchangeResponse{
 		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now)), ConfigVersion: uint64(c.book.Version()),
 		ListVersion: c.listVersion, Rosters: c.rostersToWire(request.Rosters), Observations: observationsToWire(c.directory.Observations(now)),
-		InDoubt: c.inDoubt(),
+		InDoubt: c.inDoubt(), Drained: c.drained(),
 	}
 }
 
 // mergeResponse merges a peer's answer and reports what the peer has newer.
 func (c *control) mergeResponse(response *peerpb.ExchangeResponse, sent time.Time) peerNews {
 	now := c.d.clock.Now()
-	c.view.Merge(now, membersFromWire(append(response.Members, response.Sender)))
+	c.merge(now, append(response.Members, response.Sender))
 	c.observe(now, response.Observations)
 	epoch := medlarwheel.Epoch(0)
 	for _, state := range response.Rosters {
@@ -128,12 +128,7 @@
 		}
 		c.mergeRoster(state)
 	}
-	contact := medlarupstream.Contact{
-		Peer: medlarwheel.InstanceID(response.Sender.Instance), Epoch: epoch, InDoubt: response.InDoubt, Sent: sent,
-	}
-	c.d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
-		shares.Contact(now, contact)
-	})
+	c.noteContact(response, epoch, sent)
 	c.dirty = true
 	loaded := response.ConfigVersion > 0
 	return peerNews{
@@ -142,8 +137,32 @@
 	}
 }
 
+// merge takes over what a peer knows of the members. An instance that learns of a later process of its own name stops,
+// because both would act under one identity.
+func (c *control) merge(now time.Time, members []*peerpb.Member) {
+	if err := c.view.Merge(now, membersFromWire(members)); err != nil {
+		c.d.log.Error().Str("event", "superseded").AnErr("error", err).Send()
+		c.d.requestStop()
+	}
+}
+
+// noteContact passes the word of a roster member on to the shares. Only the process that the roster names may speak for
+// its slots.
+func (c *control) noteContact(response *peerpb.ExchangeResponse, epoch medlarwheel.Epoch, sent time.Time) {
+	roster, _ := c.rosters.Roster(c.d.settings.DataCentre)
+	peer := medlarwheel.InstanceID(response.Sender.Instance)
+	member, ok := roster.Member(peer)
+	if !ok || uint64(member.Incarnation) != response.Sender.Incarnation {
+		return
+	}
+	contact := medlarupstream.Contact{Peer: peer, Epoch: epoch, InDoubt: response.InDoubt, Drained: response.Drained, Sent: sent}
+	c.d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		shares.Contact(now, contact)
+	})
+}
+
 func (c *control) mergeRoster(state *peerpb.RosterState) {
-	if len(state.Roster) == 0 || medlarwheel.Epoch(state.Epoch) <= c.rosters.Roster(medlarwheel.DataCentreID(state.DataCentre)).Epoch {
+	if len(state.Roster) == 0 || medlarwheel.Epoch(state.Epoch) <= c.rosters.Epoch(medlarwheel.DataCentreID(state.DataCentre)) {
 		return
 	}
 	roster, err := medlardatacentre.DecodeRoster(state.Roster)
@@ -171,9 +190,17 @@
 	return doubt
 }
 
+func (c *control) drained() bool {
+	drained := false
+	c.d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		drained = shares.Drained(now)
+	})
+	return drained
+}
+
 func (c *control) selfToWire(now time.Time) *peerpb.Member {
 	for _, m := range c.view.Members(now) {
-		if m.ID == c.d.settings.Instance {
+		if m.Instance == c.d.settings.Instance {
 			return memberToWire(&m)
 		}
 	}
@@ -195,14 +222,15 @@
 	for _, state := range peer {
 		theirs[state.DataCentre] = state.Epoch
 	}
-	states := c.epochsToWire()
-	for _, state := range states {
-		if state.Epoch <= theirs[state.DataCentre] {
-			continue
-		}
-		if text, err := encodeRow(c.rosters.Roster(medlarwheel.DataCentreID(state.DataCentre))); err == nil {
-			state.Roster = text
+	var states []*peerpb.RosterState
+	for _, r := range c.rosters.All() {
+		state := &peerpb.RosterState{DataCentre: string(r.DataCentre), Epoch: uint64(r.Epoch)}
+		if state.Epoch > theirs[state.DataCentre] {
+			if text, err := encodeRow(r); err == nil {
+				state.Roster = text
+			}
 		}
+		states = append(states, state)
 	}
 	return states
 }
--- a/medlarentry/memberwire.go
+++ b/medlarentry/memberwire.go
@@ -10,8 +10,8 @@
 
 func memberToWire(m *medlardatacentre.Member) *peerpb.Member {
 	return &peerpb.Member{
-		Instance: string(m.ID), DataCentre: string(m.DataCentre), PeerAddress: m.PeerAddress,
-		Incarnation: uint64(m.Incarnation), Heartbeat: m.Heartbeat, Leaving: m.State == medlarwheel.StateLeaving,
+		Instance: string(m.Instance), DataCentre: string(m.DataCentre), PeerAddress: m.PeerAddress,
+		Incarnation: uint64(m.Incarnation), Heartbeat: uint64(m.Heartbeat), Leaving: m.Leaving,
 	}
 }
 
@@ -28,16 +28,11 @@
 	members := make([]medlardatacentre.Member, 0, len(wire))
 	for _, w := range wire {
 		m := medlardatacentre.Member{
-			EntryInstance: medlarwheel.EntryInstance{
-				ID: medlarwheel.InstanceID(w.Instance), DataCentre: medlarwheel.DataCentreID(w.DataCentre),
-				PeerAddress: w.PeerAddress, Incarnation: medlarwheel.Incarnation(w.Incarnation), State: medlarwheel.StateLive,
-			},
-			Heartbeat: w.Heartbeat,
+			Instance: medlarwheel.InstanceID(w.Instance), DataCentre: medlarwheel.DataCentreID(w.DataCentre),
+			PeerAddress: w.PeerAddress, Incarnation: medlarwheel.Incarnation(w.Incarnation),
+			Heartbeat: medlardatacentre.Heartbeat(w.Heartbeat), Leaving: w.Leaving,
 		}
-		if w.Leaving {
-			m.State = medlarwheel.StateLeaving
-		}
-		if len(m.Check()) == 0 {
+		if entry := entryOf(&m); len(entry.Check()) == 0 {
 			members = append(members, m)
 		}
 	}
@@ -55,5 +50,15 @@
 }
 
 func memberOf(m *medlardatacentre.Member, self medlarwheel.InstanceID) medlaroperator.Member {
-	return medlaroperator.Member{EntryInstance: m.EntryInstance, Status: string(m.Status), Self: m.ID == self}
+	return medlaroperator.Member{EntryInstance: entryOf(m), Status: string(m.Status), Self: m.Instance == self}
+}
+
+func entryOf(m *medlardatacentre.Member) medlarwheel.EntryInstance {
+	entry := medlarwheel.EntryInstance{
+		ID: m.Instance, DataCentre: m.DataCentre, PeerAddress: m.PeerAddress, Incarnation: m.Incarnation, State: medlarwheel.StateLive,
+	}
+	if m.Leaving {
+		entry.State = medlarwheel.StateLeaving
+	}
+	return entry
 }
--- a/medlarentry/poll.go
+++ b/medlarentry/poll.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"medlarwheel"
 	"medlarwheel/medlarcontract"
 	"medlarwheel/medlardatacentre"
-	"medlarwheel/medlarupstream"
 )
 
 // rosterPrefix is the prefix of the roster rows in the table.
@@ -22,13 +20,11 @@
 // pollList reads the instance list when it has changed.
 func (d *Daemon) pollList(ctx context.Context) {
 	after := ask(d, func(c *control) uint64 { return c.listVersion })
-	sent := d.clock.Now()
 	list, changed, err := d.platform.Instances(ctx, after)
 	if err != nil {
 		d.metrics.count("platform-failure.instances")
 		return
 	}
-	d.platformAnswered(sent)
 	if !changed {
 		return
 	}
@@ -43,17 +39,13 @@
 	now := c.d.clock.Now()
 	c.listVersion, c.list = list.Version, list
 	c.directory.ApplyList(now, list)
-	c.view.ApplyList(now, list)
+	if err := c.view.ApplyList(now, list); err != nil {
+		c.d.log.Error().Str("event", "superseded").AnErr("error", err).Send()
+		c.d.requestStop()
+	}
 	c.dirty = true
 }
 
-// platformAnswered tells the shares that this instance is in contact with the platform.
-func (d *Daemon) platformAnswered(sent time.Time) {
-	d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
-		shares.Contact(now, medlarupstream.Contact{Sent: sent, Epoch: d.seat.currentEpoch()})
-	})
-}
-
 // configPoller reads configuration and roster rows that have changed since its last read.
 type configPoller struct {
 	d              *Daemon
--- a/medlarentry/roster.go
+++ b/medlarentry/roster.go
@@ -11,31 +11,41 @@
 	"medlarwheel/medlarupstream"
 )
 
-// maintainRoster plans the roster of the own data centre and commits it when it has to change. Racing instances plan
-// the same change, and all but one lose the compare-and-set.
+// maintainRoster reads the roster of the own data centre, and commits the next one when it has to change. Racing
+// instances plan the same change, and all but one lose the compare-and-set.
 func (d *Daemon) maintainRoster(ctx context.Context) {
-	if d.isStopping() {
-		return
-	}
-	key := rosterPrefix + string(d.settings.DataCentre)
-	row, err := d.rowOrEmpty(ctx, key)
+	row, current, err := d.readRoster(ctx)
 	if err != nil {
 		d.metrics.count("platform-failure.roster")
 		return
 	}
-	current := medlardatacentre.Roster{DataCentre: d.settings.DataCentre}
-	if row.Version != 0 {
-		if current, err = medlardatacentre.DecodeRoster(row.Value); err != nil {
-			d.log.Error().Str("event", "roster-unreadable").Str("row", key).AnErr("error", err).Send()
-			return
-		}
-		d.post(func(c *control) { c.applyRoster(current, "table") })
-	}
 	next, changed := d.planRoster(current)
-	if !changed {
-		return
+	if changed {
+		d.commitRoster(ctx, row, next)
 	}
-	d.commitRoster(ctx, row, next)
+}
+
+// readRoster reads the roster row of the own data centre and adopts it. The read is evidence that the epoch is in force.
+func (d *Daemon) readRoster(ctx context.Context) (medlarwheel.Row, medlardatacentre.Roster, error) {
+	current := medlardatacentre.Roster{DataCentre: d.settings.DataCentre}
+	sent := d.clock.Now()
+	row, err := d.rowOrEmpty(ctx, rosterPrefix+string(d.settings.DataCentre))
+	if err != nil || row.Version == 0 {
+		return row, current, err
+	}
+	if current, err = medlardatacentre.DecodeRoster(row.Value); err != nil {
+		d.log.Error().Str("event", "roster-unreadable").Str("row", row.Key).AnErr("error", err).Send()
+		return row, current, err
+	}
+	ask(d, func(c *control) struct{} {
+		c.applyRoster(current, "table")
+		return struct{}{}
+	})
+	contact := medlarupstream.Contact{Epoch: current.Epoch, Sent: sent}
+	d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
+		shares.Contact(now, contact)
+	})
+	return row, current, nil
 }
 
 func (d *Daemon) planRoster(current medlardatacentre.Roster) (medlardatacentre.Roster, bool) {
@@ -72,16 +82,9 @@
 
 // isFounder reports whether the roster is the first of this data centre and names this very process. Nothing that an
 // earlier process did can then be in progress.
-func (d *Daemon) isFounder(r medlardatacentre.Roster) bool {
-	if r.Epoch != 1 || r.DataCentre != d.settings.DataCentre {
-		return false
-	}
-	for _, m := range r.Members {
-		if m.Instance == d.settings.Instance {
-			return m.Incarnation == d.incarnation
-		}
-	}
-	return false
+func (d *Daemon) isFounder(r *medlardatacentre.Roster) bool {
+	member, ok := r.Member(d.settings.Instance)
+	return r.Epoch == 1 && r.DataCentre == d.settings.DataCentre && ok && member.Incarnation == d.incarnation
 }
 
 // applyRoster adopts a roster of a higher epoch.
@@ -91,18 +94,33 @@
 	}
 	c.dirty = true
 	c.d.log.Info().Str("event", "roster-applied").Str("source", source).Str("roster", string(r.DataCentre)).
-		Uint64("epoch", uint64(r.Epoch)).Int("members", len(r.Members)).Send()
-	members := make([]medlarwheel.InstanceID, 0, len(r.Members))
-	for _, m := range r.Members {
-		members = append(members, m.Instance)
+		Uint64("epoch", uint64(r.Epoch)).Int("members", len(r.Members)).Int("removed", len(r.Removed)).Send()
+	shared := medlarupstream.Roster{
+		DataCentre: r.DataCentre, Epoch: r.Epoch, Members: c.d.memberNames(&r), First: c.d.isFounder(&r), Unclean: len(r.Removed) > 0,
 	}
-	first := c.d.isFounder(r)
 	c.d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
-		shares.SetRoster(now, medlarupstream.Roster{DataCentre: r.DataCentre, Epoch: r.Epoch, Members: members, First: first})
+		shares.SetRoster(now, shared)
 	})
 	if r.DataCentre == c.d.settings.DataCentre {
-		c.d.seat.adopt(r, first)
+		c.view.Retain(shared.Members)
+		c.d.seat.adopt(r)
+	}
+}
+
+// earlierProcess is appended to the name of this instance while the roster names an earlier process of it, so that this
+// one takes none of its slots.
+const earlierProcess = "/earlier"
+
+func (d *Daemon) memberNames(r *medlardatacentre.Roster) []medlarwheel.InstanceID {
+	names := make([]medlarwheel.InstanceID, 0, len(r.Members))
+	for _, m := range r.Members {
+		if m.Instance == d.settings.Instance && m.Incarnation != d.incarnation {
+			names = append(names, m.Instance+earlierProcess)
+			continue
+		}
+		names = append(names, m.Instance)
 	}
+	return names
 }
 
 // snapshot returns an immutable copy of the control state.
@@ -115,7 +133,7 @@
 		replaced:  make(chan struct{}),
 	}
 	for i := range s.members {
-		s.addresses[s.members[i].ID] = s.members[i].PeerAddress
+		s.addresses[s.members[i].Instance] = s.members[i].PeerAddress
 	}
 	for _, r := range c.rosters.All() {
 		s.groups[r.DataCentre] = groupOf(r)
@@ -130,7 +148,7 @@
 		addresses[m.Instance] = m.PeerAddress
 	}
 	for _, seat := range r.Seats {
-		group.seats = append(group.seats, groupSeat{instance: seat, address: addresses[seat]})
+		group.seats = append(group.seats, groupSeat{instance: seat.Instance, address: addresses[seat.Instance]})
 	}
 	return group
 }
--- a/medlarentry/seat.go
+++ b/medlarentry/seat.go
@@ -21,7 +21,9 @@
 	mu       sync.Mutex
 	seat     *medlarclaim.Seat
 	recovery *medlarclaim.Recovery
-	epoch    medlarwheel.Epoch
+	// since and listed identify the seat in the roster for which the votes were last recovered.
+	since  medlarwheel.Epoch
+	listed medlarwheel.Incarnation
 	// addresses holds the peer addresses of the group.
 	addresses map[medlarwheel.InstanceID]string
 }
@@ -80,55 +82,67 @@
 	return h.seat.Len()
 }
 
-func (h *seatHolder) currentEpoch() medlarwheel.Epoch {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.epoch
-}
-
 // adopt takes over a roster of the own data centre. An instance that gets a seat recovers the votes of the group before
 // it votes, unless it founded the group.
-func (h *seatHolder) adopt(r medlardatacentre.Roster, founding bool) {
+func (h *seatHolder) adopt(r medlardatacentre.Roster) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.epoch = r.Epoch
 	h.addresses = make(map[medlarwheel.InstanceID]string)
 	for _, m := range r.Members {
 		h.addresses[m.Instance] = m.PeerAddress
 	}
-	held := false
-	for _, seat := range r.Seats {
-		held = held || seat == h.d.settings.Instance
-	}
-	if !held {
-		h.seat, h.recovery = nil, nil
+	plan := r.Recovery(h.d.settings.Instance, h.d.incarnation)
+	if !plan.IsSeat {
+		h.retire(r.Epoch)
 		return
 	}
 	now := h.d.clock.Now()
-	if h.seat != nil {
-		h.seat.Adopt(r.Epoch)
+	if h.seat == nil {
+		config := medlarclaim.DefaultSeatConfig(h.d.settings.Instance, h.d.incarnation)
+		config.Epoch, config.Founding = r.Epoch, plan.Founding
+		h.seat = medlarclaim.NewSeat(config, now)
+	}
+	h.seat.Adopt(r.Epoch)
+	if !plan.QuarantineFrom.IsZero() {
+		h.seat.Quarantine(now, plan.QuarantineFrom)
+	}
+	own, _ := r.Seat(h.d.settings.Instance)
+	if own.SinceEpoch == h.since && own.Incarnation == h.listed {
+		h.loseSources(&r)
 		return
 	}
-	config := medlarclaim.DefaultSeatConfig(h.d.settings.Instance, h.d.incarnation)
-	config.Epoch, config.Founding = r.Epoch, founding
-	h.seat = medlarclaim.NewSeat(config, now)
-	if founding {
+	h.since, h.listed = own.SinceEpoch, own.Incarnation
+	if plan.Founding {
 		return
 	}
-	h.recovery = h.seat.Recover(sourcesOf(r, h.d.settings.Instance), true)
-	h.d.background(func() { h.recover(r.DataCentre) })
+	h.startRecovery(r.DataCentre, plan)
 }
 
-func sourcesOf(r medlardatacentre.Roster, self medlarwheel.InstanceID) []medlarclaim.Source {
-	var sources []medlarclaim.Source
-	for _, m := range r.Members {
-		for _, seat := range r.Seats {
-			if seat == m.Instance && seat != self {
-				sources = append(sources, medlarclaim.Source{Instance: m.Instance, Incarnation: m.Incarnation})
-			}
+func (h *seatHolder) retire(epoch medlarwheel.Epoch) {
+	h.recovery, h.since = nil, 0
+	if h.seat != nil {
+		h.seat.Retire(epoch)
+	}
+}
+
+// loseSources ends the wait of a running recovery for sources that have left the group.
+func (h *seatHolder) loseSources(r *medlardatacentre.Roster) {
+	if h.recovery == nil {
+		return
+	}
+	for _, fetch := range h.recovery.Pending() {
+		if _, ok := r.Seat(fetch.To); !ok {
+			h.recovery.Lose(fetch.To)
 		}
 	}
-	return sources
+}
+
+func (h *seatHolder) startRecovery(dc medlarwheel.DataCentreID, plan medlardatacentre.RecoveryPlan) {
+	running := h.recovery != nil
+	h.recovery = h.seat.Recover(plan.Sources, plan.Sufficient)
+	if !running {
+		h.d.background(func() { h.recover(dc) })
+	}
 }
 
 // recover copies the votes of the other seats until the seat may vote.
@@ -157,7 +171,9 @@
 	if recovery == nil || recovery.Done(h.d.clock.Now()) {
 		h.recovery = nil
 		h.mu.Unlock()
-		h.d.log.Info().Str("event", "seat-recovered").Send()
+		if recovery != nil {
+			h.d.log.Info().Str("event", "seat-recovered").Send()
+		}
 		return true
 	}
 	fetches := recovery.Pending()
