Run the faults of runners in a fixed order

Cause: the order of a map decided which faults came first, so two runs of the test differed. Change: the cases are a list.

--- a/medlarproof/fault_test.go
+++ b/medlarproof/fault_test.go
@@ -83,9 +83,13 @@
 		everyMode.Answers = append(everyMode.Answers, medlarrunner.Answer{Mode: mode, Probability: 0.08})
 	}
 	late := medlarrunner.Faults{Late: medlarwheel.Duration(maxDeadline - 20*time.Millisecond)}
-	for name, faults := range map[string]medlarrunner.Faults{"broken": everyMode, "late": late} {
+	for _, c := range []struct {
+		name   string
+		faults medlarrunner.Faults
+	}{{"broken", everyMode}, {"late", late}} {
+		name := c.name
 		for _, r := range runners {
-			post(t, r.control, "/faults", faults)
+			post(t, r.control, "/faults", c.faults)
 		}
 		report := runLoad(t, s.loadConfig(v, runners, 60, 4*time.Second))
 		if n := calls(&report, medlarwheel.OutcomeUnknown, "generator-no-outcome") + calls(&report, medlarwheel.OutcomeUnknown, "generator-connection-lost"); n > 0 {
