medlarclaim: test that a known loss does not prolong a quarantine

Cause: the rule had no test. Change: one more call in the quarantine test. It fails when the comparison with the known loss is taken out. Conclusion: the rule is covered.

--- a/medlarclaim/scenario_test.go
+++ b/medlarclaim/scenario_test.go
@@ -124,6 +124,7 @@
 	lost := noon.Add(time.Second)
 	g.restart(lost, "a", "b")
 	later := lost.Add(10 * time.Second)
+	g.seats["a"].Quarantine(later, noon) // known already, so it does not prolong the window
 	cases := []struct {
 		name   string
 		minted time.Time
