Scope request keys by client account, and test two daemons in one process

Cause: two client accounts that choose the same request key shared one claim, so the second got the first one's answer. Change: the hash of a key includes the account; a claim is not acted on after its validity; a seat that is asked under a newer epoch reads the roster at once.

--- a/medlarentry/call.go
+++ b/medlarentry/call.go
@@ -42,6 +42,8 @@
 	idempotent bool
 	arrived    time.Time
 	deadline   time.Time
+	// sendUntil is when the claim on the key may no longer be acted on. It is zero for a request without a claim.
+	sendUntil time.Time
 	// path is the path and query for the upstream.
 	path string
 }
@@ -103,7 +105,7 @@
 		faults = append(faults, fault)
 	}
 	c.key = key
-	c.hash = medlarclaim.HashKey(key)
+	c.hash = scopedHash(c.account, key)
 	c.minted = parts.Minted
 	c.home = medlarclaim.HomeDataCentre(key, d.settings.DataCentres)
 	return faults
@@ -124,3 +126,14 @@
 	c.deadline = c.arrived.Add(wanted)
 	return nil
 }
+
+// scopedHash makes the keys of client accounts distinct, so that no account gets the answer of another one that chose
+// the same key. Accounts and keys have no space.
+func scopedHash(account medlarwheel.AccountID, key medlarwheel.RequestKey) medlarclaim.KeyHash {
+	return medlarclaim.HashKey(medlarwheel.RequestKey(account) + " " + key)
+}
+
+// maySend reports whether the request may be sent to an upstream at now.
+func (c *call) maySend(now time.Time) bool {
+	return now.Before(c.deadline) && (c.sendUntil.IsZero() || now.Before(c.sendUntil))
+}
--- a/medlarentry/peerhandler.go
+++ b/medlarentry/peerhandler.go
@@ -71,6 +71,10 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
 	}
+	if medlarwheel.Epoch(request.Epoch) > h.d.seat.epoch() {
+		// The asking instance has a newer roster, in which this seat can't vote yet.
+		h.d.pollConfigNow()
+	}
 	response := &peerpb.VoteResponse{Items: make([]*peerpb.VoteItem, 0, len(answers))}
 	for _, a := range answers {
 		response.Items = append(response.Items, answerToWire(a))
--- a/medlarentry/run.go
+++ b/medlarentry/run.go
@@ -24,6 +24,11 @@
 		if !ok {
 			break
 		}
+		if !c.maySend(d.clock.Now()) {
+			d.routing.finish(permit, medlarlink.Report{}, notSent(upstream))
+			refusal = refusalFor(&medlarlink.Failure{Cause: medlarlink.CauseDeadline}, sent)
+			break
+		}
 		result, failure := d.send(c, request, upstream, permit)
 		if result != nil {
 			return result, true
@@ -35,7 +40,7 @@
 		}
 		refusal = refusalFor(failure, sent)
 		sent = sent || failure.Sent
-		if (sent && !c.idempotent) || !gate.mayRetry() || !d.clock.Now().Before(c.deadline) {
+		if (sent && !c.idempotent) || !gate.mayRetry() {
 			break
 		}
 	}
@@ -75,6 +80,11 @@
 	return answerOf(in), nil
 }
 
+// notSent is the end of a permit that was not used.
+func notSent(u medlarwheel.Upstream) *medlarlink.Failure {
+	return &medlarlink.Failure{Upstream: u.ID, Cause: medlarlink.CauseRejected}
+}
+
 var errUpstreamRejected = errors.New("upstream rejected the request before it had any effect")
 
 // hopHeaders are meaningful for one connection only and are not passed on.
--- a/medlarentry/seat.go
+++ b/medlarentry/seat.go
@@ -82,6 +82,16 @@
 	return h.seat.Len()
 }
 
+// epoch returns the roster epoch of the seat.
+func (h *seatHolder) epoch() medlarwheel.Epoch {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.seat == nil {
+		return 0
+	}
+	return h.seat.Epoch()
+}
+
 // adopt takes over a roster of the own data centre. An instance that gets a seat recovers the votes of the group before
 // it votes, unless it founded the group.
 func (h *seatHolder) adopt(r medlardatacentre.Roster) {
--- a/medlarentry/serve.go
+++ b/medlarentry/serve.go
@@ -51,6 +51,7 @@
 	d.answers.begin(c.answerKey())
 	decision := d.ballot(medlarclaim.KindClaim, c)
 	if decision.Kind == medlarclaim.DecisionGranted {
+		c.sendUntil = decision.Until
 		return d.runClaimed(c, request, gate)
 	}
 	if len(decision.Release) > 0 {
--- /dev/null
+++ b/medlarentry/world_test.go
@@ -0,0 +1,158 @@
+package medlarentry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/medlarentry"
+	"medlarwheel/medlaroperator"
+	"medlarwheel/medlarsetting"
+	"medlarwheel/standin/medlarrunner"
+	"medlarwheel/standin/medlartable"
+)
+
+// waitLimit bounds every wait of the tests.
+const waitLimit = 20 * time.Second
+
+// world runs daemons and stand-ins in this process, on loopback.
+type world struct {
+	t        *testing.T
+	platform string
+	group    sync.WaitGroup
+	runners  []string
+	entries  []*entry
+}
+
+type entry struct {
+	address string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, platform: freeAddress(t)}
+	w.command(medlartable.Command(), "--listen", w.platform, "--list-lag", "0s")
+	w.await("the platform", func() bool { return status(w.platform, "/v1/instances?after=0") != 0 })
+	return w
+}
+
+// command runs a stand-in until the test ends.
+func (w *world) command(command *cobra.Command, arguments ...string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	command.SetArgs(arguments)
+	command.SetErr(io.Discard)
+	command.SetOut(io.Discard)
+	w.group.Go(func() { _ = command.ExecuteContext(ctx) })
+	w.t.Cleanup(func() {
+		cancel()
+		w.group.Wait()
+	})
+}
+
+func (w *world) runner(dataCentre string) {
+	address := freeAddress(w.t)
+	id := fmt.Sprintf("runner-%d", len(w.runners)+1)
+	w.command(medlarrunner.Command(), "--listen", address, "--id", id, "--service", "hut-booking", "--data-centre", dataCentre,
+		"--platform", w.platform, "--service-time", "5ms", "--drain", "0s")
+	w.runners = append(w.runners, address)
+	w.await(id, func() bool { return status(address, "/healthz") == fasthttp.StatusOK })
+}
+
+func (w *world) entry(dataCentre string, seeds ...string) *entry {
+	e := &entry{address: freeAddress(w.t), done: make(chan error, 1)}
+	peer := freeAddress(w.t)
+	settings := medlarsetting.Settings{
+		Instance: medlarwheel.InstanceID(fmt.Sprintf("entry-%d", len(w.entries)+1)), DataCentre: medlarwheel.DataCentreID(dataCentre),
+		DataCentres: []medlarwheel.DataCentreID{"dc-1", "dc-2"}, Listen: e.address, ListenPeer: peer, AdvertisePeer: peer,
+		Platform: w.platform, Seeds: seeds, SystemKey: "test-system-key-0123", ListInterval: 100 * time.Millisecond,
+		ConfigInterval: 200 * time.Millisecond, ExchangeInterval: 100 * time.Millisecond, PlatformTimeout: time.Second,
+		PeerTimeout: 200 * time.Millisecond, StopTimeout: 10 * time.Second, ReadTimeout: 5 * time.Second,
+		MaxHeader: 16 << 10, MaxBody: 1 << 20, MaxConnections: 1000,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	daemon := medlarentry.New(settings, zerolog.Nop(), medlarwheel.SystemClock{})
+	go func() { e.done <- daemon.Run(ctx) }()
+	w.entries = append(w.entries, e)
+	w.t.Cleanup(func() { w.end(e) })
+	w.await("entry", func() bool { return status(e.address, "/readyz") == fasthttp.StatusOK })
+	return e
+}
+
+// end stops an instance and waits until it has ended.
+func (w *world) end(e *entry) {
+	e.stop()
+	select {
+	case err := <-e.done:
+		if err != nil {
+			w.t.Errorf("entry ended with %v", err)
+		}
+		e.done <- nil
+	case <-time.After(waitLimit):
+		w.t.Error("entry did not stop")
+	}
+}
+
+func (w *world) await(what string, ready func() bool) {
+	w.t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !ready() {
+		if time.Now().After(deadline) {
+			w.t.Fatalf("%s is not ready after %s", what, waitLimit)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// hold sends one non-idempotent request.
+func (w *world) hold(e *entry, account, key string) *fasthttp.Response {
+	w.t.Helper()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI("http://" + e.address + medlarentry.CallPrefix + "hut-hold/holds/h-1")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.Set(medlarentry.HeaderAccount, account)
+	request.Header.Set("Medlar-Request-Key", key)
+	request.SetBodyString("{}")
+	response := &fasthttp.Response{}
+	if err := fasthttp.DoTimeout(request, response, waitLimit); err != nil {
+		w.t.Fatal(err)
+	}
+	return response
+}
+
+func (w *world) publish(e *entry, template string, expected medlarwheel.ConfigVersion) (medlaroperator.Published, error) {
+	client := medlaroperator.NewClient(medlaroperator.ClientConfig{Entries: []string{e.address}})
+	return client.Put(medlaroperator.PathTemplates, "hut-hold", []byte(template), medlaroperator.Publish{Author: "ada", Expected: expected})
+}
+
+func outcome(r *fasthttp.Response) string { return string(r.Header.Peek(medlarentry.HeaderOutcome)) }
+
+func status(address, path string) int {
+	code, _, err := fasthttp.GetTimeout(nil, "http://"+address+path, time.Second)
+	if err != nil {
+		return 0
+	}
+	return code
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
