End every process of a test run, also after an early end

Cause: a system that did not become ready, and a benchmark that failed, left their processes running; two such runs left 11. Change: the harness lists what it starts and ends all of it, each by its id, after the last test.

--- a/medlarproof/process_test.go
+++ b/medlarproof/process_test.go
@@ -32,14 +32,25 @@
 		return 1
 	}
 	programs = folder
-	defer func() {
-		if shared != nil {
-			shared.stop()
-		}
-	}()
+	defer stopAll()
 	return m.Run()
 }
 
+// started lists every process of this run, so that none outlives it when a test or a benchmark ends early.
+var started struct {
+	mu        sync.Mutex
+	processes []*process
+}
+
+// stopAll ends all processes that still run, each by its id.
+func stopAll() {
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	for _, p := range started.processes {
+		p.kill()
+	}
+}
+
 // process is a started program.
 type process struct {
 	name    string
@@ -64,6 +75,9 @@
 		p.err = p.command.Wait()
 		close(p.ended)
 	}()
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	started.processes = append(started.processes, p)
 	return p
 }
 
--- a/medlarproof/system_test.go
+++ b/medlarproof/system_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -131,7 +130,6 @@
 // stop ends all processes, each by its id.
 func (s *system) stop() {
 	for _, p := range s.processes {
-		_ = p.command.Process.Signal(syscall.SIGCONT)
 		p.kill()
 	}
 }
