Add the worker, task and job types

Placement, leases and the job life cycle need common domain types with wire tags. Worker is the value of row worker/<id> with its commitments, so that placement can be written against it.

--- /dev/null
+++ b/task.go
@@ -0,0 +1,186 @@
+package medlarwheel
+
+import (
+	"fmt"
+	"time"
+)
+
+// AttemptNumber counts the attempts of one task from 1. Zero names no attempt.
+type AttemptNumber uint32
+
+// TaskAttempt names one attempt of a task.
+type TaskAttempt struct {
+	Task    TaskID        `json:"task"`
+	Attempt AttemptNumber `json:"attempt"`
+}
+
+// JobState is the state of a job or of one of its tasks.
+type JobState string
+
+// The states of jobs and tasks. Done, failed and cancelled are final.
+const (
+	JobSubmitted     JobState = "submitted"
+	JobQueued        JobState = "queued"
+	JobPlacing       JobState = "placing"
+	JobRunning       JobState = "running"
+	JobCheckpointing JobState = "checkpointing"
+	JobSuspended     JobState = "suspended"
+	JobHeld          JobState = "held"
+	JobDone          JobState = "done"
+	JobFailed        JobState = "failed"
+	JobCancelled     JobState = "cancelled"
+)
+
+// IsFinal reports whether the state never changes again.
+func (s JobState) IsFinal() bool { return s == JobDone || s == JobFailed || s == JobCancelled }
+
+// IsActive reports whether a task in the state is committed on a worker.
+func (s JobState) IsActive() bool {
+	return s == JobPlacing || s == JobRunning || s == JobCheckpointing
+}
+
+// IsPlaceable reports whether a task in the state waits for a worker.
+func (s JobState) IsPlaceable() bool { return s == JobQueued || s == JobSuspended }
+
+// Check reports a fault at path unless s is a known state.
+func (s JobState) Check(path string) Faults {
+	if s.IsFinal() || s.IsActive() || s.IsPlaceable() || s == JobSubmitted || s == JobHeld {
+		return nil
+	}
+	return Faults{{Path: path, Value: fmt.Sprintf("%q", string(s)), Accepted: "a state of a job"}}
+}
+
+// Task is one task of a job. Its position in Job.Tasks is its index.
+type Task struct {
+	State JobState `json:"state"`
+	// Attempt is the attempt that is committed on a worker or, while there is none, the next one to be placed.
+	Attempt AttemptNumber `json:"attempt"`
+	// Run describes the attempt that is committed on a worker.
+	Run *Attempt `json:"run,omitempty"`
+	// Checkpoint is the attempt whose checkpoint the next attempt resumes from. Zero starts from the beginning.
+	Checkpoint AttemptNumber `json:"checkpoint,omitempty"`
+	// Saved is the last attempt that wrote a checkpoint. In a gang it becomes the Checkpoint once all members have one.
+	Saved AttemptNumber `json:"saved,omitempty"`
+	// Ended is the evidence that the attempt before Attempt has ended.
+	Ended *Ending `json:"ended,omitempty"`
+	// Failures counts the failed attempts that are blamed on the task.
+	Failures int `json:"failures,omitempty"`
+	// FailedOn lists the workers of the blamed failures since the last hold.
+	FailedOn []WorkerFailures `json:"failed-on,omitempty"`
+	// Holds counts the times that the task was held. Each lengthens the next hold.
+	Holds     int       `json:"holds,omitempty"`
+	HeldUntil time.Time `json:"held-until,omitzero"`
+	// Reason says why the task was held, failed or cancelled.
+	Reason string `json:"reason,omitempty"`
+	// History lists the last few ended attempts, oldest first.
+	History []Attempt `json:"history,omitempty"`
+}
+
+// Attempt is one run of a task on a worker.
+type Attempt struct {
+	Number AttemptNumber `json:"number"`
+	Worker WorkerID      `json:"worker"`
+	// Token is the token of the owner that placed the attempt.
+	Token     FencingToken `json:"token"`
+	Resources Resources    `json:"resources"`
+	// ResumeFrom is the attempt whose checkpoint this one started from.
+	ResumeFrom AttemptNumber `json:"resume-from,omitempty"`
+	PlacedAt   time.Time     `json:"placed-at"`
+	StartedAt  time.Time     `json:"started-at,omitzero"`
+	EndedAt    time.Time     `json:"ended-at,omitzero"`
+	// Result is set once the attempt has ended.
+	Result AttemptResult `json:"result,omitempty"`
+	Reason string        `json:"reason,omitempty"`
+}
+
+// AttemptResult says how an attempt ended.
+type AttemptResult string
+
+// The results of an attempt.
+const (
+	ResultDone      AttemptResult = "done"
+	ResultFailed    AttemptResult = "failed"
+	ResultEvicted   AttemptResult = "evicted"
+	ResultLost      AttemptResult = "lost"
+	ResultCancelled AttemptResult = "cancelled"
+)
+
+// WorkerFailures counts the failures of a task on one worker.
+type WorkerFailures struct {
+	Worker WorkerID `json:"worker"`
+	Count  int      `json:"count"`
+}
+
+// Ending is the recorded evidence that an attempt no longer runs and never will again.
+type Ending struct {
+	Attempt AttemptNumber `json:"attempt"`
+	Worker  WorkerID      `json:"worker"`
+	Cause   EndingCause   `json:"cause"`
+	Token   FencingToken  `json:"token"`
+}
+
+// EndingCause is the kind of evidence that an attempt has ended.
+type EndingCause string
+
+// The kinds of evidence.
+const (
+	// EndingWorkerWord means that the worker said so and refuses the attempt from then on.
+	EndingWorkerWord EndingCause = "worker-word"
+	// EndingLeaseExpiry means that the attempt's lease ran out, with the margin.
+	EndingLeaseExpiry EndingCause = "lease-expiry"
+)
+
+// TaskPhase is what a worker says about an attempt.
+type TaskPhase string
+
+// The phases of an attempt on its worker. All but running are final for the attempt: the worker refuses to start it
+// afterwards. That includes absent, the answer about an attempt that the worker does not know.
+const (
+	PhaseRunning      TaskPhase = "running"
+	PhaseDone         TaskPhase = "done"
+	PhaseFailed       TaskPhase = "failed"
+	PhaseCheckpointed TaskPhase = "checkpointed"
+	PhaseStopped      TaskPhase = "stopped"
+	PhaseAbsent       TaskPhase = "absent"
+)
+
+// IsEnded reports whether the attempt has ended for good.
+func (p TaskPhase) IsEnded() bool {
+	switch p {
+	case PhaseDone, PhaseFailed, PhaseCheckpointed, PhaseStopped, PhaseAbsent:
+		return true
+	default:
+		return false
+	}
+}
+
+// TaskReport is a worker's word about one attempt of a task.
+type TaskReport struct {
+	Worker WorkerID `json:"worker"`
+	// Incarnation counts the starts of the worker's agent.
+	Incarnation Incarnation `json:"incarnation"`
+	// Uptime is the agent's monotonic clock when it wrote the report.
+	Uptime  Duration      `json:"uptime"`
+	Task    TaskID        `json:"task"`
+	Attempt AttemptNumber `json:"attempt"`
+	// Token is the highest token that the worker has seen for the task.
+	Token FencingToken `json:"token"`
+	Phase TaskPhase    `json:"phase"`
+	// Saved tells that the attempt has written its checkpoint object.
+	Saved  bool   `json:"saved,omitempty"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// Check reports every fault of r.
+func (r *TaskReport) Check() Faults {
+	faults := CheckName("worker", string(r.Worker))
+	faults = append(faults, CheckName("task", string(r.Task))...)
+	faults = faults.DurationRange("uptime", r.Uptime, 0, maxUptime)
+	if r.Attempt == 0 {
+		faults = faults.Add("attempt", 0, "1 or more")
+	}
+	if r.Phase != PhaseRunning && !r.Phase.IsEnded() {
+		faults = faults.Add("phase", r.Phase, "running, done, failed, checkpointed, stopped or absent")
+	}
+	return faults
+}
--- /dev/null
+++ b/worker.go
@@ -0,0 +1,129 @@
+package medlarwheel
+
+import (
+	"fmt"
+	"time"
+)
+
+// Worker is one machine that runs tasks, with its commitments and marks. It is the value of the row WorkerKey(ID).
+type Worker struct {
+	ID         WorkerID     `json:"id"`
+	DataCentre DataCentreID `json:"data-centre"`
+	Rack       RackID       `json:"rack"`
+	// Address is where the worker's agent takes commands.
+	Address string    `json:"address"`
+	Size    Resources `json:"size"`
+	// Token is the highest token of an owner of the worker's shard that has changed the size or the marks.
+	Token FencingToken `json:"token,omitempty"`
+	// Draining refuses new commitments, because the worker is to be emptied.
+	Draining bool `json:"draining,omitempty"`
+	// Probation is set while the worker is suspected of failing every task.
+	Probation *Probation `json:"probation,omitempty"`
+	// FailureRun lists the failed attempts since the last success, one of each job.
+	FailureRun []TaskAttempt `json:"failure-run,omitempty"`
+	// Commitments lists what runs or may run on the worker, ordered by task.
+	Commitments []Commitment `json:"commitments,omitempty"`
+}
+
+// Commitment reserves resources of a worker for one attempt of a task.
+type Commitment struct {
+	Task     TaskID        `json:"task"`
+	Attempt  AttemptNumber `json:"attempt"`
+	Template TemplateName  `json:"template"`
+	Class    Class         `json:"class"`
+	// Token is the token of the owner of the job's shard that made the commitment.
+	Token     FencingToken `json:"token"`
+	Resources Resources    `json:"resources"`
+}
+
+// Probation is the state of a worker that is let back through single trial tasks.
+type Probation struct {
+	Since time.Time `json:"since"`
+	// NextTrial is when the next trial may be opened.
+	NextTrial time.Time `json:"next-trial"`
+	// FailedTrials counts the failed trials. Each lengthens the wait for the next one.
+	FailedTrials int `json:"failed-trials,omitempty"`
+	// PassedTrials counts the trials passed in a row.
+	PassedTrials int `json:"passed-trials,omitempty"`
+	// Open accepts one commitment as the trial.
+	Open bool `json:"open,omitempty"`
+	// Trial is the attempt that runs as the trial.
+	Trial *TaskAttempt `json:"trial,omitempty"`
+}
+
+// UsageReport is what a worker says about the resources that it uses. Reports can be late, repeated or wrong.
+type UsageReport struct {
+	Worker WorkerID `json:"worker"`
+	// Incarnation counts the starts of the worker's agent.
+	Incarnation Incarnation `json:"incarnation"`
+	// Sequence counts the reports of one incarnation from 1.
+	Sequence uint64 `json:"sequence"`
+	// Uptime is the agent's monotonic clock when it measured.
+	Uptime Duration    `json:"uptime"`
+	Used   Resources   `json:"used"`
+	Tasks  []TaskUsage `json:"tasks,omitempty"`
+}
+
+// TaskUsage is what one attempt of a task uses.
+type TaskUsage struct {
+	Task    TaskID        `json:"task"`
+	Attempt AttemptNumber `json:"attempt"`
+	Used    Resources     `json:"used"`
+	// RunTime is how long the attempt has run.
+	RunTime Duration `json:"run-time"`
+}
+
+// WorkerKey returns the table key of a worker's row.
+func WorkerKey(id WorkerID) string { return "worker/" + string(id) }
+
+// Committed returns the sum of all commitments.
+func (w *Worker) Committed() Resources {
+	var sum Resources
+	for i := range w.Commitments {
+		sum = sum.Plus(w.Commitments[i].Resources)
+	}
+	return sum
+}
+
+// Free returns what is not committed.
+func (w *Worker) Free() Resources { return w.Size.Minus(w.Committed()) }
+
+// Check reports every fault of w.
+func (w *Worker) Check() Faults {
+	faults := CheckName("id", string(w.ID))
+	faults = append(faults, CheckName("data-centre", string(w.DataCentre))...)
+	faults = append(faults, CheckName("rack", string(w.Rack))...)
+	faults = append(faults, CheckAddress("address", w.Address)...)
+	faults = append(faults, w.Size.Check("size")...)
+	for i := range w.Commitments {
+		c := &w.Commitments[i]
+		path := fmt.Sprintf("commitments[%d]", i)
+		faults = append(faults, c.Resources.Check(path+".resources")...)
+		if i > 0 && w.Commitments[i-1].Task >= c.Task {
+			faults = faults.Add(path+".task", c.Task, "one commitment of each task, ordered by task")
+		}
+	}
+	if committed := w.Committed(); !committed.Fits(w.Size) {
+		faults = faults.Add("commitments", fmt.Sprintf("%+v", committed), fmt.Sprintf("at most the size %+v", w.Size))
+	}
+	return faults
+}
+
+// Check reports every fault of u that shows without knowing the worker.
+func (u *UsageReport) Check() Faults {
+	faults := CheckName("worker", string(u.Worker))
+	if u.Sequence == 0 {
+		faults = faults.Add("sequence", 0, "1 or more")
+	}
+	faults = faults.DurationRange("uptime", u.Uptime, 0, maxUptime)
+	faults = append(faults, u.Used.Check("used")...)
+	for i := range u.Tasks {
+		path := fmt.Sprintf("tasks[%d]", i)
+		faults = append(faults, u.Tasks[i].Used.Check(path+".used")...)
+		faults = faults.DurationRange(path+".run-time", u.Tasks[i].RunTime, 0, u.Uptime)
+	}
+	return faults
+}
+
+// maxUptime bounds an agent's monotonic clock: ten years.
+const maxUptime = Duration(10 * 365 * 24 * time.Hour)
