Add medlarlease: leases, shard ownership and proofs of ended attempts

Cause: control duties need owners that stop before others take over, and a start elsewhere needs evidence that the earlier attempt has ended.

Only a Proof that is recorded in the job's row makes a Start.

--- /dev/null
+++ b/medlarlease/holder.go
@@ -0,0 +1,48 @@
+package medlarlease
+
+import "time"
+
+// Holder is the holder's side of a lease.
+type Holder struct {
+	term      time.Duration
+	since     time.Time
+	renewedAt time.Time
+	latest    time.Time
+}
+
+// NewHolder returns a holder without a lease.
+func NewHolder(term time.Duration) Holder { return Holder{term: term} }
+
+// Renewed records a renewal that took effect. sentAt is the time just before it was sent, because the other side may
+// have seen it at any time after that.
+func (h *Holder) Renewed(sentAt time.Time) {
+	if !sentAt.After(h.renewedAt) {
+		return
+	}
+	if h.renewedAt.IsZero() || !sentAt.Before(h.renewedAt.Add(h.term)) {
+		h.since = sentAt
+	}
+	h.renewedAt = sentAt
+}
+
+// MayAct reports whether the lease holds at now. A time earlier than one seen before counts as the later one, so that
+// a caller that was paused with an old time in hand gains nothing.
+func (h *Holder) MayAct(now time.Time) bool {
+	return !h.renewedAt.IsZero() && h.advance(now).Before(h.renewedAt.Add(h.term))
+}
+
+// Since returns when the unbroken tenure began. What was read before it may have changed while the lease had lapsed.
+func (h *Holder) Since() time.Time { return h.since }
+
+// RenewedAt returns the time just before the last renewal was sent.
+func (h *Holder) RenewedAt() time.Time { return h.renewedAt }
+
+// Drop gives the lease up.
+func (h *Holder) Drop() { h.renewedAt, h.since = time.Time{}, time.Time{} }
+
+func (h *Holder) advance(now time.Time) time.Time {
+	if now.After(h.latest) {
+		h.latest = now
+	}
+	return h.latest
+}
--- /dev/null
+++ b/medlarlease/ownership.go
@@ -0,0 +1,132 @@
+package medlarlease
+
+import (
+	"time"
+
+	"medlarwheel"
+)
+
+// OwnedShard is a shard that an instance may act on.
+type OwnedShard struct {
+	Shard ShardID
+	Token medlarwheel.FencingToken
+	// ConfirmedAt is when the latest read was sent that found the shard assigned to the instance with Token.
+	ConfirmedAt time.Time
+}
+
+// Ownership is an instance's own lease and its view of the shard map.
+type Ownership struct {
+	config   Config
+	instance medlarwheel.EntryInstance
+	holder   Holder
+	version  medlarwheel.RowVersion
+	counter  uint64
+	current  ShardMap
+	readAt   time.Time
+}
+
+// NewOwnership returns the ownership of an instance that has just started.
+func NewOwnership(config Config, instance medlarwheel.EntryInstance) *Ownership {
+	return &Ownership{
+		config: config, instance: instance, holder: NewHolder(config.Term), current: NewShardMap(instance.DataCentre),
+	}
+}
+
+// Adopt sets the version of the row that an earlier incarnation of the instance left behind.
+func (o *Ownership) Adopt(version medlarwheel.RowVersion) { o.version = version }
+
+// Leave makes later renewals announce that the instance is leaving, so that planners move its shards.
+func (o *Ownership) Leave() { o.instance.State = medlarwheel.StateLeaving }
+
+// Renewal returns the write that renews the instance's lease.
+func (o *Ownership) Renewal() (medlarwheel.Write, error) {
+	o.counter++
+	lease := InstanceLease{Instance: o.instance, Counter: o.counter, MapEpoch: o.current.Epoch}
+	value, err := encode(&lease)
+	return medlarwheel.Write{Key: InstanceKey(o.instance.ID), Expect: o.version, Value: value}, err
+}
+
+// Renewed records that the renewal sent at sentAt took effect.
+func (o *Ownership) Renewed(sentAt time.Time, version medlarwheel.RowVersion) {
+	if version > o.version {
+		o.version = version
+	}
+	o.holder.Renewed(sentAt)
+}
+
+// ReadBack resolves a renewal with a lost answer or a conflict by the row as it is now. It returns ErrStale when a
+// later incarnation has taken the row; the instance must then stop.
+func (o *Ownership) ReadBack(row medlarwheel.Row, sentAt time.Time) error {
+	lease, err := DecodeInstanceLease(row)
+	if err != nil {
+		return err
+	}
+	if lease.Instance.Incarnation > o.instance.Incarnation {
+		o.holder.Drop()
+		o.current = NewShardMap(o.instance.DataCentre)
+		return medlarwheel.AtStep("renew instance lease", "", medlarwheel.ErrStale)
+	}
+	if lease.Instance.Incarnation == o.instance.Incarnation && lease.Counter == o.counter {
+		o.Renewed(sentAt, row.Version)
+	}
+	o.version = row.Version
+	return nil
+}
+
+// SawMap records a read of the shard map that was sent at sentAt. An older map than one seen before is ignored.
+func (o *Ownership) SawMap(m ShardMap, sentAt time.Time) {
+	if m.Epoch < o.current.Epoch || sentAt.Before(o.readAt) {
+		return
+	}
+	o.current, o.readAt = m, sentAt
+}
+
+// OwnedShards lists the shards that the instance may act on at now. It is empty unless the lease holds and the map was
+// read within the term and since the lease last lapsed.
+func (o *Ownership) OwnedShards(now time.Time) []OwnedShard {
+	if !o.mayAct(now) {
+		return nil
+	}
+	var owned []OwnedShard
+	for _, kind := range shardKinds() {
+		for i := range o.current.list(kind) {
+			if shard, ok := o.owned(ShardID{DataCentre: o.instance.DataCentre, Kind: kind, Index: ShardIndex(i)}); ok {
+				owned = append(owned, shard)
+			}
+		}
+	}
+	return owned
+}
+
+// MayAct returns the shard with its token if the instance may act on it at now.
+func (o *Ownership) MayAct(shard ShardID, now time.Time) (OwnedShard, bool) {
+	if !o.mayAct(now) {
+		return OwnedShard{}, false
+	}
+	return o.owned(shard)
+}
+
+// MayRenew returns the shard with its token if the instance may renew the leases of its tasks at now. Without the table
+// that goes on until the horizon, so that tasks survive an outage.
+func (o *Ownership) MayRenew(shard ShardID, now time.Time) (OwnedShard, bool) {
+	at := o.holder.advance(now)
+	renewed := o.holder.RenewedAt()
+	if renewed.IsZero() || !at.Before(renewed.Add(o.config.Horizon)) {
+		return OwnedShard{}, false
+	}
+	return o.owned(shard)
+}
+
+func (o *Ownership) mayAct(now time.Time) bool {
+	return o.holder.MayAct(now) && !o.readAt.Before(o.holder.Since()) &&
+		o.holder.advance(now).Before(o.readAt.Add(o.config.Term))
+}
+
+func (o *Ownership) owned(shard ShardID) (OwnedShard, bool) {
+	self := Member{Instance: o.instance.ID, Incarnation: o.instance.Incarnation}
+	a := o.current.Assignment(shard.Kind, shard.Index)
+	if a.Owner != self.Instance || shard.DataCentre != o.instance.DataCentre || !o.current.IsMember(self) {
+		return OwnedShard{}, false
+	}
+	return OwnedShard{Shard: shard, Token: a.Token, ConfirmedAt: o.readAt}, true
+}
--- /dev/null
+++ b/medlarlease/proof.go
@@ -0,0 +1,99 @@
+package medlarlease
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+)
+
+// Proof is evidence that an attempt of a task has ended and that every earlier one has, too. The zero Proof proves
+// nothing. Proofs come from FromWorker, TaskLeases.Expired and Recorded.
+type Proof struct {
+	cause  medlarwheel.EndingCause
+	task   medlarwheel.TaskID
+	ended  medlarwheel.AttemptNumber
+	worker medlarwheel.WorkerID
+	token  medlarwheel.FencingToken
+	// recorded is set when the ending is in the job's committed row.
+	recorded bool
+}
+
+// ErrNoProof means that there is no evidence that an attempt has ended.
+var ErrNoProof = errors.New("no proof that the attempt has ended")
+
+// FromWorker returns the proof in a worker's word that an attempt has ended.
+func FromWorker(report *medlarwheel.TaskReport) (Proof, error) {
+	if faults := report.Check(); len(faults) > 0 {
+		return Proof{}, faults
+	}
+	if !report.Phase.IsEnded() {
+		return Proof{}, ErrNoProof
+	}
+	return Proof{
+		cause: medlarwheel.EndingWorkerWord, task: report.Task, ended: report.Attempt, worker: report.Worker,
+		token: report.Token,
+	}, nil
+}
+
+// Recorded returns the proof in a job's committed row that the attempt before the placed one has ended. A first attempt
+// has none before it.
+func Recorded(job *medlarwheel.Job, version medlarwheel.RowVersion, index int) (Proof, error) {
+	if version == 0 || index < 0 || index >= len(job.Tasks) {
+		return Proof{}, ErrNoProof
+	}
+	task := &job.Tasks[index]
+	if task.State != medlarwheel.JobPlacing || task.Run == nil || task.Run.Number != task.Attempt {
+		return Proof{}, ErrNoProof
+	}
+	proof := Proof{task: job.TaskID(index), ended: task.Attempt - 1, recorded: true}
+	if task.Attempt == 1 {
+		return proof, nil
+	}
+	if task.Ended == nil || task.Ended.Attempt != proof.ended {
+		return Proof{}, ErrNoProof
+	}
+	proof.cause, proof.worker, proof.token = task.Ended.Cause, task.Ended.Worker, task.Ended.Token
+	return proof, nil
+}
+
+// Covers returns nil if p proves that the attempt has ended on the worker that it was committed on. token is the token
+// of the commitment: the word of a worker that has seen only lower ones is stale.
+func (p Proof) Covers(attempt medlarwheel.TaskAttempt, worker medlarwheel.WorkerID, token medlarwheel.FencingToken) error {
+	if p.cause == "" || p.task != attempt.Task || p.ended != attempt.Attempt || p.worker != worker {
+		return ErrNoProof
+	}
+	if p.token < token {
+		return medlarwheel.AtStep("check proof", string(worker), medlarwheel.ErrStale)
+	}
+	return nil
+}
+
+// Ending returns the form of p that the job's row keeps.
+func (p Proof) Ending() medlarwheel.Ending {
+	return medlarwheel.Ending{Attempt: p.ended, Worker: p.worker, Cause: p.cause, Token: p.token}
+}
+
+// Start returns the command that starts the placed attempt of a task. p must be recorded in the job's row, so that no
+// start goes out before the release of the attempt before it and the new commitment have taken effect.
+func (p Proof) Start(
+	leases *TaskLeases, job *medlarwheel.Job, index int, owned OwnedShard, now time.Time,
+) (Start, error) {
+	if !p.recorded || index < 0 || index >= len(job.Tasks) || p.task != job.TaskID(index) {
+		return Start{}, ErrNoProof
+	}
+	run := job.Tasks[index].Run
+	if run == nil || run.Number != p.ended+1 {
+		return Start{}, ErrNoProof
+	}
+	attempt := medlarwheel.TaskAttempt{Task: p.task, Attempt: run.Number}
+	until, err := leases.grant(attempt, owned, now)
+	if err != nil {
+		return Start{}, err
+	}
+	return Start{order: StartOrder{
+		Worker: run.Worker, Attempt: attempt, Token: owned.Token, Until: until, Account: job.Account, Name: job.Template,
+		Class: job.Class, Size: run.Resources, Resume: run.ResumeFrom,
+	}}, nil
+}
--- /dev/null
+++ b/medlarlease/shardmap.go
@@ -0,0 +1,101 @@
+package medlarlease
+
+import (
+	"fmt"
+	"slices"
+
+	"medlarwheel"
+)
+
+// ShardMapKey returns the key of the shard map of a data centre.
+func ShardMapKey(dc medlarwheel.DataCentreID) string { return "shards/" + string(dc) }
+
+// Member is one process of an entry instance. A restarted instance is another member, because it has lost its memory.
+type Member struct {
+	Instance    medlarwheel.InstanceID  `json:"instance"`
+	Incarnation medlarwheel.Incarnation `json:"incarnation"`
+}
+
+// Assignment gives a shard to a member.
+type Assignment struct {
+	// Owner is empty while the shard has never been assigned.
+	Owner medlarwheel.InstanceID `json:"owner,omitempty"`
+	// Token is the epoch of the change that assigned the shard.
+	Token medlarwheel.FencingToken `json:"token,omitempty"`
+}
+
+// ShardMap is the row that assigns the shards of a data centre.
+type ShardMap struct {
+	DataCentre medlarwheel.DataCentreID `json:"data-centre"`
+	Epoch      medlarwheel.Epoch        `json:"epoch"`
+	// Members lists the live members at the last change, ordered by instance.
+	Members []Member     `json:"members,omitempty"`
+	Workers []Assignment `json:"workers"`
+	Jobs    []Assignment `json:"jobs"`
+}
+
+// NewShardMap returns the map of a data centre before its first assignment.
+func NewShardMap(dc medlarwheel.DataCentreID) ShardMap {
+	return ShardMap{DataCentre: dc, Workers: make([]Assignment, Shards), Jobs: make([]Assignment, Shards)}
+}
+
+// DecodeShardMap reads the row of a shard map.
+func DecodeShardMap(row medlarwheel.Row) (ShardMap, error) {
+	var m ShardMap
+	if err := decodeRow(row, &m); err != nil {
+		return ShardMap{}, err
+	}
+	return m, nil
+}
+
+// Write returns the compare-and-set write of m over the row version that m was planned from.
+func (m *ShardMap) Write(expect medlarwheel.RowVersion) (medlarwheel.Write, error) {
+	value, err := encode(m)
+	return medlarwheel.Write{Key: ShardMapKey(m.DataCentre), Expect: expect, Value: value}, err
+}
+
+// Assignment returns the assignment of a shard.
+func (m *ShardMap) Assignment(kind ShardKind, index ShardIndex) Assignment {
+	list := m.list(kind)
+	if int(index) < 0 || int(index) >= len(list) {
+		return Assignment{}
+	}
+	return list[index]
+}
+
+// IsMember reports whether the process is a member of m.
+func (m *ShardMap) IsMember(member Member) bool { return slices.Contains(m.Members, member) }
+
+// Check reports every fault of m.
+func (m *ShardMap) Check() medlarwheel.Faults {
+	faults := medlarwheel.CheckName("data-centre", string(m.DataCentre))
+	for _, kind := range shardKinds() {
+		list := m.list(kind)
+		if len(list) != Shards {
+			faults = faults.Add(string(kind), len(list), fmt.Sprintf("%d shards", Shards))
+		}
+		for i, a := range list {
+			if a.Token > medlarwheel.FencingToken(m.Epoch) {
+				faults = faults.Add(fmt.Sprintf("%s[%d].token", kind, i), a.Token, "at most the epoch")
+			}
+		}
+	}
+	return faults
+}
+
+func (m *ShardMap) list(kind ShardKind) []Assignment {
+	if kind == ShardOfWorkers {
+		return m.Workers
+	}
+	return m.Jobs
+}
+
+func (m *ShardMap) clone() ShardMap {
+	next := *m
+	next.Members = slices.Clone(m.Members)
+	next.Workers = slices.Clone(m.Workers)
+	next.Jobs = slices.Clone(m.Jobs)
+	return next
+}
+
+func shardKinds() []ShardKind { return []ShardKind{ShardOfWorkers, ShardOfJobs} }
