--- /dev/null
+++ b/medlarworker/probation.go
@@ -0,0 +1,87 @@
+package medlarworker
+
+import (
+	"slices"
+	"time"
+
+	"medlarwheel"
+)
+
+// IsSuspect reports whether the worker is on probation. Failures of tasks on it are not blamed on their jobs. The jobs
+// of Worker().FailureRun are to be forgiven what they were blamed for before.
+func (r *Record) IsSuspect() bool { return r.worker.Probation != nil }
+
+// OpenTrial lets a worker on probation take one task as a trial, once the wait for it is over. It reports false when no
+// trial is due.
+func (r *Record) OpenTrial(token medlarwheel.FencingToken, now time.Time) (medlarwheel.Write, bool, error) {
+	p := r.worker.Probation
+	if p == nil || p.Open || p.Trial != nil || now.Before(p.NextTrial) {
+		return medlarwheel.Write{}, false, nil
+	}
+	if err := r.mark(token); err != nil {
+		return medlarwheel.Write{}, false, err
+	}
+	p.Open = true
+	write, err := r.Write()
+	return write, err == nil, err
+}
+
+// note counts how an attempt ended. Only done and failed tell about the worker: lost attempts ended with the worker, and
+// evicted and cancelled ones were ended by their owner.
+func (r *Record) note(attempt medlarwheel.TaskAttempt, result medlarwheel.AttemptResult, now time.Time) {
+	now = now.UTC().Truncate(time.Second)
+	w := &r.worker
+	if p := w.Probation; p != nil && p.Trial != nil && *p.Trial == attempt {
+		r.noteTrial(p, result, now)
+		return
+	}
+	switch result {
+	case medlarwheel.ResultDone:
+		if w.Probation == nil {
+			w.FailureRun = nil
+		}
+	case medlarwheel.ResultFailed:
+		r.noteFailure(attempt)
+		if w.Probation == nil && len(w.FailureRun) >= r.config.ProbationJobs {
+			w.Probation = &medlarwheel.Probation{Since: now, NextTrial: now.Add(r.config.TrialWait)}
+		}
+	}
+}
+
+func (r *Record) noteFailure(attempt medlarwheel.TaskAttempt) {
+	job, _, _ := medlarwheel.JobOfTask(attempt.Task)
+	known := slices.ContainsFunc(r.worker.FailureRun, func(a medlarwheel.TaskAttempt) bool {
+		other, _, _ := medlarwheel.JobOfTask(a.Task)
+		return other == job
+	})
+	if !known && len(r.worker.FailureRun) < r.config.ProbationJobs {
+		r.worker.FailureRun = append(r.worker.FailureRun, attempt)
+	}
+}
+
+func (r *Record) noteTrial(p *medlarwheel.Probation, result medlarwheel.AttemptResult, now time.Time) {
+	p.Trial = nil
+	p.NextTrial = now
+	switch result {
+	case medlarwheel.ResultDone:
+		p.PassedTrials++
+		if p.PassedTrials >= r.config.TrialsToReturn {
+			r.worker.Probation, r.worker.FailureRun = nil, nil
+		}
+	case medlarwheel.ResultFailed:
+		p.PassedTrials = 0
+		p.FailedTrials++
+		p.NextTrial = now.Add(doubled(r.config.TrialWait, p.FailedTrials, r.config.MaxTrialWait))
+	}
+}
+
+// doubled returns base doubled n times, up to limit.
+func doubled(base time.Duration, n int, limit time.Duration) time.Duration {
+	for range n {
+		if base >= limit/2 {
+			return limit
+		}
+		base *= 2
+	}
+	return base
+}
--- /dev/null
+++ b/medlarworker/record.go
@@ -0,0 +1,213 @@
+package medlarworker
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/medlarlease"
+)
+
+// Record is a worker's row as it was read, with the changes made since. All writes of one record replace each other: the
+// last one has all changes.
+type Record struct {
+	config Config
+	worker medlarwheel.Worker
+	expect medlarwheel.RowVersion
+}
+
+// TaskRef names an attempt and what it runs.
+type TaskRef struct {
+	Task     medlarwheel.TaskID
+	Attempt  medlarwheel.AttemptNumber
+	Template medlarwheel.TemplateName
+	Class    medlarwheel.Class
+}
+
+// Errors of Commit and Release.
+var (
+	// ErrCommitted means that the same commitment is in effect already.
+	ErrCommitted = errors.New("attempt is committed already")
+	// ErrNotCommitted means that there is no such commitment; the attempt was released already or never committed.
+	ErrNotCommitted = errors.New("attempt is not committed")
+	// ErrOccupied means that an earlier attempt of the task has not been released.
+	ErrOccupied = errors.New("an earlier attempt is committed")
+	// ErrDraining means that the worker takes no new commitments.
+	ErrDraining = errors.New("worker is draining")
+	// ErrProbation means that the worker is on probation and has no trial open.
+	ErrProbation = errors.New("worker is on probation")
+)
+
+// NoRoomError reports that resources do not fit what is free on a worker.
+type NoRoomError struct {
+	Worker medlarwheel.WorkerID
+	Asked  medlarwheel.Resources
+	Free   medlarwheel.Resources
+}
+
+// Error states what was asked for and what is free.
+func (e *NoRoomError) Error() string {
+	return fmt.Sprintf("no room on worker %s: asked for %+v, free are %+v", e.Worker, e.Asked, e.Free)
+}
+
+// Decode reads a worker's row.
+func Decode(row medlarwheel.Row, config Config) (*Record, error) {
+	step := "decode row " + row.Key
+	if row.Deleted || row.Version == 0 {
+		return nil, medlarwheel.AtStep(step, "", medlarwheel.ErrNotFound)
+	}
+	r := &Record{config: config, expect: row.Version}
+	if err := json.Unmarshal(row.Value, &r.worker); err != nil {
+		return nil, medlarwheel.AtStep(step, "", err)
+	}
+	if err := r.worker.Check().Err(); err != nil {
+		return nil, medlarwheel.AtStep(step, "", err)
+	}
+	return r, nil
+}
+
+// Register returns the record of a worker that has no row yet. Its Write creates the row.
+func Register(worker medlarwheel.Worker, config Config) (*Record, error) {
+	if err := worker.Check().Err(); err != nil {
+		return nil, err
+	}
+	return &Record{config: config, worker: worker}, nil
+}
+
+// Worker returns the worker with all changes. The caller must not change it.
+func (r *Record) Worker() *medlarwheel.Worker { return &r.worker }
+
+// Version returns the version of the row that the record was read from.
+func (r *Record) Version() medlarwheel.RowVersion { return r.expect }
+
+// Clone returns an independent copy of r, to try changes on.
+func (r *Record) Clone() *Record {
+	c := *r
+	c.worker.Commitments = slices.Clone(r.worker.Commitments)
+	c.worker.FailureRun = slices.Clone(r.worker.FailureRun)
+	if r.worker.Probation != nil {
+		p := *r.worker.Probation
+		c.worker.Probation = &p
+	}
+	return &c
+}
+
+// Write returns the compare-and-set write of the row with all changes.
+func (r *Record) Write() (medlarwheel.Write, error) {
+	value, err := json.Marshal(&r.worker)
+	if err != nil {
+		return medlarwheel.Write{}, errors.Wrap(err, "encode worker")
+	}
+	return medlarwheel.Write{Key: medlarwheel.WorkerKey(r.worker.ID), Expect: r.expect, Value: value}, nil
+}
+
+// Commit reserves resources for an attempt. token is the token of the owner of the job's shard. It returns the write of
+// the row, or the record unchanged with an error.
+func (r *Record) Commit(
+	ref TaskRef, resources medlarwheel.Resources, token medlarwheel.FencingToken,
+) (medlarwheel.Write, error) {
+	if err := r.commit(ref, resources, token); err != nil {
+		return medlarwheel.Write{}, err
+	}
+	return r.Write()
+}
+
+func (r *Record) commit(ref TaskRef, resources medlarwheel.Resources, token medlarwheel.FencingToken) error {
+	w := &r.worker
+	at, found := r.find(ref.Task)
+	if found {
+		return refuseSecond(&w.Commitments[at], ref.Attempt, token)
+	}
+	switch {
+	case w.Draining:
+		return ErrDraining
+	case w.Probation != nil && !w.Probation.Open:
+		return ErrProbation
+	}
+	if err := resources.Check("resources").Err(); err != nil {
+		return err
+	}
+	if !w.Committed().Plus(resources).Fits(w.Size) {
+		return &NoRoomError{Worker: w.ID, Asked: resources, Free: w.Free()}
+	}
+	w.Commitments = slices.Insert(w.Commitments, at, medlarwheel.Commitment{
+		Task: ref.Task, Attempt: ref.Attempt, Template: ref.Template, Class: ref.Class, Token: token, Resources: resources,
+	})
+	if w.Probation != nil {
+		w.Probation.Open = false
+		w.Probation.Trial = &medlarwheel.TaskAttempt{Task: ref.Task, Attempt: ref.Attempt}
+	}
+	return nil
+}
+
+// refuseSecond tells apart why a task with a commitment gets no second one.
+func refuseSecond(c *medlarwheel.Commitment, attempt medlarwheel.AttemptNumber, token medlarwheel.FencingToken) error {
+	switch {
+	case c.Attempt == attempt && c.Token == token:
+		return ErrCommitted
+	case c.Attempt > attempt || c.Token > token:
+		return medlarwheel.AtStep("commit", "", medlarwheel.ErrStale)
+	default:
+		return ErrOccupied
+	}
+}
+
+// Release ends a commitment. proof must cover the attempt. result counts towards the worker's probation, at now.
+func (r *Record) Release(
+	attempt medlarwheel.TaskAttempt, proof medlarlease.Proof, result medlarwheel.AttemptResult, now time.Time,
+) (medlarwheel.Write, error) {
+	at, found := r.find(attempt.Task)
+	if !found || r.worker.Commitments[at].Attempt < attempt.Attempt {
+		return medlarwheel.Write{}, ErrNotCommitted
+	}
+	c := &r.worker.Commitments[at]
+	if c.Attempt > attempt.Attempt {
+		return medlarwheel.Write{}, medlarwheel.AtStep("release", "", medlarwheel.ErrStale)
+	}
+	if err := proof.Covers(attempt, r.worker.ID, c.Token); err != nil {
+		return medlarwheel.Write{}, err
+	}
+	r.worker.Commitments = slices.Delete(r.worker.Commitments, at, at+1)
+	r.note(attempt, result, now)
+	return r.Write()
+}
+
+// Resolution is what became of a commitment whose transaction had no answer.
+type Resolution int
+
+// The resolutions.
+const (
+	// Applied means that the commitment is in effect.
+	Applied Resolution = iota
+	// Void means that the commitment is not in effect and never will be: the row has moved on. It may have been made and
+	// released in the meantime, so the same attempt must not be committed again.
+	Void
+	// Open means that the transaction may still take effect: the row is still as the transaction expects it.
+	Open
+)
+
+// Resolve tells what became of a commitment that was sent over the row version expect. r is the row read back.
+func (r *Record) Resolve(
+	expect medlarwheel.RowVersion, attempt medlarwheel.TaskAttempt, token medlarwheel.FencingToken,
+) Resolution {
+	at, found := r.find(attempt.Task)
+	switch {
+	case found && r.worker.Commitments[at].Attempt == attempt.Attempt && r.worker.Commitments[at].Token == token:
+		return Applied
+	case r.expect == expect:
+		return Open
+	default:
+		return Void
+	}
+}
+
+func (r *Record) find(task medlarwheel.TaskID) (int, bool) {
+	return slices.BinarySearchFunc(r.worker.Commitments, task, func(c medlarwheel.Commitment, t medlarwheel.TaskID) int {
+		return cmp.Compare(c.Task, t)
+	})
+}
