--- a/medlarlease/proof_test.go
+++ b/medlarlease/proof_test.go
@@ -21,6 +21,10 @@
 	return job
 }
 
+func tracked(attempt medlarwheel.TaskAttempt, placed medlarwheel.FencingToken) medlarlease.TrackedAttempt {
+	return medlarlease.TrackedAttempt{Attempt: attempt, Worker: "w1", Incarnation: 1, Placed: placed, Started: true}
+}
+
 // Guards against a start without evidence that the attempt before has ended: from a zero proof, from a proof that is not
 // in the committed row yet, from a row without the ending, and from a zero command.
 func TestStartNeedsProof(t *testing.T) {
@@ -32,7 +36,7 @@
 	leases := medlarlease.NewTaskLeases(medlarlease.Default())
 	leases.Heard("w1", medlarlease.Reading{Incarnation: 1, Uptime: 1}, start)
 	job := placedJob(2)
-	leases.Track(medlarwheel.TaskAttempt{Task: job.TaskID(0), Attempt: 2}, "w1", 1, owned, start)
+	leases.Track(tracked(medlarwheel.TaskAttempt{Task: job.TaskID(0), Attempt: 2}, 1), owned, start)
 
 	report := &medlarwheel.TaskReport{
 		Worker: "w0", Incarnation: 1, Task: job.TaskID(0), Attempt: 1, Token: 1, Phase: medlarwheel.PhaseStopped,
@@ -106,7 +110,7 @@
 	attempt := medlarwheel.TaskAttempt{Task: "03-0000000000000001.0", Attempt: 1}
 	wait := config.TaskTerm + config.TaskMargin
 	leases := medlarlease.NewTaskLeases(config)
-	leases.Track(attempt, "w1", 1, owned(start), start)
+	leases.Track(tracked(attempt, 1), owned(start), start)
 	leases.Heard("w1", medlarlease.Reading{Incarnation: 1, Uptime: 1}, start.Add(10*time.Second))
 	owned(start.Add(11 * time.Second))
 	if renewals := leases.Renewals(f.own, start.Add(11*time.Second)); len(renewals) != 1 || renewals[0].Until.IsZero() {
@@ -120,7 +124,7 @@
 	}
 
 	inherited := medlarlease.NewTaskLeases(config)
-	inherited.Track(attempt, "w1", 0, owned(start.Add(time.Minute)), start.Add(time.Minute))
+	inherited.Track(tracked(attempt, 0), owned(start.Add(time.Minute)), start.Add(time.Minute))
 	late := start.Add(time.Hour)
 	if _, err := inherited.Expired(attempt, owned(late)); err == nil {
 		t.Fatal("expired while an earlier owner may still renew")
