Add the scheduler shell: a job goes from submission to done

Cause: the decision packages for leases, jobs, workers and placement had no shell that reads the table and calls the agents of workers.

Change: package medlarfleet with the ownership loop, the follower of changed rows, batched transactions, placing, orders to agents, reports and submission. One control goroutine owns the state.

--- /dev/null
+++ b/medlarfleet/indexed.go
@@ -0,0 +1,63 @@
+package medlarfleet
+
+import (
+	"medlarwheel"
+	"medlarwheel/medlarplacement"
+)
+
+// workerState is a worker as the placement index needs it, with what this instance is about to commit on it.
+func (s *state) workerState(w *medlarwheel.Worker) medlarplacement.WorkerState {
+	state := medlarplacement.WorkerState{
+		ID: w.ID, DataCentre: w.DataCentre, Rack: w.Rack, Size: w.Size,
+		Marks: medlarplacement.Marks{
+			Draining: w.Draining, Probation: w.Probation != nil && !w.Probation.Open,
+		},
+	}
+	committed := make(map[medlarwheel.TaskID]bool, len(w.Commitments))
+	for i := range w.Commitments {
+		committed[w.Commitments[i].Task] = true
+		state.Tasks = append(state.Tasks, s.taskState(&w.Commitments[i]))
+	}
+	for id, p := range s.proposals {
+		for i, a := range p.assignments {
+			if task := p.job.TaskID(p.tasks[i]); a.Worker == w.ID && !committed[task] && p.first() == id {
+				state.Tasks = append(state.Tasks, p.request.TaskState(task, a, p.since))
+			}
+		}
+	}
+	return state
+}
+
+// taskState describes a commitment by the template in force. A commitment whose template is not known counts as a
+// service's, so that it is never evicted by mistake.
+func (s *state) taskState(c *medlarwheel.Commitment) medlarplacement.TaskState {
+	t := medlarplacement.TaskState{
+		ID: c.Task, Template: c.Template, Kind: medlarwheel.KindService, Class: c.Class,
+		Group: medlarplacement.Group(c.Template), Size: c.Resources, Committed: c.Resources, MayShare: true,
+	}
+	if template, ok := s.f.ports.Configuration().Template(c.Template); ok && template.Task != nil {
+		t.Kind, t.MayShare = template.Kind, template.Task.MayShare
+	}
+	job, index, ok := medlarwheel.JobOfTask(c.Task)
+	if t.Kind == medlarwheel.KindBatch && ok {
+		t.Group, t.CanCheckpoint = medlarplacement.Group(job), true
+	}
+	if entry := s.jobs[job]; entry != nil && index < len(entry.record.Job().Tasks) {
+		if run := entry.record.Job().Tasks[index].Run; run != nil {
+			t.StartedAt = run.PlacedAt
+		}
+		if entry.record.Job().Kind == medlarwheel.KindBatch {
+			t.Size = larger(t.Size, entry.record.Job().Spec.Size)
+		}
+	}
+	if t.StartedAt.IsZero() {
+		t.StartedAt = s.f.ports.Clock.Now()
+	}
+	return t
+}
+
+func larger(a, b medlarwheel.Resources) medlarwheel.Resources {
+	return medlarwheel.Resources{
+		CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
--- /dev/null
+++ b/medlarfleet/keeper.go
@@ -0,0 +1,226 @@
+package medlarfleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/medlarlease"
+	"medlarwheel/medlarplatform"
+)
+
+const (
+	// entryPrefix starts the keys of the lease rows of all instances.
+	entryPrefix = "entry/"
+	// patience is the number of rounds that an instance other than the first live one leaves a due change of the shard
+	// map to that one. All instances find the same change at the same time, and all but one of the writes would conflict.
+	patience = 2
+)
+
+// keeper renews the instance's lease and keeps the shard map. It runs on a goroutine of its own.
+type keeper struct {
+	f *Fleet
+	// entries holds the lease rows of all instances, read up to cursor.
+	entries map[string]medlarwheel.Row
+	cursor  medlarwheel.RowVersion
+	// waited counts the rounds in which a change of the map was left to another instance.
+	waited  int
+	adopted bool
+}
+
+func newKeeper(f *Fleet) *keeper { return &keeper{f: f, entries: make(map[string]medlarwheel.Row)} }
+
+// run returns an error only when a later process of the instance has taken over.
+func (k *keeper) run(ctx context.Context) error {
+	ticker := time.NewTicker(k.f.config.Lease.RenewEvery)
+	defer ticker.Stop()
+	for {
+		err := k.round(ctx)
+		if errors.Is(err, medlarwheel.ErrStale) {
+			return err
+		}
+		if err != nil && ctx.Err() == nil {
+			k.f.ports.Log.Warn().Str("event", "ownership").Err(err).Send()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-k.f.renewNow:
+		}
+	}
+}
+
+func (k *keeper) round(ctx context.Context) error {
+	if err := k.renew(ctx); err != nil {
+		return err
+	}
+	if err := k.observe(ctx); err != nil {
+		return err
+	}
+	return k.maintainMap(ctx)
+}
+
+// renew renews the instance's lease in one write. A lost answer or a conflict is resolved by reading the row back.
+func (k *keeper) renew(ctx context.Context) error {
+	if !k.adopted {
+		row, err := k.rowOrEmpty(ctx, medlarlease.InstanceKey(k.f.config.Instance.ID))
+		if err != nil {
+			return err
+		}
+		if !k.do(ctx, func(s *state) { s.own.Adopt(row.Version) }) {
+			return ctx.Err()
+		}
+		k.adopted = true
+	}
+	type renewal struct {
+		write   medlarwheel.Write
+		err     error
+		leaving chan struct{}
+	}
+	r, ok := ask(ctx, k.f, func(s *state) renewal {
+		write, err := s.own.Renewal()
+		return renewal{write: write, err: err, leaving: s.leaving}
+	})
+	if !ok || r.err != nil {
+		return errors.Wrap(r.err, "renew lease")
+	}
+	sent := k.f.ports.Clock.Now()
+	commit, err := k.f.ports.Table.Transact(ctx, k.f.ports.Operations.Next(), []medlarwheel.Write{r.write})
+	var conflict *medlarwheel.ConflictError
+	if errors.As(err, &conflict) || err != nil && medlarplatform.MayHaveApplied(err) {
+		return k.readBack(ctx, r.write.Key, sent)
+	}
+	if err != nil {
+		return medlarwheel.AtStep("renew lease", "", err)
+	}
+	k.do(ctx, func(s *state) {
+		s.own.Renewed(sent, commit.Version)
+		if r.leaving != nil {
+			s.hasLeft()
+		}
+	})
+	return nil
+}
+
+func (k *keeper) readBack(ctx context.Context, key string, sent time.Time) error {
+	row, err := k.rowOrEmpty(ctx, key)
+	if err != nil {
+		return err
+	}
+	result, ok := ask(ctx, k.f, func(s *state) error {
+		if row.Version == 0 {
+			s.own.Adopt(0)
+			return nil
+		}
+		return s.own.ReadBack(row, sent)
+	})
+	if !ok {
+		return ctx.Err()
+	}
+	return result
+}
+
+// observe reads the leases of the members of the data centre.
+func (k *keeper) observe(ctx context.Context) error {
+	sent := k.f.ports.Clock.Now()
+	for {
+		page, err := k.f.ports.Table.Changes(ctx, entryPrefix, k.cursor, medlarplatform.MaxPage)
+		if err != nil {
+			return medlarwheel.AtStep("read leases", "", err)
+		}
+		for _, row := range page.Rows {
+			if row.Deleted {
+				delete(k.entries, row.Key)
+			} else {
+				k.entries[row.Key] = row
+			}
+		}
+		k.cursor = page.Next
+		if !page.More {
+			break
+		}
+	}
+	done := k.f.ports.Clock.Now()
+	var rows []medlarwheel.Row
+	for _, row := range k.entries {
+		lease, err := medlarlease.DecodeInstanceLease(row)
+		if err != nil {
+			k.f.ports.Log.Warn().Str("event", "lease-row").Str("key", row.Key).Err(err).Send()
+			continue
+		}
+		if lease.Instance.DataCentre == k.f.config.Instance.DataCentre {
+			rows = append(rows, row)
+		}
+	}
+	err, _ := ask(ctx, k.f, func(s *state) error { return s.watch.Observe(rows, sent, done) })
+	return err
+}
+
+// maintainMap reads the shard map and commits the next one when it is due.
+func (k *keeper) maintainMap(ctx context.Context) error {
+	sent := k.f.ports.Clock.Now()
+	dc := k.f.config.Instance.DataCentre
+	row, err := k.rowOrEmpty(ctx, medlarlease.ShardMapKey(dc))
+	if err != nil {
+		return err
+	}
+	current := medlarlease.NewShardMap(dc)
+	if row.Version > 0 {
+		if current, err = medlarlease.DecodeShardMap(row); err != nil {
+			return err
+		}
+		k.sawMap(ctx, current, sent)
+	}
+	live, _ := ask(ctx, k.f, func(s *state) []medlarlease.Member { return s.watch.Live() })
+	next, changed := k.f.config.Lease.PlanShards(current, live)
+	if !changed {
+		k.waited = 0
+		return nil
+	}
+	if live[0].Instance != k.f.config.Instance.ID && k.waited < patience {
+		k.waited++
+		return nil
+	}
+	k.waited = 0
+	write, err := next.Write(row.Version)
+	if err != nil {
+		return err
+	}
+	sent = k.f.ports.Clock.Now()
+	_, err = k.f.ports.Table.Transact(ctx, k.f.ports.Operations.Next(), []medlarwheel.Write{write})
+	var conflict *medlarwheel.ConflictError
+	if errors.As(err, &conflict) {
+		// Another instance was first. The next round reads its map.
+		return nil
+	}
+	if err != nil {
+		return medlarwheel.AtStep("commit shard map", "", err)
+	}
+	k.f.ports.Log.Info().Str("event", "shard-map").Uint64("epoch", uint64(next.Epoch)).Int("members", len(next.Members)).Send()
+	k.sawMap(ctx, next, sent)
+	return nil
+}
+
+func (k *keeper) sawMap(ctx context.Context, m medlarlease.ShardMap, sent time.Time) {
+	k.do(ctx, func(s *state) {
+		s.own.SawMap(m, sent)
+		s.refreshShards(k.f.ports.Clock.Now())
+	})
+}
+
+func (k *keeper) rowOrEmpty(ctx context.Context, key string) (medlarwheel.Row, error) {
+	row, err := k.f.ports.Table.Row(ctx, key)
+	if errors.Is(err, medlarwheel.ErrNotFound) {
+		return medlarwheel.Row{Key: key}, nil
+	}
+	return row, medlarwheel.AtStep("read "+key, "", err)
+}
+
+// do runs a function on the control loop and waits for its end.
+func (k *keeper) do(ctx context.Context, work event) bool {
+	_, ok := ask(ctx, k.f, func(s *state) struct{} { work(s); return struct{}{} })
+	return ok
+}
--- /dev/null
+++ b/medlarfleet/main_test.go
@@ -0,0 +1,231 @@
+package medlarfleet_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"medlarwheel"
+	"medlarwheel/medlaragentapi"
+	"medlarwheel/medlarcontract"
+	"medlarwheel/medlarfleet"
+	"medlarwheel/medlarplatform"
+	"medlarwheel/medlarplatform/medlarfake"
+	"medlarwheel/standin/medlaragent"
+	"medlarwheel/standin/medlarprocess"
+)
+
+func TestMain(m *testing.M) {
+	// The HTTP library keeps these goroutines for good, or for an idle period after its last connection.
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+const dataCentre = "dc-1"
+
+// world is a platform, workers and a configuration without entry instances.
+type world struct {
+	t         *testing.T
+	platform  *medlarfake.Fake
+	agents    []*medlaragent.Agent
+	templates map[string]medlarwheel.Template
+}
+
+func newWorld(t *testing.T, workers int, size medlarwheel.Resources) *world {
+	w := &world{t: t, platform: medlarfake.New(medlarwheel.SystemClock{}), templates: make(map[string]medlarwheel.Template)}
+	for i := range workers {
+		w.addAgent(medlarwheel.WorkerID(fmt.Sprintf("w%d", i)), size)
+	}
+	return w
+}
+
+func (w *world) addAgent(id medlarwheel.WorkerID, size medlarwheel.Resources) {
+	w.t.Helper()
+	config := medlaragent.DefaultConfig()
+	config.ID, config.DataCentre, config.Size = id, dataCentre, size
+	agent := medlaragent.New(config, w.platform, zerolog.Nop())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- medlarprocess.ServeOn(ctx, listener, agent.Handle) }()
+	w.t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			w.t.Error(err)
+		}
+	})
+	w.agents = append(w.agents, agent)
+	value, err := json.Marshal(medlaragentapi.Announcement{
+		ID: id, Rack: "rack-1", DataCentre: dataCentre, Address: listener.Addr().String(), Size: size, Incarnation: 1,
+		State: medlarwheel.StateLive,
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.write(medlarwheel.Write{Key: medlaragentapi.AnnouncementKey(id), Value: value})
+}
+
+func (w *world) write(write medlarwheel.Write) {
+	w.t.Helper()
+	_, err := w.platform.Transact(w.t.Context(), medlarwheel.OperationID("test:"+write.Key), []medlarwheel.Write{write})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// batch returns a template of background work.
+func batch(name string, size medlarwheel.Resources, runTime time.Duration) medlarwheel.Template {
+	return medlarwheel.Template{
+		Name: medlarwheel.TemplateName(name), Kind: medlarwheel.KindBatch, Class: medlarwheel.ClassBackground,
+		Task:     &medlarwheel.TaskSpec{Size: size, MayShare: true, RunTime: medlarwheel.Duration(runTime)},
+		Defaults: medlarwheel.Parameters{Weight: 1},
+	}
+}
+
+// instance is one entry instance's fleet under test.
+type instance struct {
+	*medlarfleet.Fleet
+	kill context.CancelFunc
+	done chan error
+}
+
+// start runs an instance. Adjust may change its ports.
+func (w *world) start(id medlarwheel.InstanceID, templates []medlarwheel.Template, adjust func(*medlarfleet.Ports)) *instance {
+	w.t.Helper()
+	book := medlarcontract.NewBook()
+	delta := medlarwheel.ConfigDelta{Head: medlarwheel.ConfigVersion(len(templates))}
+	for i := range templates {
+		delta.Items = append(delta.Items, medlarwheel.ConfigItem{
+			Key: medlarwheel.TemplateKey(templates[i].Name), Version: medlarwheel.ConfigVersion(i + 1), Author: "test", Template: &templates[i],
+		})
+	}
+	if _, err := book.Apply(delta); err != nil {
+		w.t.Fatal(err)
+	}
+	ports := medlarfleet.Ports{
+		Table: w.platform, Agents: medlarfleet.Dial, Configuration: book.Snapshot, Clock: medlarwheel.SystemClock{},
+		Operations: medlarplatform.NewOperations(id, 1), Log: zerolog.New(zerolog.NewTestWriter(w.t)).Level(zerolog.InfoLevel),
+	}
+	if adjust != nil {
+		adjust(&ports)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &instance{Fleet: medlarfleet.New(quick(id), ports), kill: cancel, done: make(chan error, 1)}
+	go func() { i.done <- i.Run(ctx) }()
+	w.t.Cleanup(func() {
+		cancel()
+		if err := <-i.done; err != nil {
+			w.t.Error(err)
+		}
+	})
+	return i
+}
+
+// quick has terms that let a test see leases run out.
+func quick(id medlarwheel.InstanceID) medlarfleet.Config {
+	c := medlarfleet.DefaultConfig(medlarwheel.EntryInstance{
+		ID: id, DataCentre: dataCentre, PeerAddress: "127.0.0.1:1", Incarnation: 1, State: medlarwheel.StateLive,
+	})
+	c.Lease.Term, c.Lease.Margin, c.Lease.RenewEvery = 1500*time.Millisecond, 200*time.Millisecond, 250*time.Millisecond
+	c.Lease.MaxReadGap, c.Lease.Horizon = time.Second, time.Minute
+	c.Lease.TaskTerm, c.Lease.TaskMargin, c.Lease.TaskRenewEvery = 5*time.Second, 200*time.Millisecond, 300*time.Millisecond
+	c.Tick, c.PollEvery, c.AnnouncementsEvery = 20*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond
+	c.ResendAfter, c.RetryTable, c.PlaceEvery = 300*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond
+	return c
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, within time.Duration, holds func() bool) {
+	t.Helper()
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	deadline := time.After(within)
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-deadline:
+			t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+// submit submits until the instance knows the workers.
+func (w *world) submit(i *instance, request medlarwheel.JobRequest) medlarwheel.Job {
+	w.t.Helper()
+	var job medlarwheel.Job
+	var err error
+	request.Account, request.DataCentre = "hut", dataCentre
+	eventually(w.t, "submission", 10*time.Second, func() bool {
+		job, err = i.Submit(w.t.Context(), &request)
+		return err == nil
+	})
+	return job
+}
+
+// job reads a job's row.
+func (w *world) job(id medlarwheel.JobID) medlarwheel.Job {
+	w.t.Helper()
+	var job medlarwheel.Job
+	row, err := w.platform.Store.Row("job/" + dataCentre + "." + string(id[:2]) + "/" + string(id))
+	if err == nil {
+		err = json.Unmarshal(row.Value, &job)
+	}
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return job
+}
+
+// events lists the starts and ends on all workers.
+func (w *world) events() []medlaragent.Event {
+	var events []medlaragent.Event
+	for _, a := range w.agents {
+		events = append(events, a.History().Events...)
+	}
+	return events
+}
+
+// checkHistory fails the test if a task ran twice at the same time or an attempt started twice.
+func (w *world) checkHistory() {
+	w.t.Helper()
+	type span struct{ from, to time.Time }
+	spans := make(map[medlarwheel.TaskID][]span)
+	started := make(map[medlaragentapi.TaskRef]medlarwheel.WorkerID)
+	for _, a := range w.agents {
+		open := make(map[medlaragentapi.TaskRef]time.Time)
+		for _, e := range a.History().Events {
+			if e.Kind == medlaragent.EventStart {
+				if other, twice := started[e.Task]; twice {
+					w.t.Errorf("attempt %v started on %s and on %s", e.Task, other, e.Worker)
+				}
+				started[e.Task], open[e.Task] = e.Worker, e.At
+				continue
+			}
+			spans[e.Task.ID] = append(spans[e.Task.ID], span{open[e.Task], e.At})
+			delete(open, e.Task)
+		}
+		for ref, from := range open {
+			spans[ref.ID] = append(spans[ref.ID], span{from, time.Now()})
+		}
+	}
+	for id, list := range spans {
+		for i, a := range list {
+			for _, b := range list[i+1:] {
+				if a.from.Before(b.to) && b.from.Before(a.to) {
+					w.t.Errorf("task %s ran twice at once: %v and %v", id, a, b)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/medlarfleet/orders.go
@@ -0,0 +1,190 @@
+package medlarfleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlarjob"
+	"medlarwheel/medlarlease"
+)
+
+// renewLeases sends the renewals that are due. They go on without the table, within the horizon of the lease.
+func (s *state) renewLeases(now time.Time) {
+	for _, renew := range s.leases.Renewals(s.own, now) {
+		s.command(renew.Worker, command{order: renew})
+	}
+}
+
+// sendOrders sends the commands that the committed rows call for, again after a while if nothing came of them.
+func (s *state) sendOrders(now time.Time) {
+	for _, entry := range s.jobs {
+		job := entry.record.Job()
+		if job.State.IsFinal() || !needsOrders(job) {
+			continue
+		}
+		owned, ok := s.mayAct(entry.shard, now)
+		if !ok {
+			continue
+		}
+		for _, order := range entry.record.Orders(s.leases, owned, now) {
+			s.sendOrder(entry, order, now)
+		}
+	}
+}
+
+func needsOrders(job *medlarwheel.Job) bool {
+	for i := range job.Tasks {
+		switch job.Tasks[i].State {
+		case medlarwheel.JobPlacing, medlarwheel.JobCheckpointing:
+			return true
+		case medlarwheel.JobRunning:
+			if job.Cancelling {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *state) sendOrder(entry *jobEntry, order medlarlease.Order, now time.Time) {
+	c := command{order: order}
+	var attempt medlarwheel.TaskAttempt
+	switch o := order.(type) {
+	case medlarlease.Start:
+		attempt = o.Order().Attempt
+		if job := entry.record.Job(); job.Kind == medlarwheel.KindBatch {
+			c.work = job.Spec.RunTime
+		}
+	case medlarlease.Checkpoint:
+		attempt = o.Attempt
+		if s.graceOver(entry, o, now) {
+			c.order = medlarlease.Stop{Worker: o.Worker, Attempt: o.Attempt, Token: o.Token}
+		}
+	case medlarlease.Stop:
+		attempt = o.Attempt
+	}
+	if sent, ok := entry.sentAt[attempt]; ok && now.Before(sent.Add(s.f.config.ResendAfter)) {
+		return
+	}
+	if entry.sentAt == nil {
+		entry.sentAt = make(map[medlarwheel.TaskAttempt]time.Time)
+	}
+	entry.sentAt[attempt] = now
+	c.shard = shardName(attempt.Task)
+	s.command(order.Target(), c)
+}
+
+// graceOver reports whether an attempt has had its time to write a checkpoint. The agent's protocol has no such bound.
+func (s *state) graceOver(entry *jobEntry, o medlarlease.Checkpoint, now time.Time) bool {
+	if entry.evictAt == nil {
+		entry.evictAt = make(map[medlarwheel.TaskAttempt]time.Time)
+	}
+	first, ok := entry.evictAt[o.Attempt]
+	if !ok {
+		entry.evictAt[o.Attempt] = now
+		// A running attempt that was started by this owner has a time of sending that must not delay the checkpoint.
+		delete(entry.sentAt, o.Attempt)
+		return false
+	}
+	return now.Sub(first) >= o.GracePeriod.Std()
+}
+
+// checkExpiries ends attempts whose leases have run out.
+func (s *state) checkExpiries(now time.Time) {
+	for id, entry := range s.jobs {
+		job := entry.record.Job()
+		if job.State.IsFinal() {
+			continue
+		}
+		owned, ok := s.mayAct(entry.shard, now)
+		if !ok {
+			continue
+		}
+		for i := range job.Tasks {
+			if !job.Tasks[i].State.IsActive() {
+				continue
+			}
+			attempt := medlarwheel.TaskAttempt{Task: job.TaskID(i), Attempt: job.Tasks[i].Attempt}
+			if proof, err := s.leases.Expired(attempt, owned); err == nil {
+				s.lose(id, attempt, job.Tasks[i].Run.Worker, proof)
+			}
+		}
+	}
+}
+
+// lose looks for the checkpoint of an attempt whose lease has run out and queues its end.
+func (s *state) lose(job medlarwheel.JobID, attempt medlarwheel.TaskAttempt, worker medlarwheel.WorkerID, proof medlarlease.Proof) {
+	key := fmt.Sprintf("lost/%s/%d", attempt.Task, attempt.Attempt)
+	if s.intents.keys[key] || s.lookups[key] {
+		return
+	}
+	s.lookups[key] = true
+	s.spawn(func(ctx context.Context) {
+		saved, err := hasCheckpoint(ctx, s.f.ports.Table, attempt)
+		if err != nil {
+			// The pause keeps an outage of the object store from causing a call at every step.
+			pause(ctx, s.f.config.RetryTable)
+		}
+		s.f.post(ctx, func(s *state) {
+			delete(s.lookups, key)
+			if err == nil {
+				s.intents.add(lostIntent(key, job, attempt, worker, proof, saved))
+			}
+		})
+	})
+}
+
+// wakeJobs queues the transitions that time alone calls for.
+func (s *state) wakeJobs(now time.Time) {
+	for id, entry := range s.jobs {
+		job := entry.record.Job()
+		if job.State == medlarwheel.JobSubmitted {
+			s.intents.add(intent{key: "enqueue/" + string(id), job: id, apply: func(
+				r *medlarjob.Record, _ *workerView, owned medlarlease.OwnedShard, now time.Time,
+			) (medlarjob.Decision, error) {
+				return r.Enqueue(owned.Token, now)
+			}})
+		}
+		if at, held := entry.record.NextWake(); held && !now.Before(at) {
+			s.intents.add(intent{key: "wake/" + string(id), job: id, apply: func(
+				r *medlarjob.Record, _ *workerView, owned medlarlease.OwnedShard, now time.Time,
+			) (medlarjob.Decision, error) {
+				return r.Wake(owned.Token, now)
+			}})
+		}
+	}
+}
+
+func reportIntent(job medlarwheel.JobID, report medlarwheel.TaskReport) intent {
+	key := fmt.Sprintf("report/%s/%d/%s/%s", report.Task, report.Attempt, report.Worker, report.Phase)
+	return intent{key: key, job: job, apply: func(
+		r *medlarjob.Record, workers *workerView, owned medlarlease.OwnedShard, now time.Time,
+	) (medlarjob.Decision, error) {
+		if !report.Phase.IsEnded() {
+			return r.Report(&report, nil, owned.Token, now)
+		}
+		return r.Report(&report, workers.get(report.Worker), owned.Token, now)
+	}}
+}
+
+func lostIntent(
+	key string, job medlarwheel.JobID, attempt medlarwheel.TaskAttempt, worker medlarwheel.WorkerID,
+	proof medlarlease.Proof, saved bool,
+) intent {
+	return intent{key: key, job: job, apply: func(
+		r *medlarjob.Record, workers *workerView, owned medlarlease.OwnedShard, now time.Time,
+	) (medlarjob.Decision, error) {
+		return r.Lost(attempt, proof, saved, workers.get(worker), owned.Token, now)
+	}}
+}
+
+func evictIntent(job medlarwheel.JobID, index int) intent {
+	key := fmt.Sprintf("evict/%s.%d", job, index)
+	return intent{key: key, job: job, apply: func(
+		r *medlarjob.Record, _ *workerView, owned medlarlease.OwnedShard, now time.Time,
+	) (medlarjob.Decision, error) {
+		return r.Evict([]int{index}, owned.Token, now)
+	}}
+}
--- /dev/null
+++ b/medlarfleet/place.go
@@ -0,0 +1,291 @@
+package medlarfleet
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/medlarjob"
+	"medlarwheel/medlarlease"
+	"medlarwheel/medlarplacement"
+	"medlarwheel/medlarquota"
+)
+
+// proposal is a choice of workers that waits for the workers' clocks and then for a transaction. The index counts it as
+// committed.
+type proposal struct {
+	job         *medlarwheel.Job
+	tasks       []int
+	assignments []medlarplacement.Assignment
+	request     medlarplacement.Request
+	since       time.Time
+}
+
+// first is the task that the proposal is counted under.
+func (p *proposal) first() medlarwheel.TaskID { return p.job.TaskID(p.tasks[0]) }
+
+// place chooses workers for waiting tasks in the order of the queue, and moves earlier choices on.
+func (s *state) place(now time.Time) {
+	s.advanceProposals(now)
+	if now.Before(s.placeDue) {
+		return
+	}
+	s.placeDue = now.Add(s.f.config.PlaceEvery)
+	queue, waiting := s.queue(now)
+	failed := make(map[placeShape]bool)
+	for range s.f.config.MaxPlacements {
+		item, ok := queue.Next()
+		if !ok {
+			return
+		}
+		w := waiting[item.ID]
+		if shape := w.shape(); failed[shape] || !s.placeOne(w, now) {
+			failed[shape] = true
+			queue.Refund(item.Use)
+		}
+	}
+	s.placeDue = now
+}
+
+// waiting is what waits for a worker: a task, or all tasks of a gang.
+type waiting struct {
+	entry *jobEntry
+	tasks []int
+}
+
+// placeShape tells apart items of which one can be placed although another can not.
+type placeShape struct {
+	template medlarwheel.TemplateName
+	size     medlarwheel.Resources
+	class    medlarwheel.Class
+	gang     int
+	job      medlarwheel.JobID
+}
+
+func (w *waiting) shape() placeShape {
+	job := w.entry.record.Job()
+	shape := placeShape{template: job.Template, size: job.Spec.Size, class: job.Class, gang: len(w.tasks)}
+	if job.Spec.Spread > 0 || len(job.Tasks[w.tasks[0]].FailedOn) > 0 {
+		shape.job = job.ID
+	}
+	return shape
+}
+
+// queue builds the queue of what waits, on top of what the teams of the held shards use.
+func (s *state) queue(now time.Time) (*medlarquota.Queue, map[medlarwheel.TaskID]*waiting) {
+	queue := medlarquota.NewQueue(s.capacity())
+	items := make(map[medlarwheel.TaskID]*waiting)
+	var pending []medlarquota.Item
+	for _, entry := range s.jobs {
+		job := entry.record.Job()
+		if job.State.IsFinal() {
+			continue
+		}
+		if _, ok := s.mayAct(entry.shard, now); !ok {
+			continue
+		}
+		s.setLimits(queue, job)
+		s.charge(queue, job)
+		for _, tasks := range s.waitingOf(entry) {
+			first := job.TaskID(tasks[0])
+			items[first] = &waiting{entry: entry, tasks: tasks}
+			pending = append(pending, medlarquota.Item{
+				ID: first, Use: useOf(job, job.Spec.Size.Times(len(tasks))), Class: job.Class, SubmittedAt: job.SubmittedAt,
+			})
+		}
+	}
+	slices.SortFunc(pending, func(a, b medlarquota.Item) int {
+		return cmp.Or(a.SubmittedAt.Compare(b.SubmittedAt), cmp.Compare(a.ID, b.ID))
+	})
+	for _, item := range pending {
+		queue.Add(item)
+	}
+	return queue, items
+}
+
+func (s *state) setLimits(queue *medlarquota.Queue, job *medlarwheel.Job) {
+	team := medlarquota.TeamName(job.Team)
+	queue.SetTeam(team, medlarquota.TeamLimit{Weight: 1})
+	account, _ := s.f.ports.Configuration().Account(job.Account)
+	limit := medlarquota.AccountLimit{Templates: make(map[medlarwheel.TemplateName]medlarwheel.Resources)}
+	if account != nil {
+		limit.Quota = account.Quota
+	}
+	for _, template := range s.f.ports.Configuration().Templates() {
+		limit.Templates[template.Name] = account.ParametersFor(template).Quota
+	}
+	queue.SetAccount(team, job.Account, limit)
+}
+
+// charge counts what the tasks of a job have.
+func (s *state) charge(queue *medlarquota.Queue, job *medlarwheel.Job) {
+	for i := range job.Tasks {
+		if run := job.Tasks[i].Run; run != nil {
+			queue.Charge(useOf(job, run.Resources))
+		} else if s.proposals[job.TaskID(i)] != nil {
+			queue.Charge(useOf(job, job.Spec.Size))
+		}
+	}
+}
+
+func useOf(job *medlarwheel.Job, amount medlarwheel.Resources) medlarquota.Use {
+	return medlarquota.Use{
+		Team: medlarquota.TeamName(job.Team), Account: job.Account, Template: job.Template, Resources: amount,
+	}
+}
+
+// waitingOf lists the tasks of a job without a proposal, one by one or as one gang.
+func (s *state) waitingOf(entry *jobEntry) [][]int {
+	job := entry.record.Job()
+	free := slices.DeleteFunc(entry.record.Waiting(), func(i int) bool { return s.proposals[job.TaskID(i)] != nil })
+	if len(free) == 0 {
+		return nil
+	}
+	if job.Spec.Gang {
+		return [][]int{free}
+	}
+	groups := make([][]int, len(free))
+	for i, index := range free {
+		groups[i] = []int{index}
+	}
+	return groups
+}
+
+func (s *state) capacity() medlarwheel.Resources {
+	var sum medlarwheel.Resources
+	for _, w := range s.workers {
+		sum = sum.Plus(w.record.Worker().Size)
+	}
+	return sum
+}
+
+// placeOne chooses workers, or makes room by evictions for urgent work.
+func (s *state) placeOne(w *waiting, now time.Time) bool {
+	job := w.entry.record.Job()
+	request := s.request(job, w.tasks, now)
+	decision, ok := s.index.Place(now, &request)
+	if !ok {
+		if job.Class == medlarwheel.ClassUrgent && len(w.tasks) == 1 {
+			s.preempt(job, w.tasks[0], &request, now)
+		}
+		return false
+	}
+	p := &proposal{job: job, tasks: w.tasks, assignments: decision.Assignments, request: request, since: now}
+	for i, a := range p.assignments {
+		id := job.TaskID(p.tasks[i])
+		if err := s.index.Commit(a.Worker, request.TaskState(id, a, now)); err != nil {
+			s.f.ports.Log.Error().Str("event", "index").Err(err).Send()
+		}
+		s.proposals[id] = p
+	}
+	s.advance(p, now)
+	return true
+}
+
+func (s *state) request(job *medlarwheel.Job, tasks []int, now time.Time) medlarplacement.Request {
+	r := medlarplacement.Request{
+		Template: job.Template, Kind: job.Kind, Class: job.Class, Group: medlarplacement.Group(job.Template),
+		Size: job.Spec.Size, Spread: job.Spec.Spread, MayShare: job.Spec.MayShare,
+		CanCheckpoint: job.Kind == medlarwheel.KindBatch, Waited: max(0, now.Sub(job.SubmittedAt)), Gang: len(tasks),
+	}
+	if job.Kind == medlarwheel.KindBatch {
+		r.Group = medlarplacement.Group(job.ID)
+	}
+	for _, f := range job.Tasks[tasks[0]].FailedOn {
+		r.Exclude = append(r.Exclude, f.Worker)
+	}
+	for id, w := range s.workers {
+		if now.Before(w.avoidUntil) {
+			r.Exclude = append(r.Exclude, id)
+		}
+	}
+	if job.Class != medlarwheel.ClassUrgent {
+		for _, p := range s.preempts {
+			r.Exclude = append(r.Exclude, p.worker)
+		}
+	}
+	return r
+}
+
+// advanceProposals moves choices on whose workers have answered, and gives up those whose workers have not.
+func (s *state) advanceProposals(now time.Time) {
+	for id, p := range s.proposals {
+		if p.first() == id {
+			s.advance(p, now)
+		}
+	}
+}
+
+func (s *state) advance(p *proposal, now time.Time) {
+	known := true
+	for _, a := range p.assignments {
+		if _, ok := s.leases.Incarnation(a.Worker, now); ok {
+			continue
+		}
+		known = false
+		if now.Sub(p.since) >= s.f.config.AskTimeout {
+			s.avoid(a.Worker, now)
+			s.dropProposal(p.first())
+			return
+		}
+		s.askClock(a.Worker)
+	}
+	if known {
+		s.intents.add(s.placeIntent(p))
+	}
+}
+
+func (s *state) placeIntent(p *proposal) intent {
+	key := fmt.Sprintf("place/%s", p.first())
+	return intent{key: key, job: p.job.ID, apply: func(
+		r *medlarjob.Record, workers *workerView, owned medlarlease.OwnedShard, now time.Time,
+	) (medlarjob.Decision, error) {
+		if s.proposals[p.first()] != p {
+			return medlarjob.Decision{}, errors.New("proposal is over")
+		}
+		var placements []medlarjob.Placement
+		for i, a := range p.assignments {
+			incarnation, _ := s.leases.Incarnation(a.Worker, now)
+			placements = append(placements, medlarjob.Placement{
+				Task: p.tasks[i], Worker: workers.get(a.Worker), Incarnation: incarnation, Resources: a.Committed,
+			})
+			if workers.get(a.Worker) == nil {
+				s.dropProposal(p.first())
+				return medlarjob.Decision{}, medlarwheel.ErrNotFound
+			}
+		}
+		decision, err := r.Place(placements, owned.Token, now)
+		if err != nil {
+			s.dropProposal(p.first())
+		}
+		return decision, err
+	}}
+}
+
+// dropProposal gives a choice up. The tasks wait again unless their rows say otherwise.
+func (s *state) dropProposal(id medlarwheel.TaskID) {
+	p := s.proposals[id]
+	if p == nil {
+		return
+	}
+	for _, index := range p.tasks {
+		delete(s.proposals, p.job.TaskID(index))
+	}
+	for _, a := range p.assignments {
+		if w := s.workers[a.Worker]; w != nil {
+			s.index.Upsert(s.workerState(w.record.Worker()))
+		}
+	}
+	s.placeDue = time.Time{}
+}
+
+// avoid keeps new tasks off a worker for a while.
+func (s *state) avoid(id medlarwheel.WorkerID, now time.Time) {
+	if w := s.workers[id]; w != nil {
+		w.avoidUntil = now.Add(s.f.config.AvoidFor)
+	}
+}
--- /dev/null
+++ b/medlarfleet/ports.go
@@ -0,0 +1,57 @@
+package medlarfleet
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"medlarwheel"
+	"medlarwheel/medlaragentapi"
+	"medlarwheel/medlarcontract"
+)
+
+// Table is the part of the platform that the fleet needs. *medlarplatform.Client is one.
+type Table interface {
+	Transact(ctx context.Context, op medlarwheel.OperationID, writes []medlarwheel.Write) (medlarwheel.Commit, error)
+	Row(ctx context.Context, key string) (medlarwheel.Row, error)
+	Changes(ctx context.Context, prefix string, after medlarwheel.RowVersion, limit int) (medlarwheel.ChangePage, error)
+	Object(ctx context.Context, name string) ([]byte, error)
+}
+
+// Agent is a connection to the agent of one worker. *medlaragentapi.Client is one.
+type Agent interface {
+	Start(ctx context.Context, r medlaragentapi.StartRequest) (medlaragentapi.TaskAnswer, error)
+	Checkpoint(ctx context.Context, r medlaragentapi.CheckpointRequest) (medlaragentapi.TaskAnswer, error)
+	Renew(ctx context.Context, r medlaragentapi.RenewRequest) (medlaragentapi.RenewAnswer, error)
+	Stop(ctx context.Context, r medlaragentapi.StopRequest) (medlaragentapi.TaskAnswer, error)
+	Throttle(ctx context.Context, r medlaragentapi.ThrottleRequest) (medlaragentapi.TaskAnswer, error)
+	Tasks(ctx context.Context) (medlaragentapi.TaskList, error)
+	Usage(ctx context.Context) (medlaragentapi.UsageReport, error)
+	Close()
+}
+
+// Agents returns a connection to the agent at an address.
+type Agents func(address string) Agent
+
+// Dial connects over HTTP.
+func Dial(address string) Agent {
+	return medlaragentapi.NewClient(medlaragentapi.DefaultConfig(address))
+}
+
+// Configuration returns the configuration in force.
+type Configuration func() *medlarcontract.Snapshot
+
+// Operations generates operation ids. *medlarplatform.Operations is one.
+type Operations interface {
+	Next() medlarwheel.OperationID
+}
+
+// Ports connects a Fleet to its surroundings.
+type Ports struct {
+	Table         Table
+	Agents        Agents
+	Configuration Configuration
+	Clock         medlarwheel.Clock
+	Operations    Operations
+	Log           zerolog.Logger
+}
--- /dev/null
+++ b/medlarfleet/preempt.go
@@ -0,0 +1,128 @@
+package medlarfleet
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/medlarlease"
+	"medlarwheel/medlarplacement"
+)
+
+// preemption is room that evictions make for an urgent task. Less urgent work keeps off the worker until it is over.
+type preemption struct {
+	worker medlarwheel.WorkerID
+	until  time.Time
+}
+
+// Eviction asks the owner of a task to evict it. It is the value of a row below the rows of the task's shard, because
+// only the owner of the shard may command the task's worker.
+type Eviction struct {
+	Task    medlarwheel.TaskID     `json:"task"`
+	Worker  medlarwheel.WorkerID   `json:"worker"`
+	For     medlarwheel.TaskID     `json:"for"`
+	AskedBy medlarwheel.InstanceID `json:"asked-by"`
+}
+
+// Check reports every fault of e.
+func (e *Eviction) Check() medlarwheel.Faults {
+	return append(medlarwheel.CheckName("task", string(e.Task)), medlarwheel.CheckName("worker", string(e.Worker))...)
+}
+
+// evictionMark starts the last part of the key of a request to evict. No job id begins with it.
+const evictionMark = "evict."
+
+// evictionKey returns the task that a key asks to evict.
+func evictionKey(key string) (medlarwheel.TaskID, bool) {
+	task, ok := strings.CutPrefix(key[strings.LastIndexByte(key, '/')+1:], evictionMark)
+	return medlarwheel.TaskID(task), ok
+}
+
+// preempt evicts batch tasks to make room for an urgent task, unless that has been done already.
+func (s *state) preempt(job *medlarwheel.Job, index int, request *medlarplacement.Request, now time.Time) {
+	id := job.TaskID(index)
+	if p := s.preempts[id]; p != nil && now.Before(p.until) {
+		return
+	}
+	delete(s.preempts, id)
+	single := *request
+	single.Gang = 0
+	plan, ok := s.index.Preempt(now, &single)
+	if !ok {
+		return
+	}
+	s.preempts[id] = &preemption{worker: plan.Worker, until: now.Add(s.f.config.PreemptFor)}
+	s.f.ports.Log.Info().Str("event", "preempt").Str("task", string(id)).Str("worker", string(plan.Worker)).
+		Int("victims", len(plan.Victims)).Send()
+	for _, victim := range plan.Victims {
+		s.evict(victim.Task, plan.Worker, id)
+	}
+}
+
+// evict makes a task checkpoint and leave, through the owner of its shard.
+func (s *state) evict(task medlarwheel.TaskID, worker medlarwheel.WorkerID, forTask medlarwheel.TaskID) {
+	id, index, ok := medlarwheel.JobOfTask(task)
+	if !ok {
+		return
+	}
+	if s.jobs[id] != nil {
+		s.intents.add(evictIntent(id, index))
+		return
+	}
+	shard, err := medlarlease.ShardOfJob(s.f.config.Instance.DataCentre, id)
+	if err != nil {
+		return
+	}
+	value, err := json.Marshal(&Eviction{Task: task, Worker: worker, For: forTask, AskedBy: s.f.config.Instance.ID})
+	if err != nil {
+		return
+	}
+	write := medlarwheel.Write{Key: medlarlease.JobPrefix(shard) + evictionMark + string(task), Value: value}
+	s.spawn(func(ctx context.Context) {
+		_, err := s.f.ports.Table.Transact(ctx, s.f.ports.Operations.Next(), []medlarwheel.Write{write})
+		var conflict *medlarwheel.ConflictError
+		if err != nil && !errors.As(err, &conflict) {
+			s.f.ports.Log.Warn().Str("event", "ask-eviction").Err(err).Send()
+		}
+	})
+}
+
+// applyEviction keeps other work off the worker for a while, and evicts the task if this instance owns it.
+func (s *state) applyEviction(task medlarwheel.TaskID, row medlarwheel.Row) error {
+	if row.Deleted || row.Version == 0 {
+		return nil
+	}
+	e, err := medlarwheel.Decode[Eviction](row.Value)
+	if err != nil {
+		return err
+	}
+	now := s.f.ports.Clock.Now()
+	if s.preempts[e.For] == nil {
+		s.preempts[e.For] = &preemption{worker: e.Worker, until: now.Add(s.f.config.PreemptFor)}
+	}
+	id, index, ok := medlarwheel.JobOfTask(task)
+	entry := s.jobs[id]
+	if !ok || entry == nil {
+		return nil
+	}
+	if index < len(entry.record.Job().Tasks) {
+		if run := entry.record.Job().Tasks[index].Run; run != nil && run.Worker == e.Worker {
+			s.intents.add(evictIntent(id, index))
+		}
+	}
+	s.removals = append(s.removals, medlarwheel.Write{Key: row.Key, Expect: row.Version, Delete: true})
+	return nil
+}
+
+// expirePreemptions opens workers again for which the urgent task did not come.
+func (s *state) expirePreemptions(now time.Time) {
+	for id, p := range s.preempts {
+		if !now.Before(p.until) {
+			delete(s.preempts, id)
+		}
+	}
+}
--- /dev/null
+++ b/medlarfleet/shards.go
@@ -0,0 +1,63 @@
+package medlarfleet
+
+import (
+	"time"
+
+	"medlarwheel/medlarlease"
+)
+
+// refreshShards compares the held shards with the shard map. A shard is held for as long as the leases of its tasks may
+// be renewed, which is longer than it may be acted on: during an outage of the table its jobs are kept.
+func (s *state) refreshShards(now time.Time) {
+	for index := range medlarlease.ShardIndex(medlarlease.Shards) {
+		shard := medlarlease.ShardID{
+			DataCentre: s.f.config.Instance.DataCentre, Kind: medlarlease.ShardOfJobs, Index: index,
+		}
+		owned, ok := s.own.MayRenew(shard, now)
+		held := s.shards[shard]
+		if held != nil && (!ok || held.token != owned.Token) {
+			s.dropShard(shard)
+			held = nil
+		}
+		if held == nil && ok {
+			s.shards[shard] = &heldShard{token: owned.Token, acquiredAt: now}
+		}
+		if held != nil && held.loaded && !held.settled && s.watch.Settled(held.token, held.acquiredAt) {
+			held.settled = true
+			s.leases.Settle(owned, now)
+		}
+	}
+}
+
+// dropShard forgets a shard that another instance owns now.
+func (s *state) dropShard(shard medlarlease.ShardID) {
+	delete(s.shards, shard)
+	s.leases.DropShard(shard)
+	for id, job := range s.jobs {
+		if job.shard == shard {
+			s.forgetJob(id)
+		}
+	}
+}
+
+// unloaded lists the shards whose jobs are to be read.
+func (s *state) unloaded() []medlarlease.OwnedShard {
+	now := s.f.ports.Clock.Now()
+	var list []medlarlease.OwnedShard
+	for shard, held := range s.shards {
+		if owned, ok := s.own.MayAct(shard, now); ok && !held.loaded && owned.Token == held.token {
+			list = append(list, owned)
+		}
+	}
+	return list
+}
+
+// loaded notes that all jobs of the shards have been read since they were acquired.
+func (s *state) loaded(shards []medlarlease.OwnedShard) {
+	for _, owned := range shards {
+		if held := s.shards[owned.Shard]; held != nil && held.token == owned.Token {
+			held.loaded = true
+		}
+	}
+	s.placeDue = time.Time{}
+}
--- /dev/null
+++ b/medlarfleet/submit.go
@@ -0,0 +1,138 @@
+package medlarfleet
+
+import (
+	"context"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/medlarjob"
+	"medlarwheel/medlarlease"
+	"medlarwheel/medlarplatform"
+	"medlarwheel/medlarquota"
+)
+
+// ErrOtherRequest means that the account has submitted another request under the same name.
+var ErrOtherRequest = errors.New("the account has a job of this name with another request")
+
+// Submit checks a request and writes its job. A job that is returned without an error is in the table. Submitting the
+// same request again returns the job of the first time.
+func (f *Fleet) Submit(ctx context.Context, request *medlarwheel.JobRequest) (medlarwheel.Job, error) {
+	if request.DataCentre != f.config.Instance.DataCentre {
+		return medlarwheel.Job{}, f.foreign(request.DataCentre)
+	}
+	around, err := f.surroundings(ctx, request)
+	if err != nil {
+		return medlarwheel.Job{}, err
+	}
+	record, write, err := f.config.Job.Submit(request, around, f.ports.Clock.Now())
+	if err != nil {
+		return medlarwheel.Job{}, err
+	}
+	commit, err := f.ports.Table.Transact(ctx, f.ports.Operations.Next(), []medlarwheel.Write{write})
+	var conflict *medlarwheel.ConflictError
+	if errors.As(err, &conflict) {
+		return f.earlier(ctx, record.Key(), request)
+	}
+	if err != nil {
+		return medlarwheel.Job{}, err
+	}
+	f.post(ctx, func(s *state) {
+		s.applyRow(medlarwheel.Row{Key: write.Key, Version: commit.Version, Value: write.Value})
+	})
+	return *record.Job(), nil
+}
+
+// foreign refuses work for another data centre, whose workers and shards this instance does not know.
+func (f *Fleet) foreign(dc medlarwheel.DataCentreID) error {
+	return medlarwheel.Faults{}.Add("data-centre", string(dc), "the data centre of the asked instance, "+string(f.config.Instance.DataCentre)).Err()
+}
+
+// earlier returns the job that was submitted under the same name before.
+func (f *Fleet) earlier(ctx context.Context, key string, request *medlarwheel.JobRequest) (medlarwheel.Job, error) {
+	row, err := f.ports.Table.Row(ctx, key)
+	if err != nil {
+		return medlarwheel.Job{}, err
+	}
+	record, err := medlarjob.Decode(row, f.config.Job)
+	if err != nil {
+		return medlarwheel.Job{}, err
+	}
+	if !record.Answers(request) {
+		return medlarwheel.Job{}, medlarwheel.AtStep("submit "+request.Name, "", ErrOtherRequest)
+	}
+	return *record.Job(), nil
+}
+
+// surroundings gathers what a request is checked against.
+func (f *Fleet) surroundings(ctx context.Context, request *medlarwheel.JobRequest) (*medlarjob.Surroundings, error) {
+	around, ok := ask(ctx, f, (*state).shapes)
+	if !ok {
+		return nil, medlarwheel.AtStep("submit", "", medlarwheel.ErrUnavailable)
+	}
+	book := f.ports.Configuration()
+	around.Template, _ = book.Template(request.Template)
+	around.Account, _ = book.Account(request.Account)
+	team := string(medlarquota.TeamOf(request.Account, around.Account))
+	shard := medlarlease.ShardID{
+		DataCentre: request.DataCentre, Kind: medlarlease.ShardOfJobs, Index: medlarlease.ShardOf(team),
+	}
+	records, err := f.readJobs(ctx, medlarlease.JobPrefix(shard))
+	for i := range records {
+		if job := records[i].Job(); job.Account == request.Account && !job.State.IsFinal() && job.Name != request.Name {
+			around.OpenJobs++
+		}
+	}
+	return &around, err
+}
+
+// shapes counts the workers of each size.
+func (s *state) shapes() medlarjob.Surroundings {
+	var around medlarjob.Surroundings
+	at := make(map[medlarwheel.Resources]int)
+	racks := make(map[medlarwheel.RackID]bool)
+	for _, entry := range s.workers {
+		w := entry.record.Worker()
+		racks[w.Rack] = true
+		i, known := at[w.Size]
+		if !known {
+			i = len(around.Shapes)
+			at[w.Size] = i
+			around.Shapes = append(around.Shapes, medlarjob.Shape{Size: w.Size})
+		}
+		if w.Draining || w.Probation != nil {
+			around.Shapes[i].Away++
+		} else {
+			around.Shapes[i].Live++
+		}
+	}
+	around.Racks = len(racks)
+	return around
+}
+
+// readJobs reads all jobs below a prefix from the table.
+func (f *Fleet) readJobs(ctx context.Context, prefix string) ([]medlarjob.Record, error) {
+	var records []medlarjob.Record
+	var cursor medlarwheel.RowVersion
+	for {
+		page, err := f.ports.Table.Changes(ctx, prefix, cursor, medlarplatform.MaxPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range page.Rows {
+			if _, evicts := evictionKey(row.Key); row.Deleted || evicts || !strings.HasPrefix(row.Key, prefix) {
+				continue
+			}
+			record, err := medlarjob.Decode(row, f.config.Job)
+			if err != nil {
+				return nil, err
+			}
+			records = append(records, record)
+		}
+		cursor = page.Next
+		if !page.More {
+			return records, nil
+		}
+	}
+}
