Test the scheduler shell under faults, and read usage reports

Cause: takeover, eviction, an outage of the table and a paused owner had no test, and measurements did not reach the placement index.

Change: an instance that leaves removes its lease row, because the next owners could not tell before the horizon that it has stopped granting. Usage reports of owned workers feed the index, the interference estimates and the governor, whose steps are carried out.

--- /dev/null
+++ b/medlarfleet/fault_test.go
@@ -0,0 +1,229 @@
+package medlarfleet_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlaragentapi"
+	"medlarwheel/medlarfleet"
+	"medlarwheel/standin/medlaragent"
+)
+
+// Guards against tasks that are lost or run twice when the owner of a job dies without a word.
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	w := newWorld(t, 3, large)
+	templates := []medlarwheel.Template{batch("round", small, 4*time.Second)}
+	instances := map[medlarwheel.InstanceID]*instance{
+		"entry-1": w.start("entry-1", templates, nil), "entry-2": w.start("entry-2", templates, nil),
+	}
+	job := w.submit(instances["entry-1"], medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 8})
+	eventually(t, "all tasks running", 20*time.Second, func() bool { return w.running(job.ID) == 8 })
+	owner, _ := w.owner(job.ID, instances)
+	owner.kill()
+	eventually(t, "job done", 30*time.Second, func() bool { return w.job(job.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+	if starts := len(w.events()) / 2; starts != 8 {
+		t.Errorf("%d starts of 8 tasks", starts)
+	}
+	if now, _ := w.owner(job.ID, instances); now == owner {
+		t.Error("the killed instance still owns the job")
+	}
+}
+
+// Guards against shards that stay with an instance that has left, until its lease runs out.
+func TestLeavingMovesShardsAtOnce(t *testing.T) {
+	w := newWorld(t, 1, large)
+	templates := []medlarwheel.Template{batch("round", small, 300*time.Millisecond)}
+	instances := map[medlarwheel.InstanceID]*instance{
+		"entry-1": w.start("entry-1", templates, nil), "entry-2": w.start("entry-2", templates, nil),
+	}
+	job := w.submit(instances["entry-1"], medlarwheel.JobRequest{Name: "a", Template: "round", Tasks: 1})
+	eventually(t, "job done", 20*time.Second, func() bool { return w.job(job.ID).State == medlarwheel.JobDone })
+	owner, other := w.owner(job.ID, instances)
+	left := time.Now()
+	if err := owner.Leave(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	owner.kill()
+	eventually(t, "shard moved", 20*time.Second, func() bool { now, _ := w.owner(job.ID, instances); return now == other })
+	if took := time.Since(left); took >= quick("x").Lease.Term {
+		t.Errorf("the shards moved after %v, not before the lease ran out", took)
+	}
+}
+
+// Guards against urgent work that waits behind batch work, and against evicted work that is lost, done twice or begun
+// anew.
+func TestUrgentWorkEvictsBatch(t *testing.T) {
+	w := newWorld(t, 2, large)
+	service := batch("hold", medlarwheel.Resources{CPU: 2000, Memory: 2000}, 0)
+	service.Kind, service.Class, service.Task.Replicas = medlarwheel.KindService, medlarwheel.ClassUrgent, 1
+	second := medlarwheel.Duration(time.Second)
+	service.Service = &medlarwheel.ServiceSpec{Upstream: "back", Slots: 1, Connections: 1, MaxDeadline: second, DefaultDeadline: second}
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 3*time.Second), service}, nil)
+	night := w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 8})
+	eventually(t, "the fleet is full", 20*time.Second, func() bool { return w.running(night.ID) == 8 })
+	asked := time.Now()
+	urgent := w.submit(i, medlarwheel.JobRequest{Name: "hold", Template: "hold"})
+	eventually(t, "urgent task running", 20*time.Second, func() bool { return w.running(urgent.ID) == 1 })
+	if took := time.Since(asked); took > 4700*time.Millisecond {
+		t.Errorf("urgent work started after %v", took)
+	}
+	eventually(t, "batch job done", 30*time.Second, func() bool { return w.job(night.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+	evicted := 0
+	for index, task := range w.job(night.ID).Tasks {
+		if len(task.History) == 2 && task.History[1].ResumeFrom == task.History[0].Number {
+			evicted++
+		} else if len(task.History) != 1 {
+			t.Errorf("task %d has history %+v", index, task.History)
+		}
+	}
+	if evicted != 2 {
+		t.Errorf("%d tasks were evicted, want 2", evicted)
+	}
+	for _, e := range w.events() {
+		if e.Kind == medlaragent.EventStart && e.Task.Attempt == 2 && e.Progress == 0 {
+			t.Errorf("%v began anew", e.Task)
+		}
+	}
+}
+
+// Guards against running tasks that end because the table is out, and against starts without it.
+func TestTableOutage(t *testing.T) {
+	w := newWorld(t, 2, large)
+	templates := []medlarwheel.Template{
+		batch("long", large, 9*time.Second), batch("short", large, 1500*time.Millisecond), batch("next", large, 300*time.Millisecond),
+	}
+	i := w.start("entry-1", templates, nil)
+	long := w.submit(i, medlarwheel.JobRequest{Name: "long", Template: "long", Tasks: 1})
+	short := w.submit(i, medlarwheel.JobRequest{Name: "short", Template: "short", Tasks: 1})
+	eventually(t, "both run", 20*time.Second, func() bool { return w.running(long.ID)+w.running(short.ID) == 2 })
+	next := w.submit(i, medlarwheel.JobRequest{Name: "next", Template: "next", Tasks: 1})
+	w.platform.SetDown(true)
+	from := time.Now()
+	request := medlarwheel.JobRequest{Name: "x", Account: "hut", Template: "next", Tasks: 1, DataCentre: dataCentre}
+	if _, err := i.Submit(t.Context(), &request); err == nil {
+		t.Error("a submission was accepted without the table")
+	}
+	// The leases must be renewed past the term that they had when the outage began.
+	eventually(t, "leases renewed", 20*time.Second, func() bool { return time.Since(from) > 2*quick("x").Lease.TaskTerm })
+	for _, e := range w.events() {
+		if e.Kind == medlaragent.EventStart && e.Task.ID == next.TaskID(0) || e.State == medlaragentapi.StateExpired {
+			t.Errorf("during the outage: %+v", e)
+		}
+	}
+	w.platform.SetDown(false)
+	for _, id := range []medlarwheel.JobID{long.ID, short.ID, next.ID} {
+		eventually(t, "job done", 20*time.Second, func() bool { return w.job(id).State == medlarwheel.JobDone })
+	}
+	w.checkHistory()
+	if events := w.events(); len(events) != 6 {
+		t.Errorf("%d events of 3 tasks: %+v", len(events), events)
+	}
+}
+
+// gate holds calls while it is closed, like a process that is stopped before its calls leave.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{}
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open == nil {
+		g.open = make(chan struct{})
+	}
+}
+
+func (g *gate) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.open)
+	g.open = nil
+}
+
+func (g *gate) isClosed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open != nil
+}
+
+func (g *gate) pass(ctx context.Context) {
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	if open != nil {
+		select {
+		case <-open:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// gatedTable and gatedAgent hold the calls that change something.
+type gatedTable struct {
+	medlarfleet.Table
+	gate *gate
+}
+
+func (g gatedTable) Transact(ctx context.Context, op medlarwheel.OperationID, writes []medlarwheel.Write) (medlarwheel.Commit, error) {
+	g.gate.pass(ctx)
+	return g.Table.Transact(ctx, op, writes)
+}
+
+type gatedAgent struct {
+	medlarfleet.Agent
+	gate *gate
+	// onStart closes the gate at the first start of a second task.
+	onStart func()
+}
+
+func (g gatedAgent) Start(ctx context.Context, r medlaragentapi.StartRequest) (medlaragentapi.TaskAnswer, error) {
+	g.onStart()
+	g.gate.pass(ctx)
+	return g.Agent.Start(context.WithoutCancel(ctx), r)
+}
+
+// Guards against an owner that is paused in the middle of starting tasks and goes on after another has taken over: its
+// commands and writes must have no effect.
+func TestFrozenOwnerActsOnNothingStale(t *testing.T) {
+	w := newWorld(t, 3, large)
+	templates := []medlarwheel.Template{batch("round", small, 300*time.Millisecond)}
+	instances := make(map[medlarwheel.InstanceID]*instance)
+	var freeze sync.Once
+	frozen := make(map[medlarwheel.InstanceID]*gate)
+	for _, id := range []medlarwheel.InstanceID{"entry-1", "entry-2"} {
+		g := &gate{}
+		frozen[id] = g
+		instances[id] = w.start(id, templates, func(p *medlarfleet.Ports) {
+			p.Table = gatedTable{p.Table, g}
+			p.Agents = func(address string) medlarfleet.Agent {
+				return gatedAgent{medlarfleet.Dial(address), g, func() { freeze.Do(g.close) }}
+			}
+		})
+	}
+	job := w.submit(instances["entry-1"], medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 8})
+	eventually(t, "job done by the other owner", 30*time.Second, func() bool { return w.job(job.ID).State == medlarwheel.JobDone })
+	before, events := w.job(job.ID), len(w.events())
+	var thawed *instance
+	for id, g := range frozen {
+		if g.isClosed() {
+			thawed = instances[id]
+			g.release()
+		}
+	}
+	if thawed == nil {
+		t.Fatal("no owner was frozen")
+	}
+	// The thawed instance has gone on when it can submit again, which takes its control loop and the table.
+	later := w.submit(thawed, medlarwheel.JobRequest{Name: "later", Template: "round", Tasks: 1})
+	eventually(t, "later job done", 20*time.Second, func() bool { return w.job(later.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+	if after := w.job(job.ID); after.Token != before.Token || len(w.events()) != events+2 {
+		t.Errorf("the thawed owner acted: token %d then %d, %d events then %d", before.Token, after.Token, events, len(w.events()))
+	}
+}
--- a/medlarfleet/keeper.go
+++ b/medlarfleet/keeper.go
@@ -28,6 +28,8 @@
 	// waited counts the rounds in which a change of the map was left to another instance.
 	waited  int
 	adopted bool
+	// left is set once the instance has announced that it leaves.
+	left bool
 }
 
 func newKeeper(f *Fleet) *keeper { return &keeper{f: f, entries: make(map[string]medlarwheel.Row)} }
@@ -44,6 +46,9 @@
 		if err != nil && ctx.Err() == nil {
 			k.f.ports.Log.Warn().Str("event", "ownership").Err(err).Send()
 		}
+		if k.left {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -54,7 +59,7 @@
 }
 
 func (k *keeper) round(ctx context.Context) error {
-	if err := k.renew(ctx); err != nil {
+	if err := k.renew(ctx); err != nil || k.left {
 		return err
 	}
 	if err := k.observe(ctx); err != nil {
@@ -102,9 +107,20 @@
 			s.hasLeft()
 		}
 	})
+	if r.leaving != nil {
+		k.left = true
+		return k.remove(ctx, medlarwheel.Write{Key: r.write.Key, Expect: commit.Version, Delete: true})
+	}
 	return nil
 }
 
+// remove deletes the lease row of an instance that has stopped acting. While the row is there, the next owners can't
+// tell before the horizon that this instance renews no more task leases.
+func (k *keeper) remove(ctx context.Context, write medlarwheel.Write) error {
+	_, err := k.f.ports.Table.Transact(ctx, k.f.ports.Operations.Next(), []medlarwheel.Write{write})
+	return medlarwheel.AtStep("remove lease", "", err)
+}
+
 func (k *keeper) readBack(ctx context.Context, key string, sent time.Time) error {
 	row, err := k.rowOrEmpty(ctx, key)
 	if err != nil {
--- a/medlarfleet/main_test.go
+++ b/medlarfleet/main_test.go
@@ -15,6 +15,7 @@
 	"medlarwheel/medlaragentapi"
 	"medlarwheel/medlarcontract"
 	"medlarwheel/medlarfleet"
+	"medlarwheel/medlarlease"
 	"medlarwheel/medlarplatform"
 	"medlarwheel/medlarplatform/medlarfake"
 	"medlarwheel/standin/medlaragent"
@@ -139,7 +140,7 @@
 	})
 	c.Lease.Term, c.Lease.Margin, c.Lease.RenewEvery = 1500*time.Millisecond, 200*time.Millisecond, 250*time.Millisecond
 	c.Lease.MaxReadGap, c.Lease.Horizon = time.Second, time.Minute
-	c.Lease.TaskTerm, c.Lease.TaskMargin, c.Lease.TaskRenewEvery = 5*time.Second, 200*time.Millisecond, 300*time.Millisecond
+	c.Lease.TaskTerm, c.Lease.TaskMargin, c.Lease.TaskRenewEvery = 3*time.Second, 200*time.Millisecond, 300*time.Millisecond
 	c.Tick, c.PollEvery, c.AnnouncementsEvery = 20*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond
 	c.ResendAfter, c.RetryTable, c.PlaceEvery = 300*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond
 	return c
@@ -229,3 +230,38 @@
 		}
 	}
 }
+
+// owner returns the instance that owns the jobs of the tests.
+func (w *world) owner(job medlarwheel.JobID, instances map[medlarwheel.InstanceID]*instance) (owner, other *instance) {
+	w.t.Helper()
+	row, err := w.platform.Store.Row(medlarlease.ShardMapKey(dataCentre))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	shards, err := medlarlease.DecodeShardMap(row)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	shard, err := medlarlease.ShardOfJob(dataCentre, job)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	id := shards.Assignment(shard.Kind, shard.Index).Owner
+	for other, i := range instances {
+		if other != id {
+			return instances[id], i
+		}
+	}
+	return instances[id], nil
+}
+
+// running counts the tasks of a job that run by its row.
+func (w *world) running(id medlarwheel.JobID) int {
+	count := 0
+	for _, task := range w.job(id).Tasks {
+		if task.State == medlarwheel.JobRunning {
+			count++
+		}
+	}
+	return count
+}
--- a/medlarfleet/rows.go
+++ b/medlarfleet/rows.go
@@ -1,7 +1,9 @@
 package medlarfleet
 
 import (
+	"maps"
 	"strings"
+	"time"
 
 	"medlarwheel"
 	"medlarwheel/medlaragentapi"
@@ -86,17 +88,16 @@
 			s.dropProposal(id)
 			delete(s.preempts, id)
 		}
+		if !job.Tasks[i].State.IsActive() {
+			delete(s.usage.throttled, medlarwheel.TaskAttempt{Task: id, Attempt: job.Tasks[i].Attempt - 1})
+		}
 	}
 }
 
 // forgetEnded drops what is remembered of attempts that have ended.
 func (e *jobEntry) forgetEnded() {
-	for attempt := range e.sentAt {
-		if !e.isActive(attempt) {
-			delete(e.sentAt, attempt)
-			delete(e.evictAt, attempt)
-		}
-	}
+	maps.DeleteFunc(e.sentAt, func(a medlarwheel.TaskAttempt, _ time.Time) bool { return !e.isActive(a) })
+	maps.DeleteFunc(e.evictAt, func(a medlarwheel.TaskAttempt, _ time.Time) bool { return !e.isActive(a) })
 }
 
 func (e *jobEntry) isActive(attempt medlarwheel.TaskAttempt) bool {
--- a/medlarfleet/usage.go
+++ b/medlarfleet/usage.go
@@ -5,6 +5,7 @@
 
 	"medlarwheel"
 	"medlarwheel/medlaragentapi"
+	"medlarwheel/medlarlease"
 	"medlarwheel/medlarplacement"
 	"medlarwheel/medlarworker"
 )
@@ -13,20 +14,201 @@
 type usageState struct {
 	filter   *medlarworker.Usage
 	governor *medlarplacement.Governor
+	// due holds when a worker's report is to be read next.
+	due map[medlarwheel.WorkerID]time.Time
+	// throttled holds the attempts that this instance has slowed down.
+	throttled map[medlarwheel.TaskAttempt]bool
 }
 
 func newUsageState(c *Config, estimator medlarplacement.Estimator) *usageState {
 	return &usageState{
 		filter:   medlarworker.NewUsage(c.Worker),
 		governor: medlarplacement.NewGovernor(c.Governor, estimator),
+		due:      make(map[medlarwheel.WorkerID]time.Time), throttled: make(map[medlarwheel.TaskAttempt]bool),
 	}
 }
 
 func (u *usageState) forget(worker medlarwheel.WorkerID) {
 	u.filter.Forget(worker)
 	u.governor.Forget(worker)
+	delete(u.due, worker)
 }
 
-func (s *state) pollUsage(time.Time) {}
+// pollUsage reads the usage reports of owned workers that are due. An idle worker has nothing to report.
+func (s *state) pollUsage(now time.Time) {
+	if s.f.config.UsageEvery == 0 {
+		return
+	}
+	for id, entry := range s.workers {
+		worker := entry.record.Worker()
+		if now.Before(s.usage.due[id]) || len(worker.Commitments) == 0 {
+			continue
+		}
+		if _, ok := s.mayAct(medlarlease.ShardOfWorker(worker.DataCentre, id), now); ok {
+			s.usage.due[id] = now.Add(s.f.config.UsageEvery)
+			s.command(id, command{})
+		}
+	}
+}
+
+// observeUsage takes over a usage report unless it is late, repeated or absurd, and acts on tasks that suffer.
+func (s *state) observeUsage(id medlarwheel.WorkerID, raw *medlaragentapi.UsageReport, now time.Time) {
+	entry := s.workers[id]
+	if entry == nil || raw.Sequence == 0 {
+		return
+	}
+	report, err := s.usage.filter.Accept(s.usageReport(id, raw), entry.record.Worker(), now)
+	if err != nil {
+		s.f.ports.Log.Debug().Str("event", "usage").Str("worker", string(id)).Err(err).Send()
+		return
+	}
+	at := now.Add(raw.Measured.Std() - raw.Stamp.Now.Std())
+	usage := medlarplacement.Usage{
+		Worker: id, Incarnation: report.Incarnation, Sequence: report.Sequence, At: at, Used: report.Used,
+	}
+	accepted := make(map[medlarwheel.TaskAttempt]medlarwheel.Resources, len(report.Tasks))
+	for i := range report.Tasks {
+		t := &report.Tasks[i]
+		accepted[medlarwheel.TaskAttempt{Task: t.Task, Attempt: t.Attempt}] = t.Used
+	}
+	var measured []medlaragentapi.TaskUsage
+	for _, t := range raw.Tasks {
+		attempt := attemptOf(t.Task)
+		if used, ok := accepted[attempt]; ok {
+			measured = append(measured, t)
+			usage.Tasks = append(usage.Tasks, medlarplacement.TaskUsage{
+				Task: attempt.Task, Used: used, Slowdown: s.slowdown(&t), Throttled: s.usage.throttled[attempt],
+			})
+		}
+	}
+	if s.index.Observe(usage) {
+		s.learn(&usage, measured, entry.record.Worker().Size, now)
+		s.govern(id, now)
+	}
+}
+
+// usageReport is an agent's report in the form that the filter takes. The agent reports no run times.
+func (s *state) usageReport(id medlarwheel.WorkerID, raw *medlaragentapi.UsageReport) medlarwheel.UsageReport {
+	report := medlarwheel.UsageReport{
+		Worker: id, Incarnation: raw.Stamp.Incarnation, Sequence: raw.Sequence, Uptime: raw.Measured,
+	}
+	for _, t := range raw.Tasks {
+		report.Used = report.Used.Plus(t.Used)
+		report.Tasks = append(report.Tasks, medlarwheel.TaskUsage{
+			Task: t.Task.ID, Attempt: medlarwheel.AttemptNumber(t.Task.Attempt), Used: t.Used,
+		})
+	}
+	return report
+}
+
+// slowdown is the factor by which a task is slower than alone. A throttle hides it.
+func (s *state) slowdown(t *medlaragentapi.TaskUsage) float64 {
+	if t.Speed <= 0 || s.usage.throttled[attemptOf(t.Task)] {
+		return 0
+	}
+	return float64(medlaragentapi.FullSpeed) / float64(t.Speed)
+}
+
+// maxVictims bounds the observations of one report, so that each has a sequence number of its own.
+const maxVictims = 256
+
+// learn corrects the estimates of interference by every task that shared the worker with others.
+func (s *state) learn(u *medlarplacement.Usage, tasks []medlaragentapi.TaskUsage, size medlarwheel.Resources, now time.Time) {
+	load := float64(u.Used.CPU) / float64(max(1, size.CPU))
+	for i := range tasks[:min(len(tasks), maxVictims)] {
+		slowdown := s.slowdown(&tasks[i])
+		if slowdown == 0 || len(tasks) < 2 {
+			continue
+		}
+		s.interference.Learn(now, medlarplacement.Observation{
+			Worker: u.Worker, Incarnation: u.Incarnation, Sequence: u.Sequence*maxVictims + uint64(i), At: u.At,
+			Victim: tasks[i].Template, Aggressors: beside(tasks, i), Load: load, Slowdown: slowdown,
+		})
+	}
+}
+
+// beside counts the tasks next to one of them by template.
+func beside(tasks []medlaragentapi.TaskUsage, victim int) []medlarplacement.Presence {
+	var list []medlarplacement.Presence
+	at := make(map[medlarwheel.TemplateName]int)
+	for i := range tasks {
+		if i == victim {
+			continue
+		}
+		index, known := at[tasks[i].Template]
+		if !known {
+			index = len(list)
+			at[tasks[i].Template] = index
+			list = append(list, medlarplacement.Presence{Template: tasks[i].Template})
+		}
+		list[index].Count++
+	}
+	return list
+}
 
-func (s *state) observeUsage(medlarwheel.WorkerID, *medlaragentapi.UsageReport, time.Time) {}
+// govern carries out the step that the governor decides on for a worker.
+func (s *state) govern(id medlarwheel.WorkerID, now time.Time) {
+	condition, ok := s.index.Condition(now, id)
+	if !ok {
+		return
+	}
+	action, ok := s.usage.governor.Step(now, condition)
+	if !ok {
+		return
+	}
+	s.f.ports.Log.Info().Str("event", "govern").Str("step", string(action.Step)).Str("task", string(action.Task)).
+		Str("worker", string(id)).Send()
+	switch action.Step {
+	case medlarplacement.StepThrottle:
+		s.throttle(action.Task, s.f.config.ThrottleShare, now)
+	case medlarplacement.StepRelease:
+		s.throttle(action.Task, medlaragentapi.FullSpeed, now)
+	case medlarplacement.StepEvict:
+		s.evict(action.Task, id, "")
+	case medlarplacement.StepStop:
+		s.stopEvicted(action.Task, now)
+	}
+}
+
+// throttle sets the speed of a task of a held shard. Only the owner of the task's shard may command its worker; a task of
+// another owner that goes on to disturb is evicted, which its owner can be asked for.
+func (s *state) throttle(task medlarwheel.TaskID, share int, now time.Time) {
+	entry, attempt, worker := s.runOf(task)
+	if entry == nil {
+		return
+	}
+	owned, ok := s.mayAct(entry.shard, now)
+	if !ok {
+		return
+	}
+	if share == medlaragentapi.FullSpeed {
+		delete(s.usage.throttled, attempt)
+	} else {
+		s.usage.throttled[attempt] = true
+	}
+	s.command(worker, command{
+		order: medlarlease.Stop{Worker: worker, Attempt: attempt, Token: owned.Token}, shard: shardName(task), throttle: share,
+	})
+}
+
+// stopEvicted ends the time that an evicted task has for its checkpoint.
+func (s *state) stopEvicted(task medlarwheel.TaskID, now time.Time) {
+	if entry, attempt, _ := s.runOf(task); entry != nil && entry.evictAt != nil {
+		entry.evictAt[attempt] = now.Add(-s.f.config.Job.CheckpointGrace)
+	}
+}
+
+// runOf returns the attempt of a task that is on a worker, if the task's shard is held.
+func (s *state) runOf(task medlarwheel.TaskID) (*jobEntry, medlarwheel.TaskAttempt, medlarwheel.WorkerID) {
+	job, index, ok := medlarwheel.JobOfTask(task)
+	entry := s.jobs[job]
+	if !ok || entry == nil || index >= len(entry.record.Job().Tasks) || entry.record.Job().Tasks[index].Run == nil {
+		return nil, medlarwheel.TaskAttempt{}, ""
+	}
+	run := entry.record.Job().Tasks[index].Run
+	return entry, medlarwheel.TaskAttempt{Task: task, Attempt: run.Number}, run.Worker
+}
+
+func attemptOf(t medlaragentapi.TaskRef) medlarwheel.TaskAttempt {
+	return medlarwheel.TaskAttempt{Task: t.ID, Attempt: medlarwheel.AttemptNumber(t.Attempt)}
+}
