Offer jobs, workers and tasks to operators

Cause: the scheduler shell ran in no daemon and had no interface.

Change: the daemon runs a fleet and gives its shards up at a planned stop.

--- a/examples_test.go
+++ b/examples_test.go
@@ -20,9 +20,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if strings.HasSuffix(file, ".account.json") {
+		switch {
+		case strings.HasSuffix(file, ".account.json"):
 			_, err = medlarwheel.DecodeAccount(data)
-		} else {
+		case strings.HasSuffix(file, ".job.json"):
+			_, err = medlarwheel.Decode[medlarwheel.JobRequest](data)
+		default:
 			_, err = medlarwheel.DecodeTemplate(data)
 		}
 		if err != nil {
--- a/medlarentry/daemon.go
+++ b/medlarentry/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"medlarwheel"
+	"medlarwheel/medlarfleet"
 	"medlarwheel/medlarlink"
 	"medlarwheel/medlarpeer"
 	"medlarwheel/medlarplatform"
@@ -46,6 +47,7 @@
 	snapshot atomic.Pointer[snapshot]
 	events   chan event
 	control  *control
+	fleet    *medlarfleet.Fleet
 
 	configNow   chan struct{}
 	exchangeSig chan struct{}
@@ -96,6 +98,7 @@
 	d.links = medlarlink.New(medlarlink.DefaultConfig(d.routing))
 	d.seat = newSeatHolder(d)
 	d.control = newControl(d)
+	d.fleet = newFleet(d)
 	d.snapshot.Store(d.control.snapshot())
 	return d
 }
--- a/medlarentry/loops.go
+++ b/medlarentry/loops.go
@@ -22,6 +22,7 @@
 		d.control.loop(d.base)
 		return nil
 	})
+	group.Go(d.runFleet)
 	d.every(group, d.settings.ListInterval, nil, d.pollList)
 	d.every(group, d.settings.ListInterval, nil, d.announce)
 	poller := &configPoller{d: d}
--- a/medlarentry/operator.go
+++ b/medlarentry/operator.go
@@ -34,7 +34,7 @@
 }
 
 func operatorRoutes() []route {
-	return []route{
+	return append(workRoutes(), []route{
 		{fasthttp.MethodGet, medlaroperator.PathTemplates, listItems("template/")},
 		{fasthttp.MethodGet, medlaroperator.PathTemplates + "/", showItem("template/")},
 		{fasthttp.MethodPut, medlaroperator.PathTemplates + "/", (*Daemon).putTemplate},
@@ -48,7 +48,7 @@
 		{fasthttp.MethodGet, medlaroperator.PathUpstreams, (*Daemon).listUpstreams},
 		{fasthttp.MethodPost, medlaroperator.PathDrain, (*Daemon).drain},
 		{fasthttp.MethodGet, medlaroperator.PathMetrics, (*Daemon).showMetrics},
-	}
+	}...)
 }
 
 // handleOperator serves one operator command.
--- a/medlarentry/shutdown.go
+++ b/medlarentry/shutdown.go
@@ -15,6 +15,7 @@
 	d.log.Info().Str("event", "stopping").Send()
 	d.ready.Store(false)
 	d.leave()
+	d.background(d.leaveFleet)
 	d.pause(d.settings.BalancerDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
 	defer cancel()
--- /dev/null
+++ b/medlarentry/work.go
@@ -0,0 +1,157 @@
+package medlarentry
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/medlarcontract"
+	"medlarwheel/medlarfleet"
+	"medlarwheel/medlarjob"
+	"medlarwheel/medlaroperator"
+)
+
+func newFleet(d *Daemon) *medlarfleet.Fleet {
+	return medlarfleet.New(medlarfleet.DefaultConfig(d.self()), medlarfleet.Ports{
+		Table: d.platform, Agents: medlarfleet.Dial, Clock: d.clock, Operations: d.operations, Log: d.log,
+		Configuration: func() *medlarcontract.Snapshot { return d.snapshot.Load().book },
+	})
+}
+
+// runFleet schedules work until the base context ends. An instance whose lease a later process has taken stops.
+func (d *Daemon) runFleet() error {
+	if err := d.fleet.Run(d.base); err != nil {
+		d.log.Error().Str("event", "superseded").Err(err).Send()
+		d.requestStop()
+	}
+	return nil
+}
+
+// leaveFleet gives the shards of the instance up.
+func (d *Daemon) leaveFleet() {
+	ctx, cancel := context.WithTimeout(d.base, 2*d.settings.PlatformTimeout)
+	defer cancel()
+	if err := d.fleet.Leave(ctx); err != nil {
+		d.log.Warn().Str("event", "leave-shards").Err(err).Send()
+	}
+}
+
+func workRoutes() []route {
+	return []route{
+		{fasthttp.MethodPost, medlaroperator.PathJobs, (*Daemon).submitJob},
+		{fasthttp.MethodGet, medlaroperator.PathJobs, (*Daemon).listJobs},
+		{fasthttp.MethodDelete, medlaroperator.PathJobs, (*Daemon).cancelJobs},
+		{fasthttp.MethodGet, medlaroperator.PathJobs + "/", (*Daemon).showJob},
+		{fasthttp.MethodDelete, medlaroperator.PathJobs + "/", (*Daemon).cancelJob},
+		{fasthttp.MethodGet, medlaroperator.PathWorkers, (*Daemon).listWorkers},
+		{fasthttp.MethodGet, medlaroperator.PathTasks, (*Daemon).listTasks},
+	}
+}
+
+// respondWork runs work within the time of an operator command and answers with its result.
+func respondWork[T any](d *Daemon, ctx *fasthttp.RequestCtx, work func(ctx context.Context) (T, error)) {
+	limited, cancel := context.WithTimeout(d.base, operatorTimeout)
+	defer cancel()
+	value, err := work(limited)
+	if err != nil {
+		writeError(ctx, workError(err))
+		return
+	}
+	writeJSON(ctx, value)
+}
+
+func (d *Daemon) submitJob(ctx *fasthttp.RequestCtx, _ string) {
+	request, err := medlarwheel.Decode[medlarwheel.JobRequest](ctx.PostBody())
+	if err != nil {
+		writeError(ctx, workError(err))
+		return
+	}
+	respondWork(d, ctx, func(c context.Context) (medlarwheel.Job, error) {
+		job, err := d.fleet.Submit(c, &request)
+		if err == nil {
+			d.log.Info().Str("event", "job-submitted").Str("job", string(job.ID)).Str("name", job.Name).
+				Str("account", string(job.Account)).Send()
+		}
+		return job, err
+	})
+}
+
+func (d *Daemon) listJobs(ctx *fasthttp.RequestCtx, _ string) {
+	account := medlarwheel.AccountID(ctx.QueryArgs().Peek("account"))
+	respondWork(d, ctx, func(c context.Context) (medlaroperator.JobList, error) {
+		jobs, err := d.fleet.Jobs(c, account)
+		return medlaroperator.JobList{Jobs: jobs}, err
+	})
+}
+
+func (d *Daemon) showJob(ctx *fasthttp.RequestCtx, name string) {
+	respondWork(d, ctx, func(c context.Context) (medlarwheel.Job, error) { return d.fleet.Job(c, medlarwheel.JobID(name)) })
+}
+
+func (d *Daemon) cancelJob(ctx *fasthttp.RequestCtx, name string) {
+	reason := cancelReason(ctx)
+	respondWork(d, ctx, func(c context.Context) (medlarwheel.Job, error) {
+		return d.fleet.Cancel(c, medlarwheel.JobID(name), reason)
+	})
+}
+
+// cancelJobs cancels the jobs of one account. Without an account it is refused, because that would end all work.
+func (d *Daemon) cancelJobs(ctx *fasthttp.RequestCtx, _ string) {
+	account := string(ctx.QueryArgs().Peek("account"))
+	if err := medlarwheel.CheckName("account", account).Err(); err != nil {
+		writeError(ctx, workError(err))
+		return
+	}
+	reason := cancelReason(ctx)
+	respondWork(d, ctx, func(c context.Context) (medlaroperator.Cancelled, error) {
+		count, err := d.fleet.CancelAccount(c, medlarwheel.AccountID(account), reason)
+		return medlaroperator.Cancelled{Jobs: count}, err
+	})
+}
+
+func cancelReason(ctx *fasthttp.RequestCtx) string {
+	if author := string(ctx.Request.Header.Peek(medlaroperator.HeaderAuthor)); author != "" {
+		return "cancelled by " + author
+	}
+	return "cancelled by an operator"
+}
+
+func (d *Daemon) listWorkers(ctx *fasthttp.RequestCtx, _ string) {
+	respondWork(d, ctx, func(c context.Context) (medlaroperator.WorkerList, error) {
+		workers, err := d.fleet.Workers(c)
+		return medlaroperator.WorkerList{Workers: workers}, err
+	})
+}
+
+func (d *Daemon) listTasks(ctx *fasthttp.RequestCtx, _ string) {
+	respondWork(d, ctx, func(c context.Context) (medlaroperator.TaskList, error) {
+		list := medlaroperator.TaskList{Tasks: []medlaroperator.TaskOnWorker{}}
+		workers, err := d.fleet.Workers(c)
+		for i := range workers {
+			for _, commitment := range workers[i].Commitments {
+				list.Tasks = append(list.Tasks, medlaroperator.TaskOnWorker{Worker: workers[i].ID, Commitment: commitment})
+			}
+		}
+		return list, err
+	})
+}
+
+// workError turns an error about jobs into one that an operator sees.
+func workError(err error) *medlaroperator.Error {
+	var refused *medlarjob.SubmitError
+	switch {
+	case errors.As(err, &refused) && refused.RetryAfter > 0:
+		return &medlaroperator.Error{
+			Code: medlaroperator.CodeUnavailable, Message: "the job is not accepted at present", Faults: refused.Faults,
+			RetryAfter: refused.RetryAfter,
+		}
+	case errors.Is(err, medlarfleet.ErrOtherRequest):
+		return &medlaroperator.Error{Code: medlaroperator.CodeConflict, Message: err.Error()}
+	case errors.Is(err, medlarwheel.ErrNotFound):
+		return &medlaroperator.Error{Code: medlaroperator.CodeNotFound, Message: err.Error()}
+	default:
+		return operatorError(err)
+	}
+}
