--- a/medlarfleet/fleet_test.go
+++ b/medlarfleet/fleet_test.go
@@ -10,6 +10,7 @@
 	"medlarwheel/medlaragentapi"
 	"medlarwheel/medlarfleet"
 	"medlarwheel/medlarlease"
+	"medlarwheel/standin/medlaragent"
 )
 
 var (
@@ -111,3 +112,43 @@
 		t.Errorf("events %+v, want one start and one stop", events)
 	}
 }
+
+// Guards against transitions that are lost or made twice when the table takes a transaction and its answer is lost.
+func TestLostAnswers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, large)
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 100*time.Millisecond)}, nil)
+	job := w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 30})
+	eventually(t, "job done", 40*time.Second, func() bool {
+		w.platform.LoseAnswers(1)
+		return w.job(job.ID).State == medlarwheel.JobDone
+	})
+	w.checkHistory()
+	if starts := len(w.events()) / 2; starts != 30 {
+		t.Errorf("%d starts of 30 tasks", starts)
+	}
+}
+
+// Guards against tasks that hang after their worker's agent has restarted, and against taking the word of an agent that
+// does not know an attempt for a proof of its end.
+func TestRestartedAgentLosesItsTasks(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 0, large)
+	stop := w.addAgent("w0", large)
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", large, 1500*time.Millisecond)}, nil)
+	job := w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 1})
+	eventually(t, "job running", 20*time.Second, func() bool { return w.running(job.ID) == 1 })
+	stop()
+	w.agents = nil
+	w.addAgent("w0", large)
+	eventually(t, "job done", 20*time.Second, func() bool { return w.job(job.ID).State == medlarwheel.JobDone })
+	task := w.job(job.ID).Tasks[0]
+	if len(task.History) != 2 || task.History[0].Result != medlarwheel.ResultLost || task.Ended.Cause != medlarwheel.EndingWorkerWord {
+		t.Errorf("history %+v, ending %+v; want a first attempt that is lost by the worker's word", task.History, task.Ended)
+	}
+	for _, e := range w.events() {
+		if e.Kind == medlaragent.EventStart && e.Task.Attempt != 2 {
+			t.Errorf("the restarted agent started %v", e.Task)
+		}
+	}
+}
--- a/medlarfleet/main_test.go
+++ b/medlarfleet/main_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,7 +49,8 @@
 	return w
 }
 
-func (w *world) addAgent(id medlarwheel.WorkerID, size medlarwheel.Resources) {
+// addAgent starts the agent of a worker and announces it. The result stops it.
+func (w *world) addAgent(id medlarwheel.WorkerID, size medlarwheel.Resources) (stop func()) {
 	w.t.Helper()
 	config := medlaragent.DefaultConfig()
 	config.ID, config.DataCentre, config.Size = id, dataCentre, size
@@ -60,12 +62,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- medlarprocess.ServeOn(ctx, listener, agent.Handle) }()
-	w.t.Cleanup(func() {
+	stop = sync.OnceFunc(func() {
 		cancel()
 		if err := <-done; err != nil {
 			w.t.Error(err)
 		}
 	})
+	w.t.Cleanup(stop)
 	w.agents = append(w.agents, agent)
 	value, err := json.Marshal(medlaragentapi.Announcement{
 		ID: id, Rack: "rack-1", DataCentre: dataCentre, Address: listener.Addr().String(), Size: size, Incarnation: 1,
@@ -74,13 +77,18 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.write(medlarwheel.Write{Key: medlaragentapi.AnnouncementKey(id), Value: value})
+	w.write(medlaragentapi.AnnouncementKey(id), value)
+	return stop
 }
 
-func (w *world) write(write medlarwheel.Write) {
+func (w *world) write(key string, value json.RawMessage) {
 	w.t.Helper()
-	_, err := w.platform.Transact(w.t.Context(), medlarwheel.OperationID("test:"+write.Key), []medlarwheel.Write{write})
+	row, err := w.platform.Store.Row(key)
 	if err != nil {
+		row.Version = 0
+	}
+	op := medlarwheel.OperationID(fmt.Sprintf("test:%s:%d", key, row.Version))
+	if _, err := w.platform.Transact(w.t.Context(), op, []medlarwheel.Write{{Key: key, Expect: row.Version, Value: value}}); err != nil {
 		w.t.Fatal(err)
 	}
 }
