--- a/medlarfleet/fault_test.go
+++ b/medlarfleet/fault_test.go
@@ -22,6 +22,8 @@
 	instances := map[medlarwheel.InstanceID]*instance{
 		"entry-1": w.start("entry-1", templates, nil), "entry-2": w.start("entry-2", templates, nil),
 	}
+	// The other instance must have loaded shards before, so that it has to read the ones that it takes over.
+	eventually(t, "balanced shards", 20*time.Second, func() bool { return w.otherAccount() != "" })
 	job := w.submit(instances["entry-1"], medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 8})
 	eventually(t, "all tasks running", 20*time.Second, func() bool { return w.running(job.ID) == 8 })
 	owner, _ := w.owner(job.ID, instances)
@@ -56,6 +58,34 @@
 	if took := time.Since(left); took >= quick("x").Lease.Term {
 		t.Errorf("the shards moved after %v, not before the lease ran out", took)
 	}
+	if _, err := w.platform.Store.Row(medlarlease.InstanceKey("entry-1")); (err != nil) != (owner == instances["entry-1"]) {
+		t.Errorf("lease row of entry-1: %v; want only that of the instance that left to be gone", err)
+	}
+}
+
+// Guards against a task that is lost for good, or started while its old run may go on, when its worker and the owner of
+// its job die together: it starts elsewhere once the old owner's renewals and the last lease must have ended.
+func TestWorkerAndOwnerLostTogether(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 0, large)
+	stops := map[medlarwheel.WorkerID]func(){"w0": w.addAgent("w0", large), "w1": w.addAgent("w1", large)}
+	instances := make(map[medlarwheel.InstanceID]*instance)
+	for _, id := range []medlarwheel.InstanceID{"entry-1", "entry-2"} {
+		config := quick(id)
+		config.Lease.Horizon = 4 * time.Second
+		instances[id] = w.startWith(config, []medlarwheel.Template{batch("round", small, 4*time.Second)}, nil)
+	}
+	job := w.submit(instances["entry-1"], medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 1})
+	eventually(t, "job running", 20*time.Second, func() bool { return w.running(job.ID) == 1 })
+	owner, _ := w.owner(job.ID, instances)
+	owner.kill()
+	stops[w.job(job.ID).Tasks[0].Run.Worker]()
+	eventually(t, "job done", 40*time.Second, func() bool { return w.job(job.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+	if task := w.job(job.ID).Tasks[0]; len(task.History) != 2 || task.Ended.Attempt != 2 ||
+		task.History[0].Result != medlarwheel.ResultLost || task.History[0].Worker == task.History[1].Worker {
+		t.Errorf("history %+v, want an attempt that is lost and another one on the other worker", task.History)
+	}
 }
 
 // Guards against urgent work that waits behind batch work, and against evicted work that is lost, done twice or begun
--- a/medlarfleet/fleet_test.go
+++ b/medlarfleet/fleet_test.go
@@ -113,15 +113,20 @@
 	}
 }
 
-// Guards against transitions that are lost or made twice when the table takes a transaction and its answer is lost.
+// Guards against transitions that are lost or made twice when the table takes a transaction and its answer is lost, and
+// against workers' records that keep changes of decisions that did not fit into a transaction.
 func TestLostAnswers(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 2, large)
-	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 100*time.Millisecond)}, nil)
-	job := w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 30})
+	config := quick("entry-1")
+	config.Job.MaxBatchWrites = 5
+	i := w.startWith(config, []medlarwheel.Template{batch("round", small, 100*time.Millisecond)}, nil)
+	w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 15})
+	w.submit(i, medlarwheel.JobRequest{Name: "second", Template: "round", Tasks: 15})
 	eventually(t, "job done", 40*time.Second, func() bool {
 		w.platform.LoseAnswers(1)
-		return w.job(job.ID).State == medlarwheel.JobDone
+		jobs, err := i.Jobs(t.Context(), "hut")
+		return err == nil && len(jobs) == 2 && jobs[0].State == medlarwheel.JobDone && jobs[1].State == medlarwheel.JobDone
 	})
 	w.checkHistory()
 	if starts := len(w.events()) / 2; starts != 30 {
--- a/medlarfleet/main_test.go
+++ b/medlarfleet/main_test.go
@@ -156,6 +156,7 @@
 	c.Lease.Term, c.Lease.Margin, c.Lease.RenewEvery = 1500*time.Millisecond, 200*time.Millisecond, 250*time.Millisecond
 	c.Lease.MaxReadGap, c.Lease.Horizon = time.Second, time.Minute
 	c.Lease.TaskTerm, c.Lease.TaskMargin, c.Lease.TaskRenewEvery = 3*time.Second, 200*time.Millisecond, 300*time.Millisecond
+	c.Lease.MaxMoves = medlarlease.Shards
 	c.Tick, c.PollEvery, c.AnnouncementsEvery = 20*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond
 	c.ResendAfter, c.RetryTable, c.PlaceEvery = 300*time.Millisecond, 100*time.Millisecond, 200*time.Millisecond
 	return c
