Move work off leaving workers, and keep an idle queue cheap

Cause: tasks on a worker that leaves were stopped without a checkpoint, jobs kept the blame for failures on a worker that fails every task, and a pass of placing set every quota for every job even if nothing waited.

Change: the owner of a task evicts it from a draining worker and takes the blame back; limits are set once for each account in use, and only when something waits. The lease row of a leaving instance is gone before Leave returns.

Check: go test -race ./medlarfleet.

--- a/medlarfleet/fault_test.go
+++ b/medlarfleet/fault_test.go
@@ -58,8 +58,8 @@
 	if took := time.Since(left); took >= quick("x").Lease.Term {
 		t.Errorf("the shards moved after %v, not before the lease ran out", took)
 	}
-	if _, err := w.platform.Store.Row(medlarlease.InstanceKey("entry-1")); (err != nil) != (owner == instances["entry-1"]) {
-		t.Errorf("lease row of entry-1: %v; want only that of the instance that left to be gone", err)
+	if _, err := w.platform.Store.Row(medlarlease.InstanceKey(owner.id)); err == nil {
+		t.Error("the instance that left has kept its lease row")
 	}
 }
 
@@ -93,11 +93,7 @@
 func TestUrgentWorkEvictsBatch(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 2, large)
-	service := batch("hold", medlarwheel.Resources{CPU: 2000, Memory: 2000}, 0)
-	service.Kind, service.Class, service.Task.Replicas = medlarwheel.KindService, medlarwheel.ClassUrgent, 1
-	second := medlarwheel.Duration(time.Second)
-	service.Service = &medlarwheel.ServiceSpec{Upstream: "back", Slots: 1, Connections: 1, MaxDeadline: second, DefaultDeadline: second}
-	templates := []medlarwheel.Template{batch("round", small, 8*time.Second), service}
+	templates := []medlarwheel.Template{batch("round", small, 8*time.Second), service("hold", medlarwheel.Resources{CPU: 2000, Memory: 2000})}
 	// Only the terms of ownership are short here, because the polling intervals make up the time to the start.
 	usual := func(id medlarwheel.InstanceID) medlarfleet.Config {
 		config := medlarfleet.DefaultConfig(quick(id).Instance)
--- a/medlarfleet/fleet_test.go
+++ b/medlarfleet/fleet_test.go
@@ -1,6 +1,7 @@
 package medlarfleet_test
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"testing"
@@ -157,3 +158,31 @@
 		}
 	}
 }
+
+// Guards against work that is lost with a worker that leaves: its tasks move on with their checkpoints, and it gets no
+// new ones. A worker that fails every task must not take jobs down with it either.
+func TestLeavingAndFailingWorkers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 0, large)
+	w.addAgent("w0", large)
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 2*time.Second)}, nil)
+	job := w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 3})
+	eventually(t, "job running", 20*time.Second, func() bool { return w.running(job.ID) == 3 })
+	w.addAgent("w1", large)
+	w.addAgent("w2", large)
+	w.agents[2].SetFaults(medlaragent.Faults{FailStarts: true})
+	key := medlaragentapi.AnnouncementKey("w0")
+	row, err := w.platform.Store.Row(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.write(key, bytes.Replace(row.Value, []byte(`"live"`), []byte(`"leaving"`), 1))
+	eventually(t, "job done", 40*time.Second, func() bool { return w.job(job.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+	for index, task := range w.job(job.ID).Tasks {
+		last := task.History[len(task.History)-1]
+		if last.Worker != "w1" || last.ResumeFrom == 0 {
+			t.Errorf("task %d ended by %+v, want on w1 from a checkpoint", index, last)
+		}
+	}
+}
--- a/medlarfleet/keeper.go
+++ b/medlarfleet/keeper.go
@@ -103,12 +103,11 @@
 	}
 	k.do(ctx, func(s *state) {
 		s.own.Renewed(sent, commit.Version)
-		if r.leaving != nil {
-			s.hasLeft()
-		}
+		s.left = s.left || r.leaving != nil
 	})
 	if r.leaving != nil {
 		k.left = true
+		defer close(r.leaving)
 		return k.remove(ctx, medlarwheel.Write{Key: r.write.Key, Expect: commit.Version, Delete: true})
 	}
 	return nil
--- a/medlarfleet/main_test.go
+++ b/medlarfleet/main_test.go
@@ -35,14 +35,15 @@
 
 // world is a platform, workers and a configuration without entry instances.
 type world struct {
-	t         *testing.T
-	platform  *medlarfake.Fake
-	agents    []*medlaragent.Agent
-	templates map[string]medlarwheel.Template
+	t        *testing.T
+	platform *medlarfake.Fake
+	agents   []*medlaragent.Agent
+	// adjust changes the settings of later agents. It may be nil.
+	adjust func(*medlaragent.Config)
 }
 
 func newWorld(t *testing.T, workers int, size medlarwheel.Resources) *world {
-	w := &world{t: t, platform: medlarfake.New(medlarwheel.SystemClock{}), templates: make(map[string]medlarwheel.Template)}
+	w := &world{t: t, platform: medlarfake.New(medlarwheel.SystemClock{})}
 	for i := range workers {
 		w.addAgent(medlarwheel.WorkerID(fmt.Sprintf("w%d", i)), size)
 	}
@@ -54,6 +55,9 @@
 	w.t.Helper()
 	config := medlaragent.DefaultConfig()
 	config.ID, config.DataCentre, config.Size = id, dataCentre, size
+	if w.adjust != nil {
+		w.adjust(&config)
+	}
 	agent := medlaragent.New(config, w.platform, zerolog.Nop())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -102,9 +106,19 @@
 	}
 }
 
+// service returns a template of urgent work with one task.
+func service(name string, size medlarwheel.Resources) medlarwheel.Template {
+	t := batch(name, size, 0)
+	t.Kind, t.Class, t.Task.Replicas = medlarwheel.KindService, medlarwheel.ClassUrgent, 1
+	second := medlarwheel.Duration(time.Second)
+	t.Service = &medlarwheel.ServiceSpec{Upstream: "back", Slots: 1, Connections: 1, MaxDeadline: second, DefaultDeadline: second}
+	return t
+}
+
 // instance is one entry instance's fleet under test.
 type instance struct {
 	*medlarfleet.Fleet
+	id   medlarwheel.InstanceID
 	kill context.CancelFunc
 	done chan error
 }
@@ -137,7 +151,7 @@
 		adjust(&ports)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	i := &instance{Fleet: medlarfleet.New(config, ports), kill: cancel, done: make(chan error, 1)}
+	i := &instance{id: config.Instance.ID, Fleet: medlarfleet.New(config, ports), kill: cancel, done: make(chan error, 1)}
 	go func() { i.done <- i.Run(ctx) }()
 	w.t.Cleanup(func() {
 		cancel()
--- a/medlarfleet/orders.go
+++ b/medlarfleet/orders.go
@@ -156,35 +156,3 @@
 		}
 	}
 }
-
-func reportIntent(job medlarwheel.JobID, report medlarwheel.TaskReport) intent {
-	key := fmt.Sprintf("report/%s/%d/%s/%s", report.Task, report.Attempt, report.Worker, report.Phase)
-	return intent{key: key, job: job, apply: func(
-		r *medlarjob.Record, workers *workerView, owned medlarlease.OwnedShard, now time.Time,
-	) (medlarjob.Decision, error) {
-		if !report.Phase.IsEnded() {
-			return r.Report(&report, nil, owned.Token, now)
-		}
-		return r.Report(&report, workers.get(report.Worker), owned.Token, now)
-	}}
-}
-
-func lostIntent(
-	key string, job medlarwheel.JobID, attempt medlarwheel.TaskAttempt, worker medlarwheel.WorkerID,
-	proof medlarlease.Proof, saved bool,
-) intent {
-	return intent{key: key, job: job, apply: func(
-		r *medlarjob.Record, workers *workerView, owned medlarlease.OwnedShard, now time.Time,
-	) (medlarjob.Decision, error) {
-		return r.Lost(attempt, proof, saved, workers.get(worker), owned.Token, now)
-	}}
-}
-
-func evictIntent(job medlarwheel.JobID, index int) intent {
-	key := fmt.Sprintf("evict/%s.%d", job, index)
-	return intent{key: key, job: job, apply: func(
-		r *medlarjob.Record, _ *workerView, owned medlarlease.OwnedShard, now time.Time,
-	) (medlarjob.Decision, error) {
-		return r.Evict([]int{index}, owned.Token, now)
-	}}
-}
--- a/medlarfleet/place.go
+++ b/medlarfleet/place.go
@@ -36,6 +36,9 @@
 	}
 	s.placeDue = now.Add(s.f.config.PlaceEvery)
 	queue, waiting := s.queue(now)
+	if queue == nil {
+		return
+	}
 	failed := make(map[placeShape]bool)
 	for range s.f.config.MaxPlacements {
 		item, ok := queue.Next()
@@ -75,10 +78,10 @@
 	return shape
 }
 
-// queue builds the queue of what waits, on top of what the teams of the held shards use.
+// queue builds the queue of what waits, on top of what the teams of the held shards use. It returns nil if nothing waits.
 func (s *state) queue(now time.Time) (*medlarquota.Queue, map[medlarwheel.TaskID]*waiting) {
-	queue := medlarquota.NewQueue(s.capacity())
 	items := make(map[medlarwheel.TaskID]*waiting)
+	var jobs []*medlarwheel.Job
 	var pending []medlarquota.Item
 	for _, entry := range s.jobs {
 		job := entry.record.Job()
@@ -88,8 +91,7 @@
 		if _, ok := s.mayAct(entry.shard, now); !ok {
 			continue
 		}
-		s.setLimits(queue, job)
-		s.charge(queue, job)
+		jobs = append(jobs, job)
 		for _, tasks := range s.waitingOf(entry) {
 			first := job.TaskID(tasks[0])
 			items[first] = &waiting{entry: entry, tasks: tasks}
@@ -98,27 +100,53 @@
 			})
 		}
 	}
+	if len(pending) == 0 {
+		return nil, nil
+	}
 	slices.SortFunc(pending, func(a, b medlarquota.Item) int {
 		return cmp.Or(a.SubmittedAt.Compare(b.SubmittedAt), cmp.Compare(a.ID, b.ID))
 	})
+	queue := medlarquota.NewQueue(s.capacity())
+	s.setLimits(queue, jobs)
+	for _, job := range jobs {
+		s.charge(queue, job)
+	}
 	for _, item := range pending {
 		queue.Add(item)
 	}
 	return queue, items
 }
 
-func (s *state) setLimits(queue *medlarquota.Queue, job *medlarwheel.Job) {
-	team := medlarquota.TeamName(job.Team)
-	queue.SetTeam(team, medlarquota.TeamLimit{Weight: 1})
-	account, _ := s.f.ports.Configuration().Account(job.Account)
-	limit := medlarquota.AccountLimit{Templates: make(map[medlarwheel.TemplateName]medlarwheel.Resources)}
-	if account != nil {
-		limit.Quota = account.Quota
+// setLimits sets the quotas in force of the accounts and templates of the jobs. A team has no entry of its own in the
+// configuration, so it has no quota and all teams weigh the same.
+func (s *state) setLimits(queue *medlarquota.Queue, jobs []*medlarwheel.Job) {
+	book := s.f.ports.Configuration()
+	limits := make(map[medlarwheel.AccountID]medlarquota.AccountLimit)
+	for _, job := range jobs {
+		account, _ := book.Account(job.Account)
+		limit, known := limits[job.Account]
+		if !known {
+			limit.Templates = make(map[medlarwheel.TemplateName]medlarwheel.Resources)
+			if account != nil {
+				limit.Quota = account.Quota
+			}
+			limits[job.Account] = limit
+		}
+		if _, known := limit.Templates[job.Template]; known {
+			continue
+		}
+		if template, ok := book.Template(job.Template); ok {
+			limit.Templates[job.Template] = account.ParametersFor(template).Quota
+		}
 	}
-	for _, template := range s.f.ports.Configuration().Templates() {
-		limit.Templates[template.Name] = account.ParametersFor(template).Quota
+	for _, job := range jobs {
+		team := medlarquota.TeamName(job.Team)
+		if limit, due := limits[job.Account]; due {
+			delete(limits, job.Account)
+			queue.SetTeam(team, medlarquota.TeamLimit{Weight: 1})
+			queue.SetAccount(team, job.Account, limit)
+		}
 	}
-	queue.SetAccount(team, job.Account, limit)
 }
 
 // charge counts what the tasks of a job have.
--- a/medlarfleet/rows.go
+++ b/medlarfleet/rows.go
@@ -146,9 +146,30 @@
 	entry.record = record
 	s.index.Upsert(s.workerState(record.Worker()))
 	s.placeDue = s.f.ports.Clock.Now()
+	s.tendJobsOn(record)
 	return nil
 }
 
+// tendJobsOn moves own tasks off a worker that is to be emptied, and takes the blame for failures off the jobs whose
+// tasks a suspect worker has failed.
+func (s *state) tendJobsOn(record *medlarworker.Record) {
+	worker := record.Worker()
+	for i := range worker.Commitments {
+		job, index, ok := medlarwheel.JobOfTask(worker.Commitments[i].Task)
+		if ok && worker.Draining && s.jobs[job] != nil {
+			s.intents.add(evictIntent(job, index))
+		}
+	}
+	if !record.IsSuspect() {
+		return
+	}
+	for _, attempt := range worker.FailureRun {
+		if job, _, ok := medlarwheel.JobOfTask(attempt.Task); ok && s.jobs[job] != nil {
+			s.intents.add(forgiveIntent(job, worker.ID))
+		}
+	}
+}
+
 func (s *state) applyAnnouncement(row medlarwheel.Row) error {
 	id := medlarwheel.WorkerID(strings.TrimPrefix(row.Key, medlaragentapi.AnnouncementPrefix))
 	if row.Deleted {
--- a/medlarfleet/state.go
+++ b/medlarfleet/state.go
@@ -43,9 +43,10 @@
 	removals    []medlarwheel.Write
 	registerDue time.Time
 
-	// leaving is set once the instance has begun to leave, and closed when it has announced that.
+	// leaving is set once the instance has begun to leave, and closed when it has announced that and removed its lease.
 	leaving chan struct{}
-	left    bool
+	// left stops all work after the announcement. The leases of tasks are left to the next owners.
+	left bool
 	// spawn runs I/O on a goroutine of its own that ends with the fleet.
 	spawn func(work func(ctx context.Context))
 }
@@ -123,7 +124,7 @@
 	return owned, held != nil && held.loaded && held.token == owned.Token
 }
 
-// leave begins to give the shards up. The result is closed once that is announced.
+// leave begins to give the shards up. The result is closed once that is done.
 func (s *state) leave() chan struct{} {
 	if s.leaving == nil {
 		s.leaving = make(chan struct{})
@@ -132,14 +133,6 @@
 	return s.leaving
 }
 
-// hasLeft stops all work after the announcement. The leases of tasks are left to the next owners.
-func (s *state) hasLeft() {
-	if !s.left {
-		s.left = true
-		close(s.leaving)
-	}
-}
-
 func (s *state) closeAgents() {
 	for _, w := range s.workers {
 		w.courier.close()
--- /dev/null
+++ b/medlarfleet/usage_test.go
@@ -0,0 +1,45 @@
+package medlarfleet_test
+
+import (
+	"testing"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlaragentapi"
+	"medlarwheel/standin/medlaragent"
+)
+
+// Guards against measurements that reach nobody: a batch task that slows a service down must be slowed, and when that
+// does not help it must go on elsewhere from its checkpoint.
+func TestDisturbedServiceIsRelieved(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 0, large)
+	w.adjust = func(c *medlaragent.Config) {
+		c.Interference, c.UsageEvery, c.UsageLag = 0.99, 200*time.Millisecond, 200*time.Millisecond
+	}
+	w.addAgent("w0", large)
+	config := quick("entry-1")
+	config.UsageEvery = 200 * time.Millisecond
+	config.Governor.EnterAfter, config.Governor.MinStep = 400*time.Millisecond, 400*time.Millisecond
+	half := medlarwheel.Resources{CPU: 2000, Memory: 2000}
+	i := w.startWith(config, []medlarwheel.Template{batch("noise", half, 8*time.Second), service("hold", half)}, nil)
+	hold := w.submit(i, medlarwheel.JobRequest{Name: "hold", Template: "hold"})
+	noise := w.submit(i, medlarwheel.JobRequest{Name: "noise", Template: "noise", Tasks: 1})
+	eventually(t, "both run", 20*time.Second, func() bool { return w.running(hold.ID)+w.running(noise.ID) == 2 })
+	eventually(t, "batch task throttled", 20*time.Second, func() bool {
+		for _, task := range w.agents[0].Tasks().Tasks {
+			if task.Task.ID == noise.TaskID(0) {
+				return task.Share < medlaragentapi.FullSpeed
+			}
+		}
+		return false
+	})
+	w.addAgent("w1", large)
+	eventually(t, "batch job done", 40*time.Second, func() bool { return w.job(noise.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+	history := w.job(noise.ID).Tasks[0].History
+	last := history[len(history)-1]
+	if len(history) < 2 || last.Worker != "w1" || last.ResumeFrom == 0 {
+		t.Errorf("history %+v, want the last attempt on w1 from a checkpoint", history)
+	}
+}
