--- a/medlarfleet/fault_test.go
+++ b/medlarfleet/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,6 +190,50 @@
 	}
 }
 
+// unreachable is an agent whose starts are lost while it is set.
+type unreachable struct {
+	medlarfleet.Agent
+	lost  *atomic.Bool
+	tries *atomic.Int64
+}
+
+func (u unreachable) Start(ctx context.Context, r medlaragentapi.StartRequest) (medlaragentapi.TaskAnswer, error) {
+	u.tries.Add(1)
+	if u.lost.Load() {
+		return medlaragentapi.TaskAnswer{}, medlarwheel.ErrUnavailable
+	}
+	return u.Agent.Start(ctx, r)
+}
+
+// Guards against an instance that goes on starting tasks by rows that it has read before its own lease ran out: without
+// the table another owner may have taken over.
+func TestNoStartAfterTheLeaseRanOut(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, large)
+	var lost atomic.Bool
+	var tries atomic.Int64
+	lost.Store(true)
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 300*time.Millisecond)}, func(p *medlarfleet.Ports) {
+		p.Agents = func(address string) medlarfleet.Agent { return unreachable{medlarfleet.Dial(address), &lost, &tries} }
+	})
+	job := w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 1})
+	eventually(t, "start tried", 20*time.Second, func() bool { return tries.Load() > 0 })
+	w.platform.SetDown(true)
+	down, config := time.Now(), quick("x")
+	eventually(t, "lease over", 20*time.Second, func() bool { return time.Since(down) > config.Lease.Term+config.Lease.RenewEvery })
+	lost.Store(false)
+	before := tries.Load()
+	eventually(t, "several times to send again", 20*time.Second, func() bool {
+		return time.Since(down) > config.Lease.Term+config.Lease.RenewEvery+4*config.ResendAfter
+	})
+	if now := tries.Load(); now > before || len(w.events()) > 0 {
+		t.Errorf("%d starts were sent after the lease ran out, events %+v", now-before, w.events())
+	}
+	w.platform.SetDown(false)
+	eventually(t, "job done", 20*time.Second, func() bool { return w.job(job.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+}
+
 // gate holds calls while it is closed, like a process that is stopped before its calls leave.
 type gate struct {
 	mu   sync.Mutex
--- a/medlarfleet/fleet_test.go
+++ b/medlarfleet/fleet_test.go
@@ -159,9 +159,33 @@
 	}
 }
 
+// Guards against jobs that pay for a worker that fails every task: the worker goes on probation, and the blame is taken
+// off the jobs.
+func TestFailingWorkerIsBlamed(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, large)
+	w.agents[0].SetFaults(medlaragent.Faults{FailStarts: true})
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 300*time.Millisecond)}, nil)
+	var ids []medlarwheel.JobID
+	for _, name := range []string{"a", "b", "c"} {
+		ids = append(ids, w.submit(i, medlarwheel.JobRequest{Name: name, Template: "round", Tasks: 1}).ID)
+	}
+	eventually(t, "worker on probation", 20*time.Second, func() bool {
+		workers, err := i.Workers(t.Context())
+		return err == nil && workers[0].Probation != nil
+	})
+	w.addAgent("w1", large)
+	for _, id := range ids {
+		eventually(t, "job done", 20*time.Second, func() bool { return w.job(id).State == medlarwheel.JobDone })
+		if task := w.job(id).Tasks[0]; task.Failures != 0 || len(task.History) != 2 {
+			t.Errorf("job %s has %d failures and history %+v, want one failure that is forgiven", id, task.Failures, task.History)
+		}
+	}
+}
+
 // Guards against work that is lost with a worker that leaves: its tasks move on with their checkpoints, and it gets no
-// new ones. A worker that fails every task must not take jobs down with it either.
-func TestLeavingAndFailingWorkers(t *testing.T) {
+// new ones.
+func TestLeavingWorkerIsEmptied(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 0, large)
 	w.addAgent("w0", large)
@@ -169,8 +193,6 @@
 	job := w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 3})
 	eventually(t, "job running", 20*time.Second, func() bool { return w.running(job.ID) == 3 })
 	w.addAgent("w1", large)
-	w.addAgent("w2", large)
-	w.agents[2].SetFaults(medlaragent.Faults{FailStarts: true})
 	key := medlaragentapi.AnnouncementKey("w0")
 	row, err := w.platform.Store.Row(key)
 	if err != nil {
