Give up on a silent worker after one call

Cause: each command for a worker that does not answer waited for the same time-out, so the queue of a dead worker grew, and choices of it waited for the whole time to answer.

Change: a call without an answer drops the queue, which is derived again from rows and leases, gives up the choices of the worker and keeps new work off it for 10 s or until it answers.

Check: go test -race ./medlarfleet.

--- a/medlarfleet/config.go
+++ b/medlarfleet/config.go
@@ -38,7 +38,7 @@
 	RetryTable time.Duration
 	// AskTimeout is the time that a chosen worker has to tell its clock before another worker is chosen.
 	AskTimeout time.Duration
-	// AvoidFor is the time for which a worker that did not answer gets no new tasks.
+	// AvoidFor is the time for which a worker that did not answer a call gets no new tasks, unless it answers earlier.
 	AvoidFor time.Duration
 	// PlaceEvery is the time between two tries to place tasks when no row has changed.
 	PlaceEvery time.Duration
@@ -63,7 +63,7 @@
 		Governor: medlarplacement.DefaultGovernorConfig(),
 		Tick:     50 * time.Millisecond, PollEvery: time.Second, AnnouncementsEvery: 2 * time.Second,
 		ResendAfter: time.Second, RetryTable: 500 * time.Millisecond, AskTimeout: 2 * time.Second,
-		AvoidFor: 30 * time.Second, PlaceEvery: time.Second, MaxPlacements: 256, PreemptFor: 10 * time.Second,
+		AvoidFor: 10 * time.Second, PlaceEvery: time.Second, MaxPlacements: 256, PreemptFor: 10 * time.Second,
 		UsageEvery: 10 * time.Second, ThrottleShare: 500_000, Seed: uint64(instance.Incarnation),
 	}
 }
--- a/medlarfleet/courier.go
+++ b/medlarfleet/courier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"medlarwheel"
 	"medlarwheel/medlarlease"
@@ -51,6 +52,9 @@
 		var words []word
 		for _, command := range commands {
 			words = append(words, a.run(ctx, command)...)
+			if isSilent(words) {
+				break
+			}
 		}
 		s.f.post(ctx, func(s *state) { s.answered(id, words) })
 	})
@@ -71,9 +75,10 @@
 		w := &words[i]
 		if !w.reading.IsZero() {
 			s.leases.Heard(id, w.reading, w.heardAt)
+			s.avoid(id, time.Time{})
 		}
 		if w.leaving {
-			s.avoid(id, now)
+			s.avoid(id, now.Add(s.f.config.AvoidFor))
 		}
 		if w.err != nil {
 			s.f.ports.Log.Debug().Str("event", "agent").Str("worker", string(id)).Err(w.err).Send()
@@ -85,10 +90,23 @@
 			s.observeUsage(id, w.usage, now)
 		}
 	}
-	if entry := s.workers[id]; entry != nil {
-		entry.courier.busy = false
-		s.dispatch(id, entry)
+	entry := s.workers[id]
+	if entry == nil {
+		return
+	}
+	entry.courier.busy = false
+	if isSilent(words) {
+		// The commands are derived again from the rows and the leases. Each would wait for the same time-out.
+		entry.courier.queue = nil
+		s.avoid(id, now.Add(s.f.config.AvoidFor))
+		s.dropProposalsOn(id)
 	}
+	s.dispatch(id, entry)
+}
+
+// isSilent reports whether the worker did not answer the last call.
+func isSilent(words []word) bool {
+	return len(words) > 0 && words[len(words)-1].err != nil && words[len(words)-1].reading.IsZero()
 }
 
 // reported queues the transition that a report calls for.
--- a/medlarfleet/place.go
+++ b/medlarfleet/place.go
@@ -256,7 +256,7 @@
 		}
 		known = false
 		if now.Sub(p.since) >= s.f.config.AskTimeout {
-			s.avoid(a.Worker, now)
+			s.avoid(a.Worker, now.Add(s.f.config.AvoidFor))
 			s.dropProposal(p.first())
 			return
 		}
@@ -311,9 +311,18 @@
 	s.placeDue = time.Time{}
 }
 
-// avoid keeps new tasks off a worker for a while.
-func (s *state) avoid(id medlarwheel.WorkerID, now time.Time) {
+// dropProposalsOn gives up the choices of a worker that did not answer.
+func (s *state) dropProposalsOn(id medlarwheel.WorkerID) {
+	for task, p := range s.proposals {
+		if slices.ContainsFunc(p.assignments, func(a medlarplacement.Assignment) bool { return a.Worker == id }) {
+			s.dropProposal(task)
+		}
+	}
+}
+
+// avoid keeps new tasks off a worker until a time. The zero time opens it again.
+func (s *state) avoid(id medlarwheel.WorkerID, until time.Time) {
 	if w := s.workers[id]; w != nil {
-		w.avoidUntil = now.Add(s.f.config.AvoidFor)
+		w.avoidUntil = until
 	}
 }
