--- a/medlarfleet/fleet_test.go
+++ b/medlarfleet/fleet_test.go
@@ -208,3 +208,30 @@
 		}
 	}
 }
+
+// Guards against a gang that starts in part: its tasks would hold workers while they wait for the others.
+func TestGangStartsTogether(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, large)
+	gang := batch("gang", small, 300*time.Millisecond)
+	gang.Task.Gang = true
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 1500*time.Millisecond), gang}, nil)
+	first := w.submit(i, medlarwheel.JobRequest{Name: "first", Template: "round", Tasks: 4})
+	eventually(t, "first job running", 20*time.Second, func() bool { return w.running(first.ID) == 4 })
+	second := w.submit(i, medlarwheel.JobRequest{Name: "second", Template: "gang", Tasks: 6})
+	eventually(t, "gang done", 20*time.Second, func() bool { return w.job(second.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+	var freed, started time.Time
+	for _, e := range w.events() {
+		job, _, _ := medlarwheel.JobOfTask(e.Task.ID)
+		if job == first.ID && e.Kind == medlaragent.EventEnd && (freed.IsZero() || e.At.Before(freed)) {
+			freed = e.At
+		}
+		if job == second.ID && e.Kind == medlaragent.EventStart && (started.IsZero() || e.At.Before(started)) {
+			started = e.At
+		}
+	}
+	if started.Before(freed) {
+		t.Errorf("a task of the gang started at %v, before there was room for all at %v", started, freed)
+	}
+}
