--- /dev/null
+++ b/medlarfleet/fleet_test.go
@@ -0,0 +1,237 @@
+package medlarfleet_test
+
+import (
+	"bytes"
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlaragentapi"
+	"medlarwheel/medlarfleet"
+	"medlarwheel/medlarlease"
+	"medlarwheel/standin/medlaragent"
+)
+
+var (
+	small = medlarwheel.Resources{CPU: 1000, Memory: 1000}
+	large = medlarwheel.Resources{CPU: 4000, Memory: 4000}
+)
+
+// Guards against a break anywhere on the path from a submitted job to its end: ownership, registration of workers,
+// placing, starting, reporting.
+func TestJobRunsToDone(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 3, large)
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 300*time.Millisecond)}, nil)
+	job := w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 8})
+	eventually(t, "job done", 20*time.Second, func() bool { return w.job(job.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+	if starts := len(w.events()) / 2; starts != 8 {
+		t.Errorf("%d starts of 8 tasks", starts)
+	}
+}
+
+// counted counts the calls of an instance to the table.
+type counted struct {
+	medlarfleet.Table
+	reads, writes *atomic.Int64
+}
+
+func (c counted) Row(ctx context.Context, key string) (medlarwheel.Row, error) {
+	c.reads.Add(1)
+	return c.Table.Row(ctx, key)
+}
+
+func (c counted) Changes(ctx context.Context, prefix string, after medlarwheel.RowVersion, limit int) (medlarwheel.ChangePage, error) {
+	c.reads.Add(1)
+	return c.Table.Changes(ctx, prefix, after, limit)
+}
+
+func (c counted) Transact(ctx context.Context, op medlarwheel.OperationID, writes []medlarwheel.Write) (medlarwheel.Commit, error) {
+	c.writes.Add(1)
+	return c.Table.Transact(ctx, op, writes)
+}
+
+// Guards against a load on the table that grows with the number of instances beyond the design page: an idle instance
+// renews its lease every 2 s and may read 4 times a second.
+func TestIdleInstanceIsCheap(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, large)
+	var reads, writes atomic.Int64
+	config := medlarfleet.DefaultConfig(quick("entry-1").Instance)
+	i := w.startWith(config, []medlarwheel.Template{batch("round", small, time.Second)}, func(p *medlarfleet.Ports) {
+		p.Table = counted{p.Table, &reads, &writes}
+	})
+	eventually(t, "workers registered", 20*time.Second, func() bool {
+		workers, err := i.Workers(t.Context())
+		return err == nil && len(workers) == 2
+	})
+	renewals := func() medlarwheel.RowVersion {
+		row, err := w.platform.Store.Row(medlarlease.InstanceKey("entry-1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return row.Version
+	}
+	var last medlarwheel.RowVersion
+	awaitRenewal := func() {
+		last = renewals()
+		eventually(t, "renewal", 10*time.Second, func() bool { return renewals() > last })
+	}
+	awaitRenewal()
+	fromReads, fromWrites := reads.Load(), writes.Load()
+	const rounds = 4
+	for range rounds {
+		awaitRenewal()
+	}
+	gotReads, gotWrites := reads.Load()-fromReads, writes.Load()-fromWrites
+	t.Logf("%d reads and %d writes in %d periods of %v", gotReads, gotWrites, rounds, config.Lease.RenewEvery)
+	if gotWrites > rounds || gotReads > 8*rounds {
+		t.Errorf("%d reads and %d writes in %d periods of %v", gotReads, gotWrites, rounds, config.Lease.RenewEvery)
+	}
+}
+
+// Guards against a cancellation that misses jobs in some state, and against tasks that run on after it.
+func TestCancelEndsEveryJobOfAnAccount(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, large)
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", large, time.Hour)}, nil)
+	runs := w.submit(i, medlarwheel.JobRequest{Name: "runs", Template: "round", Tasks: 1})
+	eventually(t, "job running", 20*time.Second, func() bool { return w.running(runs.ID) == 1 })
+	waits := w.submit(i, medlarwheel.JobRequest{Name: "waits", Template: "round", Tasks: 2})
+	count, err := i.CancelAccount(t.Context(), "hut", "test")
+	if err != nil || count != 2 {
+		t.Fatalf("cancelled %d jobs, %v; want 2", count, err)
+	}
+	for _, id := range []medlarwheel.JobID{runs.ID, waits.ID} {
+		eventually(t, "job cancelled", 20*time.Second, func() bool { return w.job(id).State == medlarwheel.JobCancelled })
+	}
+	events := w.events()
+	if len(events) != 2 || events[1].State != medlaragentapi.StateStopped {
+		t.Errorf("events %+v, want one start and one stop", events)
+	}
+}
+
+// Guards against transitions that are lost or made twice when the table takes a transaction and its answer is lost, and
+// against workers' records that keep changes of decisions that did not fit into a transaction.
+func TestLostAnswers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, large)
+	config := quick("entry-1")
+	config.Job.MaxBatchWrites = 5
+	i := w.startWith(config, []medlarwheel.Template{batch("round", small, 100*time.Millisecond)}, nil)
+	w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 15})
+	w.submit(i, medlarwheel.JobRequest{Name: "second", Template: "round", Tasks: 15})
+	eventually(t, "job done", 40*time.Second, func() bool {
+		w.platform.LoseAnswers(1)
+		jobs, err := i.Jobs(t.Context(), "hut")
+		return err == nil && len(jobs) == 2 && jobs[0].State == medlarwheel.JobDone && jobs[1].State == medlarwheel.JobDone
+	})
+	w.checkHistory()
+	if starts := len(w.events()) / 2; starts != 30 {
+		t.Errorf("%d starts of 30 tasks", starts)
+	}
+}
+
+// Guards against tasks that hang after their worker's agent has restarted, and against taking the word of an agent that
+// does not know an attempt for a proof of its end.
+func TestRestartedAgentLosesItsTasks(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 0, large)
+	stop := w.addAgent("w0", large)
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", large, 1500*time.Millisecond)}, nil)
+	job := w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 1})
+	eventually(t, "job running", 20*time.Second, func() bool { return w.running(job.ID) == 1 })
+	stop()
+	w.agents = nil
+	w.addAgent("w0", large)
+	eventually(t, "job done", 20*time.Second, func() bool { return w.job(job.ID).State == medlarwheel.JobDone })
+	task := w.job(job.ID).Tasks[0]
+	if len(task.History) != 2 || task.History[0].Result != medlarwheel.ResultLost || task.Ended.Cause != medlarwheel.EndingWorkerWord {
+		t.Errorf("history %+v, ending %+v; want a first attempt that is lost by the worker's word", task.History, task.Ended)
+	}
+	for _, e := range w.events() {
+		if e.Kind == medlaragent.EventStart && e.Task.Attempt != 2 {
+			t.Errorf("the restarted agent started %v", e.Task)
+		}
+	}
+}
+
+// Guards against jobs that pay for a worker that fails every task: the worker goes on probation, and the blame is taken
+// off the jobs.
+func TestFailingWorkerIsBlamed(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, large)
+	w.agents[0].SetFaults(medlaragent.Faults{FailStarts: true})
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 300*time.Millisecond)}, nil)
+	var ids []medlarwheel.JobID
+	for _, name := range []string{"a", "b", "c"} {
+		ids = append(ids, w.submit(i, medlarwheel.JobRequest{Name: name, Template: "round", Tasks: 1}).ID)
+	}
+	eventually(t, "worker on probation", 20*time.Second, func() bool {
+		workers, err := i.Workers(t.Context())
+		return err == nil && workers[0].Probation != nil
+	})
+	w.addAgent("w1", large)
+	for _, id := range ids {
+		eventually(t, "job done", 20*time.Second, func() bool { return w.job(id).State == medlarwheel.JobDone })
+		if task := w.job(id).Tasks[0]; task.Failures != 0 || len(task.History) != 2 {
+			t.Errorf("job %s has %d failures and history %+v, want one failure that is forgiven", id, task.Failures, task.History)
+		}
+	}
+}
+
+// Guards against work that is lost with a worker that leaves: its tasks move on with their checkpoints, and it gets no
+// new ones.
+func TestLeavingWorkerIsEmptied(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 0, large)
+	w.addAgent("w0", large)
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 2*time.Second)}, nil)
+	job := w.submit(i, medlarwheel.JobRequest{Name: "night", Template: "round", Tasks: 3})
+	eventually(t, "job running", 20*time.Second, func() bool { return w.running(job.ID) == 3 })
+	w.addAgent("w1", large)
+	key := medlaragentapi.AnnouncementKey("w0")
+	row, err := w.platform.Store.Row(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.write(key, bytes.Replace(row.Value, []byte(`"live"`), []byte(`"leaving"`), 1))
+	eventually(t, "job done", 40*time.Second, func() bool { return w.job(job.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+	for index, task := range w.job(job.ID).Tasks {
+		last := task.History[len(task.History)-1]
+		if last.Worker != "w1" || last.ResumeFrom == 0 {
+			t.Errorf("task %d ended by %+v, want on w1 from a checkpoint", index, last)
+		}
+	}
+}
+
+// Guards against a gang that starts in part: its tasks would hold workers while they wait for the others.
+func TestGangStartsTogether(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, large)
+	gang := batch("gang", small, 300*time.Millisecond)
+	gang.Task.Gang = true
+	i := w.start("entry-1", []medlarwheel.Template{batch("round", small, 1500*time.Millisecond), gang}, nil)
+	first := w.submit(i, medlarwheel.JobRequest{Name: "first", Template: "round", Tasks: 4})
+	eventually(t, "first job running", 20*time.Second, func() bool { return w.running(first.ID) == 4 })
+	second := w.submit(i, medlarwheel.JobRequest{Name: "second", Template: "gang", Tasks: 6})
+	eventually(t, "gang done", 20*time.Second, func() bool { return w.job(second.ID).State == medlarwheel.JobDone })
+	w.checkHistory()
+	var freed, started time.Time
+	for _, e := range w.events() {
+		job, _, _ := medlarwheel.JobOfTask(e.Task.ID)
+		if job == first.ID && e.Kind == medlaragent.EventEnd && (freed.IsZero() || e.At.Before(freed)) {
+			freed = e.At
+		}
+		if job == second.ID && e.Kind == medlaragent.EventStart && (started.IsZero() || e.At.Before(started)) {
+			started = e.At
+		}
+	}
+	if started.Before(freed) {
+		t.Errorf("a task of the gang started at %v, before there was room for all at %v", started, freed)
+	}
+}
--- /dev/null
+++ b/medlarlease/taskleases.go
@@ -0,0 +1,215 @@
+package medlarlease
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+)
+
+// TaskLeases is an owner's view of the leases of the attempts that its jobs have on workers. A lease runs out at the
+// latest a term and a margin after the owner heard the clock reading that the last grant was based on.
+type TaskLeases struct {
+	config  Config
+	workers map[medlarwheel.WorkerID]heardReading
+	leases  map[medlarwheel.TaskID]*taskLease
+}
+
+type heardReading struct {
+	reading Reading
+	at      time.Time
+}
+
+type taskLease struct {
+	attempt     medlarwheel.TaskAttempt
+	worker      medlarwheel.WorkerID
+	incarnation medlarwheel.Incarnation
+	shard       ShardID
+	token       medlarwheel.FencingToken
+	// settled tells that no earlier owner grants any more, so that latest bounds every grant.
+	settled bool
+	started bool
+	// latest is an upper bound of when a clock reading was taken that any grant is based on.
+	latest time.Time
+	// dueAt is when the worker is to hear from the owner next.
+	dueAt   time.Time
+	expired bool
+}
+
+// ErrClockUnknown means that the worker's clock has not been heard lately, so that no deadline can be set. Ask the
+// worker with a Renew first.
+var ErrClockUnknown = errors.New("clock of the worker is not known")
+
+// NewTaskLeases returns an empty view.
+func NewTaskLeases(config Config) *TaskLeases {
+	return &TaskLeases{
+		config:  config,
+		workers: make(map[medlarwheel.WorkerID]heardReading),
+		leases:  make(map[medlarwheel.TaskID]*taskLease),
+	}
+}
+
+// askFraction makes an owner that does not know a worker's clock ask more often than it would renew: a new owner has
+// only what a dead one left of the term.
+const askFraction = 5
+
+// Heard records a worker's clock reading that arrived at now.
+func (t *TaskLeases) Heard(worker medlarwheel.WorkerID, reading Reading, now time.Time) {
+	if t.workers[worker].reading.Before(reading) {
+		t.workers[worker] = heardReading{reading: reading, at: now}
+	}
+}
+
+// Incarnation returns the incarnation of a worker's agent if the worker has been heard lately.
+func (t *TaskLeases) Incarnation(worker medlarwheel.WorkerID, now time.Time) (medlarwheel.Incarnation, bool) {
+	until, err := t.deadline(worker, now)
+	return until.Incarnation, err == nil
+}
+
+// TrackedAttempt is an attempt that is committed on a worker, as the job's row has it.
+type TrackedAttempt struct {
+	Attempt medlarwheel.TaskAttempt
+	Worker  medlarwheel.WorkerID
+	// Incarnation is the one of the agent that may start the attempt.
+	Incarnation medlarwheel.Incarnation
+	// Placed is the token under which the attempt was placed. A lower one than the owner's means that earlier owners have
+	// granted the lease, too, and Settle must follow before it can expire.
+	Placed medlarwheel.FencingToken
+	// Started tells that the worker has been seen to know the attempt. Until then only a Start goes out: the worker would
+	// answer a Renew by refusing the attempt for good.
+	Started bool
+}
+
+// Track follows the lease of an attempt on a worker.
+func (t *TaskLeases) Track(tracked TrackedAttempt, owned OwnedShard, now time.Time) {
+	lease := t.leases[tracked.Attempt.Task]
+	if lease == nil || lease.attempt != tracked.Attempt || lease.token != owned.Token {
+		lease = &taskLease{
+			attempt: tracked.Attempt, worker: tracked.Worker, incarnation: tracked.Incarnation, shard: owned.Shard,
+			token: owned.Token, settled: tracked.Placed == owned.Token, latest: now,
+		}
+		t.leases[tracked.Attempt.Task] = lease
+	}
+	lease.started = tracked.Started
+}
+
+// Settle records that at now all earlier owners of a shard had stopped granting leases (see Watch.Settled).
+func (t *TaskLeases) Settle(owned OwnedShard, now time.Time) {
+	for _, lease := range t.leases {
+		if lease.shard == owned.Shard && lease.token == owned.Token && !lease.settled {
+			lease.settled = true
+			lease.latest = maxTime(lease.latest, now)
+		}
+	}
+}
+
+// Forget drops the lease of a task whose attempt has ended.
+func (t *TaskLeases) Forget(task medlarwheel.TaskID) { delete(t.leases, task) }
+
+// DropShard drops the leases of a shard that the instance has lost.
+func (t *TaskLeases) DropShard(shard ShardID) {
+	maps.DeleteFunc(t.leases, func(_ medlarwheel.TaskID, lease *taskLease) bool { return lease.shard == shard })
+}
+
+// Expired returns the proof that an attempt's lease has run out. The shard's assignment must have been confirmed after
+// that moment: until then another owner might have renewed the lease.
+func (t *TaskLeases) Expired(attempt medlarwheel.TaskAttempt, owned OwnedShard) (Proof, error) {
+	lease := t.leases[attempt.Task]
+	if lease == nil || lease.attempt != attempt || lease.token != owned.Token || lease.shard != owned.Shard || !lease.settled {
+		return Proof{}, ErrNoProof
+	}
+	runOut := lease.latest.Add(t.config.TaskTerm + t.config.TaskMargin)
+	if owned.ConfirmedAt.Before(runOut) {
+		return Proof{}, ErrNoProof
+	}
+	lease.expired = true
+	return Proof{
+		cause: medlarwheel.EndingLeaseExpiry, task: attempt.Task, ended: attempt.Attempt, worker: lease.worker,
+		token: lease.token,
+	}, nil
+}
+
+// Renewals returns the renewals that are due at now, one for each worker, ordered by worker.
+func (t *TaskLeases) Renewals(own *Ownership, now time.Time) []Renew {
+	due := make(map[medlarwheel.WorkerID]*Renew)
+	for _, lease := range t.leases {
+		if lease.expired || now.Before(lease.dueAt) {
+			continue
+		}
+		owned, ok := own.MayRenew(lease.shard, now)
+		if !ok || owned.Token != lease.token {
+			continue
+		}
+		until, err := t.deadline(lease.worker, now)
+		if err == nil && !lease.started {
+			continue
+		}
+		renew := due[lease.worker]
+		if renew == nil {
+			renew = &Renew{Worker: lease.worker, Until: until}
+			due[lease.worker] = renew
+		}
+		if err == nil {
+			t.granted(lease, now)
+		} else {
+			lease.dueAt = now.Add(t.config.TaskRenewEvery / askFraction)
+		}
+		if lease.started {
+			renew.Tasks = append(renew.Tasks, RenewAttempt{Attempt: lease.attempt, Token: lease.token})
+		}
+	}
+	renewals := make([]Renew, 0, len(due))
+	for _, renew := range due {
+		slices.SortFunc(renew.Tasks, func(a, b RenewAttempt) int { return cmp.Compare(a.Attempt.Task, b.Attempt.Task) })
+		renewals = append(renewals, *renew)
+	}
+	slices.SortFunc(renewals, func(a, b Renew) int { return cmp.Compare(a.Worker, b.Worker) })
+	return renewals
+}
+
+// grant returns the deadline for the start of an attempt. It is never one of another incarnation of the agent than the
+// attempt was placed with: an agent that has restarted since may have run the attempt before, and refuses it.
+func (t *TaskLeases) grant(attempt medlarwheel.TaskAttempt, owned OwnedShard, now time.Time) (Reading, error) {
+	lease := t.leases[attempt.Task]
+	if lease == nil || lease.attempt != attempt || lease.token != owned.Token || lease.expired {
+		return Reading{}, medlarwheel.AtStep("grant task lease", "", medlarwheel.ErrStale)
+	}
+	until, err := t.deadline(lease.worker, now)
+	switch {
+	case err != nil:
+		return Reading{}, err
+	case until.Incarnation < lease.incarnation:
+		return Reading{}, ErrClockUnknown
+	case until.Incarnation > lease.incarnation:
+		return Reading{Incarnation: lease.incarnation}, nil
+	}
+	t.granted(lease, now)
+	return until, nil
+}
+
+// deadline returns the end of a term that began at the worker's last clock reading, unless half of the term has passed.
+func (t *TaskLeases) deadline(worker medlarwheel.WorkerID, now time.Time) (Reading, error) {
+	heard, ok := t.workers[worker]
+	if !ok || now.Sub(heard.at) > t.config.TaskTerm/2 {
+		return Reading{}, ErrClockUnknown
+	}
+	until := heard.reading
+	until.Uptime += medlarwheel.Duration(t.config.TaskTerm)
+	return until, nil
+}
+
+func (t *TaskLeases) granted(lease *taskLease, now time.Time) {
+	lease.latest = maxTime(lease.latest, t.workers[lease.worker].at)
+	lease.dueAt = now.Add(t.config.TaskRenewEvery)
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
