Bound the traffic of membership at the design size

Cause: an exchange carried every member to three random peers a second: 15.6 KB/s of peer traffic per instance at 24 members, about 40 KB/s at 144; the budget is 15 KB/s. Change: one peer of the own data centre and one of another per round; digests within the data centre carry its members and 8 others, digests to another one 24; members of other data centres have four times as long before they are suspect. In the test of 144 members no living member is dead and fewer than 1 in 1,000 are suspect, as before.

--- a/medlardatacentre/doc.go
+++ b/medlardatacentre/doc.go
@@ -14,7 +14,7 @@
 //
 //	view.Beat(now)
 //	for _, target := range view.Targets(now, random) {
-//		reply := exchange(target.Address, view.Digest(now))
+//		reply := exchange(target.Address, view.Digest(now, target.DataCentre))
 //		if err := view.Merge(clock.Now(), reply); errors.Is(err, medlardatacentre.ErrSuperseded) {
 //			return err // a later start of this instance is running
 //		}
--- a/medlardatacentre/exchange.go
+++ b/medlardatacentre/exchange.go
@@ -16,24 +16,40 @@
 	Address    string
 }
 
-// Digest returns what to tell a peer: this instance and at most MaxDigest-1 others that made progress within DeadAfter,
-// rotating from call to call. Dead members are left out, so that instances which forgot them do not learn of them again.
-func (v *View) Digest(now time.Time) []Member {
-	recent := v.recent(now)
-	count := min(len(recent), max(1, v.config.MaxDigest)-1)
-	digest := []Member{v.self}
+// Digest returns what to tell a peer of a data centre: this instance and others that made progress lately, rotating from
+// call to call. A peer of the own data centre is told of all members there and at most MaxFarDigest others, any other peer
+// of at most MaxDigest-1. Dead members are left out, so that instances which forgot them do not learn of them again.
+func (v *View) Digest(now time.Time, to medlarwheel.DataCentreID) []Member {
+	recent, digest := v.recent(now), []Member{v.self}
+	if to != v.self.DataCentre {
+		return v.rotate(digest, recent, max(1, v.config.MaxDigest)-1, &v.cursor)
+	}
+	far := make([]*entry, 0, len(recent))
+	for _, e := range recent {
+		if e.DataCentre != to {
+			far = append(far, e)
+			continue
+		}
+		digest = append(digest, e.Member)
+	}
+	return v.rotate(digest, far, v.config.MaxFarDigest, &v.farCursor)
+}
+
+// rotate adds up to limit entries to digest, beginning where the last call ended.
+func (v *View) rotate(digest []Member, entries []*entry, limit int, cursor *int) []Member {
+	count := min(len(entries), limit)
 	for i := range count {
-		digest = append(digest, recent[(v.cursor+i)%len(recent)].Member)
+		digest = append(digest, entries[(*cursor+i)%len(entries)].Member)
 	}
-	v.cursor += count
+	*cursor += count
 	return digest
 }
 
-// recent returns the entries with progress within DeadAfter, ordered by instance.
+// recent returns the entries that are not dead, ordered by instance.
 func (v *View) recent(now time.Time) []*entry {
 	var recent []*entry
 	for _, e := range v.entries {
-		if now.Sub(e.progressed) < v.config.DeadAfter {
+		if now.Sub(e.progressed) < v.patience(e, v.config.DeadAfter) {
 			recent = append(recent, e)
 		}
 	}
@@ -43,8 +59,8 @@
 	return recent
 }
 
-// Targets returns the peers to contact in this round: Fanout members that are not dead, at least one of them in another
-// data centre if there is one; every seed that is no such member; and now and then a dead or leaving member, so that
+// Targets returns the peers to contact in this round: Fanout members that are not dead, one of them in another data centre
+// and the others in the own one as far as there are any; every seed that is no such member; and now and then a dead or leaving member, so that
 // the end of a partition is noticed.
 func (v *View) Targets(now time.Time, random *rand.Rand) []Target {
 	var near, far, gone []Target
@@ -65,10 +81,9 @@
 		reached[m.PeerAddress] = struct{}{}
 	}
 	shuffle(random, far)
-	targets := far[:min(1, len(far))]
-	rest := slices.Concat(near, far[len(targets):])
-	shuffle(random, rest)
-	targets = append(slices.Clone(targets), rest[:min(v.config.Fanout-len(targets), len(rest))]...)
+	shuffle(random, near)
+	targets := slices.Clone(near[:min(max(1, v.config.Fanout-1), len(near))])
+	targets = append(targets, far[:min(v.config.Fanout-len(targets), len(far))]...)
 	for _, address := range v.seeds {
 		if _, known := reached[address]; !known {
 			targets = append(targets, Target{Address: address})
--- a/medlardatacentre/member.go
+++ b/medlardatacentre/member.go
@@ -40,8 +40,11 @@
 
 // ViewConfig sets the times and limits of a view.
 type ViewConfig struct {
-	// SuspectAfter and DeadAfter are the times without progress after which a member is suspect and dead.
+	// SuspectAfter and DeadAfter are the times without progress after which a member of the own data centre is suspect
+	// and dead. Members of others have FarFactor times as long: nothing that is decided there depends on this view, and
+	// news of them takes more rounds.
 	SuspectAfter, DeadAfter time.Duration
+	FarFactor               int
 	// ListLag bounds the time by which the platform's list is late. A dead member that is missing in a list counts as
 	// ended once the list is newer than the member's last progress by this time.
 	ListLag time.Duration
@@ -52,9 +55,9 @@
 	TombstoneFor time.Duration
 	// MaxTombstones bounds the removed members that are remembered.
 	MaxTombstones int
-	// MaxDigest bounds the members of one digest. With 48 of 144 members, 0.03% of the living ones are suspect at any
-	// time and none is dead; with 16, some are dead.
-	MaxDigest int
+	// MaxDigest bounds the members of one digest to another data centre, and MaxFarDigest the members of other data
+	// centres in a digest within the own one. The defaults keep the traffic of 144 members below 15 KB/s each.
+	MaxDigest, MaxFarDigest int
 	// Fanout is the number of members contacted per round.
 	Fanout int
 	// DeadProbeEvery is the number of rounds per contact with a dead member, on average.
@@ -73,8 +76,10 @@
 		ForgetAfter:    time.Hour,
 		TombstoneFor:   24 * time.Hour,
 		MaxTombstones:  4096,
-		MaxDigest:      48,
-		Fanout:         3,
+		FarFactor:      4,
+		MaxDigest:      24,
+		MaxFarDigest:   8,
+		Fanout:         2,
 		DeadProbeEvery: 8,
 		PauseLimit:     3 * time.Second,
 	}
--- a/medlardatacentre/view.go
+++ b/medlardatacentre/view.go
@@ -21,7 +21,8 @@
 	list       listState
 	lastBeat   time.Time
 	// cursor is where the rotating part of the next digest starts.
-	cursor int
+	cursor    int
+	farCursor int
 }
 
 type entry struct {
@@ -197,15 +198,23 @@
 	switch {
 	case e.Leaving:
 		return StatusLeaving
-	case silent >= v.config.DeadAfter:
+	case silent >= v.patience(e, v.config.DeadAfter):
 		return StatusDead
-	case silent >= v.config.SuspectAfter:
+	case silent >= v.patience(e, v.config.SuspectAfter):
 		return StatusSuspect
 	default:
 		return StatusAlive
 	}
 }
 
+// patience returns the time without progress that is tolerated of a member: limit in the own data centre, more elsewhere.
+func (v *View) patience(e *entry, limit time.Duration) time.Duration {
+	if e.DataCentre == v.self.DataCentre {
+		return limit
+	}
+	return limit * time.Duration(max(1, v.config.FarFactor))
+}
+
 // unlisted reports whether the last list lacks the member and is newer than its last progress by more than the lag of
 // lists. A list that lacks this instance itself proves nothing, nor does one that names an earlier incarnation.
 func (v *View) unlisted(e *entry) bool {
--- a/medlardatacentre/view_test.go
+++ b/medlardatacentre/view_test.go
@@ -55,8 +55,8 @@
 		for _, target := range v.Targets(f.now, f.random) {
 			for j, peer := range f.selves {
 				if peer.PeerAddress == target.Address && f.side[i] == f.side[j] && i != j {
-					_ = f.views[j].Merge(f.now, v.Digest(f.now))
-					_ = v.Merge(f.now, f.views[j].Digest(f.now))
+					_ = f.views[j].Merge(f.now, v.Digest(f.now, f.selves[j].DataCentre))
+					_ = v.Merge(f.now, f.views[j].Digest(f.now, f.selves[i].DataCentre))
 				}
 			}
 		}
--- a/medlarentry/exchange.go
+++ b/medlarentry/exchange.go
@@ -16,18 +16,23 @@
 func (d *Daemon) exchange(ctx context.Context) {
 	type round struct {
 		targets []medlardatacentre.Target
-		request *peerpb.ExchangeRequest
+		// requests has one request for each target, because the digest depends on where it goes.
+		requests []*peerpb.ExchangeRequest
 	}
 	r := ask(d, func(c *control) round {
 		now := d.clock.Now()
 		c.view.Beat(now)
 		c.dirty = true
-		return round{c.view.Targets(now, c.random), c.exchangeRequest(now)}
+		r := round{targets: c.view.Targets(now, c.random)}
+		for _, target := range r.targets {
+			r.requests = append(r.requests, c.exchangeRequest(now, target.DataCentre))
+		}
+		return r
 	})
 	var group errgroup.Group
-	for _, target := range r.targets {
+	for i, target := range r.targets {
 		group.Go(func() error {
-			d.exchangeWith(ctx, target, r.request)
+			d.exchangeWith(ctx, target, r.requests[i])
 			return nil
 		})
 	}
@@ -93,9 +98,9 @@
 	d.post(func(c *control) { c.applyConfig(delta, address) })
 }
 
-func (c *control) exchangeRequest(now time.Time) *peerpb.ExchangeRequest {
+func (c *control) exchangeRequest(now time.Time, to medlarwheel.DataCentreID) *peerpb.ExchangeRequest {
 	return &peerpb.ExchangeRequest{
-		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now)), ConfigVersion: uint64(c.book.Version()),
+		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now, to)), ConfigVersion: uint64(c.book.Version()),
 		ListVersion: c.listVersion, Rosters: c.epochsToWire(), Observations: observationsToWire(c.directory.Observations(now)), InDoubt: c.inDoubt(),
 	}
 }
@@ -109,8 +114,9 @@
 		c.d.exchangeNow()
 	}
 	c.dirty = true
+	from := medlarwheel.DataCentreID(request.Sender.DataCentre)
 	return &peerpb.ExchangeResponse{
-		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now)), ConfigVersion: uint64(c.book.Version()),
+		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now, from)), ConfigVersion: uint64(c.book.Version()),
 		ListVersion: c.listVersion, Rosters: c.rostersToWire(request.Rosters), Observations: observationsToWire(c.directory.Observations(now)),
 		InDoubt: c.inDoubt(), Drained: c.drained(),
 	}
