Add medlarjob: life cycle of jobs, with a simulation

Cause: evicted work must resume exactly once and no task may run in two places, whatever owners and workers do.

Change: a state machine over one row per job. Placing commits on the workers, the end of an attempt releases, keeps the checkpoint and numbers the next attempt in one transaction. Commands are derived from committed rows. Submit validates, Cancel works in waves, a Batch refuses decisions from different views of a row.

A simulation of three instances and three workers found two faults that are mended here. A restarted worker started the same attempt twice; attempts are now bound to the incarnation of the agent.

Not done yet: the simulation takes 460 s with the race detector and has to become smaller; some mechanisms have no test that fails without them.

--- a/job.go
+++ b/job.go
@@ -45,10 +45,11 @@
 	EndedAt     time.Time `json:"ended-at,omitzero"`
 	// Token is the highest token of an owner that has changed the job.
 	Token FencingToken `json:"token,omitempty"`
-	// Cancelling stops all tasks. Reason says who asked or which task failed for good.
-	Cancelling bool   `json:"cancelling,omitempty"`
-	Reason     string `json:"reason,omitempty"`
-	Tasks      []Task `json:"tasks"`
+	// Cancelling stops all tasks.
+	Cancelling bool `json:"cancelling,omitempty"`
+	// Reason says why the job is held, who cancelled it, or which task failed for good.
+	Reason string `json:"reason,omitempty"`
+	Tasks  []Task `json:"tasks"`
 }
 
 // TaskID returns the id of the task with the index.
--- /dev/null
+++ b/medlarjob/config.go
@@ -0,0 +1,85 @@
+package medlarjob
+
+import (
+	"time"
+
+	"medlarwheel"
+)
+
+// Config holds the rules of the life cycle.
+type Config struct {
+	// HoldWorkers is the number of different workers on which a task must have failed before it is held.
+	HoldWorkers int
+	// HoldFailures is the number of failures after which a task is held even if fewer workers saw them. Without it a task
+	// that fails at once on the only worker it fits would be started again without end.
+	HoldFailures int
+	// HoldWait is the first hold. Each further one doubles, up to MaxHoldWait.
+	HoldWait    time.Duration
+	MaxHoldWait time.Duration
+	// MaxAttempts bounds the failed attempts of a batch task whose template names no bound.
+	MaxAttempts int
+	// KeepAttempts bounds the ended attempts that a task's history keeps, and KeepPerJob those of a whole job.
+	KeepAttempts int
+	KeepPerJob   int
+	// MaxReason bounds a reason in bytes.
+	MaxReason int
+	// CheckpointGrace is how long a worker may take to write a checkpoint before it stops the attempt without one.
+	CheckpointGrace time.Duration
+	// Retention is how long the row of an ended job is kept.
+	Retention time.Duration
+	// MaxOpenJobs bounds the jobs of one account that have not ended.
+	MaxOpenJobs int
+	// RetryBusy is the time to come back when an account has too many open jobs or the workers are not known yet.
+	RetryBusy time.Duration
+	// RetryAway is the time to come back when only workers that are draining or on probation are large enough.
+	RetryAway time.Duration
+	// MaxBatchWrites and MaxBatchBytes bound one transaction.
+	MaxBatchWrites int
+	MaxBatchBytes  int
+	// MaxWaveBatches bounds the transactions of one wave of cancellations.
+	MaxWaveBatches int
+}
+
+// Default returns the rules of the design page.
+func Default() Config {
+	return Config{
+		HoldWorkers:     3,
+		HoldFailures:    6,
+		HoldWait:        time.Minute,
+		MaxHoldWait:     time.Hour,
+		MaxAttempts:     10,
+		KeepAttempts:    3,
+		KeepPerJob:      medlarwheel.MaxJobTasks,
+		MaxReason:       120,
+		CheckpointGrace: 30 * time.Second,
+		Retention:       24 * time.Hour,
+		MaxOpenJobs:     1000,
+		RetryBusy:       10 * time.Second,
+		RetryAway:       time.Minute,
+		MaxBatchWrites:  64,
+		MaxBatchBytes:   512 * 1024,
+		MaxWaveBatches:  4,
+	}
+}
+
+// Check reports every fault of c.
+func (c Config) Check() medlarwheel.Faults {
+	var faults medlarwheel.Faults
+	const year = medlarwheel.Duration(365 * 24 * time.Hour)
+	faults = faults.Range("hold-workers", int64(c.HoldWorkers), 1, 100)
+	faults = faults.Range("hold-failures", int64(c.HoldFailures), int64(c.HoldWorkers), 1000)
+	faults = faults.DurationRange("hold-wait", medlarwheel.Duration(c.HoldWait), 1, year)
+	faults = faults.DurationRange("max-hold-wait", medlarwheel.Duration(c.MaxHoldWait), medlarwheel.Duration(c.HoldWait), year)
+	faults = faults.Range("max-attempts", int64(c.MaxAttempts), 1, 1000)
+	faults = faults.Range("keep-attempts", int64(c.KeepAttempts), 1, 10)
+	faults = faults.Range("keep-per-job", int64(c.KeepPerJob), 1, 1000)
+	faults = faults.Range("max-reason", int64(c.MaxReason), 16, 1000)
+	faults = faults.DurationRange("checkpoint-grace", medlarwheel.Duration(c.CheckpointGrace), 1, year)
+	faults = faults.DurationRange("retention", medlarwheel.Duration(c.Retention), 0, year)
+	faults = faults.DurationRange("retry-busy", medlarwheel.Duration(c.RetryBusy), 1, year)
+	faults = faults.DurationRange("retry-away", medlarwheel.Duration(c.RetryAway), 1, year)
+	faults = faults.Range("max-open-jobs", int64(c.MaxOpenJobs), 1, 1_000_000)
+	faults = faults.Range("max-batch-writes", int64(c.MaxBatchWrites), 2, 10_000)
+	faults = faults.Range("max-batch-bytes", int64(c.MaxBatchBytes), 64*1024, 64*1024*1024)
+	return faults.Range("max-wave-batches", int64(c.MaxWaveBatches), 1, 1000)
+}
--- /dev/null
+++ b/medlarjob/fit.go
@@ -0,0 +1,111 @@
+package medlarjob
+
+import (
+	"fmt"
+
+	"medlarwheel"
+	"medlarwheel/medlarquota"
+)
+
+// Shape is a size that workers of a data centre have.
+type Shape struct {
+	Size medlarwheel.Resources
+	// Live is the number of workers of the size that take tasks, and Away that of workers that are draining or on
+	// probation.
+	Live int
+	Away int
+}
+
+// checkFit refuses tasks that are too large for every worker, and gangs that are too large for all workers together.
+func (c Config) checkFit(spec *medlarwheel.TaskSpec, tasks int, around *Surroundings, refused *refusal) {
+	if len(around.Shapes) == 0 {
+		refused.passing("data-centre", "workers are not known yet", "a data centre with known workers", c.RetryBusy)
+		return
+	}
+	needed, what := 1, "one task"
+	if spec.Gang {
+		needed, what = tasks, fmt.Sprintf("%d tasks at once", tasks)
+	}
+	live, all := 0, 0
+	for i := range around.Shapes {
+		shape := &around.Shapes[i]
+		each := copies(spec.Size, shape.Size, needed)
+		live += min(each*shape.Live, needed)
+		all += min(each*(shape.Live+shape.Away), needed)
+	}
+	value := fmt.Sprintf("%+v", spec.Size)
+	switch {
+	case all < needed:
+		refused.lasting("size", value, fmt.Sprintf("a size of which the workers hold %s; largest workers: %s", what,
+			largest(around.Shapes)))
+	case live < needed:
+		refused.passing("size", value, fmt.Sprintf("a size of which the workers that are not draining hold %s", what),
+			c.RetryAway)
+	}
+	if spec.Gang && spec.Spread > 0 && around.Racks > 0 && tasks > spec.Spread*around.Racks {
+		refused.lasting("tasks", tasks, fmt.Sprintf("at most %d for each of %d racks", spec.Spread, around.Racks))
+	}
+}
+
+// copies returns how many tasks of a size a worker holds, up to limit.
+func copies(size, worker medlarwheel.Resources, limit int) int {
+	count := int64(limit)
+	for _, c := range [][2]int64{
+		{int64(size.CPU), int64(worker.CPU)},
+		{int64(size.Memory), int64(worker.Memory)},
+		{int64(size.Accelerators), int64(worker.Accelerators)},
+	} {
+		if c[0] > 0 {
+			count = min(count, c[1]/c[0])
+		}
+	}
+	return int(count)
+}
+
+// largest describes the shapes that no other shape exceeds.
+func largest(shapes []Shape) string {
+	text := ""
+	for i := range shapes {
+		dominated := false
+		for j := range shapes {
+			dominated = dominated || i != j && shapes[i].Size.Fits(shapes[j].Size) &&
+				(shapes[i].Size != shapes[j].Size || j < i)
+		}
+		if !dominated {
+			text += fmt.Sprintf("%+v ", shapes[i].Size)
+		}
+	}
+	return text
+}
+
+// checkQuotas refuses a request that no state of the quotas can ever admit. The tasks of a service and of a gang run at
+// the same time; others may follow each other.
+func checkQuotas(
+	spec *medlarwheel.TaskSpec, tasks int, request *medlarwheel.JobRequest, around *Surroundings, refused *refusal,
+) {
+	path, need := "size", spec.Size
+	if spec.Gang || around.Template.Kind == medlarwheel.KindService {
+		path, need = "tasks", spec.Size.Times(tasks)
+	}
+	team := medlarquota.TeamOf(request.Account, around.Account)
+	quotas := []struct {
+		name  string
+		quota medlarwheel.Resources
+	}{
+		{"team " + string(team), around.TeamQuota},
+		{"account " + string(request.Account), accountQuota(around.Account)},
+		{"template " + string(request.Template), around.Account.ParametersFor(around.Template).Quota},
+	}
+	for _, q := range quotas {
+		if !medlarquota.Within(need, q.quota) {
+			refused.lasting(path, fmt.Sprintf("%+v", need), fmt.Sprintf("within the quota of %s: %+v", q.name, q.quota))
+		}
+	}
+}
+
+func accountQuota(account *medlarwheel.Account) medlarwheel.Resources {
+	if account == nil {
+		return medlarwheel.Resources{}
+	}
+	return account.Quota
+}
--- /dev/null
+++ b/medlarjob/hold.go
@@ -0,0 +1,147 @@
+package medlarjob
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"medlarwheel"
+)
+
+// blame counts a failure against a task and holds it, or ends the job when it has used up its attempts.
+func (d *draft) blame(index int, worker medlarwheel.WorkerID, reason string) {
+	task := &d.job.Tasks[index]
+	reason = d.config.bounded(reason)
+	task.Failures++
+	task.FailedOn = addFailure(task.FailedOn, worker)
+	if limit := d.maxAttempts(); limit > 0 && task.Failures >= limit {
+		task.State = medlarwheel.JobFailed
+		task.Reason = d.config.bounded(fmt.Sprintf("failed %d times: %s", task.Failures, reason))
+		d.cancelOthers(d.config.bounded(fmt.Sprintf("task %d %s", index, task.Reason)))
+		return
+	}
+	if !d.mustHold(task) {
+		d.requeue(task)
+		return
+	}
+	wait := doubled(d.config.HoldWait, task.Holds, d.config.MaxHoldWait)
+	d.requeue(task)
+	task.Holds++
+	task.State = medlarwheel.JobHeld
+	task.HeldUntil = d.now.Add(wait)
+	task.Reason = d.config.bounded(fmt.Sprintf("failed on %d workers: %s", len(task.FailedOn), reason))
+}
+
+// maxAttempts returns the bound on failed attempts, or zero for a service: its tasks are held but never given up.
+func (d *draft) maxAttempts() int {
+	switch {
+	case d.job.Kind == medlarwheel.KindService:
+		return 0
+	case d.job.Spec.MaxAttempts > 0:
+		return d.job.Spec.MaxAttempts
+	default:
+		return d.config.MaxAttempts
+	}
+}
+
+func (d *draft) mustHold(task *medlarwheel.Task) bool {
+	failures := 0
+	for _, f := range task.FailedOn {
+		failures += f.Count
+	}
+	return len(task.FailedOn) >= d.config.HoldWorkers || failures >= d.config.HoldFailures
+}
+
+// Wake ends the holds that are over at now.
+func (r *Record) Wake(token medlarwheel.FencingToken, now time.Time) (Decision, error) {
+	at, held := r.NextWake()
+	if !held || now.Before(at) {
+		return r.unchanged(), nil
+	}
+	d, err := r.draft(token, now)
+	if err != nil {
+		return Decision{}, err
+	}
+	for i := range d.job.Tasks {
+		task := &d.job.Tasks[i]
+		if task.State == medlarwheel.JobHeld && !d.now.Before(task.HeldUntil) {
+			task.FailedOn = nil
+			d.requeue(task)
+		}
+	}
+	return d.decide(), nil
+}
+
+// NextWake returns when the first hold ends, and false if no task is held.
+func (r *Record) NextWake() (time.Time, bool) {
+	var at time.Time
+	held := false
+	for i := range r.job.Tasks {
+		task := &r.job.Tasks[i]
+		if task.State == medlarwheel.JobHeld && (!held || task.HeldUntil.Before(at)) {
+			at, held = task.HeldUntil, true
+		}
+	}
+	return at, held
+}
+
+// Forgive takes back the blame for failures on a worker that has turned out to fail every task.
+func (r *Record) Forgive(worker medlarwheel.WorkerID, token medlarwheel.FencingToken, now time.Time) (Decision, error) {
+	blamed := func(f medlarwheel.WorkerFailures) bool { return f.Worker == worker }
+	concerned := slices.ContainsFunc(r.job.Tasks, func(t medlarwheel.Task) bool {
+		return slices.ContainsFunc(t.FailedOn, blamed)
+	})
+	if !concerned || r.job.State.IsFinal() {
+		return r.unchanged(), nil
+	}
+	d, err := r.draft(token, now)
+	if err != nil {
+		return Decision{}, err
+	}
+	for i := range d.job.Tasks {
+		task := &d.job.Tasks[i]
+		at := slices.IndexFunc(task.FailedOn, blamed)
+		if at < 0 || task.State.IsFinal() {
+			continue
+		}
+		task.Failures -= task.FailedOn[at].Count
+		task.FailedOn = slices.Delete(slices.Clone(task.FailedOn), at, at+1)
+		if task.State == medlarwheel.JobHeld && !d.mustHold(task) {
+			task.Holds--
+			task.Reason = ""
+			d.requeue(task)
+		}
+	}
+	return d.decide(), nil
+}
+
+// heldReason returns why a held job is held.
+func heldReason(job *medlarwheel.Job) string {
+	if job.State != medlarwheel.JobHeld {
+		return ""
+	}
+	at := slices.IndexFunc(job.Tasks, func(t medlarwheel.Task) bool { return t.State == medlarwheel.JobHeld })
+	return job.Tasks[at].Reason
+}
+
+func addFailure(list []medlarwheel.WorkerFailures, worker medlarwheel.WorkerID) []medlarwheel.WorkerFailures {
+	next := slices.Clone(list)
+	for i := range next {
+		if next[i].Worker == worker {
+			next[i].Count++
+			return next
+		}
+	}
+	return append(next, medlarwheel.WorkerFailures{Worker: worker, Count: 1})
+}
+
+// doubled returns base doubled n times, up to limit.
+func doubled(base time.Duration, n int, limit time.Duration) time.Duration {
+	for range n {
+		if base >= limit/2 {
+			return limit
+		}
+		base *= 2
+	}
+	return base
+}
--- /dev/null
+++ b/medlarjob/orders.go
@@ -0,0 +1,86 @@
+package medlarjob
+
+import (
+	"slices"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlarlease"
+)
+
+// Track makes leases follow the attempts that the job has on workers, and forget those that have ended.
+func (r *Record) Track(leases *medlarlease.TaskLeases, owned medlarlease.OwnedShard, now time.Time) {
+	if !r.IsCommitted() {
+		return
+	}
+	for i := range r.job.Tasks {
+		task := &r.job.Tasks[i]
+		if !task.State.IsActive() {
+			leases.Forget(medlarwheel.TaskAttempt{Task: r.job.TaskID(i), Attempt: task.Attempt - 1}, owned, now)
+			continue
+		}
+		leases.Track(medlarlease.TrackedAttempt{
+			Attempt: r.runningAttempt(i), Worker: task.Run.Worker, Incarnation: task.Run.Incarnation,
+			Placed: task.Run.Token, Started: task.State != medlarwheel.JobPlacing,
+		}, owned, now)
+	}
+}
+
+// Adopt takes over a job that an earlier owner was placing, so that its attempts can be started. Until the row is
+// written under the new token, the earlier owner could still record that the attempts have ended.
+func (r *Record) Adopt(token medlarwheel.FencingToken, now time.Time) (Decision, error) {
+	placing := slices.ContainsFunc(r.job.Tasks, func(t medlarwheel.Task) bool { return t.State == medlarwheel.JobPlacing })
+	if !placing || token == r.job.Token {
+		return r.unchanged(), nil
+	}
+	d, err := r.draft(token, now)
+	if err != nil {
+		return Decision{}, err
+	}
+	return d.decide(), nil
+}
+
+// Orders returns the commands that the committed row calls for, if the instance may act on the job at now. They may be
+// sent again until a report changes the row. A start is left out while the worker's clock is not known, for which Track
+// makes the leases ask, and while the row has not been written under the owner's token (see Adopt).
+func (r *Record) Orders(leases *medlarlease.TaskLeases, own *medlarlease.Ownership, now time.Time) []medlarlease.Order {
+	shard, err := medlarlease.ShardOfJob(r.job.DataCentre, r.job.ID)
+	if err != nil || !r.IsCommitted() {
+		return nil
+	}
+	owned, ok := own.MayAct(shard, now)
+	if !ok || owned.Token < r.job.Token {
+		return nil
+	}
+	var orders []medlarlease.Order
+	for i := range r.job.Tasks {
+		task := &r.job.Tasks[i]
+		switch {
+		case !task.State.IsActive():
+		case r.job.Cancelling:
+			orders = append(orders, medlarlease.Stop{
+				Worker: task.Run.Worker, Attempt: r.runningAttempt(i), Token: owned.Token,
+			})
+		case task.State == medlarwheel.JobCheckpointing:
+			orders = append(orders, medlarlease.Checkpoint{
+				Worker: task.Run.Worker, Attempt: r.runningAttempt(i), Token: owned.Token,
+				GracePeriod: medlarwheel.Duration(r.config.CheckpointGrace),
+			})
+		case task.State == medlarwheel.JobPlacing:
+			if start, err := r.startOf(i, leases, own, now); err == nil {
+				orders = append(orders, start)
+			}
+		}
+	}
+	return orders
+}
+
+func (r *Record) startOf(
+	index int, leases *medlarlease.TaskLeases, own *medlarlease.Ownership, now time.Time,
+) (medlarlease.Start, error) {
+	proof, err := medlarlease.Recorded(&r.job, r.version, index)
+	if err != nil {
+		return medlarlease.Start{}, err
+	}
+	return proof.Start(leases, own, &r.job, index, now)
+}
--- /dev/null
+++ b/medlarjob/report.go
@@ -0,0 +1,185 @@
+package medlarjob
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/medlarlease"
+	"medlarwheel/medlarworker"
+)
+
+// Report applies a worker's word about an attempt. worker is the record of the worker's row; it is needed when the
+// attempt has ended. For an attempt that ended without a word about its checkpoint (stopped or absent) the caller looks
+// for the checkpoint object first and sets Saved.
+func (r *Record) Report(
+	report *medlarwheel.TaskReport, worker *medlarworker.Record, token medlarwheel.FencingToken, now time.Time,
+) (Decision, error) {
+	index, ok := r.task(report.Task)
+	if !ok {
+		return Decision{}, medlarwheel.AtStep("report of "+string(report.Task), "", medlarwheel.ErrNotFound)
+	}
+	if current, err := r.isCurrent(index, report.Attempt); !current || report.Worker != r.job.Tasks[index].Run.Worker {
+		return r.unchanged(), err
+	}
+	if !report.Phase.IsEnded() {
+		return r.started(index, token, now)
+	}
+	proof, err := medlarlease.FromWorker(report)
+	if err != nil {
+		return Decision{}, err
+	}
+	result, reason := r.resultOf(report)
+	return r.end(index, ending{
+		proof: proof, result: result, reason: reason, saved: report.Saved, worker: worker,
+	}, token, now)
+}
+
+// Lost ends an attempt whose lease has run out. saved tells that the attempt's checkpoint object exists.
+func (r *Record) Lost(
+	attempt medlarwheel.TaskAttempt, proof medlarlease.Proof, saved bool, worker *medlarworker.Record,
+	token medlarwheel.FencingToken, now time.Time,
+) (Decision, error) {
+	index, ok := r.task(attempt.Task)
+	if !ok {
+		return Decision{}, medlarwheel.AtStep("loss of "+string(attempt.Task), "", medlarwheel.ErrNotFound)
+	}
+	if current, err := r.isCurrent(index, attempt.Attempt); !current {
+		return r.unchanged(), err
+	}
+	return r.end(index, ending{
+		proof: proof, result: medlarwheel.ResultLost, reason: "lease ran out", saved: saved, worker: worker,
+	}, token, now)
+}
+
+// isCurrent reports whether an attempt is the one that the row has on a worker. An earlier one has ended already. A later
+// one means that the row is older than the event.
+func (r *Record) isCurrent(index int, attempt medlarwheel.AttemptNumber) (bool, error) {
+	task := &r.job.Tasks[index]
+	switch {
+	case attempt < task.Attempt || task.State.IsFinal():
+		return false, nil
+	case attempt > task.Attempt || task.Run == nil:
+		return false, ErrOutdated
+	default:
+		return true, nil
+	}
+}
+
+func (r *Record) started(index int, token medlarwheel.FencingToken, now time.Time) (Decision, error) {
+	if r.job.Tasks[index].State != medlarwheel.JobPlacing {
+		return r.unchanged(), nil
+	}
+	d, err := r.draft(token, now)
+	if err != nil {
+		return Decision{}, err
+	}
+	task := &d.job.Tasks[index]
+	run := *task.Run
+	run.StartedAt = d.now
+	task.Run = &run
+	task.State = medlarwheel.JobRunning
+	return d.decide(), nil
+}
+
+// resultOf translates the phase of an ended attempt. A service never ends by itself.
+func (r *Record) resultOf(report *medlarwheel.TaskReport) (medlarwheel.AttemptResult, string) {
+	switch report.Phase {
+	case medlarwheel.PhaseDone:
+		if r.job.Kind == medlarwheel.KindService {
+			return medlarwheel.ResultFailed, "service task ended"
+		}
+		return medlarwheel.ResultDone, report.Reason
+	case medlarwheel.PhaseFailed:
+		return medlarwheel.ResultFailed, report.Reason
+	case medlarwheel.PhaseAbsent:
+		return medlarwheel.ResultLost, "not known to the worker"
+	default:
+		return medlarwheel.ResultEvicted, report.Reason
+	}
+}
+
+// ending is how an attempt ended.
+type ending struct {
+	proof  medlarlease.Proof
+	result medlarwheel.AttemptResult
+	reason string
+	saved  bool
+	worker *medlarworker.Record
+}
+
+// end releases the commitment, records the evidence and the checkpoint, and numbers the next attempt.
+func (r *Record) end(index int, e ending, token medlarwheel.FencingToken, now time.Time) (Decision, error) {
+	d, err := r.draft(token, now)
+	if err != nil {
+		return Decision{}, err
+	}
+	task := &d.job.Tasks[index]
+	if e.worker == nil || e.worker.Worker().ID != task.Run.Worker {
+		return Decision{}, medlarwheel.AtStep("release", string(task.Run.Worker), medlarwheel.ErrNotFound)
+	}
+	attempt := d.runningAttempt(index)
+	if err := e.proof.Covers(attempt, task.Run.Worker, task.Run.Token); err != nil {
+		return Decision{}, err
+	}
+	err = e.worker.Free(attempt, e.proof, e.result, now)
+	if errors.Is(err, medlarworker.ErrNotCommitted) || errors.Is(err, medlarwheel.ErrStale) {
+		return Decision{}, ErrOutdated
+	}
+	if err != nil {
+		return Decision{}, err
+	}
+	d.touch(e.worker)
+	d.close(task, e)
+	d.follow(index, e)
+	return d.decide(), nil
+}
+
+// close moves the attempt to the history and numbers the next one.
+func (d *draft) close(task *medlarwheel.Task, e ending) {
+	run := *task.Run
+	run.EndedAt, run.Result, run.Reason = d.now, e.result, d.config.bounded(e.reason)
+	keep := max(1, min(d.config.KeepAttempts, d.config.KeepPerJob/len(d.job.Tasks)))
+	history := append(slices.Clone(task.History), run)
+	task.History = history[max(0, len(history)-keep):]
+	if e.saved {
+		task.Saved = run.Number
+	}
+	evidence := e.proof.Ending()
+	task.Ended = &evidence
+	task.Run = nil
+	task.Attempt++
+}
+
+// follow decides what the task does next.
+func (d *draft) follow(index int, e ending) {
+	task := &d.job.Tasks[index]
+	switch {
+	case e.result == medlarwheel.ResultDone:
+		task.State = medlarwheel.JobDone
+	case d.job.Cancelling:
+		task.State = medlarwheel.JobCancelled
+	case e.result == medlarwheel.ResultFailed && !e.worker.IsSuspect():
+		d.blame(index, task.History[len(task.History)-1].Worker, e.reason)
+	default:
+		d.requeue(task)
+	}
+	if d.job.Spec.Gang && e.result != medlarwheel.ResultDone {
+		d.breakGang()
+	}
+	d.closeRound()
+}
+
+// requeue makes a task wait for a worker. Outside of a gang its own checkpoint is the one to resume from.
+func (d *draft) requeue(task *medlarwheel.Task) {
+	if !d.job.Spec.Gang {
+		task.Checkpoint = task.Saved
+	}
+	task.HeldUntil = time.Time{}
+	task.State = medlarwheel.JobQueued
+	if task.Checkpoint > 0 {
+		task.State = medlarwheel.JobSuspended
+	}
+}
--- /dev/null
+++ b/medlarjob/submit_test.go
@@ -0,0 +1,91 @@
+package medlarjob_test
+
+import (
+	"errors"
+	"testing"
+
+	"medlarwheel"
+	"medlarwheel/medlarjob"
+)
+
+// Guards against jobs that are accepted but can never run, and against refusals without the path of every fault or with
+// a wrong time to come back.
+func TestSubmitRefuses(t *testing.T) {
+	config := medlarjob.Default()
+	size := func(cpu medlarwheel.MilliCPU) medlarwheel.Resources {
+		return medlarwheel.Resources{CPU: cpu, Memory: 10}
+	}
+	type change func(*medlarwheel.JobRequest, *medlarjob.Surroundings)
+	for _, c := range []struct {
+		name   string
+		change change
+		paths  []string
+		retry  bool
+	}{
+		{"accepted", func(*medlarwheel.JobRequest, *medlarjob.Surroundings) {}, nil, false},
+		{"no template", func(_ *medlarwheel.JobRequest, a *medlarjob.Surroundings) { a.Template = nil }, []string{"template"}, false},
+		{"every fault", func(r *medlarwheel.JobRequest, a *medlarjob.Surroundings) {
+			r.Name, r.Tasks = "Bad Name", 257
+		}, []string{"name", "tasks", "tasks"}, false},
+		{"too large for every worker", func(r *medlarwheel.JobRequest, _ *medlarjob.Surroundings) {
+			r.Size = size(5000)
+		}, []string{"size"}, false},
+		{"fits a draining worker", func(r *medlarwheel.JobRequest, a *medlarjob.Surroundings) {
+			a.Shapes[0].Live, a.Shapes[0].Away = 0, 2
+		}, []string{"size"}, true},
+		{"workers not known", func(_ *medlarwheel.JobRequest, a *medlarjob.Surroundings) { a.Shapes = nil }, []string{"data-centre"}, true},
+		{"gang too large for all workers", func(r *medlarwheel.JobRequest, a *medlarjob.Surroundings) {
+			r.Tasks, a.Template.Task.Gang = 9, true
+		}, []string{"size"}, false},
+		{"gang too large for its racks", func(r *medlarwheel.JobRequest, a *medlarjob.Surroundings) {
+			r.Tasks, a.Template.Task.Gang, a.Template.Task.Spread, a.Racks = 5, true, 2, 2
+		}, []string{"tasks"}, false},
+		{"beyond the team's quota", func(_ *medlarwheel.JobRequest, a *medlarjob.Surroundings) {
+			a.TeamQuota = size(999)
+		}, []string{"size"}, false},
+		{"gang beyond the account's quota", func(r *medlarwheel.JobRequest, a *medlarjob.Surroundings) {
+			r.Tasks, a.Template.Task.Gang, a.Account = 3, true, &medlarwheel.Account{Quota: size(2500)}
+		}, []string{"tasks"}, false},
+		{"one after the other within the quota", func(r *medlarwheel.JobRequest, a *medlarjob.Surroundings) {
+			r.Tasks, a.Account = 3, &medlarwheel.Account{Quota: size(2500)}
+		}, nil, false},
+		{"beyond the quota of the template", func(_ *medlarwheel.JobRequest, a *medlarjob.Surroundings) {
+			a.Template.Defaults.Quota = size(500)
+		}, []string{"size"}, false},
+		{"too many open jobs", func(_ *medlarwheel.JobRequest, a *medlarjob.Surroundings) {
+			a.OpenJobs = config.MaxOpenJobs
+		}, []string{"account"}, true},
+		{"passing and lasting", func(_ *medlarwheel.JobRequest, a *medlarjob.Surroundings) {
+			a.OpenJobs, a.TeamQuota = config.MaxOpenJobs, size(1)
+		}, []string{"size", "account"}, false},
+	} {
+		request := &medlarwheel.JobRequest{Name: "round", Account: "a", Template: "round", DataCentre: "dc1", Tasks: 1}
+		around := &medlarjob.Surroundings{
+			Template: &medlarwheel.Template{
+				Name: "round", Kind: medlarwheel.KindBatch, Class: medlarwheel.ClassStandard,
+				Task: &medlarwheel.TaskSpec{Size: size(1000)},
+			},
+			Shapes: []medlarjob.Shape{{Size: medlarwheel.Resources{CPU: 4000, Memory: 100}, Live: 2}},
+		}
+		c.change(request, around)
+		record, _, err := config.Submit(request, around, start)
+		var refused *medlarjob.SubmitError
+		if errors.As(err, &refused) != (len(c.paths) > 0) {
+			t.Errorf("%s: got %v", c.name, err)
+			continue
+		}
+		if refused == nil {
+			if !record.Answers(request) {
+				t.Errorf("%s: the job does not answer its own request", c.name)
+			}
+			continue
+		}
+		same := len(refused.Faults) == len(c.paths)
+		for n := range c.paths {
+			same = same && refused.Faults[n].Path == c.paths[n]
+		}
+		if !same || (refused.RetryAfter > 0) != c.retry {
+			t.Errorf("%s: got %v, retry after %v", c.name, refused.Faults, refused.RetryAfter)
+		}
+	}
+}
--- a/medlarlease/instance.go
+++ b/medlarlease/instance.go
@@ -8,11 +8,14 @@
 	"medlarwheel"
 )
 
-// instancePrefix starts the keys of the rows of entry instances.
-const instancePrefix = "entry/"
+// InstancePrefix returns the start of the keys of the lease rows of a data centre. Watching the rows of all 144 instances
+// of the design size would take more than the 15 KB/s that a node may use.
+func InstancePrefix(dc medlarwheel.DataCentreID) string { return "entry/" + string(dc) + "/" }
 
 // InstanceKey returns the key of an instance's lease row.
-func InstanceKey(id medlarwheel.InstanceID) string { return instancePrefix + string(id) }
+func InstanceKey(dc medlarwheel.DataCentreID, id medlarwheel.InstanceID) string {
+	return InstancePrefix(dc) + string(id)
+}
 
 // InstanceLease is the row that an entry instance renews. One write renews all of the instance's ownership. A higher
 // incarnation in the row means that the earlier process has ended.
--- a/medlarlease/order.go
+++ b/medlarlease/order.go
@@ -47,12 +47,13 @@
 	return json.Marshal(s.order)
 }
 
-// Renew extends the leases of attempts on a worker. The agent answers with a report of each attempt.
+// Renew extends the leases of attempts on a worker. The agent answers with its clock and a report of each attempt.
+// Without attempts it only asks for the clock.
 type Renew struct {
 	Worker medlarwheel.WorkerID `json:"worker"`
 	// Until is the new deadline. Zero only asks for reports, when the worker's clock is not known well enough.
 	Until Reading        `json:"until,omitzero"`
-	Tasks []RenewAttempt `json:"tasks"`
+	Tasks []RenewAttempt `json:"tasks,omitempty"`
 }
 
 // RenewAttempt names an attempt whose lease is renewed.
--- a/medlarlease/ownership.go
+++ b/medlarlease/ownership.go
@@ -43,7 +43,7 @@
 	o.counter++
 	lease := InstanceLease{Instance: o.instance, Counter: o.counter, MapEpoch: o.current.Epoch}
 	value, err := encode(&lease)
-	return medlarwheel.Write{Key: InstanceKey(o.instance.ID), Expect: o.version, Value: value}, err
+	return medlarwheel.Write{Key: InstanceKey(o.instance.DataCentre, o.instance.ID), Expect: o.version, Value: value}, err
 }
 
 // Renewed records that the renewal sent at sentAt took effect.
--- a/medlarlease/plan.go
+++ b/medlarlease/plan.go
@@ -11,7 +11,8 @@
 
 // PlanShards returns the map that follows current for the live members, and whether it differs. A change that finds
 // shards of dead members moves exactly these. Only a change without dead members moves shards for balance, MaxMoves of
-// them at most. The result depends on the arguments alone, so planners that race write the same map.
+// them at most. The result depends on the arguments alone, so planners that race write the same map. current must have
+// been read before what live was taken from: otherwise a planner undoes what another one planned with a newer view.
 func (c Config) PlanShards(current ShardMap, live []Member) (ShardMap, bool) {
 	members := sortedMembers(live)
 	if len(members) == 0 {
--- a/medlarlease/proof.go
+++ b/medlarlease/proof.go
@@ -76,13 +76,23 @@
 }
 
 // Start returns the command that starts the placed attempt of a task. p must be recorded in the job's row, so that no
-// start goes out before the release of the attempt before it and the new commitment have taken effect.
+// start goes out before the release of the attempt before it and the new commitment have taken effect. The row must have
+// been written under the owner's token: an earlier owner that has found the attempt's lease expired may still be about to
+// record that, and only a change of the row stops it.
 func (p Proof) Start(
-	leases *TaskLeases, job *medlarwheel.Job, index int, owned OwnedShard, now time.Time,
+	leases *TaskLeases, own *Ownership, job *medlarwheel.Job, index int, now time.Time,
 ) (Start, error) {
 	if !p.recorded || index < 0 || index >= len(job.Tasks) || p.task != job.TaskID(index) {
 		return Start{}, ErrNoProof
 	}
+	shard, err := ShardOfJob(job.DataCentre, job.ID)
+	if err != nil {
+		return Start{}, err
+	}
+	owned, ok := own.MayAct(shard, now)
+	if !ok || job.Token != owned.Token {
+		return Start{}, medlarwheel.AtStep("start "+string(p.task), "", medlarwheel.ErrStale)
+	}
 	run := job.Tasks[index].Run
 	if run == nil || run.Number != p.ended+1 {
 		return Start{}, ErrNoProof
--- a/medlarlease/proof_test.go
+++ b/medlarlease/proof_test.go
@@ -11,7 +11,7 @@
 )
 
 func placedJob(number medlarwheel.AttemptNumber) *medlarwheel.Job {
-	job := &medlarwheel.Job{ID: "03-0000000000000001", Template: "round", Tasks: []medlarwheel.Task{{
+	job := &medlarwheel.Job{ID: "03-0000000000000001", DataCentre: "dc1", Token: 1, Template: "round", Tasks: []medlarwheel.Task{{
 		State: medlarwheel.JobPlacing, Attempt: number,
 		Run: &medlarwheel.Attempt{Number: number, Worker: "w1", Token: 1},
 	}}}
@@ -21,6 +21,10 @@
 	return job
 }
 
+func tracked(attempt medlarwheel.TaskAttempt, placed medlarwheel.FencingToken) medlarlease.TrackedAttempt {
+	return medlarlease.TrackedAttempt{Attempt: attempt, Worker: "w1", Incarnation: 1, Placed: placed, Started: true}
+}
+
 // Guards against a start without evidence that the attempt before has ended: from a zero proof, from a proof that is not
 // in the committed row yet, from a row without the ending, and from a zero command.
 func TestStartNeedsProof(t *testing.T) {
@@ -32,7 +36,7 @@
 	leases := medlarlease.NewTaskLeases(medlarlease.Default())
 	leases.Heard("w1", medlarlease.Reading{Incarnation: 1, Uptime: 1}, start)
 	job := placedJob(2)
-	leases.Track(medlarwheel.TaskAttempt{Task: job.TaskID(0), Attempt: 2}, "w1", 1, owned, start)
+	leases.Track(tracked(medlarwheel.TaskAttempt{Task: job.TaskID(0), Attempt: 2}, 1), owned, start)
 
 	report := &medlarwheel.TaskReport{
 		Worker: "w0", Incarnation: 1, Task: job.TaskID(0), Attempt: 1, Token: 1, Phase: medlarwheel.PhaseStopped,
@@ -46,7 +50,7 @@
 		t.Fatalf("a running attempt proves its end: %v", err)
 	}
 	for name, proof := range map[string]medlarlease.Proof{"zero": {}, "not recorded": word} {
-		if _, err := proof.Start(leases, job, 0, owned, start); !errors.Is(err, medlarlease.ErrNoProof) {
+		if _, err := proof.Start(leases, f.own, job, 0, start); !errors.Is(err, medlarlease.ErrNoProof) {
 			t.Errorf("%s proof: got %v", name, err)
 		}
 	}
@@ -65,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if command, err := recorded.Start(leases, job, 0, owned, start); err != nil || command.Target() != "w1" {
+	if command, err := recorded.Start(leases, f.own, job, 0, start); err != nil || command.Target() != "w1" {
 		t.Errorf("recorded proof: got %v", err)
 	}
 }
@@ -106,7 +110,7 @@
 	attempt := medlarwheel.TaskAttempt{Task: "03-0000000000000001.0", Attempt: 1}
 	wait := config.TaskTerm + config.TaskMargin
 	leases := medlarlease.NewTaskLeases(config)
-	leases.Track(attempt, "w1", 1, owned(start), start)
+	leases.Track(tracked(attempt, 1), owned(start), start)
 	leases.Heard("w1", medlarlease.Reading{Incarnation: 1, Uptime: 1}, start.Add(10*time.Second))
 	owned(start.Add(11 * time.Second))
 	if renewals := leases.Renewals(f.own, start.Add(11*time.Second)); len(renewals) != 1 || renewals[0].Until.IsZero() {
@@ -120,7 +124,7 @@
 	}
 
 	inherited := medlarlease.NewTaskLeases(config)
-	inherited.Track(attempt, "w1", 0, owned(start.Add(time.Minute)), start.Add(time.Minute))
+	inherited.Track(tracked(attempt, 0), owned(start.Add(time.Minute)), start.Add(time.Minute))
 	late := start.Add(time.Hour)
 	if _, err := inherited.Expired(attempt, owned(late)); err == nil {
 		t.Fatal("expired while an earlier owner may still renew")
@@ -144,7 +148,7 @@
 			ID: "e2", DataCentre: "dc1", PeerAddress: "127.0.0.1:7001", Incarnation: 1, State: medlarwheel.StateLive,
 		}, MapEpoch: epoch})
 		now = now.Add(2 * time.Second)
-		row := medlarwheel.Row{Key: medlarlease.InstanceKey("e2"), Version: version, Value: value}
+		row := medlarwheel.Row{Key: medlarlease.InstanceKey("dc1", "e2"), Version: version, Value: value}
 		if err := watch.Observe([]medlarwheel.Row{row}, now, now); err != nil {
 			t.Fatal(err)
 		}
--- a/medlarlease/taskleases.go
+++ b/medlarlease/taskleases.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,17 +25,22 @@
 }
 
 type taskLease struct {
-	attempt medlarwheel.TaskAttempt
-	worker  medlarwheel.WorkerID
-	shard   ShardID
-	token   medlarwheel.FencingToken
+	attempt     medlarwheel.TaskAttempt
+	worker      medlarwheel.WorkerID
+	incarnation medlarwheel.Incarnation
+	shard       ShardID
+	token       medlarwheel.FencingToken
 	// settled tells that no earlier owner grants any more, so that latest bounds every grant.
 	settled bool
+	started bool
 	// latest is an upper bound of when a clock reading was taken that any grant is based on.
 	latest time.Time
 	// dueAt is when the worker is to hear from the owner next.
 	dueAt   time.Time
 	expired bool
+	// forgottenAt is set once the attempt has ended. The entry stays for the horizon, so that an older view of the job's
+	// row does not bring the attempt back.
+	forgottenAt time.Time
 }
 
 // ErrClockUnknown means that the worker's clock has not been heard lately, so that no deadline can be set. Ask the
@@ -61,19 +67,41 @@
 	}
 }
 
-// Track follows the lease of an attempt on a worker. placed is the token under which it was placed: a lower one than the
-// owner's means that earlier owners have granted the lease, too, and Settle must follow before it can expire.
-func (t *TaskLeases) Track(
-	attempt medlarwheel.TaskAttempt, worker medlarwheel.WorkerID, placed medlarwheel.FencingToken, owned OwnedShard,
-	now time.Time,
-) {
-	lease := t.leases[attempt.Task]
-	if lease != nil && lease.attempt == attempt && lease.token == owned.Token {
+// Incarnation returns the incarnation of a worker's agent if the worker has been heard lately.
+func (t *TaskLeases) Incarnation(worker medlarwheel.WorkerID, now time.Time) (medlarwheel.Incarnation, bool) {
+	until, err := t.deadline(worker, now)
+	return until.Incarnation, err == nil
+}
+
+// TrackedAttempt is an attempt that is committed on a worker, as the job's row has it.
+type TrackedAttempt struct {
+	Attempt medlarwheel.TaskAttempt
+	Worker  medlarwheel.WorkerID
+	// Incarnation is the one of the agent that may start the attempt.
+	Incarnation medlarwheel.Incarnation
+	// Placed is the token under which the attempt was placed. A lower one than the owner's means that earlier owners have
+	// granted the lease, too, and Settle must follow before it can expire.
+	Placed medlarwheel.FencingToken
+	// Started tells that the worker has been seen to know the attempt. Until then only a Start goes out: the worker would
+	// answer a Renew by refusing the attempt for good.
+	Started bool
+}
+
+// Track follows the lease of an attempt on a worker. An attempt that is known to have ended is not followed again.
+func (t *TaskLeases) Track(tracked TrackedAttempt, owned OwnedShard, now time.Time) {
+	lease := t.leases[tracked.Attempt.Task]
+	if lease != nil && lease.token == owned.Token && (tracked.Attempt.Attempt < lease.attempt.Attempt ||
+		tracked.Attempt == lease.attempt && !lease.forgottenAt.IsZero()) {
 		return
 	}
-	t.leases[attempt.Task] = &taskLease{
-		attempt: attempt, worker: worker, shard: owned.Shard, token: owned.Token, settled: placed == owned.Token, latest: now,
+	if lease == nil || lease.attempt != tracked.Attempt || lease.token != owned.Token {
+		lease = &taskLease{
+			attempt: tracked.Attempt, worker: tracked.Worker, incarnation: tracked.Incarnation, shard: owned.Shard,
+			token: owned.Token, settled: tracked.Placed == owned.Token, latest: now,
+		}
+		t.leases[tracked.Attempt.Task] = lease
 	}
+	lease.started = tracked.Started
 }
 
 // Settle records that at now all earlier owners of a shard had stopped granting leases (see Watch.Settled).
@@ -86,14 +114,35 @@
 	}
 }
 
-// Forget drops the lease of a task whose attempt has ended, or whose job the owner has lost.
-func (t *TaskLeases) Forget(task medlarwheel.TaskID) { delete(t.leases, task) }
+// Forget drops the lease of an attempt that has ended, and of all earlier ones of its task.
+func (t *TaskLeases) Forget(ended medlarwheel.TaskAttempt, owned OwnedShard, now time.Time) {
+	lease := t.leases[ended.Task]
+	switch {
+	case lease != nil && lease.token == owned.Token && lease.attempt.Attempt > ended.Attempt:
+	case lease != nil && lease.attempt == ended && !lease.forgottenAt.IsZero():
+	default:
+		t.leases[ended.Task] = &taskLease{attempt: ended, shard: owned.Shard, token: owned.Token, forgottenAt: now}
+	}
+}
+
+// Prune drops what is kept of attempts that ended longer ago than the horizon.
+func (t *TaskLeases) Prune(now time.Time) {
+	maps.DeleteFunc(t.leases, func(_ medlarwheel.TaskID, lease *taskLease) bool {
+		return !lease.forgottenAt.IsZero() && now.Sub(lease.forgottenAt) > t.config.Horizon
+	})
+}
+
+// DropShard drops the leases of a shard that the instance has lost.
+func (t *TaskLeases) DropShard(shard ShardID) {
+	maps.DeleteFunc(t.leases, func(_ medlarwheel.TaskID, lease *taskLease) bool { return lease.shard == shard })
+}
 
 // Expired returns the proof that an attempt's lease has run out. The shard's assignment must have been confirmed after
 // that moment: until then another owner might have renewed the lease.
 func (t *TaskLeases) Expired(attempt medlarwheel.TaskAttempt, owned OwnedShard) (Proof, error) {
 	lease := t.leases[attempt.Task]
-	if lease == nil || lease.attempt != attempt || lease.token != owned.Token || lease.shard != owned.Shard || !lease.settled {
+	if lease == nil || lease.attempt != attempt || lease.token != owned.Token || lease.shard != owned.Shard ||
+		!lease.settled || !lease.forgottenAt.IsZero() {
 		return Proof{}, ErrNoProof
 	}
 	runOut := lease.latest.Add(t.config.TaskTerm + t.config.TaskMargin)
@@ -111,24 +160,30 @@
 func (t *TaskLeases) Renewals(own *Ownership, now time.Time) []Renew {
 	due := make(map[medlarwheel.WorkerID]*Renew)
 	for _, lease := range t.leases {
-		if lease.expired || now.Before(lease.dueAt) {
+		if lease.expired || !lease.forgottenAt.IsZero() || now.Before(lease.dueAt) {
 			continue
 		}
 		owned, ok := own.MayRenew(lease.shard, now)
 		if !ok || owned.Token != lease.token {
 			continue
 		}
-		if due[lease.worker] == nil {
-			until, _ := t.deadline(lease.worker, now)
-			due[lease.worker] = &Renew{Worker: lease.worker, Until: until}
+		until, err := t.deadline(lease.worker, now)
+		if err == nil && !lease.started {
+			continue
 		}
 		renew := due[lease.worker]
-		if renew.Until.IsZero() {
-			lease.dueAt = now.Add(t.config.TaskRenewEvery / askFraction)
-		} else {
+		if renew == nil {
+			renew = &Renew{Worker: lease.worker, Until: until}
+			due[lease.worker] = renew
+		}
+		if err == nil {
 			t.granted(lease, now)
+		} else {
+			lease.dueAt = now.Add(t.config.TaskRenewEvery / askFraction)
+		}
+		if lease.started {
+			renew.Tasks = append(renew.Tasks, RenewAttempt{Attempt: lease.attempt, Token: lease.token})
 		}
-		renew.Tasks = append(renew.Tasks, RenewAttempt{Attempt: lease.attempt, Token: lease.token})
 	}
 	renewals := make([]Renew, 0, len(due))
 	for _, renew := range due {
@@ -139,17 +194,25 @@
 	return renewals
 }
 
-// grant returns the deadline for the start of an attempt.
+// grant returns the deadline for the start of an attempt. It is never one of another incarnation of the agent than the
+// attempt was placed with: an agent that has restarted since may have run the attempt before, and refuses it.
 func (t *TaskLeases) grant(attempt medlarwheel.TaskAttempt, owned OwnedShard, now time.Time) (Reading, error) {
 	lease := t.leases[attempt.Task]
-	if lease == nil || lease.attempt != attempt || lease.token != owned.Token || lease.expired {
+	if lease == nil || lease.attempt != attempt || lease.token != owned.Token || lease.expired ||
+		!lease.forgottenAt.IsZero() {
 		return Reading{}, medlarwheel.AtStep("grant task lease", "", medlarwheel.ErrStale)
 	}
 	until, err := t.deadline(lease.worker, now)
-	if err == nil {
-		t.granted(lease, now)
+	switch {
+	case err != nil:
+		return Reading{}, err
+	case until.Incarnation < lease.incarnation:
+		return Reading{}, ErrClockUnknown
+	case until.Incarnation > lease.incarnation:
+		return Reading{Incarnation: lease.incarnation}, nil
 	}
-	return until, err
+	t.granted(lease, now)
+	return until, nil
 }
 
 // deadline returns the end of a term that began at the worker's last clock reading, unless half of the term has passed.
--- a/medlarworker/marks.go
+++ b/medlarworker/marks.go
@@ -45,5 +45,6 @@
 		return medlarwheel.AtStep("mark worker", string(r.worker.ID), medlarwheel.ErrStale)
 	}
 	r.worker.Token = token
+	r.changes++
 	return nil
 }
--- a/medlarworker/record.go
+++ b/medlarworker/record.go
@@ -19,6 +19,8 @@
 	config Config
 	worker medlarwheel.Worker
 	expect medlarwheel.RowVersion
+	// changes counts the changes since the row was read. All of them have to go into one transaction.
+	changes int
 }
 
 // TaskRef names an attempt and what it runs.
@@ -85,6 +87,9 @@
 // Version returns the version of the row that the record was read from.
 func (r *Record) Version() medlarwheel.RowVersion { return r.expect }
 
+// Changes counts the changes since the row was read.
+func (r *Record) Changes() int { return r.changes }
+
 // Clone returns an independent copy of r, to try changes on.
 func (r *Record) Clone() *Record {
 	c := *r
@@ -111,13 +116,14 @@
 func (r *Record) Commit(
 	ref TaskRef, resources medlarwheel.Resources, token medlarwheel.FencingToken,
 ) (medlarwheel.Write, error) {
-	if err := r.commit(ref, resources, token); err != nil {
+	if err := r.Reserve(ref, resources, token); err != nil {
 		return medlarwheel.Write{}, err
 	}
 	return r.Write()
 }
 
-func (r *Record) commit(ref TaskRef, resources medlarwheel.Resources, token medlarwheel.FencingToken) error {
+// Reserve is Commit without the write, for decisions that are batched.
+func (r *Record) Reserve(ref TaskRef, resources medlarwheel.Resources, token medlarwheel.FencingToken) error {
 	w := &r.worker
 	at, found := r.find(ref.Task)
 	if found {
@@ -138,6 +144,7 @@
 	w.Commitments = slices.Insert(w.Commitments, at, medlarwheel.Commitment{
 		Task: ref.Task, Attempt: ref.Attempt, Template: ref.Template, Class: ref.Class, Token: token, Resources: resources,
 	})
+	r.changes++
 	if w.Probation != nil {
 		w.Probation.Open = false
 		w.Probation.Trial = &medlarwheel.TaskAttempt{Task: ref.Task, Attempt: ref.Attempt}
@@ -161,20 +168,31 @@
 func (r *Record) Release(
 	attempt medlarwheel.TaskAttempt, proof medlarlease.Proof, result medlarwheel.AttemptResult, now time.Time,
 ) (medlarwheel.Write, error) {
+	if err := r.Free(attempt, proof, result, now); err != nil {
+		return medlarwheel.Write{}, err
+	}
+	return r.Write()
+}
+
+// Free is Release without the write, for decisions that are batched.
+func (r *Record) Free(
+	attempt medlarwheel.TaskAttempt, proof medlarlease.Proof, result medlarwheel.AttemptResult, now time.Time,
+) error {
 	at, found := r.find(attempt.Task)
 	if !found || r.worker.Commitments[at].Attempt < attempt.Attempt {
-		return medlarwheel.Write{}, ErrNotCommitted
+		return ErrNotCommitted
 	}
 	c := &r.worker.Commitments[at]
 	if c.Attempt > attempt.Attempt {
-		return medlarwheel.Write{}, medlarwheel.AtStep("release", "", medlarwheel.ErrStale)
+		return medlarwheel.AtStep("release", "", medlarwheel.ErrStale)
 	}
 	if err := proof.Covers(attempt, r.worker.ID, c.Token); err != nil {
-		return medlarwheel.Write{}, err
+		return err
 	}
 	r.worker.Commitments = slices.Delete(r.worker.Commitments, at, at+1)
+	r.changes++
 	r.note(attempt, result, now)
-	return r.Write()
+	return nil
 }
 
 // Resolution is what became of a commitment whose transaction had no answer.
--- a/task.go
+++ b/task.go
@@ -80,6 +80,8 @@
 type Attempt struct {
 	Number AttemptNumber `json:"number"`
 	Worker WorkerID      `json:"worker"`
+	// Incarnation is the one of the worker's agent that may start the attempt. A restarted agent does not start it again.
+	Incarnation Incarnation `json:"incarnation"`
 	// Token is the token of the owner that placed the attempt.
 	Token     FencingToken `json:"token"`
 	Resources Resources    `json:"resources"`
