--- a/medlarfleet/fault_test.go
+++ b/medlarfleet/fault_test.go
@@ -59,7 +59,7 @@
 	if took := time.Since(left); took >= quick("x").Lease.Term {
 		t.Errorf("the shards moved after %v, not before the lease ran out", took)
 	}
-	if _, err := w.platform.Store.Row(medlarlease.InstanceKey(owner.id)); err == nil {
+	if _, err := w.platform.Store.Row(medlarlease.InstanceKey(dataCentre, owner.id)); err == nil {
 		t.Error("the instance that left has kept its lease row")
 	}
 }
--- a/medlarfleet/fleet_test.go
+++ b/medlarfleet/fleet_test.go
@@ -69,7 +69,7 @@
 		return err == nil && len(workers) == 2
 	})
 	renewals := func() medlarwheel.RowVersion {
-		row, err := w.platform.Store.Row(medlarlease.InstanceKey("entry-1"))
+		row, err := w.platform.Store.Row(medlarlease.InstanceKey(dataCentre, "entry-1"))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/medlarfleet/keeper.go
+++ b/medlarfleet/keeper.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// entryPrefix starts the keys of the lease rows of all instances.
-	entryPrefix = "entry/"
 	// patience is the number of rounds that an instance other than the first live one leaves a due change of the shard
 	// map to that one. All instances find the same change at the same time, and all but one of the writes would conflict.
 	patience = 2
@@ -71,7 +69,7 @@
 // renew renews the instance's lease in one write. A lost answer or a conflict is resolved by reading the row back.
 func (k *keeper) renew(ctx context.Context) error {
 	if !k.adopted {
-		row, err := k.rowOrEmpty(ctx, medlarlease.InstanceKey(k.f.config.Instance.ID))
+		row, err := k.rowOrEmpty(ctx, medlarlease.InstanceKey(k.f.config.Instance.DataCentre, k.f.config.Instance.ID))
 		if err != nil {
 			return err
 		}
@@ -142,7 +140,7 @@
 func (k *keeper) observe(ctx context.Context) error {
 	sent := k.f.ports.Clock.Now()
 	for {
-		page, err := k.f.ports.Table.Changes(ctx, entryPrefix, k.cursor, medlarplatform.MaxPage)
+		page, err := k.f.ports.Table.Changes(ctx, medlarlease.InstancePrefix(k.f.config.Instance.DataCentre), k.cursor, medlarplatform.MaxPage)
 		if err != nil {
 			return medlarwheel.AtStep("read leases", "", err)
 		}
--- a/medlarfleet/orders.go
+++ b/medlarfleet/orders.go
@@ -24,11 +24,10 @@
 		if job.State.IsFinal() || !needsOrders(job) {
 			continue
 		}
-		owned, ok := s.mayAct(entry.shard, now)
-		if !ok {
+		if _, ok := s.mayAct(entry.shard, now); !ok {
 			continue
 		}
-		for _, order := range entry.record.Orders(s.leases, owned, now) {
+		for _, order := range entry.record.Orders(s.leases, s.own, now) {
 			s.sendOrder(entry, order, now)
 		}
 	}
@@ -48,6 +47,15 @@
 	return false
 }
 
+func isPlacing(job *medlarwheel.Job) bool {
+	for i := range job.Tasks {
+		if job.Tasks[i].State == medlarwheel.JobPlacing {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *state) sendOrder(entry *jobEntry, order medlarlease.Order, now time.Time) {
 	c := command{order: order}
 	var attempt medlarwheel.TaskAttempt
@@ -147,6 +155,13 @@
 				return r.Enqueue(owned.Token, now)
 			}})
 		}
+		if owned, ok := s.mayAct(entry.shard, now); ok && isPlacing(job) && job.Token < owned.Token {
+			s.intents.add(intent{key: "adopt/" + string(id), job: id, apply: func(
+				r *medlarjob.Record, _ *workerView, owned medlarlease.OwnedShard, now time.Time,
+			) (medlarjob.Decision, error) {
+				return r.Adopt(owned.Token, now)
+			}})
+		}
 		if at, held := entry.record.NextWake(); held && !now.Before(at) {
 			s.intents.add(intent{key: "wake/" + string(id), job: id, apply: func(
 				r *medlarjob.Record, _ *workerView, owned medlarlease.OwnedShard, now time.Time,
--- a/medlarfleet/rows.go
+++ b/medlarfleet/rows.go
@@ -112,9 +112,12 @@
 		return
 	}
 	delete(s.jobs, id)
-	job := entry.record.Job()
+	job, now := entry.record.Job(), s.f.ports.Clock.Now()
+	owned, isOwned := s.own.MayRenew(entry.shard, now)
 	for i := range job.Tasks {
-		s.leases.Forget(job.TaskID(i))
+		if isOwned {
+			s.leases.Forget(medlarwheel.TaskAttempt{Task: job.TaskID(i), Attempt: job.Tasks[i].Attempt}, owned, now)
+		}
 		s.dropProposal(job.TaskID(i))
 		delete(s.preempts, job.TaskID(i))
 	}
--- a/medlarfleet/state.go
+++ b/medlarfleet/state.go
@@ -101,6 +101,7 @@
 		return
 	}
 	s.refreshShards(now)
+	s.leases.Prune(now)
 	s.renewLeases(now)
 	s.sendOrders(now)
 	s.checkExpiries(now)
--- a/medlarjob/doc.go
+++ b/medlarjob/doc.go
@@ -20,7 +20,7 @@
 //	writes, err := decision.Writes()      // transact writes, then
 //	record = decision.Committed(commit.Version)
 //	record.Track(leases, owned, now)
-//	for _, order := range record.Orders(leases, owned, now) {
+//	for _, order := range record.Orders(leases, own, now) {
 //		// send order to order.Target()
 //	}
 //	decision, err = record.Report(&report, workerRecord, owned.Token, now)
--- a/medlarjob/hold.go
+++ b/medlarjob/hold.go
@@ -115,6 +115,15 @@
 	return d.decide(), nil
 }
 
+// heldReason returns why a held job is held.
+func heldReason(job *medlarwheel.Job) string {
+	if job.State != medlarwheel.JobHeld {
+		return ""
+	}
+	at := slices.IndexFunc(job.Tasks, func(t medlarwheel.Task) bool { return t.State == medlarwheel.JobHeld })
+	return job.Tasks[at].Reason
+}
+
 func addFailure(list []medlarwheel.WorkerFailures, worker medlarwheel.WorkerID) []medlarwheel.WorkerFailures {
 	next := slices.Clone(list)
 	for i := range next {
--- a/medlarjob/orders.go
+++ b/medlarjob/orders.go
@@ -1,6 +1,7 @@
 package medlarjob
 
 import (
+	"slices"
 	"time"
 
 	"medlarwheel"
@@ -15,7 +16,7 @@
 	for i := range r.job.Tasks {
 		task := &r.job.Tasks[i]
 		if !task.State.IsActive() {
-			leases.Forget(r.job.TaskID(i))
+			leases.Forget(medlarwheel.TaskAttempt{Task: r.job.TaskID(i), Attempt: task.Attempt - 1}, owned, now)
 			continue
 		}
 		leases.Track(medlarlease.TrackedAttempt{
@@ -25,10 +26,30 @@
 	}
 }
 
-// Orders returns the commands that the committed row calls for. They may be sent again until a report changes the row.
-// A start whose worker's clock is not known yet is left out; Track makes the leases ask for it.
-func (r *Record) Orders(leases *medlarlease.TaskLeases, owned medlarlease.OwnedShard, now time.Time) []medlarlease.Order {
-	if !r.IsCommitted() || owned.Token < r.job.Token {
+// Adopt takes over a job that an earlier owner was placing, so that its attempts can be started. Until the row is
+// written under the new token, the earlier owner could still record that the attempts have ended.
+func (r *Record) Adopt(token medlarwheel.FencingToken, now time.Time) (Decision, error) {
+	placing := slices.ContainsFunc(r.job.Tasks, func(t medlarwheel.Task) bool { return t.State == medlarwheel.JobPlacing })
+	if !placing || token == r.job.Token {
+		return r.unchanged(), nil
+	}
+	d, err := r.draft(token, now)
+	if err != nil {
+		return Decision{}, err
+	}
+	return d.decide(), nil
+}
+
+// Orders returns the commands that the committed row calls for, if the instance may act on the job at now. They may be
+// sent again until a report changes the row. A start is left out while the worker's clock is not known, for which Track
+// makes the leases ask, and while the row has not been written under the owner's token (see Adopt).
+func (r *Record) Orders(leases *medlarlease.TaskLeases, own *medlarlease.Ownership, now time.Time) []medlarlease.Order {
+	shard, err := medlarlease.ShardOfJob(r.job.DataCentre, r.job.ID)
+	if err != nil || !r.IsCommitted() {
+		return nil
+	}
+	owned, ok := own.MayAct(shard, now)
+	if !ok || owned.Token < r.job.Token {
 		return nil
 	}
 	var orders []medlarlease.Order
@@ -46,7 +67,7 @@
 				GracePeriod: medlarwheel.Duration(r.config.CheckpointGrace),
 			})
 		case task.State == medlarwheel.JobPlacing:
-			if start, err := r.startOf(i, leases, owned, now); err == nil {
+			if start, err := r.startOf(i, leases, own, now); err == nil {
 				orders = append(orders, start)
 			}
 		}
@@ -55,11 +76,11 @@
 }
 
 func (r *Record) startOf(
-	index int, leases *medlarlease.TaskLeases, owned medlarlease.OwnedShard, now time.Time,
+	index int, leases *medlarlease.TaskLeases, own *medlarlease.Ownership, now time.Time,
 ) (medlarlease.Start, error) {
 	proof, err := medlarlease.Recorded(&r.job, r.version, index)
 	if err != nil {
 		return medlarlease.Start{}, err
 	}
-	return proof.Start(leases, &r.job, index, owned, now)
+	return proof.Start(leases, own, &r.job, index, now)
 }
--- a/medlarjob/record.go
+++ b/medlarjob/record.go
@@ -127,6 +127,9 @@
 // decide completes the transition.
 func (d *draft) decide() Decision {
 	d.job.State = stateOf(&d.job)
+	if !d.job.Cancelling {
+		d.job.Reason = heldReason(&d.job)
+	}
 	if d.job.State.IsFinal() && d.job.EndedAt.IsZero() {
 		d.job.EndedAt = d.now
 	}
--- a/medlarlease/proof_test.go
+++ b/medlarlease/proof_test.go
@@ -11,7 +11,7 @@
 )
 
 func placedJob(number medlarwheel.AttemptNumber) *medlarwheel.Job {
-	job := &medlarwheel.Job{ID: "03-0000000000000001", Template: "round", Tasks: []medlarwheel.Task{{
+	job := &medlarwheel.Job{ID: "03-0000000000000001", DataCentre: "dc1", Token: 1, Template: "round", Tasks: []medlarwheel.Task{{
 		State: medlarwheel.JobPlacing, Attempt: number,
 		Run: &medlarwheel.Attempt{Number: number, Worker: "w1", Token: 1},
 	}}}
@@ -50,7 +50,7 @@
 		t.Fatalf("a running attempt proves its end: %v", err)
 	}
 	for name, proof := range map[string]medlarlease.Proof{"zero": {}, "not recorded": word} {
-		if _, err := proof.Start(leases, job, 0, owned, start); !errors.Is(err, medlarlease.ErrNoProof) {
+		if _, err := proof.Start(leases, f.own, job, 0, start); !errors.Is(err, medlarlease.ErrNoProof) {
 			t.Errorf("%s proof: got %v", name, err)
 		}
 	}
@@ -69,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if command, err := recorded.Start(leases, job, 0, owned, start); err != nil || command.Target() != "w1" {
+	if command, err := recorded.Start(leases, f.own, job, 0, start); err != nil || command.Target() != "w1" {
 		t.Errorf("recorded proof: got %v", err)
 	}
 }
@@ -148,7 +148,7 @@
 			ID: "e2", DataCentre: "dc1", PeerAddress: "127.0.0.1:7001", Incarnation: 1, State: medlarwheel.StateLive,
 		}, MapEpoch: epoch})
 		now = now.Add(2 * time.Second)
-		row := medlarwheel.Row{Key: medlarlease.InstanceKey("e2"), Version: version, Value: value}
+		row := medlarwheel.Row{Key: medlarlease.InstanceKey("dc1", "e2"), Version: version, Value: value}
 		if err := watch.Observe([]medlarwheel.Row{row}, now, now); err != nil {
 			t.Fatal(err)
 		}
--- a/medlarlease/taskleases.go
+++ b/medlarlease/taskleases.go
@@ -38,6 +38,9 @@
 	// dueAt is when the worker is to hear from the owner next.
 	dueAt   time.Time
 	expired bool
+	// forgottenAt is set once the attempt has ended. The entry stays for the horizon, so that an older view of the job's
+	// row does not bring the attempt back.
+	forgottenAt time.Time
 }
 
 // ErrClockUnknown means that the worker's clock has not been heard lately, so that no deadline can be set. Ask the
@@ -84,9 +87,13 @@
 	Started bool
 }
 
-// Track follows the lease of an attempt on a worker.
+// Track follows the lease of an attempt on a worker. An attempt that is known to have ended is not followed again.
 func (t *TaskLeases) Track(tracked TrackedAttempt, owned OwnedShard, now time.Time) {
 	lease := t.leases[tracked.Attempt.Task]
+	if lease != nil && lease.token == owned.Token && (tracked.Attempt.Attempt < lease.attempt.Attempt ||
+		tracked.Attempt == lease.attempt && !lease.forgottenAt.IsZero()) {
+		return
+	}
 	if lease == nil || lease.attempt != tracked.Attempt || lease.token != owned.Token {
 		lease = &taskLease{
 			attempt: tracked.Attempt, worker: tracked.Worker, incarnation: tracked.Incarnation, shard: owned.Shard,
@@ -107,8 +114,23 @@
 	}
 }
 
-// Forget drops the lease of a task whose attempt has ended.
-func (t *TaskLeases) Forget(task medlarwheel.TaskID) { delete(t.leases, task) }
+// Forget drops the lease of an attempt that has ended, and of all earlier ones of its task.
+func (t *TaskLeases) Forget(ended medlarwheel.TaskAttempt, owned OwnedShard, now time.Time) {
+	lease := t.leases[ended.Task]
+	switch {
+	case lease != nil && lease.token == owned.Token && lease.attempt.Attempt > ended.Attempt:
+	case lease != nil && lease.attempt == ended && !lease.forgottenAt.IsZero():
+	default:
+		t.leases[ended.Task] = &taskLease{attempt: ended, shard: owned.Shard, token: owned.Token, forgottenAt: now}
+	}
+}
+
+// Prune drops what is kept of attempts that ended longer ago than the horizon.
+func (t *TaskLeases) Prune(now time.Time) {
+	maps.DeleteFunc(t.leases, func(_ medlarwheel.TaskID, lease *taskLease) bool {
+		return !lease.forgottenAt.IsZero() && now.Sub(lease.forgottenAt) > t.config.Horizon
+	})
+}
 
 // DropShard drops the leases of a shard that the instance has lost.
 func (t *TaskLeases) DropShard(shard ShardID) {
@@ -119,7 +141,8 @@
 // that moment: until then another owner might have renewed the lease.
 func (t *TaskLeases) Expired(attempt medlarwheel.TaskAttempt, owned OwnedShard) (Proof, error) {
 	lease := t.leases[attempt.Task]
-	if lease == nil || lease.attempt != attempt || lease.token != owned.Token || lease.shard != owned.Shard || !lease.settled {
+	if lease == nil || lease.attempt != attempt || lease.token != owned.Token || lease.shard != owned.Shard ||
+		!lease.settled || !lease.forgottenAt.IsZero() {
 		return Proof{}, ErrNoProof
 	}
 	runOut := lease.latest.Add(t.config.TaskTerm + t.config.TaskMargin)
@@ -137,7 +160,7 @@
 func (t *TaskLeases) Renewals(own *Ownership, now time.Time) []Renew {
 	due := make(map[medlarwheel.WorkerID]*Renew)
 	for _, lease := range t.leases {
-		if lease.expired || now.Before(lease.dueAt) {
+		if lease.expired || !lease.forgottenAt.IsZero() || now.Before(lease.dueAt) {
 			continue
 		}
 		owned, ok := own.MayRenew(lease.shard, now)
@@ -175,7 +198,8 @@
 // attempt was placed with: an agent that has restarted since may have run the attempt before, and refuses it.
 func (t *TaskLeases) grant(attempt medlarwheel.TaskAttempt, owned OwnedShard, now time.Time) (Reading, error) {
 	lease := t.leases[attempt.Task]
-	if lease == nil || lease.attempt != attempt || lease.token != owned.Token || lease.expired {
+	if lease == nil || lease.attempt != attempt || lease.token != owned.Token || lease.expired ||
+		!lease.forgottenAt.IsZero() {
 		return Reading{}, medlarwheel.AtStep("grant task lease", "", medlarwheel.ErrStale)
 	}
 	until, err := t.deadline(lease.worker, now)
