Add the burn report over all instances

Cause: operators need to see how fast each template and client account uses up its error budget. Change: every request's end is counted by medlarburn; an instance asks the others for their counts and merges them; 'medlarwheel report burn' shows the report as table or JSON.

--- a/medlarentry/announce.go
+++ b/medlarentry/announce.go
@@ -74,8 +74,3 @@
 	}
 	return !listed
 }
-
-// burnCounters returns the counters of the burn report.
-func (d *Daemon) burnCounters() struct{} { return struct{}{} }
-
-func (d *Daemon) recordBurn(*call, medlarwheel.Outcome, time.Duration) {}
--- a/medlarentry/daemon.go
+++ b/medlarentry/daemon.go
@@ -42,6 +42,7 @@
 	attempts   *attemptIDs
 	seat       *seatHolder
 	metrics    *meters
+	burn       *burn
 	routes     []route
 
 	// snapshot is what the traffic path reads. Only the control loop replaces it.
@@ -82,6 +83,7 @@
 		answers:  newAnswers(),
 		attempts: newAttemptIDs(settings.Instance, incarnation),
 		metrics:  newMeters(),
+		burn:     newBurn(),
 		traffic:  &medlarpeer.Traffic{},
 		routes:   operatorRoutes(),
 		events:   make(chan event, eventQueue),
--- a/medlarentry/metrics.go
+++ b/medlarentry/metrics.go
@@ -59,7 +59,7 @@
 	}
 	took := d.clock.Now().Sub(c.arrived)
 	d.metrics.duration("answer-time."+string(outcome)+".us", took)
-	d.recordBurn(c, outcome, took)
+	d.recordBurn(c, a, took)
 	event := d.log.Debug()
 	if outcome == medlarwheel.OutcomeUnknown {
 		event = d.sampled.Warn()
--- a/medlarentry/operator.go
+++ b/medlarentry/operator.go
@@ -48,6 +48,7 @@
 		{fasthttp.MethodGet, medlaroperator.PathUpstreams, (*Daemon).listUpstreams},
 		{fasthttp.MethodPost, medlaroperator.PathDrain, (*Daemon).drain},
 		{fasthttp.MethodGet, medlaroperator.PathMetrics, (*Daemon).showMetrics},
+		burnRoute(),
 	}...)
 }
 
