Add medlarplacement: placement, preemption, interference and governor

Cause: starts need a worker that fits without a scan of the fleet, services need protection from the batch tasks beside them, and idle capacity has to be lent without commitments beyond a worker's size.

Change: Index holds workers in buckets by free capacity and tenancy; Place scores a random sample and falls back to a bounded scan; gangs are placed all or nothing. A batch task is committed at its measured size only where the measured use leaves room for its whole declared size. Preempt searches the cheapest victims with branch and bound. Interference is a Kalman filter without covariances per pair and load level, with clipped surprises and a bounded number of pairs. Governor throttles, evicts with a checkpoint and stops, within budgets per minute for the fleet and each worker.

The naive version evicts with a checkpoint too and avoids the worker it was evicted from.

Each test was seen to fail with its mechanism taken out: shuffle rounds, idle check and freshness check of lending, rack spread, sharing, exclusion, roll-back of gangs, measurements kept by Upsert, marks, harm bound, waiting limit, clipping, general prior, effect of load alone, sequence and age checks, cap and order of pairs, governor's version check, budgets, release, adoption of throttles, class rule, eviction and overdue stop, preemption's class and kind rules, forced victims and branch step.

--- /dev/null
+++ b/medlarplacement/index.go
@@ -0,0 +1,142 @@
+package medlarplacement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+)
+
+// ErrNoRoom means that a commitment would exceed the worker's size.
+var ErrNoRoom = errors.New("no room on the worker")
+
+// Index holds the workers of one shard or data centre for placement.
+type Index struct {
+	config    Config
+	estimator Estimator
+	random    *rand.Rand
+	workers   map[medlarwheel.WorkerID]*worker
+	open      buckets
+	spread    spread
+	walk      walk
+	search    search
+}
+
+// NewIndex returns an empty index. Without an estimator no interference is predicted.
+func NewIndex(config Config, estimator Estimator, random *rand.Rand) *Index {
+	if estimator == nil {
+		estimator = &noInterference{kinds: newKinds()}
+	}
+	return &Index{
+		config: config, estimator: estimator, random: random,
+		workers: make(map[medlarwheel.WorkerID]*worker),
+		open:    buckets{byKey: make(map[bucketKey]*bucket)},
+		spread:  spread{},
+	}
+}
+
+// Upsert adds a worker or replaces what is known of it. Measurements of tasks that stay are kept.
+func (x *Index) Upsert(state WorkerState) {
+	old := x.workers[state.ID]
+	w := &worker{
+		id: state.ID, dataCentre: state.DataCentre, rack: state.Rack, size: state.Size,
+		reserved: state.Reserved, committed: state.Reserved, marks: state.Marks,
+	}
+	if old != nil {
+		w.usageVersion, w.usageAt, w.used = old.usageVersion, old.usageAt, old.used
+		x.detach(old)
+	}
+	tasks := slices.Clone(state.Tasks)
+	slices.SortFunc(tasks, func(a, b TaskState) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for _, t := range slices.CompactFunc(tasks, func(a, b TaskState) bool { return a.ID == b.ID }) {
+		added := task{TaskState: t, kind: x.estimator.KindOf(t.Template)}
+		if old != nil {
+			if at, found := old.find(t.ID); found {
+				added = old.tasks[at]
+				added.TaskState = t
+				added.kind = x.estimator.KindOf(t.Template)
+			}
+		}
+		w.add(added)
+		x.spread.add(w, t.Group, 1)
+	}
+	x.workers[w.id] = w
+	x.open.update(w)
+}
+
+// Remove takes a worker out. Unknown workers are ignored.
+func (x *Index) Remove(id medlarwheel.WorkerID) {
+	if w := x.workers[id]; w != nil {
+		x.detach(w)
+		delete(x.workers, id)
+	}
+}
+
+func (x *Index) detach(w *worker) {
+	for i := range w.tasks {
+		x.spread.add(w, w.tasks[i].Group, -1)
+	}
+	x.open.drop(w)
+}
+
+// Commit adds a task to a worker. Committing a task that is there already changes nothing.
+func (x *Index) Commit(id medlarwheel.WorkerID, t TaskState) error {
+	w := x.workers[id]
+	if w == nil {
+		return medlarwheel.AtStep("commit", string(id), medlarwheel.ErrNotFound)
+	}
+	if _, found := w.find(t.ID); found {
+		return nil
+	}
+	if !t.Committed.Fits(w.free()) {
+		return medlarwheel.AtStep("commit", string(id), ErrNoRoom)
+	}
+	x.commit(w, t)
+	return nil
+}
+
+func (x *Index) commit(w *worker, t TaskState) {
+	w.add(task{TaskState: t, kind: x.estimator.KindOf(t.Template)})
+	x.spread.add(w, t.Group, 1)
+	x.open.update(w)
+}
+
+// Release takes a task off a worker. It reports whether the task was there.
+func (x *Index) Release(id medlarwheel.WorkerID, t medlarwheel.TaskID) bool {
+	w := x.workers[id]
+	if w == nil {
+		return false
+	}
+	at, found := w.find(t)
+	if found {
+		x.release(w, at)
+	}
+	return found
+}
+
+func (x *Index) release(w *worker, at int) {
+	x.spread.add(w, w.tasks[at].Group, -1)
+	w.remove(at)
+	x.open.update(w)
+}
+
+// Observe takes over a usage report. It reports false for an unknown worker and for a report that is not newer than the
+// last one of the worker.
+func (x *Index) Observe(u Usage) bool {
+	w := x.workers[u.Worker]
+	return w != nil && w.observe(&u, x.config.SlowdownSmoothing)
+}
+
+// Mark sets the marks of a worker. It reports false for an unknown worker.
+func (x *Index) Mark(id medlarwheel.WorkerID, marks Marks) bool {
+	w := x.workers[id]
+	if w == nil {
+		return false
+	}
+	w.marks = marks
+	x.open.update(w)
+	return true
+}
--- /dev/null
+++ b/medlarplacement/main_test.go
@@ -0,0 +1,59 @@
+package medlarplacement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"testing"
+)
+
+// TestMain fixes the seed of the generated tests unless the command line names one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("20260801")
+	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1000")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+// recorder is a test that records failure, so that a check can be shown to find a planted fault.
+type recorder struct {
+	testing.TB
+	failed bool
+}
+
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Error(...any)          { r.failed = true }
+func (r *recorder) Fail()                 { r.failed = true }
+func (r *recorder) Failed() bool          { return r.failed }
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Log(...any)            {}
+func (r *recorder) FailNow()              { r.failed = true; runtime.Goexit() }
+func (r *recorder) Fatalf(string, ...any) { r.FailNow() }
+func (r *recorder) Fatal(...any)          { r.FailNow() }
+
+// mustFind fails t unless the check fails.
+func mustFind(t *testing.T, fault string, check func(tb testing.TB)) {
+	t.Run(fault, func(t *testing.T) {
+		// The smallest example of a planted fault is of no interest.
+		shrink := flag.Lookup("rapid.shrinktime").Value.String()
+		_ = flag.Set("rapid.shrinktime", "0s")
+		defer func() { _ = flag.Set("rapid.shrinktime", shrink) }()
+		r := &recorder{TB: t}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			check(r)
+		}()
+		<-done
+		if !r.failed {
+			t.Fatalf("the check did not find the planted fault: %s", fault)
+		}
+	})
+}
--- /dev/null
+++ b/medlarplacement/policy_test.go
@@ -0,0 +1,182 @@
+package medlarplacement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"medlarwheel"
+)
+
+// naivePolicy places by first fit on declared sizes with half of each worker for batch tasks, learns nothing, and evicts
+// the newest batch task of a worker at the first measurement of a suffering service.
+type naivePolicy struct {
+	committed map[medlarwheel.Kind][]medlarwheel.Resources
+	world     *world
+}
+
+func newNaivePolicy(w *world) *naivePolicy {
+	return &naivePolicy{world: w, committed: map[medlarwheel.Kind][]medlarwheel.Resources{
+		medlarwheel.KindService: make([]medlarwheel.Resources, len(w.workers)),
+		medlarwheel.KindBatch:   make([]medlarwheel.Resources, len(w.workers)),
+	}}
+}
+
+func (p *naivePolicy) place(_ time.Time, w *world, t *simTask) (int, bool) {
+	k := &w.kinds[t.kind].template
+	half := medlarwheel.Resources{CPU: workerSize.CPU / 2, Memory: workerSize.Memory / 2}
+	for i, used := range p.committed[k.Kind] {
+		if i != t.lastWorker && used.Plus(k.Task.Size).Fits(half) {
+			p.committed[k.Kind][i] = used.Plus(k.Task.Size)
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func (p *naivePolicy) ended(worker int, t *simTask) {
+	k := &p.world.kinds[t.kind].template
+	p.committed[k.Kind][worker] = p.committed[k.Kind][worker].Minus(k.Task.Size)
+}
+
+func (p *naivePolicy) report(_ time.Time, u Usage, _ []Presence, victims []Observation) []Action {
+	return evictNewest(u, victims)
+}
+
+func evictNewest(u Usage, victims []Observation) []Action {
+	if !slices.ContainsFunc(victims, func(o Observation) bool { return o.Slowdown >= DefaultGovernorConfig().EnterSlowdown }) {
+		return nil
+	}
+	for _, t := range slices.Backward(u.Tasks) {
+		if t.Slowdown == 0 {
+			return []Action{{Worker: u.Worker, Task: t.Task, Step: StepEvict}}
+		}
+	}
+	return nil
+}
+
+// learntSize is the measured use of a template as a share of the declared size.
+type learntSize struct {
+	count, mean float64
+}
+
+// fullPolicy uses the package as a shell would. Each flag replaces one part by its naive version.
+type fullPolicy struct {
+	firstFit, noLending, noLearning, immediate bool
+
+	world        *world
+	index        *Index
+	interference *Interference
+	governor     *Governor
+	sizes        []learntSize
+	kinds        map[medlarwheel.TaskID]int
+}
+
+func newFullPolicy(w *world, seed uint64, change func(*fullPolicy)) *fullPolicy {
+	p := &fullPolicy{
+		world: w, interference: NewInterference(DefaultInterferenceConfig()),
+		sizes: make([]learntSize, len(w.kinds)), kinds: map[medlarwheel.TaskID]int{},
+	}
+	if change != nil {
+		change(p)
+	}
+	var estimator Estimator = p.interference
+	if p.noLearning {
+		estimator = nil
+	}
+	p.index = NewIndex(DefaultConfig(), estimator, rand.New(rand.NewPCG(seed, 2)))
+	config := DefaultGovernorConfig()
+	config.EvictionsPerMinute = max(1, config.EvictionsPerMinute*len(w.workers)/2800)
+	p.governor = NewGovernor(config, estimator)
+	for i, worker := range w.workers {
+		p.index.Upsert(WorkerState{ID: worker.id, DataCentre: "dc", Rack: medlarwheel.RackID(rune('a' + i/8)), Size: workerSize})
+	}
+	return p
+}
+
+func (p *fullPolicy) place(now time.Time, w *world, t *simTask) (int, bool) {
+	k := &w.kinds[t.kind].template
+	r := Request{
+		Template: k.Name, Kind: k.Kind, Class: k.Class, Group: Group(k.Name), Size: k.Task.Size, MayShare: true,
+		CanCheckpoint: true, Measured: p.measuredSize(t.kind), Waited: now.Sub(t.waitingSince),
+	}
+	if k.Kind == medlarwheel.KindBatch {
+		r.Group = ""
+	}
+	if t.lastWorker >= 0 {
+		r.Exclude = []medlarwheel.WorkerID{w.workers[t.lastWorker].id}
+	}
+	a, ok := p.choose(now, &r)
+	if !ok {
+		return 0, false
+	}
+	if err := p.index.Commit(a.Worker, r.TaskState(t.id, a, now)); err != nil {
+		panic(err)
+	}
+	p.kinds[t.id] = t.kind
+	return slices.IndexFunc(w.workers, func(o *simWorker) bool { return o.id == a.Worker }), true
+}
+
+func (p *fullPolicy) choose(now time.Time, r *Request) (Assignment, bool) {
+	if !p.firstFit {
+		d, ok := p.index.Place(now, r)
+		return append(d.Assignments, Assignment{})[0], ok
+	}
+	for _, worker := range p.world.workers {
+		w := p.index.workers[worker.id]
+		if a, fits := p.index.assign(now, r, w); fits && p.index.allowed(r, w) {
+			return a, true
+		}
+	}
+	return Assignment{}, false
+}
+
+// measuredSize stands for the size correction: the mean use and 5%, after 20 samples.
+func (p *fullPolicy) measuredSize(kind int) medlarwheel.Resources {
+	s := &p.sizes[kind]
+	if s.count < 20 || p.noLending {
+		return medlarwheel.Resources{}
+	}
+	ratio := 1.05 * s.mean
+	size := p.world.kinds[kind].template.Task.Size
+	return medlarwheel.Resources{
+		CPU: medlarwheel.MilliCPU(ratio * float64(size.CPU)), Memory: medlarwheel.MegaBytes(ratio * float64(size.Memory)),
+	}
+}
+
+func (p *fullPolicy) ended(worker int, t *simTask) {
+	p.index.Release(p.world.workers[worker].id, t.id)
+	delete(p.kinds, t.id)
+}
+
+func (p *fullPolicy) report(now time.Time, u Usage, present []Presence, victims []Observation) []Action {
+	for i := range u.Tasks {
+		kind, found := p.kinds[u.Tasks[i].Task]
+		if !found || u.Tasks[i].Throttled || kind < serviceKinds {
+			continue
+		}
+		s := &p.sizes[kind]
+		ratio := float64(u.Tasks[i].Used.CPU) / float64(p.world.kinds[kind].template.Task.Size.CPU)
+		s.count++
+		weight := 1 / min(s.count, 500)
+		s.mean += weight * (ratio - s.mean)
+	}
+	if !p.index.Observe(u) {
+		return nil
+	}
+	for _, o := range victims {
+		o.Aggressors = present
+		p.interference.Learn(now, o)
+	}
+	if p.immediate {
+		return evictNewest(u, victims)
+	}
+	c, ok := p.index.Condition(now, u.Worker)
+	if !ok {
+		return nil
+	}
+	if a, ok := p.governor.Step(now, c); ok {
+		return []Action{a}
+	}
+	return nil
+}
--- /dev/null
+++ b/medlarplacement/preempt_test.go
@@ -0,0 +1,115 @@
+package medlarplacement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"medlarwheel"
+)
+
+// cheapest tries every set of victims on every worker.
+func cheapest(config Config, now time.Time, workers []WorkerState, r *Request) (time.Duration, bool) {
+	best, found := time.Duration(0), false
+	for i := range workers {
+		w := &workers[i]
+		for set := range 1 << len(w.Tasks) {
+			rest := WorkerState{ID: w.ID, Size: w.Size, Marks: w.Marks}
+			cost, allowed := time.Duration(0), true
+			for j := range w.Tasks {
+				t := &w.Tasks[j]
+				if set&(1<<j) == 0 {
+					rest.Tasks = append(rest.Tasks, *t)
+					continue
+				}
+				allowed = allowed && t.Kind == medlarwheel.KindBatch && t.Class.Rank() > r.Class.Rank()
+				cost += config.Search.EvictionCost + t.LostProgress(now)
+			}
+			f := fleet{workers: []*WorkerState{&rest}}
+			if _, fits := f.fits(now, &rest, r); fits && allowed && (!found || cost < best) {
+				best, found = cost, true
+			}
+		}
+	}
+	return best, found
+}
+
+func checkPreempt(tb testing.TB, config Config, disguise func(*TaskState)) {
+	rapid.Check(tb, func(rt *rapid.T) {
+		now := epoch.Add(time.Hour)
+		x := NewIndex(config, nil, rand.New(rand.NewPCG(1, 1)))
+		var workers []WorkerState
+		for i := range rapid.IntRange(1, 4).Draw(rt, "workers") {
+			w := WorkerState{ID: medlarwheel.WorkerID(fmt.Sprint("w", i)), Size: drawSize(rt, "worker-size", 25, 25)}
+			w.Marks.Draining = rapid.IntRange(0, 5).Draw(rt, "draining") == 0
+			for j := range rapid.IntRange(2, 8).Draw(rt, "tasks") {
+				t := TaskState{
+					ID: medlarwheel.TaskID(fmt.Sprint("t", j)), Template: "a", MayShare: rapid.IntRange(0, 6).Draw(rt, "share") > 0,
+					Kind:      rapid.SampledFrom([]medlarwheel.Kind{medlarwheel.KindBatch, medlarwheel.KindBatch, medlarwheel.KindService}).Draw(rt, "kind"),
+					Class:     rapid.SampledFrom(medlarwheel.Classes()).Draw(rt, "class"),
+					Committed: drawSize(rt, "committed", 10, 3),
+					StartedAt: now.Add(-time.Duration(rapid.IntRange(0, 900).Draw(rt, "age")) * time.Second),
+				}
+				t.Size = t.Committed
+				w.Tasks = append(w.Tasks, t)
+			}
+			workers = append(workers, w)
+			shown := w
+			shown.Tasks = append([]TaskState(nil), w.Tasks...)
+			for j := range shown.Tasks {
+				disguise(&shown.Tasks[j])
+			}
+			x.Upsert(shown)
+		}
+		r := &Request{Template: "b", Kind: medlarwheel.KindService, Class: rapid.SampledFrom(medlarwheel.Classes()).Draw(rt, "request-class"),
+			Size: drawSize(rt, "size", 20, 5), MayShare: rapid.IntRange(0, 4).Draw(rt, "may-share") > 0}
+		want, possible := cheapest(config, now, workers, r)
+		plan, ok := x.Preempt(now, r)
+		if ok != possible || plan.Cost != want {
+			rt.Fatalf("plan %+v (%v), but the cheapest set costs %v (%v)", plan, ok, want, possible)
+		}
+		for _, v := range plan.Victims {
+			x.Release(plan.Worker, v.Task)
+		}
+		if ok && x.Commit(plan.Worker, TaskState{ID: "new", Committed: plan.Committed}) != nil {
+			rt.Fatalf("no room after the evictions of %+v", plan)
+		}
+	})
+}
+
+// checkSingleVictim offers three small tasks, each cheaper than the large one that makes room alone.
+func checkSingleVictim(tb testing.TB, config Config) {
+	x := NewIndex(config, nil, rand.New(rand.NewPCG(1, 1)))
+	w := WorkerState{ID: "w", Size: medlarwheel.Resources{CPU: 22}}
+	for i, cpu := range []medlarwheel.MilliCPU{4, 4, 4, 10} {
+		w.Tasks = append(w.Tasks, TaskState{ID: medlarwheel.TaskID(fmt.Sprint("t", i)), Kind: medlarwheel.KindBatch, MayShare: true,
+			Class: medlarwheel.ClassBackground, Committed: medlarwheel.Resources{CPU: cpu}, StartedAt: epoch.Add(-time.Duration(cpu) * time.Second)})
+	}
+	x.Upsert(w)
+	r := &Request{Template: "b", Kind: medlarwheel.KindService, Class: medlarwheel.ClassUrgent, MayShare: true, Size: medlarwheel.Resources{CPU: 10}}
+	if plan, _ := x.Preempt(epoch, r); len(plan.Victims) != 1 || plan.Victims[0].Task != "t3" {
+		tb.Fatalf("got %+v, want the eviction of t3 alone", plan)
+	}
+}
+
+// Guards against an eviction of work of the same or a more urgent class, against evictions that do not make room, and
+// against a dearer set than necessary.
+func TestPreemptFindsCheapestVictims(t *testing.T) {
+	asIs := func(*TaskState) {}
+	checkPreempt(t, DefaultConfig(), asIs)
+	checkSingleVictim(t, DefaultConfig())
+	mustFind(t, "greedy choice only", func(tb testing.TB) {
+		c := DefaultConfig()
+		c.Search.Nodes = 0
+		checkSingleVictim(tb, c)
+	})
+	mustFind(t, "classes are ignored", func(tb testing.TB) {
+		checkPreempt(tb, DefaultConfig(), func(t *TaskState) { t.Class = "" })
+	})
+	mustFind(t, "checkpoints are ignored", func(tb testing.TB) {
+		checkPreempt(tb, DefaultConfig(), func(t *TaskState) { t.StartedAt = epoch })
+	})
+}
--- /dev/null
+++ b/medlarplacement/state.go
@@ -0,0 +1,114 @@
+package medlarplacement
+
+import (
+	"time"
+
+	"medlarwheel"
+)
+
+// Group names the tasks that count together for the spread over racks: a job, or a service by its template.
+type Group string
+
+// TaskState is a task committed on a worker.
+type TaskState struct {
+	ID       medlarwheel.TaskID
+	Template medlarwheel.TemplateName
+	Kind     medlarwheel.Kind
+	Class    medlarwheel.Class
+	Group    Group
+	// Size is the size that the task is expected to use at most: its declared size, or its measured size if larger.
+	Size medlarwheel.Resources
+	// Committed is what the worker's record holds for the task. It is below Size for a batch task on lent capacity.
+	Committed medlarwheel.Resources
+	// MayShare allows tasks of other templates on the worker.
+	MayShare bool
+	// CanCheckpoint tells that an eviction loses no progress if the task is given the time to write a checkpoint.
+	CanCheckpoint bool
+	StartedAt     time.Time
+	// CheckpointAt is the time of the last checkpoint. Zero means none.
+	CheckpointAt time.Time
+}
+
+// LostProgress returns the run time that an immediate stop at now would lose.
+func (t *TaskState) LostProgress(now time.Time) time.Duration {
+	since := t.StartedAt
+	if t.CheckpointAt.After(since) {
+		since = t.CheckpointAt
+	}
+	return max(0, now.Sub(since))
+}
+
+// WorkerState is one worker with everything committed on it.
+type WorkerState struct {
+	ID         medlarwheel.WorkerID
+	DataCentre medlarwheel.DataCentreID
+	Rack       medlarwheel.RackID
+	Size       medlarwheel.Resources
+	// Reserved is committed to something other than the tasks listed.
+	Reserved medlarwheel.Resources
+	Tasks    []TaskState
+	Marks    Marks
+}
+
+// Marks exclude a worker from placement. Tasks that run on it are not affected.
+type Marks struct {
+	// Probation is set while a worker is suspected of failing every task.
+	Probation bool
+	// Draining is set before maintenance.
+	Draining bool
+}
+
+func (m Marks) any() bool { return m.Probation || m.Draining }
+
+// Usage is one measurement of a worker. It may arrive late, twice or out of order.
+type Usage struct {
+	Worker      medlarwheel.WorkerID
+	Incarnation medlarwheel.Incarnation
+	// Sequence grows with every measurement of one incarnation of the worker.
+	Sequence uint64
+	// At is the time of the measurement, not of its arrival.
+	At time.Time
+	// Used is the use of the whole worker.
+	Used  medlarwheel.Resources
+	Tasks []TaskUsage
+}
+
+// TaskUsage is the measurement of one task.
+type TaskUsage struct {
+	Task medlarwheel.TaskID
+	Used medlarwheel.Resources
+	// Slowdown is the measured tail latency relative to the template's undisturbed tail latency. Zero means not measured.
+	Slowdown float64
+	// Throttled tells that the worker holds the task's processor use down.
+	Throttled bool
+	// CheckpointAt is the time of the last checkpoint. Zero leaves the known time.
+	CheckpointAt time.Time
+}
+
+// version orders the measurements of one source.
+type version struct {
+	incarnation medlarwheel.Incarnation
+	sequence    uint64
+}
+
+func (v version) after(o version) bool {
+	if v.incarnation != o.incarnation {
+		return v.incarnation > o.incarnation
+	}
+	return v.sequence > o.sequence
+}
+
+// larger returns the greater of a and b in each component.
+func larger(a, b medlarwheel.Resources) medlarwheel.Resources {
+	return medlarwheel.Resources{
+		CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+// share returns part/whole, or 0 for an empty whole.
+func share[T ~int64](part, whole T) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/medlarplacement/watch.go
@@ -0,0 +1,80 @@
+package medlarplacement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"medlarwheel"
+)
+
+// suspect returns the suspect with the task, or nil.
+func (c *Condition) suspect(task medlarwheel.TaskID) *Suspect {
+	for i := range c.Suspects {
+		if c.Suspects[i].Task == task {
+			return &c.Suspects[i]
+		}
+	}
+	return nil
+}
+
+// reconcile drops tasks that have ended, and adopts throttles that an earlier owner of the worker has left.
+func (w *watch) reconcile(c *Condition) {
+	w.throttled = slices.DeleteFunc(w.throttled, func(t throttled) bool { return c.suspect(t.task) == nil })
+	w.leaving = slices.DeleteFunc(w.leaving, func(l leaving) bool { return c.suspect(l.task) == nil })
+	if c.At.Before(w.steppedAt) {
+		return
+	}
+	for _, s := range c.Suspects {
+		if s.Throttled && !w.isThrottled(s.Task) && c.At.After(w.releasedAt) {
+			w.throttled = append(w.throttled, throttled{task: s.Task, since: c.At})
+		}
+	}
+}
+
+func (w *watch) isThrottled(task medlarwheel.TaskID) bool {
+	return slices.ContainsFunc(w.throttled, func(t throttled) bool { return t.task == task })
+}
+
+// overdue returns a task that was told to checkpoint and has not ended in time. A stop that has no effect is repeated.
+func (w *watch) overdue(now time.Time, limit time.Duration) (medlarwheel.TaskID, bool) {
+	for i := range w.leaving {
+		if l := &w.leaving[i]; now.Sub(l.since) >= limit {
+			l.since = now
+			return l.task, true
+		}
+	}
+	return "", false
+}
+
+// rank orders the suspects by how much of the victims' slowdown they are estimated to cause. A suspect of a more urgent
+// class than every victim is left alone.
+func (g *Governor) rank(c *Condition, victims []Victim) []Suspect {
+	type ranked struct {
+		suspect Suspect
+		blame   float64
+	}
+	var list []ranked
+	for _, s := range c.Suspects {
+		r, eligible := ranked{suspect: s}, false
+		for _, v := range victims {
+			if s.Class.Rank() < v.Class.Rank() {
+				continue
+			}
+			eligible = true
+			r.blame += g.estimator.Effect(g.estimator.KindOf(v.Template), g.estimator.KindOf(s.Template), c.Load)
+		}
+		if eligible {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.blame, a.blame), cmp.Compare(b.suspect.Used, a.suspect.Used),
+			cmp.Compare(a.suspect.LostProgress, b.suspect.LostProgress), cmp.Compare(a.suspect.Task, b.suspect.Task))
+	})
+	suspects := make([]Suspect, len(list))
+	for i, r := range list {
+		suspects[i] = r.suspect
+	}
+	return suspects
+}
