Add medlarburn: service-level burn report

Cause: operators need to see per template and client account how fast the error budget is used up, over all entry instances and across restarts.

NewReport gives burn rate and budget left as a text table and as JSON. Slow, refused and unknown results each count as one bad result; bad requests and unknown templates do not count.

--- /dev/null
+++ b/medlarburn/burn_test.go
@@ -0,0 +1,316 @@
+package medlarburn
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"medlarwheel"
+)
+
+var (
+	update = flag.Bool("update", false, "re-record the golden files")
+	epoch  = time.Date(2026, 8, 1, 12, 0, 0, 0, time.UTC)
+)
+
+// TestMain fixes the seed of the generated tests unless the command line names one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("20260801")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+// silent is a test that only remembers its failure, so that a check can be shown to find a planted fault.
+type silent struct {
+	testing.TB
+	failed bool
+}
+
+func (s *silent) Errorf(string, ...any) { s.failed = true }
+func (s *silent) Failed() bool          { return s.failed }
+func (s *silent) Logf(string, ...any)   {}
+func (s *silent) FailNow()              { s.failed = true; runtime.Goexit() }
+func (s *silent) Fatalf(string, ...any) { s.FailNow() }
+
+func mustFind(t *testing.T, fault string, check func(tb testing.TB)) {
+	t.Helper()
+	s := &silent{TB: t}
+	var done sync.WaitGroup
+	done.Go(func() { check(s) })
+	done.Wait()
+	if !s.failed {
+		t.Errorf("the check did not find the planted fault: %s", fault)
+	}
+}
+
+// checkWindows compares a recorder with a list of all results.
+func checkWindows(tb testing.TB, shown func(time.Time) time.Time) {
+	rapid.Check(tb, func(rt *rapid.T) {
+		type event struct {
+			at     time.Time
+			pair   Pair
+			result Result
+		}
+		var events []event
+		r := NewRecorder(DefaultConfig())
+		now := epoch
+		for range rapid.IntRange(1, 60).Draw(rt, "results") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 9, 60, 600, 7200, 90_000}).Draw(rt, "seconds")) * time.Second)
+			e := event{at: now, result: Result(rapid.IntRange(0, 3).Draw(rt, "result"))}
+			e.pair = Pair{Template: "t", Account: rapid.SampledFrom([]medlarwheel.AccountID{"a", "b"}).Draw(rt, "account")}
+			events = append(events, e)
+			r.Record(shown(e.at), e.pair, e.result)
+		}
+		got := r.Counters(now, Source{Instance: "i", Sequence: 1})
+		for _, pair := range []Pair{{Template: "t", Account: "a"}, {Template: "t", Account: "b"}} {
+			for _, spec := range windowSpecs {
+				var want [resultCount]uint64
+				for _, e := range events {
+					if e.pair == pair && periodOf(e.at, spec.bucket) > periodOf(now, spec.bucket)-int64(spec.count) {
+						want[e.result]++
+					}
+				}
+				sum := PairCounts{}
+				for _, p := range got.Pairs {
+					if p.Pair == pair {
+						sum = p
+					}
+				}
+				if c := sum.window(spec.name); [resultCount]uint64{c.Good, c.Slow, c.Refused, c.Unknown} != want {
+					rt.Fatalf("%v in %s: got %+v, want %v", pair, spec.name, c, want)
+				}
+			}
+		}
+	})
+}
+
+// Guards against results that stay in a window too long, leave it too early or count for another pair.
+func TestRecorderAgreesWithList(t *testing.T) {
+	checkWindows(t, func(at time.Time) time.Time { return at })
+	mustFind(t, "results are recorded late", func(tb testing.TB) {
+		checkWindows(tb, func(at time.Time) time.Time { return at.Add(10 * time.Minute) })
+	})
+}
+
+// Guards against results lost between concurrent requests and against memory that grows with the number of pairs.
+func TestRecorderCountsConcurrentRequestsInBoundedMemory(t *testing.T) {
+	const workers, each = 8, 4000
+	r := NewRecorder(Config{MaxPairs: 100})
+	var done sync.WaitGroup
+	for i := range workers {
+		done.Go(func() {
+			for j := range each {
+				r.Record(epoch, Pair{Template: "t", Account: medlarwheel.AccountID(fmt.Sprint("a", (i+j)%500))}, ResultGood)
+			}
+		})
+	}
+	done.Wait()
+	total, c := uint64(0), r.Counters(epoch, Source{Instance: "i", Sequence: 1})
+	for _, p := range c.Pairs {
+		total += p.window(Window5Minutes).Good
+	}
+	if total != workers*each || len(c.Pairs) != 101 {
+		t.Fatalf("%d results of %d pairs, want %d of 101", total, len(c.Pairs), workers*each)
+	}
+	r.Record(epoch.Add(Window3Days.Length()+time.Hour), Pair{Template: "new", Account: "new"}, ResultGood)
+	if c := r.Counters(epoch.Add(Window3Days.Length()+time.Hour), c.Source); len(c.Pairs) != 1 || c.Pairs[0].Template != "new" {
+		t.Fatalf("idle pairs make no room: %+v", c.Pairs)
+	}
+}
+
+// checkMerge sends snapshots repeatedly and in any order and compares the sum with that of the newest ones.
+func checkMerge(tb testing.TB, add func(*Collection, Counters) error) {
+	rapid.Check(tb, func(rt *rapid.T) {
+		newest, want := map[origin]Counters{}, uint64(0)
+		var sent []Counters
+		for range rapid.IntRange(1, 12).Draw(rt, "snapshots") {
+			s := Counters{At: epoch, Source: Source{
+				Instance:    rapid.SampledFrom([]medlarwheel.InstanceID{"x", "y"}).Draw(rt, "instance"),
+				Incarnation: medlarwheel.Incarnation(rapid.IntRange(0, 2).Draw(rt, "incarnation")), Sequence: 1,
+			}}
+			from := origin{s.Instance, s.Incarnation}
+			good := uint64(rapid.IntRange(1, 9).Draw(rt, "good"))
+			if old, known := newest[from]; known {
+				s.Sequence = old.Sequence + 1
+				good += old.Pairs[0].Windows[0].Good
+			}
+			s.Pairs = []PairCounts{{Pair: Pair{"t", "a"}, Windows: []WindowCounts{{Window: Window1Hour, Counts: Counts{Good: good}}}}}
+			newest[from], sent = s, append(sent, s, s)
+		}
+		for _, s := range newest {
+			want += s.Pairs[0].Windows[0].Good
+		}
+		c := NewCollection(DefaultMaxSnapshots)
+		for _, s := range rapid.Permutation(sent).Draw(rt, "order") {
+			if err := add(c, s); err != nil {
+				rt.Fatalf("%v", err)
+			}
+		}
+		for _, snapshots := range [][]Counters{c.Counters(), append(c.Counters(), c.Counters()...)} {
+			if rows := NewReport(epoch, snapshots, nil).Rows; len(rows) != 1 || rows[0].Good != want {
+				rt.Fatalf("got %+v, want %d", rows, want)
+			}
+		}
+	})
+}
+
+// Guards against a snapshot that counts twice because it arrived twice, or that replaces a newer one.
+func TestMergeIsIdempotent(t *testing.T) {
+	checkMerge(t, func(c *Collection, s Counters) error { return c.Add(epoch, s) })
+	mustFind(t, "sequence numbers are ignored", func(tb testing.TB) {
+		checkMerge(tb, func(c *Collection, s Counters) error {
+			delete(c.snapshots, origin{s.Instance, s.Incarnation})
+			return c.Add(epoch, s)
+		})
+	})
+	mustFind(t, "incarnations are ignored", func(tb testing.TB) {
+		checkMerge(tb, func(c *Collection, s Counters) error {
+			s.Incarnation = 0
+			return c.Add(epoch, s)
+		})
+	})
+}
+
+// Guards against a collection that grows with every restart of an instance, and against one that drops the newest counts.
+func TestCollectionIsBounded(t *testing.T) {
+	c := NewCollection(2)
+	for i, age := range []time.Duration{3 * time.Hour, 0, time.Hour, Window3Days.Length()} {
+		if err := c.Add(epoch, Counters{At: epoch.Add(-age), Source: Source{"x", medlarwheel.Incarnation(i), 1}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if kept := c.Counters(); len(kept) != 2 || kept[0].Incarnation != 1 || kept[1].Incarnation != 2 || c.Dropped() != 1 {
+		t.Fatalf("kept %+v and dropped %d", kept, c.Dropped())
+	}
+}
+
+// sample is a report over two instances, one of which restarted, with a stale snapshot, a pair without an objective and
+// refusals that overspend a budget.
+func sample(t *testing.T) Report {
+	collection := NewCollection(DefaultMaxSnapshots)
+	record := func(source Source, at time.Time, p Pair, counts [resultCount]int) {
+		r := NewRecorder(DefaultConfig())
+		for result, n := range counts {
+			for range n {
+				r.Record(at, p, Result(result))
+			}
+		}
+		data, err := json.Marshal(r.Counters(at, source))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := DecodeCounters(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := collection.Add(epoch, c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hold, wash := Pair{"hold-check", "parents"}, Pair{"wash-plan", "night-shift"}
+	record(Source{"entry-1", 1, 7}, epoch.Add(-10*time.Minute), hold, [resultCount]int{900, 1, 0, 0})
+	record(Source{"entry-1", 2, 3}, epoch, hold, [resultCount]int{1989, 2, 5, 4})
+	record(Source{"entry-2", 1, 9}, epoch.Add(-time.Minute), Pair{"return-batch", "dock"}, [resultCount]int{500, 0, 0, 0})
+	record(Source{"entry-3", 1, 2}, epoch, wash, [resultCount]int{40, 0, 3, 0})
+	return NewReport(epoch, collection.Counters(), Objectives{
+		"hold-check":   {Latency: medlarwheel.Duration(100 * time.Millisecond), Target: 995_000},
+		"return-batch": {Latency: medlarwheel.Duration(time.Second), Target: 999_000},
+	})
+}
+
+// Guards against a change of either form of the report, of the arithmetic, and of how refusals count.
+func TestReportMatchesGoldenFiles(t *testing.T) {
+	r := sample(t)
+	for name, write := range map[string]func(*bytes.Buffer) error{
+		"report.txt":  func(b *bytes.Buffer) error { return r.WriteTable(b) },
+		"report.json": func(b *bytes.Buffer) error { return r.WriteJSON(b) },
+	} {
+		var got bytes.Buffer
+		if err := write(&got); err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join("testdata", name)
+		if *update {
+			if err := os.WriteFile(path, got.Bytes(), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		want, err := os.ReadFile(path)
+		if err != nil || !bytes.Equal(got.Bytes(), want) {
+			t.Errorf("%s (%v): got\n%s\nwant\n%s", name, err, got.Bytes(), want)
+		}
+	}
+	for _, row := range r.Rows {
+		if row.Template == "hold-check" && row.Window == Window5Minutes && (*row.BurnRate != 1.1 || *row.BudgetLeft != -0.1) {
+			t.Errorf("11 bad of 2,000 at 99.5%%: burn rate %v, left %v", *row.BurnRate, *row.BudgetLeft)
+		}
+	}
+}
+
+// Guards against refusals that do not count, and against requests that can never be served and do.
+func TestClassify(t *testing.T) {
+	objective := medlarwheel.Objective{Latency: medlarwheel.Duration(time.Second), Target: 999_000}
+	for _, c := range []struct {
+		refusal medlarwheel.Refusal
+		latency time.Duration
+		want    Result
+		counts  bool
+	}{
+		{medlarwheel.Refusal{Outcome: medlarwheel.OutcomeDone}, time.Second, ResultGood, true},
+		{medlarwheel.Refusal{Outcome: medlarwheel.OutcomeDone}, time.Second + 1, ResultSlow, true},
+		{medlarwheel.NotRun(medlarwheel.ReasonQuota, 0), 0, ResultRefused, true},
+		{medlarwheel.NotRun(medlarwheel.ReasonBadRequest, 0), 0, ResultRefused, false},
+		{medlarwheel.Unknown(medlarwheel.ReasonSilent, 0), 0, ResultUnknown, true},
+	} {
+		if got, counts := Classify(c.refusal.Outcome, c.refusal.Reason, c.latency, objective); got != c.want || counts != c.counts {
+			t.Errorf("%v after %v: got %d, %v, want %d, %v", c.refusal, c.latency, got, counts, c.want, c.counts)
+		}
+	}
+}
+
+// Guards against a decoder that accepts a snapshot which would spoil the sums, or names the wrong place.
+func TestCountersReportEveryFault(t *testing.T) {
+	input := `{"source":{"instance":"E 1","incarnation":1,"sequence":0},"at":"2026-08-01T12:00:00Z","pairs":[
+		{"pair":{"template":"t","account":"a"},"windows":[{"window":"2h","counts":{"good":1,"slow":0,"refused":0,"unknown":0}}]},
+		{"pair":{"template":"t","account":"a"},"windows":[{"window":"1h","counts":{"good":562949953421312,"slow":0,"refused":0,"unknown":0}}]}]}`
+	_, err := DecodeCounters([]byte(input))
+	var paths []string
+	var faults medlarwheel.Faults
+	errors.As(err, &faults)
+	for _, f := range faults {
+		paths = append(paths, f.Path)
+	}
+	want := []string{"source.instance", "source.sequence", "pairs[0].windows[0].window", "pairs[1].pair", "pairs[1].windows[0].counts"}
+	if !reflect.DeepEqual(paths, want) {
+		t.Fatalf("got %v, want %v", paths, want)
+	}
+}
+
+// BenchmarkRecord measures one result on one of 700 pairs, from all processors.
+func BenchmarkRecord(b *testing.B) {
+	r := NewRecorder(DefaultConfig())
+	pairs := make([]Pair, 700)
+	for i := range pairs {
+		pairs[i] = Pair{Template: "template", Account: medlarwheel.AccountID(fmt.Sprint("account-", i))}
+	}
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			r.Record(epoch.Add(time.Duration(i)*time.Millisecond), pairs[i*31%len(pairs)], ResultGood)
+		}
+	})
+}
--- /dev/null
+++ b/medlarburn/ring.go
@@ -0,0 +1,75 @@
+package medlarburn
+
+import "time"
+
+// ring counts results in the buckets of one window.
+type ring struct {
+	buckets []bucket
+}
+
+// bucket counts the results of one period, which is numbered from the Unix epoch.
+type bucket struct {
+	period int64
+	counts [resultCount]uint32
+}
+
+// series holds the rings of one pair.
+type series struct {
+	rings [windowCount]ring
+	// last is the time of the last result in Unix seconds.
+	last int64
+}
+
+func newSeries() *series {
+	s := &series{}
+	for i := range s.rings {
+		s.rings[i].buckets = make([]bucket, windowSpecs[i].count)
+	}
+	return s
+}
+
+func periodOf(now time.Time, length time.Duration) int64 { return now.UnixNano() / int64(length) }
+
+// record counts a result in every window.
+func (s *series) record(now time.Time, r Result) {
+	s.last = max(s.last, now.Unix())
+	for i := range s.rings {
+		s.rings[i].record(periodOf(now, windowSpecs[i].bucket), r)
+	}
+}
+
+// counts sums each window up to now.
+func (s *series) counts(now time.Time) [windowCount]Counts {
+	var all [windowCount]Counts
+	for i := range s.rings {
+		all[i] = s.rings[i].sum(periodOf(now, windowSpecs[i].bucket))
+	}
+	return all
+}
+
+// record counts a result in the bucket of a period. A bucket that holds an older period is emptied first. A result from
+// before the bucket's period is counted there, because clocks of concurrent callers differ by less than a bucket.
+func (r *ring) record(period int64, result Result) {
+	b := &r.buckets[period%int64(len(r.buckets))]
+	if b.period < period {
+		*b = bucket{period: period}
+	}
+	b.counts[result]++
+}
+
+// sum adds up the buckets that belong to the window that ends with a period.
+func (r *ring) sum(period int64) Counts {
+	var total Counts
+	oldest := period - int64(len(r.buckets))
+	for i := range r.buckets {
+		b := &r.buckets[i]
+		if b.period <= oldest {
+			continue
+		}
+		total = total.Plus(Counts{
+			Good: uint64(b.counts[ResultGood]), Slow: uint64(b.counts[ResultSlow]),
+			Refused: uint64(b.counts[ResultRefused]), Unknown: uint64(b.counts[ResultUnknown]),
+		})
+	}
+	return total
+}
--- /dev/null
+++ b/medlarburn/window.go
@@ -0,0 +1,64 @@
+package medlarburn
+
+import (
+	"time"
+
+	"medlarwheel"
+)
+
+// Window names a period over which results are counted.
+type Window string
+
+// The windows. Short ones show a sudden fault, long ones a slow loss of the budget.
+const (
+	Window5Minutes Window = "5m"
+	Window1Hour    Window = "1h"
+	Window6Hours   Window = "6h"
+	Window3Days    Window = "3d"
+)
+
+// windowCount is the number of windows.
+const windowCount = 4
+
+// windowSpec is the length of a window and of its buckets. A window holds between its length less one bucket and its
+// length.
+type windowSpec struct {
+	name   Window
+	bucket time.Duration
+	count  int
+}
+
+// windowSpecs lists the windows from short to long. A bucket is 3% of its window.
+var windowSpecs = [windowCount]windowSpec{
+	{name: Window5Minutes, bucket: 10 * time.Second, count: 30},
+	{name: Window1Hour, bucket: 2 * time.Minute, count: 30},
+	{name: Window6Hours, bucket: 12 * time.Minute, count: 30},
+	{name: Window3Days, bucket: 144 * time.Minute, count: 30},
+}
+
+// Windows lists the windows from short to long.
+func Windows() []Window {
+	names := make([]Window, 0, windowCount)
+	for _, s := range windowSpecs {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+// Length returns the length of w, or 0 for an unknown window.
+func (w Window) Length() time.Duration {
+	for _, s := range windowSpecs {
+		if s.name == w {
+			return s.bucket * time.Duration(s.count)
+		}
+	}
+	return 0
+}
+
+// Check reports a fault at path unless w is a known window.
+func (w Window) Check(path string) medlarwheel.Faults {
+	if w.Length() > 0 {
+		return nil
+	}
+	return medlarwheel.Faults{{Path: path, Value: string(w), Accepted: "5m, 1h, 6h or 3d"}}
+}
