--- a/medlarplacement/config.go
+++ b/medlarplacement/config.go
@@ -11,7 +11,7 @@
 	// ScanLimit bounds the workers looked at for one task before giving up.
 	ScanLimit int
 	// HarmLimit bounds the workers with room that are rejected for their predicted interference before a batch task has to
-	// wait. A prediction costs ten times as much as a check of capacity.
+	// wait. A rejection takes several predictions, so it is bounded more tightly than checks of capacity.
 	HarmLimit int
 	// MaxUsageAge is the age from which a usage report no longer shows idle capacity.
 	MaxUsageAge time.Duration
@@ -66,8 +66,8 @@
 // with a probability below 1 in 10 million when at least 36 workers fit, and never when more than 1,776 fit.
 func DefaultConfig() Config {
 	return Config{
-		Samples:           16,
-		SampleVisits:      64,
+		Samples:           8,
+		SampleVisits:      32,
 		ScanLimit:         1024,
 		HarmLimit:         64,
 		MaxUsageAge:       2 * time.Minute,
@@ -77,7 +77,7 @@
 		SlowdownSmoothing: 0.5,
 		MaxKindsScored:    16,
 		Weights: Weights{
-			Fit: 0.1, Load: 0.1, Rack: 0.2, DataCentre: 0.3, Harm: 1, Suffer: 0.5, Accelerator: 0.2, Preference: 0.5,
+			Fit: 0.1, Load: 0.1, Rack: 0.2, DataCentre: 0.3, Harm: 1, Suffer: 1, Accelerator: 0.2, Preference: 0.5,
 		},
 		Search: SearchConfig{Workers: 32, Nodes: 4096, EvictionCost: 30 * time.Second},
 	}
--- a/medlarplacement/doc.go
+++ b/medlarplacement/doc.go
@@ -20,9 +20,9 @@
 //	index := medlarplacement.NewIndex(medlarplacement.DefaultConfig(), interference, rand.New(rand.NewPCG(1, 2)))
 //	index.Upsert(medlarplacement.WorkerState{ID: "w1", DataCentre: "dc1", Rack: "r1", Size: size})
 //
-//	decision, ok := index.Place(now, request)
+//	decision, ok := index.Place(now, &request)
 //	if !ok {
-//		plan, found := index.Preempt(now, request)
+//		plan, found := index.Preempt(now, &request)
 //		...
 //	}
 //	for _, a := range decision.Assignments {
--- a/medlarplacement/governor.go
+++ b/medlarplacement/governor.go
@@ -135,6 +135,9 @@
 
 // NewGovernor returns a governor. Without an estimator the task that uses most processor time is the first suspect.
 func NewGovernor(config GovernorConfig, estimator Estimator) *Governor {
+	if estimator == nil {
+		estimator = &noInterference{kinds: newKinds()}
+	}
 	return &Governor{
 		config: config, estimator: estimator, fleet: newBudget(config.EvictionsPerMinute),
 		workers: make(map[medlarwheel.WorkerID]*watch),
--- a/medlarplacement/index.go
+++ b/medlarplacement/index.go
@@ -13,12 +13,6 @@
 // ErrNoRoom means that a commitment would exceed the worker's size.
 var ErrNoRoom = errors.New("no room on the worker")
 
-// Estimator predicts interference. *Interference is one; a nil Estimator predicts none.
-type Estimator interface {
-	// LogSlowdown returns the logarithm of the slowdown of the victim by one task of the aggressor at a load.
-	LogSlowdown(victim, aggressor medlarwheel.TemplateName, load float64) float64
-}
-
 // Index holds the workers of one shard or data centre for placement.
 type Index struct {
 	config    Config
@@ -31,8 +25,11 @@
 	search    search
 }
 
-// NewIndex returns an empty index. The estimator may be nil.
+// NewIndex returns an empty index. Without an estimator no interference is predicted.
 func NewIndex(config Config, estimator Estimator, random *rand.Rand) *Index {
+	if estimator == nil {
+		estimator = &noInterference{kinds: newKinds()}
+	}
 	return &Index{
 		config: config, estimator: estimator, random: random,
 		workers: make(map[medlarwheel.WorkerID]*worker),
@@ -41,9 +38,6 @@
 	}
 }
 
-// Len returns the number of workers.
-func (x *Index) Len() int { return len(x.workers) }
-
 // Upsert adds a worker or replaces what is known of it. Measurements of tasks that stay are kept.
 func (x *Index) Upsert(state WorkerState) {
 	old := x.workers[state.ID]
@@ -58,11 +52,12 @@
 	tasks := slices.Clone(state.Tasks)
 	slices.SortFunc(tasks, func(a, b TaskState) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, t := range slices.CompactFunc(tasks, func(a, b TaskState) bool { return a.ID == b.ID }) {
-		added := task{TaskState: t}
+		added := task{TaskState: t, kind: x.estimator.KindOf(t.Template)}
 		if old != nil {
 			if at, found := old.find(t.ID); found {
 				added = old.tasks[at]
 				added.TaskState = t
+				added.kind = x.estimator.KindOf(t.Template)
 			}
 		}
 		w.add(added)
@@ -104,7 +99,7 @@
 }
 
 func (x *Index) commit(w *worker, t TaskState) {
-	w.add(task{TaskState: t})
+	w.add(task{TaskState: t, kind: x.estimator.KindOf(t.Template)})
 	x.spread.add(w, t.Group, 1)
 	x.open.update(w)
 }
@@ -145,12 +140,3 @@
 	x.open.update(w)
 	return true
 }
-
-// Free returns the uncommitted capacity of a worker.
-func (x *Index) Free(id medlarwheel.WorkerID) (medlarwheel.Resources, bool) {
-	w := x.workers[id]
-	if w == nil {
-		return medlarwheel.Resources{}, false
-	}
-	return w.free(), true
-}
--- a/medlarplacement/interference.go
+++ b/medlarplacement/interference.go
@@ -22,7 +22,7 @@
 	ClipDeviations float64
 	// DriftDeviation is the standard deviation that the truth moves by in one hour.
 	DriftDeviation float64
-	// MaxSlowdown bounds a measured slowdown (a factor) before it is used.
+	// MaxSlowdown bounds an estimate (a factor).
 	MaxSlowdown float64
 	// MaxAge is the age from which a measurement is ignored.
 	MaxAge time.Duration
@@ -32,7 +32,7 @@
 	MaxSources int
 }
 
-// DefaultInterferenceConfig returns settings for several hundred templates: 32,768 pairs take about 8 MB.
+// DefaultInterferenceConfig returns settings for several hundred templates: 32,768 pairs take 4.3 MB.
 func DefaultInterferenceConfig() InterferenceConfig {
 	return InterferenceConfig{
 		PriorMean: 0.02, PriorDeviation: 0.15, NoiseDeviation: 0.2, GeneralNoise: 4, ClipDeviations: 2,
@@ -78,15 +78,16 @@
 // maxAggressors bounds the templates of one observation that are considered.
 const maxAggressors = 64
 
-// pairKey names a pair. An empty aggressor stands for what the victim suffers from load alone; an empty victim stands
-// for the aggressor's effect on victims in general, which is the prior of its pairs.
+// pairKey is a pair. No aggressor stands for what the victim suffers from load alone; no victim stands for the
+// aggressor's effect on victims in general, which is the prior of its pairs.
 type pairKey struct {
-	victim, aggressor medlarwheel.TemplateName
+	victim, aggressor KindID
 }
 
 // Interference learns by how much one kind of task slows another. Estimates are kept per pair of templates and load
 // level. The slowdown of a victim is modelled as the product of the slowdowns by each task beside it.
 type Interference struct {
+	kinds
 	config  InterferenceConfig
 	pairs   *lru[pairKey, levels]
 	sources *lru[medlarwheel.WorkerID, version]
@@ -96,6 +97,7 @@
 // NewInterference returns an Interference that knows only the prior.
 func NewInterference(config InterferenceConfig) *Interference {
 	return &Interference{
+		kinds:   newKinds(),
 		config:  config,
 		pairs:   newLRU[pairKey, levels](config.MaxPairs),
 		sources: newLRU[medlarwheel.WorkerID, version](config.MaxSources),
@@ -120,37 +122,37 @@
 		return VerdictRepeated
 	}
 	*last = v
-	bound := math.Log(f.config.MaxSlowdown)
-	observed := min(max(math.Log(o.Slowdown), -bound), bound)
-	at := level(o.Load)
+	observed, at := math.Log(o.Slowdown), level(o.Load)
 	// The pairs come first: a new pair starts at the general estimate before this observation.
-	f.learn(now, &o, at, observed, o.Victim)
-	f.learn(now, &o, at, observed, "")
+	victim := f.KindOf(o.Victim)
+	f.learn(now, &o, at, observed, victim, false)
+	f.learn(now, &o, at, observed, victim, true)
 	return VerdictLearnt
 }
 
-// learn updates the pairs of the observation with the victim, or the general estimates if the victim is empty.
-func (f *Interference) learn(now time.Time, o *Observation, at int, observed float64, victim medlarwheel.TemplateName) {
+// learn updates the pairs of the observation, or the general estimates of its aggressors.
+func (f *Interference) learn(now time.Time, o *Observation, at int, observed float64, victim KindID, general bool) {
 	c := &f.config
 	filter := filter{
 		noise: c.NoiseDeviation * c.NoiseDeviation, clip: c.ClipDeviations, prior: c.PriorDeviation * c.PriorDeviation,
 		drift: c.DriftDeviation * c.DriftDeviation, limit: math.Log(c.MaxSlowdown),
 	}
-	if victim == "" {
+	f.terms = append(f.terms[:0], term{estimate: f.estimate(pairKey{victim: victim}, at), weight: 1})
+	alone := *f.terms[0].estimate
+	if general {
 		filter.noise *= c.GeneralNoise
+		victim = kindNone
 	}
-	f.terms = append(f.terms[:0], term{estimate: f.estimate(pairKey{victim: o.Victim}, at), weight: 1})
 	for _, a := range o.Aggressors {
 		if a.Count > 0 && a.Template != "" {
-			key := pairKey{victim: victim, aggressor: a.Template}
+			key := pairKey{victim: victim, aggressor: f.KindOf(a.Template)}
 			f.terms = append(f.terms, term{estimate: f.estimate(key, at), weight: float64(a.Count)})
 		}
 	}
-	own := *f.terms[0].estimate
 	filter.update(f.terms, observed, now)
-	if victim == "" {
+	if general {
 		// The effect of load alone was already corrected with the pairs.
-		*f.terms[0].estimate = own
+		*f.terms[0].estimate = alone
 	}
 }
 
@@ -173,10 +175,10 @@
 			return mean
 		}
 	}
-	if key.aggressor == "" {
+	if key.aggressor == kindNone {
 		return 0
 	}
-	if general := f.pairs.get(pairKey{aggressor: key.aggressor}); general != nil && key.victim != "" {
+	if general := f.pairs.peek(pairKey{aggressor: key.aggressor}); general != nil && key.victim != kindNone {
 		if mean, known := general.nearest(at); known {
 			return mean
 		}
@@ -184,22 +186,13 @@
 	return f.config.PriorMean
 }
 
-// LogSlowdown returns the logarithm of the slowdown of the victim by one task of the aggressor at a load.
-func (f *Interference) LogSlowdown(victim, aggressor medlarwheel.TemplateName, load float64) float64 {
+// Effect returns the logarithm of the slowdown of the victim by one task of the aggressor at a load.
+func (f *Interference) Effect(victim, aggressor KindID, load float64) float64 {
 	key := pairKey{victim: victim, aggressor: aggressor}
 	at := level(load)
-	pair := f.pairs.get(key)
+	pair := f.pairs.peek(key)
 	if pair != nil && pair[at].known() {
 		return float64(pair[at].mean)
 	}
 	return f.prior(key, pair, at)
 }
-
-// Slowdown returns the predicted slowdown of the victim beside the aggressors at a load, as a factor.
-func (f *Interference) Slowdown(victim medlarwheel.TemplateName, aggressors []Presence, load float64) float64 {
-	total := f.LogSlowdown(victim, "", load)
-	for _, a := range aggressors {
-		total += float64(a.Count) * f.LogSlowdown(victim, a.Template, load)
-	}
-	return math.Exp(total)
-}
--- a/medlarplacement/lru.go
+++ b/medlarplacement/lru.go
@@ -20,20 +20,19 @@
 	return l
 }
 
-// get returns the value of key and marks it as used, or nil.
-func (l *lru[K, V]) get(key K) *V {
-	e := l.entries[key]
-	if e == nil {
-		return nil
+// peek returns the value of key, or nil. It does not count as a use.
+func (l *lru[K, V]) peek(key K) *V {
+	if e := l.entries[key]; e != nil {
+		return &e.value
 	}
-	l.touch(e)
-	return &e.value
+	return nil
 }
 
-// ensure returns the value of key. A new value is zero and may displace the least recently used entry.
+// ensure returns the value of key and marks it as used. A new value is zero and may displace the least recently used entry.
 func (l *lru[K, V]) ensure(key K) (value *V, isNew bool) {
-	if value = l.get(key); value != nil {
-		return value, false
+	if e := l.entries[key]; e != nil {
+		l.touch(e)
+		return &e.value, false
 	}
 	if len(l.entries) >= l.capacity {
 		oldest := l.root.prev
--- a/medlarplacement/place.go
+++ b/medlarplacement/place.go
@@ -100,7 +100,7 @@
 
 // allowed checks the rules of r other than capacity and interference.
 func (x *Index) allowed(r *Request, w *worker) bool {
-	if !w.admits(r.Template, r.MayShare) || slices.Contains(r.Exclude, w.id) {
+	if !w.admits(x.estimator.KindOf(r.Template), r.MayShare) || slices.Contains(r.Exclude, w.id) {
 		return false
 	}
 	return r.Spread == 0 || x.spread.onRack(w, r.Group) < r.Spread
--- a/medlarplacement/preempt.go
+++ b/medlarplacement/preempt.go
@@ -85,7 +85,7 @@
 // forced returns the tasks that must go because of the rules on sharing and spread, and takes what they free off missing.
 func (x *Index) forced(s *search, r *Request, w *worker, missing *medlarwheel.Resources) ([]medlarwheel.TaskID, bool) {
 	var ids []medlarwheel.TaskID
-	if !w.admits(r.Template, r.MayShare) {
+	if !w.admits(x.estimator.KindOf(r.Template), r.MayShare) {
 		for i := range w.tasks {
 			t := &w.tasks[i]
 			if r.MayShare && t.MayShare || !r.MayShare && t.Template == r.Template {
--- a/medlarplacement/score.go
+++ b/medlarplacement/score.go
@@ -19,9 +19,7 @@
 // beyond the limit, from all causes.
 func (x *Index) harm(now time.Time, r *Request, w *worker, load, limit float64) (harm, bool) {
 	var h harm
-	if x.estimator == nil {
-		return h, true
-	}
+	kind := x.estimator.KindOf(r.Template)
 	fresh := w.fresh(now, x.config.MaxUsageAge)
 	residents := w.residents[:min(len(w.residents), x.config.MaxKindsScored)]
 	for i := range residents {
@@ -29,14 +27,14 @@
 		if !victim.service {
 			continue
 		}
-		added := x.estimator.LogSlowdown(victim.template, r.Template, load)
+		added := x.estimator.Effect(victim.kind, kind, load)
 		if added+x.present(w, victim, load, fresh) > limit {
 			return h, false
 		}
 		h.added += float64(victim.count) * added
 	}
 	for i := range residents {
-		h.own += float64(residents[i].count) * x.estimator.LogSlowdown(r.Template, residents[i].template, load)
+		h.own += float64(residents[i].count) * x.estimator.Effect(kind, residents[i].kind, load)
 	}
 	return h, true
 }
@@ -58,7 +56,7 @@
 			count = residents[i].unmeasured
 		}
 		if count > 0 && &residents[i] != victim {
-			total += float64(count) * x.estimator.LogSlowdown(victim.template, residents[i].template, load)
+			total += float64(count) * x.estimator.Effect(victim.kind, residents[i].kind, load)
 		}
 	}
 	return total
--- a/medlarplacement/watch.go
+++ b/medlarplacement/watch.go
@@ -62,9 +62,7 @@
 				continue
 			}
 			eligible = true
-			if g.estimator != nil {
-				r.blame += g.estimator.LogSlowdown(v.Template, s.Template, c.Load)
-			}
+			r.blame += g.estimator.Effect(g.estimator.KindOf(v.Template), g.estimator.KindOf(s.Template), c.Load)
 		}
 		if eligible {
 			list = append(list, r)
--- a/medlarplacement/worker.go
+++ b/medlarplacement/worker.go
@@ -15,6 +15,7 @@
 // task is a TaskState with its last measurement.
 type task struct {
 	TaskState
+	kind KindID
 	used medlarwheel.Resources
 	// measured tells that a usage report has listed the task.
 	measured  bool
@@ -25,7 +26,7 @@
 
 // resident sums the tasks of one template on a worker.
 type resident struct {
-	template   medlarwheel.TemplateName
+	kind       KindID
 	service    bool
 	count      int
 	unmeasured int
@@ -68,8 +69,13 @@
 	})
 }
 
-func (w *worker) resident(template medlarwheel.TemplateName) int {
-	return slices.IndexFunc(w.residents, func(r resident) bool { return r.template == template })
+func (w *worker) resident(kind KindID) int {
+	for i := range w.residents {
+		if w.residents[i].kind == kind {
+			return i
+		}
+	}
+	return -1
 }
 
 func (w *worker) add(t task) {
@@ -93,10 +99,10 @@
 			w.evictable[rank] = w.evictable[rank].Plus(t.Committed.Times(sign))
 		}
 	}
-	at := w.resident(t.Template)
+	at := w.resident(t.kind)
 	if at < 0 {
 		at = len(w.residents)
-		w.residents = append(w.residents, resident{template: t.Template, service: t.Kind == medlarwheel.KindService})
+		w.residents = append(w.residents, resident{kind: t.kind, service: t.Kind == medlarwheel.KindService})
 	}
 	r := &w.residents[at]
 	r.count += sign
@@ -152,7 +158,7 @@
 	}
 	for i := range w.tasks {
 		t := &w.tasks[i]
-		r := &w.residents[w.resident(t.Template)]
+		r := &w.residents[w.resident(t.kind)]
 		r.slowdown = max(r.slowdown, t.slowdown)
 		if !t.measured {
 			r.unmeasured++
@@ -179,9 +185,9 @@
 }
 
 // admits reports whether the rules on sharing allow a task of the template.
-func (w *worker) admits(template medlarwheel.TemplateName, mayShare bool) bool {
+func (w *worker) admits(kind KindID, mayShare bool) bool {
 	if mayShare {
 		return !slices.ContainsFunc(w.residents, func(r resident) bool { return r.closed > 0 })
 	}
-	return len(w.residents) == 0 || len(w.residents) == 1 && w.residents[0].template == template
+	return len(w.residents) == 0 || len(w.residents) == 1 && w.residents[0].kind == kind
 }
