Recover a data centre that has lost its only or all instances

Cause: fuzzing found that a roster without members is written with null lists, which no instance accepts: the planned stop of the last instance of a data centre locked every later one out. Reading on showed that a new instance in an empty data centre takes the unknown members of the roster for living ones and never replaces their seats. Change: empty lists are left out; a process that gives up its slots also ends its vote, which proves that its seat can be replaced, under quarantine; instances learn the members that only the roster names. The test world of medlarentry waited for stand-ins that it had not cancelled yet, and hung.

--- a/medlardatacentre/exchange.go
+++ b/medlardatacentre/exchange.go
@@ -68,7 +68,7 @@
 	for _, m := range v.Members(now) {
 		t := Target{Instance: m.Instance, DataCentre: m.DataCentre, Address: m.PeerAddress}
 		switch {
-		case m.Instance == v.self.Instance:
+		case m.Instance == v.self.Instance || m.PeerAddress == "":
 			continue
 		case m.Status == StatusDead || m.Status == StatusLeaving:
 			gone = append(gone, t)
--- a/medlardatacentre/plan.go
+++ b/medlardatacentre/plan.go
@@ -147,16 +147,41 @@
 	}
 }
 
-// GiveUp returns the roster that follows r once a removed process has given up its slots, and whether r lists it. Only
-// that process may ask for it, after its last request has ended.
+// GiveUp returns the roster that follows r once a removed process has given up its slots and its vote, and whether that
+// changes anything. A member can't give up. Only the process itself may ask for it, after its last request has ended and its seat has stopped voting.
 func (r *Roster) GiveUp(instance medlarwheel.InstanceID, incarnation medlarwheel.Incarnation) (Roster, bool) {
+	if member, ok := r.Member(instance); ok && member.Incarnation == incarnation {
+		return *r, false
+	}
 	next := *r
 	next.Removed = slices.DeleteFunc(slices.Clone(r.Removed), func(m RemovedMember) bool {
 		return m.Instance == instance && m.Incarnation == incarnation
 	})
-	if len(next.Removed) == len(r.Removed) {
+	changed := len(next.Removed) != len(r.Removed)
+	next.Seats = slices.Clone(r.Seats)
+	for i := range next.Seats {
+		if s := &next.Seats[i]; s.Instance == instance && s.Incarnation == incarnation && !s.Ended {
+			s.Ended, changed = true, true
+		}
+	}
+	if !changed {
 		return *r, false
 	}
 	next.Epoch++
 	return next, true
 }
+
+// Known returns what a view can learn from the roster. An instance that starts in a data centre whose members are all gone
+// hears of them from nowhere else, and an unknown member is taken for a living one.
+func (r *Roster) Known() []Member {
+	known := make([]Member, 0, len(r.Members)+len(r.Seats))
+	for _, m := range r.Members {
+		known = append(known, Member{Instance: m.Instance, DataCentre: r.DataCentre, PeerAddress: m.PeerAddress, Incarnation: m.Incarnation})
+	}
+	for _, s := range r.Seats {
+		if _, member := r.Member(s.Instance); !member {
+			known = append(known, Member{Instance: s.Instance, DataCentre: r.DataCentre, Incarnation: s.Incarnation})
+		}
+	}
+	return known
+}
--- a/medlardatacentre/planseats.go
+++ b/medlardatacentre/planseats.go
@@ -41,7 +41,9 @@
 }
 
 // ended reports whether the incarnation of a lost seat is proved to have ended.
-func (p *planner) ended(s Seat) bool { return p.fate(s.Instance, s.Incarnation) == fateEnded }
+func (p *planner) ended(s Seat) bool {
+	return s.Ended || p.fate(s.Instance, s.Incarnation) == fateEnded
+}
 
 // candidates returns the alive members without a kept seat, the longest members first.
 func (p *planner) candidates(kept []Seat) []RosterMember {
--- a/medlardatacentre/roster.go
+++ b/medlardatacentre/roster.go
@@ -29,6 +29,8 @@
 	SinceEpoch medlarwheel.Epoch `json:"since-epoch"`
 	// QuarantineFrom marks the loss of votes cast up to that time. It is zero if none were lost lately.
 	QuarantineFrom time.Time `json:"quarantine-from,omitzero"`
+	// Ended tells that the process has stopped voting for good, on its own word.
+	Ended bool `json:"ended,omitempty"`
 }
 
 // RemovedMember is a process that was removed without having given up its share of upstream slots. Its requests may still
@@ -46,9 +48,9 @@
 type Roster struct {
 	DataCentre medlarwheel.DataCentreID `json:"data-centre"`
 	Epoch      medlarwheel.Epoch        `json:"epoch"`
-	Members    []RosterMember           `json:"members"`
+	Members    []RosterMember           `json:"members,omitempty"`
 	// Seats are in the order in which ballots ask them.
-	Seats []Seat `json:"seats"`
+	Seats []Seat `json:"seats,omitempty"`
 	// Sources are the seats from which seats that joined with the last change of seats copy votes. Together they know
 	// every claim of the earlier groups. The first roster has none, since no vote was cast before it.
 	Sources []medlarwheel.InstanceID `json:"sources,omitempty"`
--- a/medlardatacentre/roster_test.go
+++ b/medlardatacentre/roster_test.go
@@ -304,3 +304,48 @@
 		t.Fatalf("got %+v", next)
 	}
 }
+
+// Guards against a data centre whose only instance has left or crashed and that never votes again, and against one that
+// votes at once although the votes of its only seat are lost.
+func TestDataCentreRecoversFromTheLossOfItsOnlyInstance(t *testing.T) {
+	only := medlardatacentre.Member{
+		Instance: "entry-1", DataCentre: "north", PeerAddress: "127.0.0.1:7100", Incarnation: 1, Status: medlardatacentre.StatusAlive,
+	}
+	next := medlardatacentre.Member{
+		Instance: "entry-9", DataCentre: "north", PeerAddress: "127.0.0.1:7109", Incarnation: 1, Status: medlardatacentre.StatusAlive,
+	}
+	first, _ := medlardatacentre.PlanRoster(medlardatacentre.Roster{DataCentre: "north"}, []medlardatacentre.Member{only}, noon)
+	leaving := only
+	leaving.Status, leaving.Leaving = medlardatacentre.StatusLeaving, true
+	empty, changed := medlardatacentre.PlanRoster(first, []medlardatacentre.Member{leaving}, noon)
+	if !changed || len(empty.Members) != 0 {
+		t.Fatalf("got %+v", empty)
+	}
+	left, ok := empty.GiveUp("entry-1", 1)
+	if !ok {
+		t.Fatal("the last instance has nothing to give up")
+	}
+	data, err := json.Marshal(left)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := medlardatacentre.DecodeRoster(data); err != nil {
+		t.Fatalf("a roster without members can't be read: %v", err)
+	}
+	requireQuarantined(t, left, []medlardatacentre.Member{next})
+
+	dead := only
+	dead.Status, dead.Unlisted = medlardatacentre.StatusDead, true
+	requireQuarantined(t, first, []medlardatacentre.Member{next, dead})
+	if known := first.Known(); len(known) != 1 || known[0].Instance != "entry-1" || known[0].PeerAddress == "" {
+		t.Fatalf("a new instance learns %+v from the roster", known)
+	}
+}
+
+func requireQuarantined(t *testing.T, current medlardatacentre.Roster, members []medlardatacentre.Member) {
+	t.Helper()
+	roster, changed := medlardatacentre.PlanRoster(current, members, noon.Add(time.Minute))
+	if !changed || len(roster.Seats) != 1 || roster.Seats[0].Instance != "entry-9" || roster.Seats[0].QuarantineFrom.IsZero() {
+		t.Fatalf("got %+v, want one quarantined seat of entry-9", roster.Seats)
+	}
+}
--- a/medlarentry/announce.go
+++ b/medlarentry/announce.go
@@ -68,6 +68,7 @@
 		}
 		return !changed
 	}
+	d.seat.end()
 	next, listed := current.GiveUp(d.settings.Instance, d.incarnation)
 	if listed {
 		d.commitRoster(ctx, row, next)
--- a/medlarentry/exchange.go
+++ b/medlarentry/exchange.go
@@ -147,8 +147,7 @@
 // because both would act under one identity.
 func (c *control) merge(now time.Time, members []*peerpb.Member) {
 	if err := c.view.Merge(now, membersFromWire(members)); err != nil {
-		c.d.log.Error().Str("event", "superseded").AnErr("error", err).Send()
-		c.d.requestStop()
+		c.superseded(err)
 	}
 }
 
--- a/medlarentry/poll.go
+++ b/medlarentry/poll.go
@@ -40,8 +40,7 @@
 	c.listVersion, c.list = list.Version, list
 	c.directory.ApplyList(now, list)
 	if err := c.view.ApplyList(now, list); err != nil {
-		c.d.log.Error().Str("event", "superseded").AnErr("error", err).Send()
-		c.d.requestStop()
+		c.superseded(err)
 	}
 	c.dirty = true
 }
--- a/medlarentry/roster.go
+++ b/medlarentry/roster.go
@@ -103,10 +103,24 @@
 	})
 	if r.DataCentre == c.d.settings.DataCentre {
 		c.view.Retain(shared.Members)
+		c.learn(r.Known())
 		c.d.seat.adopt(r)
 	}
 }
 
+// learn adds members that only the roster names to the view.
+func (c *control) learn(members []medlardatacentre.Member) {
+	if err := c.view.Merge(c.d.clock.Now(), members); err != nil {
+		c.superseded(err)
+	}
+}
+
+// superseded stops this instance, because a later process of its name is running.
+func (c *control) superseded(err error) {
+	c.d.log.Error().Str("event", "superseded").AnErr("error", err).Send()
+	c.d.requestStop()
+}
+
 // earlierProcess is appended to the name of this instance while the roster names an earlier process of it, so that this
 // one takes none of its slots.
 const earlierProcess = "/earlier"
--- a/medlarentry/seat.go
+++ b/medlarentry/seat.go
@@ -22,7 +22,9 @@
 	seat     *medlarclaim.Seat
 	recovery *medlarclaim.Recovery
 	// since and listed identify the seat in the roster for which the votes were last recovered.
-	since  medlarwheel.Epoch
+	since medlarwheel.Epoch
+	// ended tells that the seat does not vote any more.
+	ended  bool
 	listed medlarwheel.Incarnation
 	// addresses holds the peer addresses of the group.
 	addresses map[medlarwheel.InstanceID]string
@@ -34,7 +36,7 @@
 func (h *seatHolder) answer(dc medlarwheel.DataCentreID, epoch medlarwheel.Epoch, q medlarclaim.Question) (medlarclaim.Answer, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.seat == nil || dc != h.d.settings.DataCentre {
+	if h.seat == nil || h.ended || dc != h.d.settings.DataCentre {
 		return medlarclaim.Answer{}, errSeatElsewhere
 	}
 	return h.seat.Answer(h.d.clock.Now(), epoch, q), nil
@@ -44,7 +46,7 @@
 func (h *seatHolder) answerAll(dc medlarwheel.DataCentreID, epoch medlarwheel.Epoch, questions []medlarclaim.Question) ([]medlarclaim.Answer, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.seat == nil || dc != h.d.settings.DataCentre {
+	if h.seat == nil || h.ended || dc != h.d.settings.DataCentre {
 		return nil, errSeatElsewhere
 	}
 	now := h.d.clock.Now()
@@ -128,6 +130,13 @@
 	h.startRecovery(r.DataCentre, plan)
 }
 
+// end stops the seat from voting for good. Its votes can still be copied.
+func (h *seatHolder) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ended = true
+}
+
 func (h *seatHolder) retire(epoch medlarwheel.Epoch) {
 	h.recovery, h.since = nil, 0
 	if h.seat != nil {
--- a/medlarentry/world_test.go
+++ b/medlarentry/world_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"sync"
 	"testing"
 	"time"
 
@@ -28,7 +27,6 @@
 type world struct {
 	t        *testing.T
 	platform string
-	group    sync.WaitGroup
 	runners  []string
 	entries  []*entry
 }
@@ -53,10 +51,14 @@
 	command.SetArgs(arguments)
 	command.SetErr(io.Discard)
 	command.SetOut(io.Discard)
-	w.group.Go(func() { _ = command.ExecuteContext(ctx) })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = command.ExecuteContext(ctx)
+	}()
 	w.t.Cleanup(func() {
 		cancel()
-		w.group.Wait()
+		<-done
 	})
 }
 
