Move the owner's bookkeeping into the packages and slim the simulation

An owner that came back after the horizon renewed task leases by its old map, although others count on its silence then.

Change: TaskLeases.Enter keeps the tenure of a shard, Record.Advance applies all that is known about a job in one decision, Decision.Book charges the quota ledger. MayRenew needs a map read since the horizon last passed.

--- a/medlarjob/doc.go
+++ b/medlarjob/doc.go
@@ -23,7 +23,14 @@
 //	for _, order := range record.Orders(leases, own, now) {
 //		// send order to order.Target()
 //	}
-//	decision, err = record.Report(&report, workerRecord, owned.Token, now)
+//
+// Advance applies what is known about a job in one decision: reports of workers, leases that have run out, holds that are
+// over. An owner does this for each job of its shards:
+//
+//	leases.Enter(owned, watch, now) // once for each shard
+//	record.Track(leases, owned, now)
+//	decision, err = record.Advance(known, now)
+//	changed, err := decision.Book(ledger, limits) // quotas, see medlarquota
 //
 // Several decisions go into one transaction through a Batch, which refuses decisions made from different views of a row.
 // After a conflict or a lost answer, read the rows again and apply the event again.
--- a/medlarjob/record.go
+++ b/medlarjob/record.go
@@ -18,6 +18,8 @@
 	key     string
 	job     medlarwheel.Job
 	version medlarwheel.RowVersion
+	// had is what the placed tasks had when the row was read.
+	had medlarwheel.Resources
 	// step counts the changes since the row was read, and workers lists the worker records that they changed.
 	step    int
 	origin  *origin
@@ -53,6 +55,7 @@
 	if err := json.Unmarshal(row.Value, &r.job); err != nil {
 		return Record{}, medlarwheel.AtStep(step, "", err)
 	}
+	r.had = r.Use().Resources
 	return r, medlarwheel.AtStep(step, "", r.job.Check().Err())
 }
 
@@ -94,6 +97,7 @@
 func (d *Decision) Committed(version medlarwheel.RowVersion) Record {
 	r := d.next
 	r.version, r.step, r.workers, r.origin = version, 0, nil, &origin{}
+	r.had = r.Use().Resources
 	return r
 }
 
--- a/medlarjob/report.go
+++ b/medlarjob/report.go
@@ -13,7 +13,7 @@
 
 // Report applies a worker's word about an attempt. worker is the record of the worker's row; it is needed when the
 // attempt has ended. For an attempt that ended without a word about its checkpoint (stopped or absent) the caller looks
-// for the checkpoint object first and sets Saved.
+// for the checkpoint object first and sets Saved. Word from before the attempt was placed changes nothing.
 func (r *Record) Report(
 	report *medlarwheel.TaskReport, worker *medlarworker.Record, token medlarwheel.FencingToken, now time.Time,
 ) (Decision, error) {
@@ -24,6 +24,9 @@
 	if current, err := r.isCurrent(index, report.Attempt); !current || report.Worker != r.job.Tasks[index].Run.Worker {
 		return r.unchanged(), err
 	}
+	if report.Token < r.job.Tasks[index].Run.Token {
+		return r.unchanged(), nil
+	}
 	if !report.Phase.IsEnded() {
 		return r.started(index, token, now)
 	}
--- a/medlarlease/holder.go
+++ b/medlarlease/holder.go
@@ -34,9 +34,6 @@
 // Since returns when the unbroken tenure began. What was read before it may have changed while the lease had lapsed.
 func (h *Holder) Since() time.Time { return h.since }
 
-// RenewedAt returns the time just before the last renewal was sent.
-func (h *Holder) RenewedAt() time.Time { return h.renewedAt }
-
 // Drop gives the lease up.
 func (h *Holder) Drop() { h.renewedAt, h.since = time.Time{}, time.Time{} }
 
--- a/medlarlease/ownership.go
+++ b/medlarlease/ownership.go
@@ -19,16 +19,19 @@
 	config   Config
 	instance medlarwheel.EntryInstance
 	holder   Holder
-	version  medlarwheel.RowVersion
-	counter  uint64
-	current  ShardMap
-	readAt   time.Time
+	// renewer is the same lease counted up to the horizon.
+	renewer Holder
+	version medlarwheel.RowVersion
+	counter uint64
+	current ShardMap
+	readAt  time.Time
 }
 
 // NewOwnership returns the ownership of an instance that has just started.
 func NewOwnership(config Config, instance medlarwheel.EntryInstance) *Ownership {
 	return &Ownership{
-		config: config, instance: instance, holder: NewHolder(config.Term), current: NewShardMap(instance.DataCentre),
+		config: config, instance: instance, holder: NewHolder(config.Term), renewer: NewHolder(config.Horizon),
+		current: NewShardMap(instance.DataCentre),
 	}
 }
 
@@ -52,6 +55,7 @@
 		o.version = version
 	}
 	o.holder.Renewed(sentAt)
+	o.renewer.Renewed(sentAt)
 }
 
 // ReadBack resolves a renewal with a lost answer or a conflict by the row as it is now. It returns ErrStale when a
@@ -63,6 +67,7 @@
 	}
 	if lease.Instance.Incarnation > o.instance.Incarnation {
 		o.holder.Drop()
+		o.renewer.Drop()
 		o.current = NewShardMap(o.instance.DataCentre)
 		return medlarwheel.AtStep("renew instance lease", "", medlarwheel.ErrStale)
 	}
@@ -107,11 +112,10 @@
 }
 
 // MayRenew returns the shard with its token if the instance may renew the leases of its tasks at now. Without the table
-// that goes on until the horizon, so that tasks survive an outage.
+// that goes on until the horizon, so that tasks survive an outage. After the horizon has passed once, the map has to be
+// read again first: others have counted on the instance's silence.
 func (o *Ownership) MayRenew(shard ShardID, now time.Time) (OwnedShard, bool) {
-	at := o.holder.advance(now)
-	renewed := o.holder.RenewedAt()
-	if renewed.IsZero() || !at.Before(renewed.Add(o.config.Horizon)) {
+	if !o.renewer.MayAct(now) || o.readAt.Before(o.renewer.Since()) {
 		return OwnedShard{}, false
 	}
 	return o.owned(shard)
--- a/medlarlease/taskleases.go
+++ b/medlarlease/taskleases.go
@@ -17,6 +17,15 @@
 	config  Config
 	workers map[medlarwheel.WorkerID]heardReading
 	leases  map[medlarwheel.TaskID]*taskLease
+	tenures map[ShardID]*tenure
+}
+
+// tenure is how long the owner has had a shard under one token.
+type tenure struct {
+	token medlarwheel.FencingToken
+	since time.Time
+	// settled tells that all earlier owners have stopped granting leases.
+	settled bool
 }
 
 type heardReading struct {
@@ -53,6 +62,7 @@
 		config:  config,
 		workers: make(map[medlarwheel.WorkerID]heardReading),
 		leases:  make(map[medlarwheel.TaskID]*taskLease),
+		tenures: make(map[ShardID]*tenure),
 	}
 }
 
@@ -80,7 +90,7 @@
 	// Incarnation is the one of the agent that may start the attempt.
 	Incarnation medlarwheel.Incarnation
 	// Placed is the token under which the attempt was placed. A lower one than the owner's means that earlier owners have
-	// granted the lease, too, and Settle must follow before it can expire.
+	// granted the lease, too, and it can only expire once they have stopped.
 	Placed medlarwheel.FencingToken
 	// Started tells that the worker has been seen to know the attempt. Until then only a Start goes out: the worker would
 	// answer a Renew by refusing the attempt for good.
@@ -90,8 +100,7 @@
 // Track follows the lease of an attempt on a worker. An attempt that is known to have ended is not followed again.
 func (t *TaskLeases) Track(tracked TrackedAttempt, owned OwnedShard, now time.Time) {
 	lease := t.leases[tracked.Attempt.Task]
-	if lease != nil && lease.token == owned.Token && (tracked.Attempt.Attempt < lease.attempt.Attempt ||
-		tracked.Attempt == lease.attempt && !lease.forgottenAt.IsZero()) {
+	if lease != nil && lease.token == owned.Token && tracked.Attempt.Attempt < lease.attempt.Attempt {
 		return
 	}
 	if lease == nil || lease.attempt != tracked.Attempt || lease.token != owned.Token {
@@ -104,8 +113,20 @@
 	lease.started = tracked.Started
 }
 
-// Settle records that at now all earlier owners of a shard had stopped granting leases (see Watch.Settled).
-func (t *TaskLeases) Settle(owned OwnedShard, now time.Time) {
+// Enter is called for a shard that the instance may act on, before the jobs of the shard are looked at. What was known of
+// the shard under another token is dropped. Once all earlier owners have stopped, the leases that they have granted, too,
+// begin to run out.
+func (t *TaskLeases) Enter(owned OwnedShard, watch *Watch, now time.Time) {
+	held := t.tenures[owned.Shard]
+	if held == nil || held.token != owned.Token {
+		t.Leave(owned.Shard)
+		held = &tenure{token: owned.Token, since: now}
+		t.tenures[owned.Shard] = held
+	}
+	if !held.settled && !watch.Settled(owned.Token, held.since) {
+		return
+	}
+	held.settled = true
 	for _, lease := range t.leases {
 		if lease.shard == owned.Shard && lease.token == owned.Token && !lease.settled {
 			lease.settled = true
@@ -114,6 +135,12 @@
 	}
 }
 
+// Leave drops what is known of a shard that the instance has lost.
+func (t *TaskLeases) Leave(shard ShardID) {
+	delete(t.tenures, shard)
+	maps.DeleteFunc(t.leases, func(_ medlarwheel.TaskID, lease *taskLease) bool { return lease.shard == shard })
+}
+
 // Forget drops the lease of an attempt that has ended, and of all earlier ones of its task.
 func (t *TaskLeases) Forget(ended medlarwheel.TaskAttempt, owned OwnedShard, now time.Time) {
 	lease := t.leases[ended.Task]
@@ -132,11 +159,6 @@
 	})
 }
 
-// DropShard drops the leases of a shard that the instance has lost.
-func (t *TaskLeases) DropShard(shard ShardID) {
-	maps.DeleteFunc(t.leases, func(_ medlarwheel.TaskID, lease *taskLease) bool { return lease.shard == shard })
-}
-
 // Expired returns the proof that an attempt's lease has run out. The shard's assignment must have been confirmed after
 // that moment: until then another owner might have renewed the lease.
 func (t *TaskLeases) Expired(attempt medlarwheel.TaskAttempt, owned OwnedShard) (Proof, error) {
