Use the tenure of shards that medlarlease keeps

Change: the shell calls Enter and Leave, and its own marks are gone. Conclusion: one place decides when leases of earlier owners begin to run out.

--- a/medlarfleet/rows.go
+++ b/medlarfleet/rows.go
@@ -78,9 +78,7 @@
 	}
 	entry.record.Track(s.leases, owned, now)
 	entry.forgetEnded()
-	if held := s.shards[entry.shard]; held != nil && held.settled {
-		s.leases.Settle(owned, now)
-	}
+	s.enterShard(entry.shard, now)
 	job := entry.record.Job()
 	for i := range job.Tasks {
 		id := job.TaskID(i)
--- a/medlarfleet/shards.go
+++ b/medlarfleet/shards.go
@@ -20,19 +20,23 @@
 			held = nil
 		}
 		if held == nil && ok {
-			s.shards[shard] = &heldShard{token: owned.Token, acquiredAt: now}
-		}
-		if held != nil && held.loaded && !held.settled && s.watch.Settled(held.token, held.acquiredAt) {
-			held.settled = true
-			s.leases.Settle(owned, now)
+			s.shards[shard] = &heldShard{token: owned.Token}
 		}
+		s.enterShard(shard, now)
+	}
+}
+
+// enterShard lets the leases that earlier owners have granted begin to run out once those owners have stopped.
+func (s *state) enterShard(shard medlarlease.ShardID, now time.Time) {
+	if owned, ok := s.own.MayAct(shard, now); ok {
+		s.leases.Enter(owned, s.watch, now)
 	}
 }
 
 // dropShard forgets a shard that another instance owns now.
 func (s *state) dropShard(shard medlarlease.ShardID) {
 	delete(s.shards, shard)
-	s.leases.DropShard(shard)
+	s.leases.Leave(shard)
 	for id, job := range s.jobs {
 		if job.shard == shard {
 			s.forgetJob(id)
--- a/medlarfleet/state.go
+++ b/medlarfleet/state.go
@@ -54,11 +54,8 @@
 // heldShard is a shard of jobs that the map gives to this instance.
 type heldShard struct {
 	token medlarwheel.FencingToken
-	// acquiredAt is when the instance first saw that it owns the shard.
-	acquiredAt time.Time
 	// loaded tells that all jobs of the shard have been read since.
-	loaded  bool
-	settled bool
+	loaded bool
 }
 
 // jobEntry is a job of a held shard.
