--- a/medlarentry/apply.go
+++ b/medlarentry/apply.go
@@ -6,6 +6,7 @@
 	"medlarwheel"
 	"medlarwheel/medlaraccount"
 	"medlarwheel/medlarcontract"
+	"medlarwheel/medlardatacentre"
 	"medlarwheel/medlarupstream"
 )
 
@@ -52,18 +53,29 @@
 
 // applyShares sets the share of every client account at every template, and of the account for all others.
 func (c *control) applyShares(book *medlarcontract.Snapshot) {
-	instances := max(1, len(c.view.Members(c.d.clock.Now())))
+	c.sharedOver = c.liveInstances()
 	accounts := []*medlarwheel.Account{{ID: defaultAccount}}
 	for _, item := range book.Items() {
 		if item.Account != nil {
 			accounts = append(accounts, item.Account)
 		}
 	}
-	for service, shares := range laneShares(book, accounts, instances) {
+	for service, shares := range laneShares(book, accounts, c.sharedOver) {
 		c.d.gates.of(service).setShares(shares)
 	}
 }
 
+// liveInstances counts the instances that take calls, this one included.
+func (c *control) liveInstances() int {
+	live := 0
+	for _, m := range c.view.Members(c.d.clock.Now()) {
+		if m.Status == medlardatacentre.StatusAlive || m.Status == medlardatacentre.StatusSuspect {
+			live++
+		}
+	}
+	return max(1, live)
+}
+
 func laneShares(book *medlarcontract.Snapshot, accounts []*medlarwheel.Account, instances int) map[medlarwheel.ServiceName]map[medlaraccount.Lane]medlaraccount.Share {
 	byService := make(map[medlarwheel.ServiceName]map[medlaraccount.Lane]medlaraccount.Share)
 	for _, t := range book.Templates() {
--- a/medlarentry/call.go
+++ b/medlarentry/call.go
@@ -32,16 +32,19 @@
 
 // call is one request of a caller.
 type call struct {
-	template   *medlarwheel.Template
-	account    medlarwheel.AccountID
-	key        medlarwheel.RequestKey
-	hash       medlarclaim.KeyHash
-	minted     time.Time
-	home       medlarwheel.DataCentreID
-	attempt    medlarwheel.AttemptID
-	idempotent bool
-	arrived    time.Time
-	deadline   time.Time
+	template *medlarwheel.Template
+	account  medlarwheel.AccountID
+	// laneAccount is the account whose share the request counts against. All accounts without an entry share one, so that
+	// made-up names get no more than that.
+	laneAccount medlarwheel.AccountID
+	key         medlarwheel.RequestKey
+	hash        medlarclaim.KeyHash
+	minted      time.Time
+	home        medlarwheel.DataCentreID
+	attempt     medlarwheel.AttemptID
+	idempotent  bool
+	arrived     time.Time
+	deadline    time.Time
 	// sendUntil is when the claim on the key may no longer be acted on. It is zero for a request without a claim.
 	sendUntil time.Time
 	// path is the path and query for the upstream.
@@ -52,7 +55,7 @@
 func (c *call) isProtected() bool { return !c.idempotent && c.key != "" }
 
 func (c *call) lane() medlaraccount.Lane {
-	return medlaraccount.Lane{Template: c.template.Name, Account: c.account, Class: c.template.Class}
+	return medlaraccount.Lane{Template: c.template.Name, Account: c.laneAccount, Class: c.template.Class}
 }
 
 func (c *call) answerKey() answerKey {
@@ -81,6 +84,10 @@
 		c.path += "?" + string(ctx.URI().QueryString())
 	}
 	faults := d.parseHeaders(ctx, c)
+	c.laneAccount = defaultAccount
+	if _, known := s.book.Account(c.account); known {
+		c.laneAccount = c.account
+	}
 	if len(faults) > 0 {
 		refusal := medlarwheel.NotRun(medlarwheel.ReasonBadRequest, 0)
 		return nil, &refusal, faults
--- a/medlarentry/control.go
+++ b/medlarentry/control.go
@@ -32,7 +32,9 @@
 	applied uint64
 	// routed is the configuration version that the router and the gates have.
 	routed medlarwheel.ConfigVersion
-	dirty  bool
+	// sharedOver is the number of instances over which guarantees were last split.
+	sharedOver int
+	dirty      bool
 }
 
 func newControl(d *Daemon) *control {
@@ -79,6 +81,9 @@
 	if c.directory.Changes() != c.applied || c.book.Version() != c.routed {
 		c.applyRouting()
 	}
+	if c.dirty && c.liveInstances() != c.sharedOver {
+		c.applyShares(c.book.Snapshot())
+	}
 	if c.dirty {
 		c.dirty = false
 		old := c.d.snapshot.Swap(c.snapshot())
--- /dev/null
+++ b/medlarjob/orders_test.go
@@ -0,0 +1,243 @@
+package medlarjob_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/medlarjob"
+	"medlarwheel/medlarlease"
+	"medlarwheel/medlarquota"
+	"medlarwheel/medlarworker"
+)
+
+// Guards against commands that go out before their transaction has taken effect, from an instance that may not act, or by
+// a view of the row that is or may become outdated.
+func TestOrdersComeFromCommittedRows(t *testing.T) {
+	f := newFixture(t, 1, 1, medlarwheel.TaskSpec{})
+	leases := medlarlease.NewTaskLeases(medlarlease.Default())
+	leases.Heard("w0", medlarlease.Reading{Incarnation: 1, Uptime: 1}, f.now)
+	own := medlarlease.NewOwnership(medlarlease.Default(), medlarwheel.EntryInstance{
+		ID: "e0", DataCentre: "dc1", PeerAddress: "127.0.0.1:7000", Incarnation: 1, State: medlarwheel.StateLive,
+	})
+	shards, _ := medlarlease.Default().PlanShards(medlarlease.NewShardMap("dc1"), []medlarlease.Member{{Instance: "e0", Incarnation: 1}})
+	own.Renewed(f.now, 1)
+	own.SawMap(shards, f.now)
+	shard, err := medlarlease.ShardOfJob("dc1", f.job.Job().ID)
+	f.must(err)
+	owned, _ := own.MayAct(shard, f.now)
+	d, err := f.job.Place([]medlarjob.Placement{{Worker: f.workers[0], Incarnation: 1}}, 1, f.now)
+	f.must(err)
+	pending := d.Record()
+	pending.Track(leases, owned, f.now)
+	if orders := pending.Orders(leases, own, f.now); len(orders) != 0 {
+		t.Fatalf("orders before the transaction: %v", orders)
+	}
+	committed := d.Committed(9)
+	committed.Track(leases, owned, f.now)
+	if orders := committed.Orders(leases, own, f.now); len(orders) != 1 || orders[0].Target() != "w0" {
+		t.Fatalf("orders after the transaction: %v", orders)
+	}
+	renewals := leases.Renewals(own, f.now.Add(6*time.Second))
+	if len(renewals) > 0 {
+		t.Fatalf("renewal of an attempt that may not have started: %v", renewals)
+	}
+	evicted, err := committed.Evict([]int{0}, owned.Token, f.now)
+	f.must(err)
+	leaving := evicted.Record()
+	if orders := leaving.Orders(leases, own, f.now); len(orders) != 0 {
+		t.Fatalf("orders before the transaction: %v", orders)
+	}
+	newer, err := committed.Evict([]int{0}, 5, f.now)
+	f.must(err)
+	later := newer.Committed(10)
+	if orders := later.Orders(leases, own, f.now); len(orders) != 0 {
+		t.Fatalf("orders of a superseded owner: %v", orders)
+	}
+	ended := medlarwheel.TaskAttempt{Task: f.job.Job().TaskID(0), Attempt: 2}
+	leases.Forget(ended, owned, f.now)
+	committed.Track(leases, owned, f.now)
+	if orders := committed.Orders(leases, own, f.now); len(orders) != 0 {
+		t.Fatalf("start by an older view of the row than one acted on before: %v", orders)
+	}
+
+	shards.Epoch, shards.Jobs[shard.Index].Token = 2, 2
+	own.SawMap(shards, f.now)
+	owned, _ = own.MayAct(shard, f.now)
+	committed.Track(leases, owned, f.now)
+	if orders := committed.Orders(leases, own, f.now); len(orders) != 0 {
+		t.Fatalf("start by a row that an earlier owner can still change: %v", orders)
+	}
+	d, err = committed.Adopt(owned.Token, f.now)
+	f.must(err)
+	adopted := d.Committed(10)
+	if orders := adopted.Orders(leases, own, f.now); len(orders) != 1 {
+		t.Fatalf("orders after the row was adopted: %v", orders)
+	}
+	cancelling := adopted.Cancel("asked", f.now)
+	stopped := cancelling.Committed(11)
+	if _, ok := stopped.Orders(leases, own, f.now)[0].(medlarlease.Stop); !ok {
+		t.Fatalf("orders of a cancelled job: %v", stopped.Orders(leases, own, f.now))
+	}
+	if orders := adopted.Orders(leases, own, f.now.Add(time.Minute)); len(orders) != 0 {
+		t.Fatalf("orders of an instance whose lease has lapsed: %v", orders)
+	}
+}
+
+// Guards against batches that lose a change: two views of one worker's row, or a worker's change without its job's.
+func TestBatchRefusesSplitChanges(t *testing.T) {
+	f, g := newFixture(t, 1, 1, medlarwheel.TaskSpec{}), newFixture(t, 1, 1, medlarwheel.TaskSpec{})
+	place := func(job *medlarjob.Record, worker *medlarworker.Record) medlarjob.Decision {
+		d, err := job.Place([]medlarjob.Placement{{Worker: worker, Incarnation: 1}}, 1, f.now)
+		f.must(err)
+		return d
+	}
+	batch := medlarjob.NewBatch(medlarjob.Default())
+	first := place(&f.job, f.workers[0])
+	f.must(batch.Add(first))
+	value, _ := json.Marshal(g.job.Job())
+	other, err := medlarjob.Decode(medlarwheel.Row{Key: "job/dc1.03/other", Version: 1, Value: value}, medlarjob.Default())
+	f.must(err)
+	if err := batch.Add(place(&other, g.workers[0])); !errors.Is(err, medlarjob.ErrMixedViews) {
+		t.Errorf("two views of a worker: got %v", err)
+	}
+	next := first.Record()
+	evicted, err := next.Evict([]int{0}, 1, f.now)
+	f.must(err)
+	f.must(batch.Add(evicted))
+	if err := batch.Add(evicted); !errors.Is(err, medlarjob.ErrMixedViews) {
+		t.Errorf("two decisions from one view of a job: got %v", err)
+	}
+	writes, err := batch.Writes()
+	if err != nil || len(writes) != 2 || len(batch.Decisions()) != 1 {
+		t.Errorf("a decision and the one that follows from it: %d writes, %v", len(writes), err)
+	}
+	_, err = f.workers[0].Commit(medlarworker.TaskRef{Task: "x.0", Attempt: 1}, medlarwheel.Resources{CPU: 1}, 1)
+	f.must(err)
+	if _, err := batch.Writes(); !errors.Is(err, medlarjob.ErrTorn) {
+		t.Errorf("change of a worker that belongs to no decision: got %v", err)
+	}
+}
+
+// Guards against a ledger that differs from what the tasks have, and against a quota lowered below what is used that
+// stops a change which uses less of it.
+func TestBook(t *testing.T) {
+	f := newFixture(t, 2, 1, medlarwheel.TaskSpec{})
+	ledger := medlarquota.NewLedger("quota/dc1.03")
+	limits := func(cpu medlarwheel.MilliCPU) medlarquota.Limits {
+		return medlarquota.Limits{Team: medlarwheel.Resources{CPU: cpu, Memory: 9}}
+	}
+	book := func(d medlarjob.Decision, err error, limits medlarquota.Limits, want medlarwheel.Resources) medlarjob.Decision {
+		t.Helper()
+		f.must(err)
+		if changed, err := d.Book(ledger, limits); !changed || err != nil || len(ledger.Uses()) != 1 || ledger.Uses()[0].Resources != want {
+			t.Fatalf("booked %v, %v: the ledger has %v, want %v", changed, err, ledger.Uses(), want)
+		}
+		return d
+	}
+	large := []medlarjob.Placement{{Worker: f.workers[0], Incarnation: 1, Resources: medlarwheel.Resources{CPU: 5}}}
+	d, err := f.job.Place(large, 1, f.now)
+	if _, quota := d.Book(ledger, limits(4)); err != nil || !errors.Is(quota, medlarquota.ErrQuota) {
+		t.Fatalf("beyond the quota: got %v, %v", err, quota)
+	}
+	f.apply(book(d, err, limits(5), medlarwheel.Resources{CPU: 5}), nil)
+	report := f.report(0, medlarwheel.PhaseDone)
+	d, err = f.job.Report(&report, f.workers[0], 1, f.now)
+	f.must(err)
+	next := d.Record()
+	small := []medlarjob.Placement{{Task: 1, Worker: f.workers[0], Incarnation: 1, Resources: medlarwheel.Resources{CPU: 2, Memory: 3}}}
+	d, err = next.Place(small, 1, f.now)
+	f.apply(book(d, err, limits(1), medlarwheel.Resources{CPU: 2, Memory: 3}), nil)
+	report = f.report(1, medlarwheel.PhaseDone)
+	d, err = f.job.Report(&report, f.workers[0], 1, f.now)
+	if _, booked := d.Book(ledger, limits(1)); err != nil || booked != nil || len(ledger.Uses()) != 0 {
+		t.Fatalf("after the last task the ledger has %v: %v, %v", ledger.Uses(), err, booked)
+	}
+}
+
+// Guards against a wave of cancellations that floods the table, forgets jobs, or ends running tasks without a word of
+// their workers.
+func TestCancelMany(t *testing.T) {
+	config := medlarjob.Default()
+	total := config.MaxBatchWrites*config.MaxWaveBatches + 10
+	var jobs []medlarjob.Record
+	for n := range total {
+		f := newFixture(t, 1, 1, medlarwheel.TaskSpec{})
+		if n%2 == 0 {
+			f.place(0, 0)
+		}
+		value, _ := json.Marshal(f.job.Job())
+		record, err := medlarjob.Decode(medlarwheel.Row{Key: fmt.Sprintf("job/dc1.03/%d", n), Version: 1, Value: value}, config)
+		f.must(err)
+		jobs = append(jobs, record)
+	}
+	cancelled := 0
+	for waves := 0; len(jobs) > 0; waves++ {
+		wave, err := config.CancelMany(jobs, "asked", start)
+		if err != nil || len(wave.Batches) > config.MaxWaveBatches || waves > 1 {
+			t.Fatalf("wave %d: %d batches, %v", waves, len(wave.Batches), err)
+		}
+		for _, batch := range wave.Batches {
+			if writes, err := batch.Writes(); err != nil || len(writes) > config.MaxBatchWrites {
+				t.Fatalf("batch of %d writes: %v", len(writes), err)
+			}
+			for _, d := range batch.Decisions() {
+				cancelled++
+				if record := d.Record(); record.Job().Tasks[0].State.IsActive() == record.Job().State.IsFinal() {
+					t.Fatalf("cancelled job is %s", record.Job().State)
+				}
+			}
+		}
+		jobs = wave.Rest
+	}
+	if cancelled != total {
+		t.Fatalf("cancelled %d jobs of %d", cancelled, total)
+	}
+}
+
+// Guards against a row that grows with the number of attempts.
+func TestRowSizeIsBounded(t *testing.T) {
+	f := newFixture(t, medlarwheel.MaxJobTasks, 3, medlarwheel.TaskSpec{MaxAttempts: 100})
+	size := 0
+	for round := range 8 {
+		f.now = f.now.Add(24 * time.Hour)
+		f.apply(f.job.Wake(1, f.now))
+		f.place(round%3, f.job.Waiting()...)
+		known := &medlarjob.Known{
+			Owned: medlarlease.OwnedShard{Token: 1}, Leases: medlarlease.NewTaskLeases(medlarlease.Default()),
+			Worker: func(medlarwheel.WorkerID) (*medlarworker.Record, error) { return f.workers[round%3], nil },
+			Saved:  func(medlarwheel.TaskAttempt) bool { return false },
+		}
+		for index := range medlarwheel.MaxJobTasks {
+			report := f.report(index, medlarwheel.PhaseFailed)
+			report.Reason = strings.Repeat("<é", 500)
+			known.Reports = append(known.Reports, report)
+		}
+		f.apply(f.job.Advance(known, f.now))
+		data, err := json.Marshal(f.job.Job())
+		f.must(err)
+		size = max(size, len(data))
+	}
+	t.Logf("largest row: %d bytes", size)
+	if limit := medlarjob.Default().MaxBatchBytes; size > limit {
+		t.Fatalf("row of %d bytes is larger than a transaction of %d", size, limit)
+	}
+}
+
+func BenchmarkJobTransition(b *testing.B) {
+	f := newFixture(b, 8, 1, medlarwheel.TaskSpec{})
+	f.place(0, 0, 1, 2, 3, 4, 5, 6, 7)
+	report := f.report(3, medlarwheel.PhaseCheckpointed)
+	b.ReportAllocs()
+	for b.Loop() {
+		d, err := f.job.Report(&report, f.workers[0].Clone(), 1, f.now)
+		f.must(err)
+		if _, err := d.Writes(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
