Report a failed read of the platform as without effect, and poll rosters less often

Cause: 'job submit' said that the change may have taken effect although only its first read had failed. The roster row was read every second beside the poll of its changes. A planned stop during an outage tried its hand-over for 5 s. Change: failed reads have no effect; the roster is read with the configuration interval; the hand-over is skipped while the platform is out of reach.

--- a/medlarentry/announce.go
+++ b/medlarentry/announce.go
@@ -58,6 +58,9 @@
 	idle := false
 	d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) { idle = shares.Idle(now) })
 	row, current, err := d.readRoster(ctx)
+	if err != nil && !d.platform.Available() {
+		return true // the slots rest instead
+	}
 	if err != nil || !idle {
 		return false
 	}
--- a/medlarentry/loops.go
+++ b/medlarentry/loops.go
@@ -28,7 +28,7 @@
 	poller := &configPoller{d: d}
 	d.every(group, d.settings.ConfigInterval, d.configNow, poller.poll)
 	d.every(group, d.settings.ExchangeInterval, d.exchangeSig, d.exchange)
-	d.every(group, d.settings.ExchangeInterval, nil, d.maintainRoster)
+	d.every(group, d.settings.ConfigInterval, nil, d.maintainRoster)
 	d.every(group, balanceInterval, nil, func(context.Context) { d.balance() })
 	d.every(group, sweepInterval, nil, d.sweep)
 }
--- a/medlarplatform/client.go
+++ b/medlarplatform/client.go
@@ -148,6 +148,9 @@
 	if err == nil {
 		err = a.err()
 	}
+	if method == fasthttp.MethodGet {
+		err = withoutEffect(err)
+	}
 	return a, medlarwheel.AtStep(step, c.config.Address, err)
 }
 
--- a/medlarplatform/error.go
+++ b/medlarplatform/error.go
@@ -52,6 +52,17 @@
 	return errors.As(err, &unavailable) && unavailable.Effect == EffectUnknown
 }
 
+// withoutEffect corrects the effect of a failed read: a read changes nothing, whatever became of it.
+func withoutEffect(err error) error {
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) && unavailable.Effect != EffectNone {
+		harmless := *unavailable
+		harmless.Effect = EffectNone
+		return &harmless
+	}
+	return err
+}
+
 // RetryAfter returns the time to wait before the next try, or zero when err tells none.
 func RetryAfter(err error) time.Duration {
 	var unavailable *UnavailableError
