Drop the vote batchers of earlier roster epochs

Cause: the client of votes kept one batcher for each seat and epoch for ever. Change: a newer epoch drops the earlier ones of its claim group; an unused method of the peer client and a needless conversion are gone. Conclusion: memory no longer grows with roster changes.

--- a/medlarentry/ballot.go
+++ b/medlarentry/ballot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -54,11 +55,19 @@
 		b = medlarpeer.NewBatcher(func(questions []medlarclaim.Question) ([]medlarclaim.Answer, error) {
 			return v.send(route, questions)
 		})
+		v.dropOlder(route)
 		v.batchers[route] = b
 	}
 	return b
 }
 
+// dropOlder drops the batchers of earlier epochs of the route's claim group. It needs the lock.
+func (v *voteClient) dropOlder(route voteRoute) {
+	maps.DeleteFunc(v.batchers, func(other voteRoute, _ *voteBatcher) bool {
+		return other.dataCentre == route.dataCentre && other.epoch < route.epoch
+	})
+}
+
 func (v *voteClient) send(route voteRoute, questions []medlarclaim.Question) ([]medlarclaim.Answer, error) {
 	request := &peerpb.VoteRequest{
 		DataCentre: string(route.dataCentre), Epoch: uint64(route.epoch), Seat: string(route.seat),
--- a/medlarentry/loops.go
+++ b/medlarentry/loops.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"medlarwheel"
 	"medlarwheel/medlarupstream"
 )
 
@@ -62,12 +63,12 @@
 // trimConnections closes the idle connections above this instance's share.
 func (d *Daemon) trimConnections() {
 	for _, state := range d.routing.states() {
-		var excess = 0
+		var excess medlarwheel.Connections
 		d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
-			excess = int(shares.Excess(now, state.ID))
+			excess = shares.Excess(now, state.ID)
 		})
 		if excess > 0 {
-			d.links.Trim(state.Upstream, connections(excess))
+			d.links.Trim(state.Upstream, excess)
 		}
 	}
 }
--- a/medlarentry/poll.go
+++ b/medlarentry/poll.go
@@ -15,8 +15,6 @@
 // pageSize is the number of rows of one read of changes.
 const pageSize = 500
 
-func connections(n int) medlarwheel.Connections { return medlarwheel.Connections(n) }
-
 // pollList reads the instance list when it has changed.
 func (d *Daemon) pollList(ctx context.Context) {
 	after := ask(d, func(c *control) uint64 { return c.listVersion })
--- a/medlarpeer/client.go
+++ b/medlarpeer/client.go
@@ -87,17 +87,6 @@
 	return context.WithTimeout(parent, c.config.Timeout)
 }
 
-// Forget drops the clients of peers that are not listed, and their idle connections.
-func (c *Client) Forget(keep map[string]bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address := range c.peers {
-		if !keep[address] {
-			delete(c.peers, address)
-		}
-	}
-}
-
 // CloseIdle closes the idle connections, so that the next call opens a fresh one. Used at the end, and after a timeout
 // because the connection may have gone silent.
 func (c *Client) CloseIdle() { c.transport.CloseIdleConnections() }
