--- a/medlarjob/job_test.go
+++ b/medlarjob/job_test.go
@@ -284,6 +284,22 @@
 	}
 }
 
+// Guards against two reports of one worker that are applied to different records of its row.
+func TestAdvanceAddsUpReportsOfOneWorker(t *testing.T) {
+	f := newFixture(t, 2, 1, medlarwheel.TaskSpec{})
+	f.place(0, 0, 1)
+	known := &medlarjob.Known{
+		Owned: medlarlease.OwnedShard{Token: 1}, Leases: medlarlease.NewTaskLeases(medlarlease.Default()),
+		Reports: []medlarwheel.TaskReport{f.report(0, medlarwheel.PhaseDone), f.report(1, medlarwheel.PhaseDone)},
+		Worker:  func(medlarwheel.WorkerID) (*medlarworker.Record, error) { return f.workers[0].Clone(), nil },
+		Saved:   func(medlarwheel.TaskAttempt) bool { return false },
+	}
+	f.apply(f.job.Advance(known, f.now))
+	if f.want(medlarwheel.JobDone); len(f.workers[0].Worker().Commitments) != 0 {
+		t.Fatalf("commitments left: %v", f.workers[0].Worker().Commitments)
+	}
+}
+
 // Guards against failures that are blamed on a job although its worker is on probation.
 func TestFailureOnSuspectWorkerIsNotBlamed(t *testing.T) {
 	f := newFixture(t, 1, 1, medlarwheel.TaskSpec{})
--- a/medlarjob/sim_check_test.go
+++ b/medlarjob/sim_check_test.go
@@ -1,7 +1,6 @@
 package medlarjob_test
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"math"
@@ -200,6 +199,7 @@
 	cpu       medlarwheel.MilliCPU
 	release   bool
 	unknown   bool
+	void      bool
 	call, end int64
 }
 
@@ -222,16 +222,18 @@
 	return ops
 }
 
-// answered records the answer to the transaction of ops. One without an answer may take effect at any time or never.
-func (s *sim) answered(ops []*rowOp, err error) {
+// sent records that a transaction is on its way. Without an answer it may take effect at any time or never.
+func (s *sim) sent(ops []*rowOp) {
 	for _, op := range ops {
-		op.end, op.unknown = s.tick(), errors.Is(err, medlarwheel.ErrUnavailable)
-		if op.unknown {
-			op.end = math.MaxInt64
-		}
-		if err == nil || op.unknown {
-			s.ops = append(s.ops, op)
-		}
+		op.end, op.unknown = math.MaxInt64, true
+	}
+	s.ops = append(s.ops, ops...)
+}
+
+// answered records that a transaction took effect or conflicted.
+func (s *sim) answered(ops []*rowOp, applied bool) {
+	for _, op := range ops {
+		op.end, op.unknown, op.void = s.tick(), false, !applied
 	}
 }
 
@@ -258,7 +260,9 @@
 	}
 	histories := make(map[medlarwheel.WorkerID][]porcupine.Operation)
 	for _, op := range s.ops {
-		histories[op.worker] = append(histories[op.worker], porcupine.Operation{Input: op, Call: op.call, Return: op.end})
+		if !op.void {
+			histories[op.worker] = append(histories[op.worker], porcupine.Operation{Input: op, Call: op.call, Return: op.end})
+		}
 	}
 	for _, worker := range sortedKeys(histories) {
 		if !porcupine.CheckOperations(model, histories[worker]) {
--- a/medlarjob/sim_instance_test.go
+++ b/medlarjob/sim_instance_test.go
@@ -1,6 +1,8 @@
 package medlarjob_test
 
 import (
+	"errors"
+	"slices"
 	"time"
 
 	"medlarwheel"
@@ -25,6 +27,7 @@
 	read     func()
 	mapRow   medlarwheel.Row
 	pending  []pendingBatch
+	lost     []pendingBatch
 	outgoing []medlarlease.Order
 	lostSent time.Time
 }
@@ -34,6 +37,8 @@
 	ops      []*rowOp
 	decision medlarjob.Decision
 	owned    medlarlease.OwnedShard
+	// resent tells that the transaction was sent before without an answer, and conflicted that it then was refused.
+	resent, conflicted bool
 }
 
 // restart replaces the process.
@@ -54,7 +59,7 @@
 	if i.frozen {
 		return
 	}
-	for _, work := range []func(){i.commit, i.send, i.renew, i.look, i.plan, i.control} {
+	for _, work := range []func(){i.resolve, i.commit, i.send, i.renew, i.look, i.plan, i.control} {
 		if i.sim.pick(4) > 0 {
 			work()
 		}
@@ -138,6 +143,11 @@
 }
 
 func (i *instance) handle(record medlarjob.Record, owned medlarlease.OwnedShard, now time.Time) {
+	for _, p := range slices.Concat(i.lost, i.pending) {
+		if decided := p.decision.Record(); decided.Key() == record.Key() {
+			return
+		}
+	}
 	record.Track(i.leases, owned, now)
 	i.outgoing = append(i.outgoing, record.Orders(i.leases, i.own, now)...)
 	i.plantRawStart(&record, owned)
@@ -216,12 +226,48 @@
 	pending := i.pending
 	i.pending = nil
 	for _, p := range pending {
+		if !p.resent {
+			i.sim.sent(p.ops)
+		}
 		version, err := i.sim.table.transact(i.sim.tamper(p.writes)...)
-		i.sim.answered(p.ops, err)
-		if err == nil {
+		switch {
+		case err == nil:
+			i.sim.answered(p.ops, true)
 			record := p.decision.Committed(version)
 			record.Track(i.leases, p.owned, i.sim.now)
 			i.outgoing = append(i.outgoing, record.Orders(i.leases, i.own, i.sim.now)...)
+		case p.resent || errors.Is(err, medlarwheel.ErrUnavailable):
+			p.conflicted = p.conflicted || !errors.Is(err, medlarwheel.ErrUnavailable)
+			i.lost = append(i.lost, p)
+		default:
+			i.sim.answered(p.ops, false)
+		}
+	}
+}
+
+// resolve reads back what became of transactions without an answer. One that can still take effect is sent again.
+func (i *instance) resolve() {
+	if i.sim.table.down {
+		return
+	}
+	lost := i.lost
+	i.lost = nil
+	for _, p := range lost {
+		resolution := medlarworker.Void
+		if at := slices.IndexFunc(p.ops, func(op *rowOp) bool { return !op.release }); at >= 0 {
+			expect := p.writes[slices.IndexFunc(p.writes, func(w medlarwheel.Write) bool {
+				return w.Key == medlarwheel.WorkerKey(p.ops[at].worker)
+			})].Expect
+			resolution = i.worker(p.ops[at].worker).Resolve(expect, p.ops[at].attempt, p.owned.Token)
+		}
+		switch {
+		case resolution == medlarworker.Open && p.conflicted:
+			i.sim.answered(p.ops, false)
+		case resolution == medlarworker.Open:
+			p.resent = true
+			i.pending = append(i.pending, p)
+		case resolution == medlarworker.Applied:
+			i.sim.answered(p.ops, true)
 		}
 	}
 }
--- a/medlarjob/sim_world_test.go
+++ b/medlarjob/sim_world_test.go
@@ -20,14 +20,15 @@
 	teamQuota = medlarwheel.Resources{CPU: 5}
 )
 
-// table is a fake of the platform's table: compare-and-set over several rows, outages, and answers that are lost after
-// the write took effect.
+// table is a fake of the platform's table: compare-and-set over several rows, outages, and transactions without an
+// answer that have taken effect or will later.
 type table struct {
 	sim     *sim
 	rows    map[string]medlarwheel.Row
 	version medlarwheel.RowVersion
 	down    bool
 	lose    bool
+	delayed [][]medlarwheel.Write
 }
 
 func (t *table) scan(prefix string) []medlarwheel.Row {
@@ -41,6 +42,27 @@
 }
 
 func (t *table) transact(writes ...medlarwheel.Write) (medlarwheel.RowVersion, error) {
+	lost := t.lose && t.sim.pick(3) == 0
+	if lost && t.sim.pick(2) == 0 {
+		t.delayed = append(t.delayed, writes)
+		return 0, medlarwheel.ErrUnavailable
+	}
+	version, err := t.apply(writes)
+	if lost {
+		return 0, medlarwheel.ErrUnavailable
+	}
+	return version, err
+}
+
+// applyDelayed lets transactions arrive that have been on their way.
+func (t *table) applyDelayed() {
+	for _, writes := range t.delayed {
+		_, _ = t.apply(writes)
+	}
+	t.delayed = nil
+}
+
+func (t *table) apply(writes []medlarwheel.Write) (medlarwheel.RowVersion, error) {
 	if t.down {
 		return 0, medlarwheel.ErrUnavailable
 	}
@@ -56,9 +78,6 @@
 		t.rows[w.Key] = medlarwheel.Row{Key: w.Key, Version: t.version, Value: w.Value}
 		t.sim.recorded(t.rows[w.Key])
 	}
-	if t.lose && t.sim.pick(3) == 0 {
-		return 0, medlarwheel.ErrUnavailable
-	}
 	return t.version, nil
 }
 
@@ -203,6 +222,9 @@
 	for _, a := range s.agents {
 		a.work()
 	}
+	if s.pick(3) == 0 {
+		s.table.applyDelayed()
+	}
 	s.check()
 }
 
--- a/medlarjob/submit_test.go
+++ b/medlarjob/submit_test.go
@@ -6,8 +6,21 @@
 
 	"medlarwheel"
 	"medlarwheel/medlarjob"
+	"medlarwheel/medlarlease"
+	"medlarwheel/medlarworker"
 )
 
+// Guards against defaults that the packages themselves refuse.
+func TestDefaultsAreAccepted(t *testing.T) {
+	for name, faults := range map[string]medlarwheel.Faults{
+		"lease": medlarlease.Default().Check(), "worker": medlarworker.Default().Check(), "job": medlarjob.Default().Check(),
+	} {
+		if len(faults) > 0 {
+			t.Errorf("%s: %v", name, faults)
+		}
+	}
+}
+
 // Guards against jobs that are accepted but can never run, and against refusals without the path of every fault or with
 // a wrong time to come back.
 func TestSubmitRefuses(t *testing.T) {
--- a/medlarlease/proof_test.go
+++ b/medlarlease/proof_test.go
@@ -60,7 +60,8 @@
 
 // Guards against a start without evidence that the attempt before has ended (from a zero proof, from a proof that is not
 // in the committed row yet, from a row without the ending), by an instance that may not act, by a row of another owner,
-// of an attempt whose lease was found to have run out, and against a zero command that can be sent.
+// of an attempt whose lease was found to have run out or that ended before an outage, and against a zero command that can
+// be sent.
 func TestStartNeedsProof(t *testing.T) {
 	o := newOwner(2)
 	job := o.job()
@@ -128,6 +129,15 @@
 	if _, err := try(late.Add(time.Minute), 1); !errors.Is(err, medlarwheel.ErrStale) {
 		t.Errorf("instance whose lease has lapsed: got %v", err)
 	}
+	late = late.Add(time.Hour)
+	o.leases.Forget(o.attempt, o.at(late), late)
+	late = late.Add(time.Hour)
+	o.leases.Prune(late)
+	o.track(1, late)
+	o.leases.Heard("w1", medlarlease.Reading{Incarnation: 3, Uptime: 10}, late)
+	if _, err := try(late, 1); !errors.Is(err, medlarwheel.ErrStale) {
+		t.Errorf("ended attempt by a row from before an outage of the table: got %v", err)
+	}
 }
 
 // Guards against proofs that name another worker, another attempt or a worker that has not heard of the commitment.
--- a/medlarlease/taskleases.go
+++ b/medlarlease/taskleases.go
@@ -47,8 +47,8 @@
 	// dueAt is when the worker is to hear from the owner next.
 	dueAt   time.Time
 	expired bool
-	// forgottenAt is set once the attempt has ended. The entry stays for the horizon, so that an older view of the job's
-	// row does not bring the attempt back.
+	// forgottenAt is set once the attempt has ended. The entry stays for a day, so that an older view of the job's row does
+	// not bring the attempt back.
 	forgottenAt time.Time
 }
 
@@ -152,10 +152,14 @@
 	}
 }
 
-// Prune drops what is kept of attempts that ended longer ago than the horizon.
+// keepEnded is how long ended attempts are remembered. It has to be longer than any outage of the table: after one, an
+// owner may still have the row from before it that has the attempt on its worker. The horizon was too short for that.
+const keepEnded = 24 * time.Hour
+
+// Prune drops what is kept of attempts that ended longer ago than a day.
 func (t *TaskLeases) Prune(now time.Time) {
 	maps.DeleteFunc(t.leases, func(_ medlarwheel.TaskID, lease *taskLease) bool {
-		return !lease.forgottenAt.IsZero() && now.Sub(lease.forgottenAt) > t.config.Horizon
+		return !lease.forgottenAt.IsZero() && now.Sub(lease.forgottenAt) > keepEnded
 	})
 }
 
--- a/medlarworker/doc.go
+++ b/medlarworker/doc.go
@@ -16,11 +16,14 @@
 //	...
 //	write, err = record.Release(attempt, proof, medlarwheel.ResultDone, clock.Now())
 //
-// After a lost answer, read the row back:
+// After a lost answer, read the row back before anything else is decided about the task:
 //
 //	switch again.Resolve(record.Version(), attempt, owned.Token) {
 //	case medlarworker.Applied: // the commitment is in effect
 //	case medlarworker.Void:    // it is not and never will be: decide anew from the job's row
-//	case medlarworker.Open:    // it may still arrive: send the same transaction again, and resolve again if it conflicts
+//	case medlarworker.Open:    // it may still arrive: send the same transaction again
 //	}
+//
+// If sending it again conflicts, some row of the transaction has moved on, so that no copy of it can take effect any
+// more. Read the worker's row back once more: Applied means that the first copy did take effect, anything else is Void.
 package medlarworker
