Read the contracts once per change, and use one piece of code where logic stood twice

Reading all changes of a prefix, reading a row that may be missing, comparing a key in constant time, reading JSON from a peer, decoding a roster with its log line, and reading a checked file on the command line stood two or three times each. An exchange carries the sender once instead of twice, and no longer a field that nobody read. Two functions that nothing called are gone. The counter of tries is the loop itself. Conclusion: behaviour is the same; tests are unchanged.

--- a/medlarburn/window.go
+++ b/medlarburn/window.go
@@ -36,15 +36,6 @@
 	{name: Window3Days, bucket: 144 * time.Minute, count: 30},
 }
 
-// Windows lists the windows from short to long.
-func Windows() []Window {
-	names := make([]Window, 0, windowCount)
-	for _, s := range windowSpecs {
-		names = append(names, s.name)
-	}
-	return names
-}
-
 // Length returns the length of w, or 0 for an unknown window.
 func (w Window) Length() time.Duration {
 	for _, s := range windowSpecs {
--- a/medlarclaim/key.go
+++ b/medlarclaim/key.go
@@ -25,8 +25,6 @@
 // AttemptHash stands for an attempt id in the records of a seat. Attempt ids are made by entry instances.
 type AttemptHash uint64
 
-const attemptHashDigits = 16
-
 // HashAttempt returns the xxhash of the attempt id.
 func HashAttempt(attempt medlarwheel.AttemptID) AttemptHash {
 	return AttemptHash(xxhash.Sum64String(string(attempt)))
@@ -35,18 +33,6 @@
 // String formats h as 16 hexadecimal digits, which is its form in messages.
 func (h AttemptHash) String() string { return fmt.Sprintf("%016x", uint64(h)) }
 
-// ParseAttemptHash reads the form that String writes.
-func ParseAttemptHash(text string) (AttemptHash, error) {
-	if len(text) != attemptHashDigits {
-		return 0, medlarwheel.Faults{{Path: "attempt", Value: strconv.Quote(text), Accepted: "16 hexadecimal digits"}}
-	}
-	value, err := strconv.ParseUint(text, 16, 64)
-	if err != nil {
-		return 0, medlarwheel.Faults{{Path: "attempt", Value: strconv.Quote(text), Accepted: "16 hexadecimal digits"}}
-	}
-	return AttemptHash(value), nil
-}
-
 // KeyParts is what the text of a request key says about itself. Both fields are empty for a key without the prefixes.
 type KeyParts struct {
 	HomeDataCentre medlarwheel.DataCentreID
--- a/medlarcommand/check.go
+++ b/medlarcommand/check.go
@@ -12,27 +12,23 @@
 // Version is the version of the program. The build may set it by a linker flag.
 var Version = "0.1.0"
 
-func newCheckCommand(o *options) *cobra.Command {
+func newCheckCommand() *cobra.Command {
 	command := &cobra.Command{
 		Use: "check", Short: "Check settings, templates and client accounts without changing anything",
 		Example: "  medlarwheel check template hold.json",
 	}
-	command.AddCommand(newCheckSettingsCommand(), newCheckFileCommand(o, templateKind()), newCheckFileCommand(o, accountKind()))
+	command.AddCommand(newCheckSettingsCommand(), newCheckFileCommand(templateKind()), newCheckFileCommand(accountKind()))
 	return command
 }
 
-func newCheckFileCommand(_ *options, kind entryKind) *cobra.Command {
+func newCheckFileCommand(kind entryKind) *cobra.Command {
 	return &cobra.Command{
 		Use:     kind.noun + " FILE",
 		Short:   "Check a " + kind.noun + " and list every fault",
 		Example: fmt.Sprintf("  medlarwheel check %s file.json", kind.noun),
 		Args:    exactArguments(1),
 		RunE: func(c *cobra.Command, arguments []string) error {
-			data, err := readInput(arguments[0], c.InOrStdin())
-			if err != nil {
-				return err
-			}
-			name, err := kind.decode(data)
+			name, _, err := kind.read(arguments[0], c.InOrStdin())
 			if err != nil {
 				return err
 			}
--- a/medlarcommand/config.go
+++ b/medlarcommand/config.go
@@ -25,6 +25,15 @@
 	decode func(data []byte) (name string, err error)
 }
 
+// read reads and checks an entry from a file, or from standard input with -.
+func (k entryKind) read(file string, stdin io.Reader) (name string, data []byte, err error) {
+	if data, err = readInput(file, stdin); err != nil {
+		return "", nil, err
+	}
+	name, err = k.decode(data)
+	return name, data, err
+}
+
 func templateKind() entryKind {
 	return entryKind{noun: "template", path: medlaroperator.PathTemplates, decode: func(data []byte) (string, error) {
 		t, err := medlarwheel.DecodeTemplate(data)
@@ -67,11 +76,7 @@
 		Example: fmt.Sprintf("  medlarwheel %s %s hold.json --author ada --expected 0", kind.noun, verb),
 		Args:    exactArguments(1),
 		RunE: func(c *cobra.Command, arguments []string) error {
-			data, err := readInput(arguments[0], c.InOrStdin())
-			if err != nil {
-				return err
-			}
-			name, err := kind.decode(data)
+			name, data, err := kind.read(arguments[0], c.InOrStdin())
 			if err != nil {
 				return err
 			}
--- a/medlarcommand/root.go
+++ b/medlarcommand/root.go
@@ -79,7 +79,7 @@
 	root.PersistentPreRunE = func(*cobra.Command, []string) error { return checkOutput(o.output) }
 	root.AddCommand(
 		newEntryCommand(), newTemplateCommand(o), newAccountCommand(o), newMemberCommand(o), newUpstreamCommand(o),
-		newJobCommand(o), newWorkerCommand(o), newTaskCommand(o), newDrainCommand(o), newReportCommand(o), newCheckCommand(o), newSettingsCommand(o), newVersionCommand(o),
+		newJobCommand(o), newWorkerCommand(o), newTaskCommand(o), newDrainCommand(o), newReportCommand(o), newCheckCommand(), newSettingsCommand(o), newVersionCommand(o),
 	)
 	return root
 }
--- a/medlarentry/apply.go
+++ b/medlarentry/apply.go
@@ -13,11 +13,9 @@
 // applyRouting gives the router the live upstreams and limits of every service, and the gates the shares of every
 // client account.
 func (c *control) applyRouting() {
-	book := c.book.Snapshot()
-	specs := serviceSpecs(book)
 	var live []medlarwheel.Upstream
 	c.d.routing.with(func(now time.Time, _ *medlarupstream.Shares, router *medlarupstream.Router) {
-		for service, spec := range specs {
+		for service, spec := range c.contracts.specs {
 			upstreams := c.directory.Live(service)
 			router.SetUpstreams(now, service, upstreams, spec)
 			live = append(live, upstreams...)
@@ -25,12 +23,24 @@
 	})
 	c.d.links.Keep(live)
 	if c.routed != c.book.Version() {
-		c.applyShares(book)
+		c.applyShares()
 	}
 	c.applied, c.routed = c.directory.Changes(), c.book.Version()
 	c.dirty = true
 }
 
+// contracts is what the templates and client accounts in force say, for the traffic path. It is immutable.
+type contracts struct {
+	book *medlarcontract.Snapshot
+	// specs holds the limits of the upstreams of each service.
+	specs map[medlarwheel.ServiceName]medlarupstream.Spec
+}
+
+func contractsOf(book *medlarcontract.Book) contracts {
+	s := book.Snapshot()
+	return contracts{book: s, specs: serviceSpecs(s)}
+}
+
 // serviceSpecs returns the limits of each service. Where templates of one service differ, the lowest limit and the
 // longest deadline hold.
 func serviceSpecs(book *medlarcontract.Snapshot) map[medlarwheel.ServiceName]medlarupstream.Spec {
@@ -52,7 +62,8 @@
 }
 
 // applyShares sets the share of every client account at every template, and of the account for all others.
-func (c *control) applyShares(book *medlarcontract.Snapshot) {
+func (c *control) applyShares() {
+	book := c.contracts.book
 	c.sharedOver = c.liveInstances()
 	accounts := []*medlarwheel.Account{{ID: defaultAccount}}
 	for _, item := range book.Items() {
@@ -106,8 +117,7 @@
 
 // balance tells the shares what waits at each service, exchanges loans, and gives the gates their capacity.
 func (d *Daemon) balance() {
-	book := d.snapshot.Load().book
-	specs := serviceSpecs(book)
+	specs := d.snapshot.Load().specs
 	waiting := make(map[medlarwheel.ServiceName]int, len(specs))
 	for service := range specs {
 		_, waiting[service] = d.gates.of(service).demand()
--- a/medlarentry/burn.go
+++ b/medlarentry/burn.go
@@ -85,19 +85,14 @@
 }
 
 func (d *Daemon) fetchBurn(ctx context.Context, address string) {
-	limited, cancel := d.peers.Context(ctx)
-	defer cancel()
-	response, err := d.peers.Peer(address).FetchBurn(limited, &peerpb.FetchBurnRequest{})
-	if err != nil {
-		d.metrics.count("peer-failure.fetch-burn")
-		return
-	}
-	counters, err := medlarburn.DecodeCounters(response.Counters)
-	if err != nil {
-		d.log.Error().Str("event", "burn-unreadable").Str("peer", address).AnErr("error", err).Send()
-		return
+	counters, ok := fetch(ctx, d, address, "burn", medlarburn.DecodeCounters,
+		func(ctx context.Context, peer peerpb.Peer) ([]byte, error) {
+			response, err := peer.FetchBurn(ctx, &peerpb.FetchBurnRequest{})
+			return response.GetCounters(), err
+		})
+	if ok {
+		d.addBurn(counters)
 	}
-	d.addBurn(counters)
 }
 
 func (d *Daemon) addBurn(counters medlarburn.Counters) {
--- a/medlarentry/control.go
+++ b/medlarentry/control.go
@@ -19,10 +19,12 @@
 
 // control is the state that only the control loop touches.
 type control struct {
-	d         *Daemon
-	view      *medlardatacentre.View
-	rosters   *medlardatacentre.RosterMap
-	book      *medlarcontract.Book
+	d       *Daemon
+	view    *medlardatacentre.View
+	rosters *medlardatacentre.RosterMap
+	book    *medlarcontract.Book
+	// contracts is the book's content in the form for the traffic path, made anew when the book has changed.
+	contracts contracts
 	directory *medlarupstream.Directory
 	random    *rand.Rand
 	// listVersion is the version of the last instance list.
@@ -44,13 +46,15 @@
 		view.AddSeed(address)
 	}
 	view.Beat(now)
-	return &control{
+	c := &control{
 		d: d, view: view,
 		rosters:   medlardatacentre.NewRosterMap(),
 		book:      medlarcontract.NewBook(),
 		directory: medlarupstream.NewDirectory(medlarupstream.DefaultDirectoryConfig()),
 		random:    rand.New(rand.NewPCG(uint64(d.incarnation), uint64(now.UnixNano()))),
 	}
+	c.contracts = contractsOf(c.book)
+	return c
 }
 
 func (d *Daemon) self() medlarwheel.EntryInstance {
@@ -82,7 +86,7 @@
 		c.applyRouting()
 	}
 	if c.dirty && c.liveInstances() != c.sharedOver {
-		c.applyShares(c.book.Snapshot())
+		c.applyShares()
 	}
 	if c.dirty {
 		c.dirty = false
--- a/medlarentry/exchange.go
+++ b/medlarentry/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -65,43 +66,56 @@
 
 // fetchList reads the instance list that a peer has, while the platform is out of reach.
 func (d *Daemon) fetchList(ctx context.Context, address string) {
-	limited, cancel := d.peers.Context(ctx)
-	defer cancel()
-	response, err := d.peers.Peer(address).FetchList(limited, &peerpb.FetchListRequest{})
-	if err != nil {
-		d.metrics.count("peer-failure.fetch-list")
-		return
-	}
-	list, err := medlarwheel.Decode[medlarwheel.InstanceList](response.List)
-	if err != nil {
-		d.log.Error().Str("event", "list-unreadable").Str("peer", address).AnErr("error", err).Send()
-		return
+	list, ok := fetch(ctx, d, address, "list", medlarwheel.Decode[medlarwheel.InstanceList],
+		func(ctx context.Context, peer peerpb.Peer) ([]byte, error) {
+			response, err := peer.FetchList(ctx, &peerpb.FetchListRequest{})
+			return response.GetList(), err
+		})
+	if ok {
+		d.post(func(c *control) { c.applyList(list) })
 	}
-	d.post(func(c *control) { c.applyList(list) })
 }
 
 // fetchConfig reads the configuration changes that a peer has and this instance has not.
 func (d *Daemon) fetchConfig(ctx context.Context, address string) {
+	after := d.snapshot.Load().book.Version()
+	delta, ok := fetch(ctx, d, address, "config", medlarwheel.Decode[medlarwheel.ConfigDelta],
+		func(ctx context.Context, peer peerpb.Peer) ([]byte, error) {
+			response, err := peer.FetchConfig(ctx, &peerpb.FetchConfigRequest{After: uint64(after)})
+			return response.GetDelta(), err
+		})
+	if ok {
+		d.post(func(c *control) { c.applyConfig(delta, address) })
+	}
+}
+
+// fetch reads a value from a peer as JSON text. A failed call is counted, and text that can't be read is logged, both
+// under the name of what is read.
+func fetch[T any](
+	ctx context.Context, d *Daemon, address, what string, decode func([]byte) (T, error),
+	call func(context.Context, peerpb.Peer) ([]byte, error),
+) (T, bool) {
 	limited, cancel := d.peers.Context(ctx)
 	defer cancel()
-	after := d.snapshot.Load().book.Version()
-	response, err := d.peers.Peer(address).FetchConfig(limited, &peerpb.FetchConfigRequest{After: uint64(after)})
+	var none T
+	text, err := call(limited, d.peers.Peer(address))
 	if err != nil {
-		d.metrics.count("peer-failure.fetch-config")
-		return
+		d.metrics.count("peer-failure.fetch-" + what)
+		return none, false
 	}
-	delta, err := medlarwheel.Decode[medlarwheel.ConfigDelta](response.Delta)
+	value, err := decode(text)
 	if err != nil {
-		d.log.Error().Str("event", "config-unreadable").Str("peer", address).AnErr("error", err).Send()
-		return
+		d.log.Error().Str("event", what+"-unreadable").Str("peer", address).AnErr("error", err).Send()
+		return none, false
 	}
-	d.post(func(c *control) { c.applyConfig(delta, address) })
+	return value, true
 }
 
 func (c *control) exchangeRequest(now time.Time, to medlarwheel.DataCentreID) *peerpb.ExchangeRequest {
+	sender, others := c.digestToWire(now, to)
 	return &peerpb.ExchangeRequest{
-		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now, to)), ConfigVersion: uint64(c.book.Version()),
-		ListVersion: c.listVersion, Rosters: c.epochsToWire(), Observations: observationsToWire(c.directory.Observations(now)), InDoubt: c.inDoubt(),
+		Sender: sender, Members: others, ConfigVersion: uint64(c.book.Version()),
+		ListVersion: c.listVersion, Rosters: c.epochsToWire(), Observations: observationsToWire(c.directory.Observations(now)),
 	}
 }
 
@@ -114,11 +128,12 @@
 		c.d.exchangeNow()
 	}
 	c.dirty = true
-	from := medlarwheel.DataCentreID(request.Sender.DataCentre)
+	sender, others := c.digestToWire(now, medlarwheel.DataCentreID(request.Sender.DataCentre))
+	inDoubt, drained := c.slotState()
 	return &peerpb.ExchangeResponse{
-		Sender: c.selfToWire(now), Members: membersToWire(c.view.Digest(now, from)), ConfigVersion: uint64(c.book.Version()),
+		Sender: sender, Members: others, ConfigVersion: uint64(c.book.Version()),
 		ListVersion: c.listVersion, Rosters: c.rostersToWire(request.Rosters), Observations: observationsToWire(c.directory.Observations(now)),
-		InDoubt: c.inDoubt(), Drained: c.drained(),
+		InDoubt: inDoubt, Drained: drained,
 	}
 }
 
@@ -170,12 +185,9 @@
 	if len(state.Roster) == 0 || medlarwheel.Epoch(state.Epoch) <= c.rosters.Epoch(medlarwheel.DataCentreID(state.DataCentre)) {
 		return
 	}
-	roster, err := medlardatacentre.DecodeRoster(state.Roster)
-	if err != nil {
-		c.d.log.Error().Str("event", "roster-unreadable").Str("roster", state.DataCentre).AnErr("error", err).Send()
-		return
+	if roster, err := c.d.decodeRoster(rosterPrefix+state.DataCentre, state.Roster); err == nil {
+		c.applyRoster(roster, "peer")
 	}
-	c.applyRoster(roster, "peer")
 }
 
 func (c *control) observe(now time.Time, observations []*peerpb.UpstreamObservation) {
@@ -187,29 +199,19 @@
 	}
 }
 
-func (c *control) inDoubt() bool {
-	doubt := false
+// slotState reports whether this instance lacks the contact to use its slots, and whether it has given up those that it
+// does not own.
+func (c *control) slotState() (inDoubt, drained bool) {
 	c.d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
-		doubt = shares.InDoubt(now)
+		inDoubt, drained = shares.InDoubt(now), shares.Drained(now)
 	})
-	return doubt
+	return inDoubt, drained
 }
 
-func (c *control) drained() bool {
-	drained := false
-	c.d.routing.with(func(now time.Time, shares *medlarupstream.Shares, _ *medlarupstream.Router) {
-		drained = shares.Drained(now)
-	})
-	return drained
-}
-
-func (c *control) selfToWire(now time.Time) *peerpb.Member {
-	for _, m := range c.view.Members(now) {
-		if m.Instance == c.d.settings.Instance {
-			return memberToWire(&m)
-		}
-	}
-	return nil
+// digestToWire returns the own entry, which comes first in every digest, and the others for a peer in a data centre.
+func (c *control) digestToWire(now time.Time, to medlarwheel.DataCentreID) (self *peerpb.Member, others []*peerpb.Member) {
+	members := membersToWire(c.view.Digest(now, to))
+	return members[0], members[1:]
 }
 
 // epochsToWire lists the epochs of all rosters.
@@ -227,15 +229,14 @@
 	for _, state := range peer {
 		theirs[state.DataCentre] = state.Epoch
 	}
-	var states []*peerpb.RosterState
-	for _, r := range c.rosters.All() {
-		state := &peerpb.RosterState{DataCentre: string(r.DataCentre), Epoch: uint64(r.Epoch)}
-		if state.Epoch > theirs[state.DataCentre] {
-			if text, err := encodeRow(r); err == nil {
-				state.Roster = text
-			}
+	states := c.epochsToWire()
+	for i, r := range c.rosters.All() {
+		if states[i].Epoch <= theirs[states[i].DataCentre] {
+			continue
+		}
+		if text, err := json.Marshal(r); err == nil {
+			states[i].Roster = text
 		}
-		states = append(states, state)
 	}
 	return states
 }
--- a/medlarentry/operator.go
+++ b/medlarentry/operator.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"net/url"
 	"strconv"
@@ -82,14 +80,10 @@
 	return name
 }
 
-// isOperator compares the operator key in constant time. Without a configured key every caller is an operator.
+// isOperator reports whether the caller has the operator key. Without a configured key every caller is an operator.
 func (d *Daemon) isOperator(ctx *fasthttp.RequestCtx) bool {
-	if d.settings.OperatorKey == "" {
-		return true
-	}
-	want := sha256.Sum256([]byte(d.settings.OperatorKey))
-	got := sha256.Sum256(ctx.Request.Header.Peek(medlaroperator.HeaderOperatorKey))
-	return subtle.ConstantTimeCompare(want[:], got[:]) == 1
+	key := medlarwheel.Key(d.settings.OperatorKey)
+	return key == "" || key.Matches(ctx.Request.Header.Peek(medlaroperator.HeaderOperatorKey))
 }
 
 func listItems(prefix string) func(*Daemon, *fasthttp.RequestCtx, string) {
--- a/medlarentry/peerhandler.go
+++ b/medlarentry/peerhandler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -37,7 +38,7 @@
 	if !book.IsLoaded() {
 		return nil, twirp.NewError(twirp.FailedPrecondition, "no configuration yet")
 	}
-	data, err := encodeRow(book.Delta(medlarwheel.ConfigVersion(request.After)))
+	data, err := json.Marshal(book.Delta(medlarwheel.ConfigVersion(request.After)))
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
@@ -47,7 +48,7 @@
 // FetchList returns the last instance list of this instance.
 func (h *peerHandler) FetchList(context.Context, *peerpb.FetchListRequest) (*peerpb.FetchListResponse, error) {
 	list := ask(h.d, func(c *control) medlarwheel.InstanceList { return c.list })
-	data, err := encodeRow(list)
+	data, err := json.Marshal(list)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
@@ -121,7 +122,7 @@
 
 // FetchBurn returns the counters of the burn report.
 func (h *peerHandler) FetchBurn(context.Context, *peerpb.FetchBurnRequest) (*peerpb.FetchBurnResponse, error) {
-	data, err := encodeRow(h.d.burnCounters())
+	data, err := json.Marshal(h.d.burnCounters())
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
--- a/medlarentry/poll.go
+++ b/medlarentry/poll.go
@@ -2,19 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"medlarwheel"
 	"medlarwheel/medlarcontract"
-	"medlarwheel/medlardatacentre"
+	"medlarwheel/medlarplatform"
 )
 
 // rosterPrefix is the prefix of the roster rows in the table.
 const rosterPrefix = "roster/"
 
-// pageSize is the number of rows of one read of changes.
-const pageSize = 500
-
 // pollList reads the instance list when it has changed.
 func (d *Daemon) pollList(ctx context.Context) {
 	after := ask(d, func(c *control) uint64 { return c.listVersion })
@@ -55,7 +51,7 @@
 }
 
 func (p *configPoller) pollConfig(ctx context.Context) {
-	rows, next, err := p.d.readChanges(ctx, medlarcontract.RowPrefix, p.config)
+	rows, next, err := medlarplatform.AllChanges(ctx, p.d.platform, medlarcontract.RowPrefix, p.config)
 	if err != nil {
 		p.d.metrics.count("platform-failure.config")
 		return
@@ -85,7 +81,7 @@
 		return false
 	}
 	if c.book.Version() != before || !wasLoaded {
-		c.dirty = true
+		c.contracts, c.dirty = contractsOf(c.book), true
 		c.d.log.Info().Str("event", "config-applied").Str("source", source).Int("changed", len(changed)).
 			Uint64("version", uint64(c.book.Version())).Send()
 	}
@@ -93,7 +89,7 @@
 }
 
 func (p *configPoller) pollRosters(ctx context.Context) {
-	rows, next, err := p.d.readChanges(ctx, rosterPrefix, p.roster)
+	rows, next, err := medlarplatform.AllChanges(ctx, p.d.platform, rosterPrefix, p.roster)
 	if err != nil {
 		p.d.metrics.count("platform-failure.roster")
 		return
@@ -105,28 +101,7 @@
 }
 
 func (d *Daemon) applyRosterRow(row medlarwheel.Row) {
-	roster, err := medlardatacentre.DecodeRoster(row.Value)
-	if err != nil {
-		d.log.Error().Str("event", "roster-unreadable").Str("row", row.Key).AnErr("error", err).Send()
-		return
+	if roster, err := d.decodeRoster(row.Key, row.Value); err == nil {
+		d.post(func(c *control) { c.applyRoster(roster, "table") })
 	}
-	d.post(func(c *control) { c.applyRoster(roster, "table") })
 }
-
-// readChanges reads all rows below prefix that changed after a version.
-func (d *Daemon) readChanges(ctx context.Context, prefix string, after medlarwheel.RowVersion) ([]medlarwheel.Row, medlarwheel.RowVersion, error) {
-	var rows []medlarwheel.Row
-	for {
-		page, err := d.platform.Changes(ctx, prefix, after, pageSize)
-		if err != nil {
-			return nil, after, err
-		}
-		rows = append(rows, page.Rows...)
-		after = page.Next
-		if !page.More {
-			return rows, after, nil
-		}
-	}
-}
-
-func encodeRow(value any) (json.RawMessage, error) { return json.Marshal(value) }
--- a/medlarentry/publish.go
+++ b/medlarentry/publish.go
@@ -60,22 +60,14 @@
 // readCurrent reads the entry before the head: a change of the entry between both reads then shows in the head's version
 // and fails the commit.
 func (d *Daemon) readCurrent(ctx context.Context, key string) (medlarcontract.Current, error) {
-	item, err := d.rowOrEmpty(ctx, medlarcontract.RowPrefix+key)
+	item, err := medlarplatform.RowOrEmpty(ctx, d.platform, medlarcontract.RowPrefix+key)
 	if err != nil {
 		return medlarcontract.Current{}, err
 	}
-	head, err := d.rowOrEmpty(ctx, medlarcontract.HeadKey)
+	head, err := medlarplatform.RowOrEmpty(ctx, d.platform, medlarcontract.HeadKey)
 	return medlarcontract.Current{Head: head, Item: item}, err
 }
 
-func (d *Daemon) rowOrEmpty(ctx context.Context, key string) (medlarwheel.Row, error) {
-	row, err := d.platform.Row(ctx, key)
-	if errors.Is(err, medlarwheel.ErrNotFound) {
-		return medlarwheel.Row{Key: key}, nil
-	}
-	return row, err
-}
-
 // awaitConfig waits until the configuration has a version above after, or ctx ends, and returns the changes.
 func (d *Daemon) awaitConfig(ctx context.Context, after medlarwheel.ConfigVersion) medlarwheel.ConfigDelta {
 	for {
--- a/medlarentry/roster.go
+++ b/medlarentry/roster.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"medlarwheel"
 	"medlarwheel/medlardatacentre"
+	"medlarwheel/medlarplatform"
 	"medlarwheel/medlarupstream"
 )
 
@@ -29,12 +31,11 @@
 func (d *Daemon) readRoster(ctx context.Context) (medlarwheel.Row, medlardatacentre.Roster, error) {
 	current := medlardatacentre.Roster{DataCentre: d.settings.DataCentre}
 	sent := d.clock.Now()
-	row, err := d.rowOrEmpty(ctx, rosterPrefix+string(d.settings.DataCentre))
+	row, err := medlarplatform.RowOrEmpty(ctx, d.platform, rosterPrefix+string(d.settings.DataCentre))
 	if err != nil || row.Version == 0 {
 		return row, current, err
 	}
-	if current, err = medlardatacentre.DecodeRoster(row.Value); err != nil {
-		d.log.Error().Str("event", "roster-unreadable").Str("row", row.Key).AnErr("error", err).Send()
+	if current, err = d.decodeRoster(row.Key, row.Value); err != nil {
 		return row, current, err
 	}
 	ask(d, func(c *control) struct{} {
@@ -48,6 +49,15 @@
 	return row, current, nil
 }
 
+// decodeRoster reads the text of a roster row and logs why it can't be read.
+func (d *Daemon) decodeRoster(key string, text []byte) (medlardatacentre.Roster, error) {
+	roster, err := medlardatacentre.DecodeRoster(text)
+	if err != nil {
+		d.log.Error().Str("event", "roster-unreadable").Str("row", key).AnErr("error", err).Send()
+	}
+	return roster, err
+}
+
 func (d *Daemon) planRoster(current medlardatacentre.Roster) (medlardatacentre.Roster, bool) {
 	type plan struct {
 		next    medlardatacentre.Roster
@@ -62,7 +72,7 @@
 }
 
 func (d *Daemon) commitRoster(ctx context.Context, row medlarwheel.Row, next medlardatacentre.Roster) {
-	value, err := encodeRow(next)
+	value, err := json.Marshal(next)
 	if err != nil {
 		d.log.Error().Str("event", "roster-unwritable").AnErr("error", err).Send()
 		return
@@ -140,7 +150,7 @@
 // snapshot returns an immutable copy of the control state.
 func (c *control) snapshot() *snapshot {
 	s := &snapshot{
-		book:      c.book.Snapshot(),
+		contracts: c.contracts,
 		groups:    make(map[medlarwheel.DataCentreID]claimGroup),
 		members:   c.view.Members(c.d.clock.Now()),
 		addresses: make(map[medlarwheel.InstanceID]string),
--- a/medlarentry/run.go
+++ b/medlarentry/run.go
@@ -19,7 +19,7 @@
 func (d *Daemon) run(c *call, request *fasthttp.Request, gate *gate) (result *answer, sent bool) {
 	var tried []medlarwheel.UpstreamID
 	refusal := medlarwheel.NotRun(medlarwheel.ReasonNoUpstream, defaultComeBack)
-	for tries := 0; tries < maxUpstreamTries; {
+	for range maxUpstreamTries {
 		upstream, permit, ok := d.routing.acquire(c, tried)
 		if !ok {
 			break
@@ -33,7 +33,6 @@
 		if result != nil {
 			return result, true
 		}
-		tries++
 		if !failure.ProbeAnswered {
 			// An upstream that answered a probe is healthy; only the connection was lost.
 			tried = append(tried, upstream.ID)
--- a/medlarentry/snapshot.go
+++ b/medlarentry/snapshot.go
@@ -2,13 +2,12 @@
 
 import (
 	"medlarwheel"
-	"medlarwheel/medlarcontract"
 	"medlarwheel/medlardatacentre"
 )
 
 // snapshot is an immutable view of the control state for the traffic path.
 type snapshot struct {
-	book    *medlarcontract.Snapshot
+	contracts
 	groups  map[medlarwheel.DataCentreID]claimGroup
 	members []medlardatacentre.Member
 	// addresses holds the peer address of every known instance.
--- a/medlarfleet/keeper.go
+++ b/medlarfleet/keeper.go
@@ -139,21 +139,16 @@
 // observe reads the leases of the members of the data centre.
 func (k *keeper) observe(ctx context.Context) error {
 	sent := k.f.ports.Clock.Now()
-	for {
-		page, err := k.f.ports.Table.Changes(ctx, medlarlease.InstancePrefix(k.f.config.Instance.DataCentre), k.cursor, medlarplatform.MaxPage)
-		if err != nil {
-			return medlarwheel.AtStep("read leases", "", err)
-		}
-		for _, row := range page.Rows {
-			if row.Deleted {
-				delete(k.entries, row.Key)
-			} else {
-				k.entries[row.Key] = row
-			}
-		}
-		k.cursor = page.Next
-		if !page.More {
-			break
+	changes, next, err := medlarplatform.AllChanges(ctx, k.f.ports.Table, medlarlease.InstancePrefix(k.f.config.Instance.DataCentre), k.cursor)
+	if err != nil {
+		return medlarwheel.AtStep("read leases", "", err)
+	}
+	k.cursor = next
+	for _, row := range changes {
+		if row.Deleted {
+			delete(k.entries, row.Key)
+		} else {
+			k.entries[row.Key] = row
 		}
 	}
 	done := k.f.ports.Clock.Now()
@@ -168,7 +163,7 @@
 			rows = append(rows, row)
 		}
 	}
-	err, _ := ask(ctx, k.f, func(s *state) error { return s.watch.Observe(rows, sent, done) })
+	err, _ = ask(ctx, k.f, func(s *state) error { return s.watch.Observe(rows, sent, done) })
 	return err
 }
 
@@ -225,10 +220,7 @@
 }
 
 func (k *keeper) rowOrEmpty(ctx context.Context, key string) (medlarwheel.Row, error) {
-	row, err := k.f.ports.Table.Row(ctx, key)
-	if errors.Is(err, medlarwheel.ErrNotFound) {
-		return medlarwheel.Row{Key: key}, nil
-	}
+	row, err := medlarplatform.RowOrEmpty(ctx, k.f.ports.Table, key)
 	return row, medlarwheel.AtStep("read "+key, "", err)
 }
 
--- a/medlarfleet/submit.go
+++ b/medlarfleet/submit.go
@@ -113,26 +113,20 @@
 
 // readJobs reads all jobs below a prefix from the table.
 func (f *Fleet) readJobs(ctx context.Context, prefix string) ([]medlarjob.Record, error) {
+	rows, _, err := medlarplatform.AllChanges(ctx, f.ports.Table, prefix, 0)
+	if err != nil {
+		return nil, err
+	}
 	var records []medlarjob.Record
-	var cursor medlarwheel.RowVersion
-	for {
-		page, err := f.ports.Table.Changes(ctx, prefix, cursor, medlarplatform.MaxPage)
+	for _, row := range rows {
+		if _, evicts := evictionKey(row.Key); row.Deleted || evicts || !strings.HasPrefix(row.Key, prefix) {
+			continue
+		}
+		record, err := medlarjob.Decode(row, f.config.Job)
 		if err != nil {
 			return nil, err
 		}
-		for _, row := range page.Rows {
-			if _, evicts := evictionKey(row.Key); row.Deleted || evicts || !strings.HasPrefix(row.Key, prefix) {
-				continue
-			}
-			record, err := medlarjob.Decode(row, f.config.Job)
-			if err != nil {
-				return nil, err
-			}
-			records = append(records, record)
-		}
-		cursor = page.Next
-		if !page.More {
-			return records, nil
-		}
+		records = append(records, record)
 	}
+	return records, nil
 }
--- a/medlarpeer/server.go
+++ b/medlarpeer/server.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"medlarwheel"
 	"medlarwheel/medlarpeer/peerpb"
 )
 
@@ -65,13 +64,10 @@
 	return nil
 }
 
-// authenticate refuses calls without the system key. Digests of equal length are compared, so that the time taken
-// depends neither on the content nor on the length of the key.
+// authenticate refuses calls without the system key.
 func authenticate(key string, next http.Handler) http.Handler {
-	want := sha256.Sum256([]byte(key))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		got := sha256.Sum256([]byte(r.Header.Get(HeaderSystemKey)))
-		if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+		if !medlarwheel.Key(key).Matches([]byte(r.Header.Get(HeaderSystemKey))) {
 			http.Error(w, "not a peer of this system", http.StatusForbidden)
 			return
 		}
