--- /dev/null
+++ b/medlarproof/audit_test.go
@@ -0,0 +1,97 @@
+package medlarproof
+
+import (
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/standin/medlarload"
+	"medlarwheel/standin/medlarprocess"
+	"medlarwheel/standin/medlarrunner"
+)
+
+// Guards against an audit that passes over broken guarantees, on which all other tests of this package rest: an entry
+// instance that breaks one guarantee on purpose must be found out, and a correct one must pass.
+func TestAuditFindsPlantedViolations(t *testing.T) {
+	s := &system{}
+	t.Cleanup(s.stop)
+	r := &runner{id: "audited", listen: freeAddress(t), control: freeAddress(t)}
+	s.add(start(t, "audited", "medlarstandin", "runner", "--listen", r.listen, "--control", r.control, "--id", "audited",
+		"--service-time", "1ms", "--slots", "64"))
+	await(t, 5*time.Second, "runner answers", func() bool { _, err := r.report(); return err == nil })
+	forward := func(ctx *fasthttp.RequestCtx) {
+		request := &fasthttp.Request{}
+		ctx.Request.CopyTo(request)
+		request.SetRequestURI("http://" + r.listen + string(ctx.Path()))
+		request.SetConnectionClose()
+		if err := medlarprocess.NewHostClient(r.listen, 1).DoTimeout(request, &ctx.Response, time.Second); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadGateway)
+			return
+		}
+		ctx.Response.Header.Set("Medlar-Outcome", "done")
+	}
+	cases := []struct {
+		name     string
+		entry    fasthttp.RequestHandler
+		offences func(*medlarload.Audit) int
+	}{
+		{"correct", forward, nil},
+		{"sends twice", func(ctx *fasthttp.RequestCtx) { forward(ctx); forward(ctx) },
+			func(a *medlarload.Audit) int { return a.AppliedTwice }},
+		{"denies a run", func(ctx *fasthttp.RequestCtx) {
+			forward(ctx)
+			ctx.Response.Reset()
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			ctx.Response.Header.Set("Medlar-Outcome", "not-run")
+		}, func(a *medlarload.Audit) int { return a.NotRunButApplied }},
+		{"invents a run", func(ctx *fasthttp.RequestCtx) {
+			reply := medlarrunner.Reply{
+				Upstream: "audited", Path: string(ctx.Path()),
+				Key: medlarwheel.RequestKey(ctx.Request.Header.Peek(medlarrunner.HeaderRequestKey)),
+			}
+			body, _ := json.Marshal(reply)
+			ctx.Response.Header.Set("Medlar-Outcome", "done")
+			ctx.SetBody(body)
+		}, func(a *medlarload.Audit) int { return a.DoneButNotApplied }},
+	}
+	for _, c := range cases {
+		config := medlarload.DefaultConfig()
+		config.Targets, config.Runners = []string{serve(t, c.entry)}, []string{r.control}
+		config.Rate, config.MaxRequests, config.Retries = 200, 30, 0
+		config.Mix = []medlarload.Kind{{Template: "any", Account: "any", Method: "POST", Keys: medlarload.KeysPlain, Weight: 1}}
+		report, err := medlarload.Run(t.Context(), config, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if clean := report.Audit.Clean(false); clean != (c.offences == nil) || !report.Audit.Complete {
+			t.Errorf("%s: clean %v, audit %+v", c.name, clean, report.Audit)
+		}
+		if c.offences != nil && c.offences(report.Audit) != 30 {
+			t.Errorf("%s: %d offences found of 30: %+v", c.name, c.offences(report.Audit), report.Audit)
+		}
+	}
+}
+
+// serve answers requests on a free port until the test ends.
+func serve(t *testing.T, handler fasthttp.RequestHandler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := medlarprocess.NewServer(handler)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		if err := server.Shutdown(); err != nil {
+			t.Error(err)
+		}
+		<-ended
+	})
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/medlarproof/outage_test.go
@@ -0,0 +1,187 @@
+package medlarproof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/medlaroperator"
+	"medlarwheel/standin/medlarprocess"
+	"medlarwheel/standin/medlartable"
+)
+
+// Guards against a platform outage that stops holds, lets a publication seem to succeed, keeps a published template from
+// an instance that can still reach a peer, or makes a restarted instance useless or serve an older configuration.
+func TestPlatformOutage(t *testing.T) {
+	// The last instance is cut off from the platform before the last publication, which reaches it through peers only.
+	s := newSystem(t, "entry-4")
+	v := service{name: "holds", runners: 2, slots: 8, serviceTime: 20 * time.Millisecond}
+	runners := s.addService(t, v)
+	s.awaitCapacity(t, v)
+	late := service{name: "late", slots: 4}
+	post(t, s.relayControl, "/faults", relayFaults{Cut: true})
+	version := publish(t, s.entries[0], late.template(), 0)
+	s.setPlatform(t, medlartable.Faults{Outage: medlartable.OutageRefuse})
+	for _, e := range s.entries {
+		took := await(t, 8*time.Second, "the last version at "+string(e.id), func() bool { return configVersion(e) == version })
+		t.Logf("%s has the version published before the outage %s later", e.id, took.Round(time.Millisecond))
+	}
+
+	report := runLoad(t, s.loadConfig(v, runners, 60, 4*time.Second))
+	if done, all := finals(&report, medlarwheel.OutcomeDone, ""), requests(&report); done*100 < all*99 {
+		t.Errorf("%d of %d requests were done during the outage", done, all)
+	}
+	for _, e := range s.entries {
+		_, err := tryPublish(e, (&service{name: "refused", slots: 4}).template(), 0, "operator")
+		var failure *medlaroperator.Error
+		if !errors.As(err, &failure) || failure.Code != medlaroperator.CodeUnavailable || failure.RetryAfter <= 0 {
+			t.Errorf("publication through %s during the outage: %v, want a refusal with a time to come back", e.id, err)
+		}
+		if got := configVersion(e); got != version {
+			t.Errorf("%s has version %d after a refused publication, want %d", e.id, got, version)
+		}
+	}
+	s.restartInOutage(t, s.entries[1], v, version)
+}
+
+// restartInOutage kills an instance and starts it again while the platform is down.
+func (s *system) restartInOutage(t *testing.T, e *entry, v service, version medlarwheel.ConfigVersion) {
+	t.Helper()
+	// The design's target is 2 s for the first useful work; this is the limit for failing the test on a busy machine.
+	const limit = 5 * time.Second
+	e.kill()
+	begin := time.Now()
+	s.startEntry(t, e)
+	ready := await(t, limit, "readiness after the restart", func() bool {
+		if seen := configVersion(e); seen != 0 && seen != version {
+			t.Errorf("the restarted instance serves version %d, want %d or nothing", seen, version)
+		}
+		return e.isReady()
+	})
+	if got := configVersion(e); got != version {
+		t.Errorf("the restarted instance is ready with version %d, want %d", got, version)
+	}
+	last := result{}
+	t.Cleanup(func() {
+		t.Logf("last call through the restarted instance: %s %s, members %+v", last.outcome, last.reason, members(e))
+	})
+	await(t, limit, "a done GET through the restarted instance", func() bool {
+		last = call(e, "GET", v.name, "restart", "", maxDeadline)
+		return last.outcome == medlarwheel.OutcomeDone
+	})
+	t.Logf("ready %s and useful %s after the restart", ready.Round(time.Millisecond), time.Since(begin).Round(time.Millisecond))
+}
+
+// Guards against a publication whose answer is lost after the commit: it must be applied once and reported as published.
+func TestLostCommitAnswer(t *testing.T) {
+	s := sharedSystem(t)
+	for i, e := range s.entries {
+		name := "lost-answer-" + string(e.id)
+		s.setPlatform(t, medlartable.Faults{LoseAnswers: 1})
+		before := medlarwheel.ConfigVersion(0)
+		for _, other := range s.entries {
+			before = max(before, configVersion(other))
+		}
+		published, err := tryPublish(e, (&service{name: name, slots: 4}).template(), 0, "operator")
+		s.setPlatform(t, medlartable.Faults{})
+		if err != nil || published.Version != before+1 {
+			t.Errorf("published %+v, %v; want version %d", published, err, before+1)
+		}
+		await(t, 8*time.Second, "the same version everywhere", func() bool {
+			for _, other := range s.entries {
+				if configVersion(other) != before+1 {
+					return false
+				}
+			}
+			return true
+		})
+		item, err := s.entries[(i+1)%len(s.entries)].operator().Item(medlaroperator.PathTemplates, name)
+		if err != nil || item.Version != before+1 || item.Author != "operator" {
+			t.Errorf("read back %+v, %v", item, err)
+		}
+	}
+	if counters := s.platformCounters(t); counters.LostAnswers < uint64(len(s.entries)) {
+		t.Errorf("only %d answers were lost, so the fault did not act", counters.LostAnswers)
+	}
+}
+
+// Guards against two operators who both believe that their change of a template won, and against a loser who is not told
+// whose change is in force.
+func TestRacingOperators(t *testing.T) {
+	const racers = 8
+	s := sharedSystem(t)
+	template := (&service{name: "race", slots: 4}).template()
+	base := publish(t, s.entries[0], template, 0)
+	type attempt struct {
+		author    medlarwheel.Author
+		published medlaroperator.Published
+		err       error
+	}
+	attempts := make(chan attempt, racers)
+	for i := range racers {
+		go func() {
+			changed := (&service{name: "race", slots: 5 + i}).template()
+			author := medlarwheel.Author("operator-" + string(rune('a'+i)))
+			published, err := tryPublish(s.entries[i%len(s.entries)], changed, base, author)
+			attempts <- attempt{author, published, err}
+		}()
+	}
+	var winner *attempt
+	var losers []attempt
+	for range racers {
+		a := <-attempts
+		if a.err != nil {
+			losers = append(losers, a)
+			continue
+		}
+		if winner != nil {
+			t.Errorf("both %s and %s were told that they won", winner.author, a.author)
+		}
+		winner = &a
+	}
+	if winner == nil {
+		t.Fatalf("nobody won: %v", losers)
+	}
+	for _, a := range losers {
+		var failure *medlaroperator.Error
+		if !errors.As(a.err, &failure) || failure.Code != medlaroperator.CodeConflict || failure.Conflict == nil {
+			t.Errorf("%s: %v, want a conflict", a.author, a.err)
+			continue
+		}
+		if failure.Conflict.Author != winner.author || failure.Conflict.Actual != winner.published.Version {
+			t.Errorf("%s: conflict with version %d of %s, want %d of %s", a.author, failure.Conflict.Actual,
+				failure.Conflict.Author, winner.published.Version, winner.author)
+		}
+	}
+	for _, e := range s.entries {
+		await(t, 8*time.Second, "the winner's change at "+string(e.id), func() bool {
+			item, err := e.operator().Item(medlaroperator.PathTemplates, "race")
+			return err == nil && item.Author == winner.author && item.Version == winner.published.Version
+		})
+	}
+}
+
+// setPlatform replaces the faults of the platform.
+func (s *system) setPlatform(t *testing.T, f medlartable.Faults) {
+	t.Helper()
+	post(t, s.platform, "/v1/faults", f)
+}
+
+func configVersion(e *entry) medlarwheel.ConfigVersion {
+	list, err := medlaroperator.Get[medlaroperator.ConfigList](e.operator(), medlaroperator.PathTemplates)
+	if err != nil {
+		return 0
+	}
+	return list.Version
+}
+
+func (s *system) platformCounters(t *testing.T) medlartable.Counters {
+	t.Helper()
+	var counters medlartable.Counters
+	if err := medlarprocess.GetJSON(s.platform, "/v1/counters", readTimeout, &counters); err != nil {
+		t.Fatal(err)
+	}
+	return counters
+}
--- /dev/null
+++ b/medlarproof/path_test.go
@@ -0,0 +1,186 @@
+package medlarproof
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/standin/medlarload"
+	"medlarwheel/standin/medlarprocess"
+	"medlarwheel/standin/medlarrunner"
+)
+
+// Targets of the request path, from docs/design.md, section 1.3.
+const (
+	targetGoodput = 0.95
+	targetTail    = 1.5
+	targetRefusal = 5 * time.Millisecond
+)
+
+// BenchmarkPath measures the request path with real processes on loopback. Its figures hold for the machine that runs
+// callers, instances and runners together; the overhead of the hop is the difference of two such figures.
+func BenchmarkPath(b *testing.B) {
+	for b.Loop() {
+		s := startSystem(b, "")
+		s.benchHop(b)
+		s.benchFlood(b)
+		s.stop()
+	}
+}
+
+// benchHop compares calls through an instance with calls of the runner, and measures requests a second.
+func (s *system) benchHop(b *testing.B) {
+	const calls, callers, duration = 3000, 48, 3 * time.Second
+	v := service{name: "path", runners: 2, slots: 64}
+	runners := s.addService(b, v)
+	s.awaitCapacity(b, v)
+	b.Logf("one caller, %d calls each, runners that answer at once", calls)
+	for _, method := range []string{"GET", "POST"} {
+		direct := measure(b, &caller{address: runners[0].listen, path: "/work/", method: method, prefix: "direct"}, calls)
+		hop := measure(b, &caller{address: s.entries[0].callers, path: "/v1/call/path/", method: method, prefix: "dc-1:hop"}, calls)
+		b.Logf("%-4s direct p50 %s p99 %s; through an instance p50 %s p99 %s; overhead p50 %s p99 %s", method,
+			direct.p50, direct.p99, hop.p50, hop.p99, hop.p50-direct.p50, hop.p99-direct.p99)
+		b.ReportMetric(float64((hop.p50 - direct.p50).Microseconds()), method+"-overhead-p50-us")
+		b.ReportMetric(float64((hop.p99 - direct.p99).Microseconds()), method+"-overhead-p99-us")
+	}
+	for _, method := range []string{"GET", "POST"} {
+		rate, other := s.throughput(method, callers, duration)
+		b.Logf("%-4s %.0f requests a second done by %d callers through %d instances, %d not done", method, rate, callers, len(s.entries), other)
+		b.ReportMetric(rate, method+"-per-second")
+	}
+}
+
+// caller sends requests over one kept connection.
+type caller struct {
+	address, path, method, prefix string
+	client                        *fasthttp.HostClient
+	sent                          int
+}
+
+// send makes one call and reports whether it was done.
+func (c *caller) send() error {
+	if c.client == nil {
+		c.client = medlarprocess.NewHostClient(c.address, 1)
+	}
+	c.sent++
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(c.method)
+	request.SetRequestURI("http://" + c.address + c.path)
+	request.Header.Set(medlarrunner.HeaderAttempt, fmt.Sprint(c.prefix, c.sent))
+	if c.method == fasthttp.MethodPost {
+		request.Header.Set(medlarrunner.HeaderRequestKey, fmt.Sprintf("%s-%p-%d", c.prefix, c, c.sent))
+	}
+	if err := c.client.DoTimeout(request, response, 2*maxDeadline); err != nil {
+		return err
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("status %d, %s", response.StatusCode(), response.Header.Peek("Medlar-Reason"))
+	}
+	return nil
+}
+
+type quantiles struct{ p50, p99 time.Duration }
+
+func measure(b *testing.B, c *caller, calls int) quantiles {
+	b.Helper()
+	const warmUp = 200
+	times := make([]time.Duration, 0, calls)
+	for i := range calls + warmUp {
+		begin := time.Now()
+		if err := c.send(); err != nil {
+			b.Fatalf("%s %s: %v", c.method, c.path, err)
+		}
+		if i >= warmUp {
+			times = append(times, time.Since(begin))
+		}
+	}
+	slices.Sort(times)
+	at := func(q float64) time.Duration { return times[int(q*float64(len(times)))].Round(time.Microsecond) }
+	return quantiles{p50: at(0.5), p99: at(0.99)}
+}
+
+// throughput returns the requests done a second by callers that send one request after another, and those not done.
+func (s *system) throughput(method string, callers int, duration time.Duration) (rate float64, other int64) {
+	var done, failed atomic.Int64
+	var group sync.WaitGroup
+	begin := time.Now()
+	for i := range callers {
+		e := s.entries[i%len(s.entries)]
+		group.Go(func() {
+			c := &caller{address: e.callers, path: "/v1/call/path/", method: method, prefix: string(e.dataCentre) + ":load"}
+			for time.Since(begin) < duration {
+				if c.send() == nil {
+					done.Add(1)
+				} else {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	return float64(done.Load()) / time.Since(begin).Seconds(), failed.Load()
+}
+
+// benchFlood compares a flood of 10 times the capacity with the targets.
+func (s *system) benchFlood(b *testing.B) {
+	const duration = 6 * time.Second
+	f := startFlood(b, s)
+	normal := f.run(b, 0.8, duration)
+	peak := goodput(&normal)
+	for _, multiple := range []float64{1, 1.25, 2} {
+		report := f.run(b, multiple, duration)
+		peak = max(peak, goodput(&report))
+	}
+	flooded := f.run(b, 10, duration)
+	before, after := f.protected(&normal), f.protected(&flooded)
+	b.Logf("seed %d, capacity %.0f requests a second", flooded.Seed, f.capacity)
+	share := goodput(&flooded) / peak
+	b.Logf("goodput in the flood %.0f a second, peak %.0f: %.3f, target at least %.2f: %s", goodput(&flooded), peak, share,
+		targetGoodput, verdict(share >= targetGoodput))
+	tail := float64(after.Done.P99) / float64(before.Done.P99)
+	b.Logf("p99 of the protected class %s in the flood, %s without: %.2f times, target at most %.1f: %s", after.Done.P99,
+		before.Done.P99, tail, targetTail, verdict(tail <= targetTail))
+	b.ReportMetric(share, "flood-goodput-share")
+	b.ReportMetric(tail, "flood-tail-ratio")
+	for i := range flooded.Templates {
+		r := &flooded.Templates[i]
+		b.Logf("refusals of %s: p50 %s, p99 %s, target at most %s: %s", r.Template, r.Refused.P50, r.Refused.P99,
+			targetRefusal, verdict(r.Refused.P99.Std() <= targetRefusal))
+		for _, c := range r.Calls {
+			b.Logf("  %s %s: %d", c.Outcome, c.Reason, c.Count)
+		}
+	}
+}
+
+func verdict(met bool) string {
+	if met {
+		return "met"
+	}
+	return "MISSED"
+}
+
+func goodput(report *medlarload.Report) float64 {
+	total := 0.0
+	for i := range report.Templates {
+		total += report.Templates[i].Goodput
+	}
+	return total
+}
+
+// protected returns the results of the protected class.
+func (f *flood) protected(report *medlarload.Report) medlarload.TemplateReport {
+	for i := range report.Templates {
+		if report.Templates[i].Template == medlarwheel.TemplateName(f.urgent.name) {
+			return report.Templates[i]
+		}
+	}
+	return medlarload.TemplateReport{}
+}
