--- a/medlarproof/slots_test.go
+++ b/medlarproof/slots_test.go
@@ -28,6 +28,41 @@
 	}
 }
 
+// Guards against a refused key whose other attempt is told that the key group is unreachable although every seat answered
+// that the key is sealed, which means that it was not run.
+func TestRefusedDuplicateIsNotRun(t *testing.T) {
+	s := sharedSystem(t)
+	v := service{name: "refused", runners: 2, slots: 2, serviceTime: 40 * time.Millisecond}
+	runners := s.addService(t, v)
+	s.awaitCapacity(t, v)
+	config := s.loadConfig(v, runners, 400, 4*time.Second)
+	config.Retries = 0
+	config.Mix = []medlarload.Kind{{
+		Template: medlarwheel.TemplateName(v.name), Account: "double", Method: "POST", Keys: medlarload.KeysDouble, Weight: 1,
+	}}
+	report := runLoad(t, config)
+	if n := calls(&report, medlarwheel.OutcomeUnknown, medlarwheel.ReasonNoMajority); n > 0 {
+		t.Errorf("%d of %d calls were told that the key group is unreachable; all instances were up", n, requests(&report))
+	}
+}
+
+// Guards against a concurrency limit that closes an idle upstream because its answers, still far below a millisecond,
+// became slower by microseconds: one caller alone must never be refused.
+func TestFastUpstreamStaysOpen(t *testing.T) {
+	s := sharedSystem(t)
+	v := service{name: "fast", runners: 2, slots: 64}
+	s.addService(t, v)
+	s.awaitCapacity(t, v)
+	for _, method := range []string{"GET", "POST"} {
+		c := &caller{address: s.entries[0].callers, path: "/v1/call/fast/", method: method, prefix: "dc-1:fast"}
+		for i := range 2000 {
+			if err := c.send(); err != nil {
+				t.Fatalf("%s %d of one caller: %v; capacity of the instance: %d", method, i, err, s.entries[0].gauge("capacity.fast"))
+			}
+		}
+	}
+}
+
 // Guards against a flood that makes an instance break a guarantee. It also prints what the flood leaves of the goodput,
 // the tail latency of the protected class and the time of refusals; BenchmarkPath compares them with their targets.
 func TestFlood(t *testing.T) {
