--- a/standin/medlarload/call.go
+++ b/standin/medlarload/call.go
@@ -59,10 +59,10 @@
 	}
 	address := g.config.Targets[target]
 	if g.config.Direct {
-		message.SetRequestURI("http://" + address + "/work/" + r.nonce)
+		message.SetRequestURI("http://" + address + "/holds/" + r.nonce)
 		message.Header.Set(medlarrunner.HeaderAttempt, r.nonce+"."+string(rune('a'+attempt)))
 	} else {
-		message.SetRequestURI("http://" + address + "/v1/call/" + string(r.kind.Template) + "/work/" + r.nonce)
+		message.SetRequestURI("http://" + address + "/v1/call/" + string(r.kind.Template) + "/holds/" + r.nonce)
 		message.Header.Set("Medlar-Client-Account", string(r.kind.Account))
 		message.Header.Set("Medlar-Deadline", g.config.Deadline.String())
 	}
