--- /dev/null
+++ b/internal/acceptance/medlarroute/route.go
@@ -0,0 +1,88 @@
+// Package medlarroute holds the operator's configuration as routes and services, and finds the route of a request.
+//
+// A Table is immutable. A newer version replaces it as a whole, so that a request sees one version from start to end.
+//
+// # Usage
+//
+//	route, rest, ok := table.Match("nony24.example", "/lohu930/5c0e7a21d94b36f8")
+//	// rest is "5c0e7a21d94b36f8"
+package medlarroute
+
+import (
+	"strings"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+)
+
+// Route is a queue of submissions.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Service    medlarwheel.ServiceName
+	Terms      medlarsubmission.Terms
+}
+
+// Service is a pool of workers.
+type Service struct {
+	Name medlarwheel.ServiceName
+	// GuardsCapacity means that the workers reject what does not fit.
+	GuardsCapacity bool
+	// Spare workers are switched off.
+	Spare bool
+}
+
+// Limits bounds the requests of clients.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+}
+
+// Table is one version of the configuration.
+type Table struct {
+	Version  medlarwheel.ConfigVersion
+	Routes   []Route
+	Services map[medlarwheel.ServiceName]Service
+	Limits   Limits
+	byHost   map[string][]*Route
+}
+
+// NewTable returns a table with an index by host.
+func NewTable(version medlarwheel.ConfigVersion, routes []Route, services []Service, limits Limits) *Table {
+	t := &Table{
+		Version: version, Routes: routes, Limits: limits,
+		Services: make(map[medlarwheel.ServiceName]Service, len(services)), byHost: map[string][]*Route{},
+	}
+	for i := range routes {
+		r := &routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	return t
+}
+
+// Match returns the route with the host and the longest prefix of path, and what follows the prefix.
+func (t *Table) Match(host, path string) (route *Route, rest string, ok bool) {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.PathPrefix) && (route == nil || len(r.PathPrefix) > len(route.PathPrefix)) {
+			route = r
+		}
+	}
+	if route == nil {
+		return nil, "", false
+	}
+	return route, path[len(route.PathPrefix):], true
+}
+
+// ByName returns the route with the name, or nil.
+func (t *Table) ByName(name string) *Route {
+	for i := range t.Routes {
+		if t.Routes[i].Name == name {
+			return &t.Routes[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/execution/medlarorder/order.go
@@ -0,0 +1,167 @@
+// Package medlarorder holds what an owner tells a worker and what a worker answers: starts, stops, the renewal of its
+// lease, and the lists of what runs and what has ended there.
+//
+// Times on a worker's clock are durations since an origin that only the worker knows. They are never compared with the
+// clock of the caller.
+//
+// # Usage
+//
+//	answer, err := agent.Start(medlarorder.Start{Task: name, Run: 1, Fence: fence, Until: until})
+//	if err != nil {
+//		// The order may have been carried out, or may be carried out later.
+//	}
+//	if answer.Verdict == medlarorder.VerdictNoRoom { ... }
+package medlarorder
+
+import (
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+)
+
+// RunNumber counts the starts of one task. A higher number supersedes a lower one.
+type RunNumber uint64
+
+// EndNumber counts the ended runs of one life of a worker from 1.
+type EndNumber uint64
+
+// Life is the start time of a worker's process in milliseconds since the Unix epoch. A restarted worker remembers nothing.
+type Life int64
+
+// Worker is a worker as it registers itself.
+type Worker struct {
+	ID         medlarwheel.WorkerID
+	Life       Life
+	Service    medlarwheel.ServiceName
+	Address    string
+	DataCentre medlarwheel.DataCentreID
+	Rack       medlarwheel.RackID
+	Labels     []string
+	Capacity   medlarsubmission.Size
+	// Draining workers take no new tasks.
+	Draining bool
+	// Remaining is the least time that a draining worker still serves.
+	Remaining time.Duration
+}
+
+// HasLabel reports whether the worker carries the label.
+func (w *Worker) HasLabel(label string) bool {
+	for _, l := range w.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// Start orders a worker to run a task.
+type Start struct {
+	Task  medlarsubmission.TaskName
+	Run   RunNumber
+	Spec  string
+	Fence medlarwheel.FencingToken
+	// Until is the end of the worker's lease on its own clock.
+	Until time.Duration
+	// Checkpoint is where the task resumes. Empty means from its beginning.
+	Checkpoint string
+}
+
+// Stop orders a worker to stop a run.
+type Stop struct {
+	Task  medlarsubmission.TaskName
+	Run   RunNumber
+	Fence medlarwheel.FencingToken
+}
+
+// Pace sets the share of its speed at which a run works.
+type Pace struct {
+	Task    medlarsubmission.TaskName
+	Run     RunNumber
+	Fence   medlarwheel.FencingToken
+	Percent int
+}
+
+// Verdict is a worker's decision on an order.
+type Verdict string
+
+// The verdicts of a worker. Only VerdictAccepted means that the order was carried out.
+const (
+	VerdictAccepted Verdict = "accepted"
+	// VerdictFenced means that the worker has seen a higher fencing token.
+	VerdictFenced Verdict = "fenced"
+	// VerdictOld means that the same or a higher run was stopped or has ended on the worker.
+	VerdictOld Verdict = "old"
+	// VerdictLate means that the lease in the order had already ended.
+	VerdictLate Verdict = "late"
+	// VerdictNoRoom means that the worker guards its capacity and the task does not fit.
+	VerdictNoRoom Verdict = "no-room"
+	// VerdictUnhealthy means that the worker did nothing because it is overloaded or failing.
+	VerdictUnhealthy Verdict = "unhealthy"
+	// VerdictOtherLife means that another life of the worker answered.
+	VerdictOtherLife Verdict = "other-life"
+	// VerdictInvalid means that the worker can't read the order.
+	VerdictInvalid Verdict = "invalid"
+)
+
+// Answer is a worker's answer to an order.
+type Answer struct {
+	Verdict Verdict
+	// Clock is the worker's clock, or zero if the answer has none.
+	Clock time.Duration
+}
+
+// Hold renews the lease of a worker and asks for its lists.
+type Hold struct {
+	Fence medlarwheel.FencingToken
+	// AckedUpTo lets the worker forget the ends up to this number.
+	AckedUpTo EndNumber
+	// Until is the end of the lease on the worker's clock. Zero leaves the lease alone.
+	Until time.Duration
+	// Wait is how long the worker may wait for an end before it answers.
+	Wait time.Duration
+}
+
+// Running is one run on a worker.
+type Running struct {
+	Task  medlarsubmission.TaskName
+	Run   RunNumber
+	Saved string
+	// Percent is the progress, or for a long-running task whether it is at work (100).
+	Percent int
+	// Usage is the tail latency in milliseconds of a serving task, and the processor use in thousandths of a core of
+	// any other. HasUsage is false while the worker has no figure.
+	Usage    int64
+	HasUsage bool
+}
+
+// EndKind says how a run ended.
+type EndKind string
+
+// The ways in which a run ends.
+const (
+	EndDone    EndKind = "done"
+	EndFailed  EndKind = "failed"
+	EndStopped EndKind = "stopped"
+	EndLapsed  EndKind = "lapsed"
+	EndBroken  EndKind = "broken"
+	EndAlone   EndKind = "alone"
+)
+
+// Ended is one ended run on a worker.
+type Ended struct {
+	Number EndNumber
+	Task   medlarsubmission.TaskName
+	Run    RunNumber
+	Kind   EndKind
+	Saved  string
+}
+
+// Report is a worker's answer to a Hold.
+type Report struct {
+	Verdict Verdict
+	Life    Life
+	Clock   time.Duration
+	Running []Running
+	Ended   []Ended
+}
--- /dev/null
+++ b/internal/operation/medlarnode/entry.go
@@ -0,0 +1,141 @@
+package medlarnode
+
+import (
+	"context"
+	"time"
+
+	"medlarwheel/internal/acceptance/medlarintake"
+	"medlarwheel/internal/acceptance/medlarroute"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/state/medlarledger"
+	"medlarwheel/internal/state/medlartable"
+	"medlarwheel/platform"
+)
+
+// storeRetryAfter is when a client may come back that was refused because the table does not answer. Outages last seconds.
+const storeRetryAfter = 2 * time.Second
+
+// answerMargin is the part of a client's time that is kept for the way back of the answer.
+const answerMargin = 50 * time.Millisecond
+
+// Routes returns the configuration in force.
+func (n *Node) Routes() *medlarroute.Table { return n.routes.Load() }
+
+// Stopping reports whether connections are to be closed after their next answer.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// Submit accepts a submission once the table has stored it.
+func (n *Node) Submit(s medlarsubmission.Submission, deadline time.Time) platform.Reply {
+	began := n.clock.Now()
+	reply, reason := n.submit(&s, deadline)
+	n.meter.Time("submit", n.clock.Now().Sub(began))
+	n.logReply("submit", s.ID, s.Route, reply, reason, n.clock.Now().Sub(began))
+	return reply
+}
+
+func (n *Node) submit(s *medlarsubmission.Submission, deadline time.Time) (platform.Reply, string) {
+	if !n.health.MayTry() {
+		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, "table does not answer"
+	}
+	row, err := medlarledger.SubmissionRow(n.config.Owner.Part, s)
+	if err != nil {
+		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, err.Error()
+	}
+	return n.add(row, deadline)
+}
+
+func (n *Node) add(row medlartable.Row, deadline time.Time) (platform.Reply, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(n.clock.Now())-answerMargin)
+	defer cancel()
+	switch n.intake.Add(ctx, row) {
+	case medlarintake.ResultStored:
+		return platform.Reply{Outcome: platform.OutcomeOK}, "stored"
+	case medlarintake.ResultRefused:
+		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, "not stored"
+	default:
+		return platform.Reply{Outcome: platform.OutcomeUnknown}, "no answer from the table"
+	}
+}
+
+// State returns the state of a submission from the owner of the cell, or else from the table.
+func (n *Node) State(id medlarsubmission.ID, deadline time.Time) platform.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(n.clock.Now())-answerMargin)
+	defer cancel()
+	if state, known := n.askState(ctx, id); known {
+		return platform.Reply{Outcome: platform.OutcomeOK, State: state}
+	}
+	return n.stateFromTable(id)
+}
+
+// stateFromTable reads the state of a submission that the owner does not know or can't be asked about. Only the table can
+// say that a submission does not exist.
+func (n *Node) stateFromTable(id medlarsubmission.ID) platform.Reply {
+	refused := platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: time.Second}
+	if !n.health.MayTry() {
+		return refused
+	}
+	entries, err := n.store.Read(medlarledger.SubmissionRange(n.config.Owner.Part, id))
+	n.health.Report(err == nil)
+	if err != nil {
+		n.log.Warn().Str("event", "state-read-failed").Str("id", string(id)).Err(err).Msg("")
+		return refused
+	}
+	if len(entries.Rows) == 0 {
+		return platform.Reply{Outcome: platform.OutcomeGone}
+	}
+	if len(entries.Rows) > 1 {
+		return platform.Reply{Outcome: platform.OutcomeOK, State: medlarsubmission.StateCancelled}
+	}
+	progress, err := n.store.Read(medlarledger.ProgressRange(n.config.Owner.Part, id))
+	if err != nil {
+		n.log.Warn().Str("event", "state-read-failed").Str("id", string(id)).Err(err).Msg("")
+		return refused
+	}
+	state := medlarsubmission.StateQueued
+	for _, r := range progress.Rows {
+		state = medlarsubmission.StateRunning
+		if p, err := medlarledger.DecodeProgress(r); err != nil {
+			n.log.Error().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
+		} else if p.State != "" {
+			state = p.State
+		}
+	}
+	return platform.Reply{Outcome: platform.OutcomeOK, State: state}
+}
+
+// Cancel stores the cancellation of a submission that exists.
+func (n *Node) Cancel(id medlarsubmission.ID, deadline time.Time) platform.Reply {
+	began := n.clock.Now()
+	state := n.State(id, deadline)
+	if state.Outcome != platform.OutcomeOK || state.State.IsFinal() {
+		n.logReply("cancel", id, "", state, "state "+string(state.State), n.clock.Now().Sub(began))
+		return state
+	}
+	reply, reason := n.add(medlarledger.CancelRow(n.config.Owner.Part, id), deadline)
+	n.logReply("cancel", id, "", reply, reason, n.clock.Now().Sub(began))
+	return reply
+}
+
+// Waiting returns the number of submissions of a route of which no task has started.
+func (n *Node) Waiting(route *medlarroute.Route, deadline time.Time) platform.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(n.clock.Now())-answerMargin)
+	defer cancel()
+	waiting, err := n.askWaiting(ctx, route.Name)
+	if err != nil {
+		n.log.Warn().Str("event", "waiting-unknown").Str("route", route.Name).Err(err).Msg("")
+		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: time.Second}
+	}
+	return platform.Reply{Outcome: platform.OutcomeOK, Waiting: waiting}
+}
+
+func (n *Node) logReply(request string, id medlarsubmission.ID, route string, r platform.Reply, reason string, took time.Duration) {
+	outcome := outcomeNames[r.Outcome]
+	n.meter.Count(request + "." + outcome)
+	n.log.Info().Str("event", request).Str("id", string(id)).Str("route", route).Str("outcome", outcome).
+		Str("reason", reason).Int64("took-ms", took.Milliseconds()).Msg("")
+}
+
+var outcomeNames = map[platform.Outcome]string{
+	platform.OutcomeOK: "accepted", platform.OutcomeRefused: "refused", platform.OutcomeUnknown: "unknown",
+	platform.OutcomeGone: "gone",
+}
--- /dev/null
+++ b/internal/operation/medlarnode/node.go
@@ -0,0 +1,165 @@
+// Package medlarnode assembles an instance: it accepts submissions, follows the configuration and the ownership of the
+// cell, and runs the scheduler while it owns the cell.
+//
+// # Usage
+//
+//	node, err := medlarnode.New(medlarnode.DefaultConfig(site), log, meter)
+//	err = node.Run(ctx) // until the context ends, then a graceful stop
+package medlarnode
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarintake"
+	"medlarwheel/internal/acceptance/medlarroute"
+	"medlarwheel/internal/operation/medlarclock"
+	"medlarwheel/internal/operation/medlarmeter"
+	"medlarwheel/internal/scheduling/medlarowner"
+	"medlarwheel/internal/state/medlartenure"
+	"medlarwheel/platform"
+)
+
+// Config configures an instance.
+type Config struct {
+	Site  platform.Site
+	Owner medlarowner.Config
+	// StoreConnections bounds the connections to the platform's table.
+	StoreConnections int
+	// StoreTimeout bounds a call to the table: a table that is a hundred times slower than usual still answers in it.
+	StoreTimeout time.Duration
+	// FollowWait is how long the table may hold a read of the configuration's changes. It bounds the time lost on a
+	// connection gone silent, well below the time in which a configuration has to be in force.
+	FollowWait time.Duration
+	// FollowRetry is the pause after a failed read of changes.
+	FollowRetry time.Duration
+	// OrderTimeout bounds an order to a worker.
+	OrderTimeout time.Duration
+	// OrderConnections bounds the connections to one worker.
+	OrderConnections int
+	// PeerTimeout bounds a question to the owner of the cell.
+	PeerTimeout time.Duration
+	// ProbeInterval is how often a request may try a table that does not answer.
+	ProbeInterval time.Duration
+	// ReadyAge is the age of the table's last answer up to which the instance reports itself ready.
+	ReadyAge time.Duration
+	// DrainTime is how long a stopping instance still answers on open connections, so that the balancer has taken it out.
+	DrainTime time.Duration
+	// MemoryShare is the share of the memory limit above which the garbage collector works harder.
+	MemoryShare float64
+}
+
+// DefaultConfig returns the configuration of an instance on the site.
+func DefaultConfig(site platform.Site) Config {
+	owner := medlarowner.DefaultConfig()
+	owner.Cell.Lease = min(owner.Cell.Lease, site.MaxLease)
+	owner.Cell.StopTime = site.StopTime
+	owner.Cell.KeepFinished = max(owner.Cell.KeepFinished, site.KeepFinished+10*time.Second)
+	owner.Cell.RemoteFactor = site.RemoteFactor
+	return Config{
+		Site: site, Owner: owner, StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
+		FollowWait: 700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
+		OrderTimeout: 350 * time.Millisecond, OrderConnections: 12, PeerTimeout: 300 * time.Millisecond,
+		ProbeInterval: 250 * time.Millisecond, ReadyAge: 2500 * time.Millisecond,
+		DrainTime: max(site.StopGrace/2, time.Second), MemoryShare: 0.6,
+	}
+}
+
+// Node is an instance.
+type Node struct {
+	config  Config
+	log     zerolog.Logger
+	meter   *medlarmeter.Meter
+	clock   medlarwheel.Clock
+	store   *platform.Store
+	health  *medlarintake.Health
+	intake  *medlarintake.Intake
+	peers   *peerClient
+	process string
+
+	routes   atomic.Pointer[medlarroute.Table]
+	term     atomic.Pointer[medlartenure.Term]
+	owner    atomic.Pointer[medlarowner.Owner]
+	stopping atomic.Bool
+	deaths   chan medlartenure.Term
+}
+
+// New returns an instance that is not running yet.
+func New(c Config, log zerolog.Logger, meter *medlarmeter.Meter) (*Node, error) {
+	clock, err := medlarclock.NewBoot()
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		config: c, log: log, meter: meter, clock: clock,
+		store: platform.NewStore(platform.StoreConfig{
+			Address: c.Site.StoreAddress, Connections: c.StoreConnections, Timeout: c.StoreTimeout,
+		}),
+		health:  medlarintake.NewHealth(clock, c.ProbeInterval),
+		peers:   newPeerClient(c.PeerTimeout),
+		process: fmt.Sprintf("%s-%d-%d", c.Site.Instance, os.Getpid(), clock.Now().UnixNano()),
+		deaths:  make(chan medlartenure.Term, 1),
+	}
+	n.intake = medlarintake.New(medlarintake.DefaultConfig(), n.store, n.health)
+	return n, nil
+}
+
+// Run serves until the context ends. It then takes itself out of the balancer, answers what is on its way and gives the
+// cell back.
+func (n *Node) Run(ctx context.Context) error {
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.log.Info().Str("event", "instance-started").Str("process", n.process).Str("data-centre", string(n.config.Site.DataCentre)).Msg("")
+	working, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	group, working := errgroup.WithContext(working)
+	group.Go(func() error { return n.intake.Run(working) })
+	group.Go(func() error { return n.followConfig(working) })
+	group.Go(func() error { return n.followOwner(working) })
+	for _, s := range servers {
+		group.Go(s.serve)
+	}
+	select {
+	case <-ctx.Done():
+	case <-working.Done():
+	}
+	n.stop(servers)
+	stopWork()
+	err = group.Wait()
+	n.log.Info().Str("event", "instance-stopped").Err(err).Msg("")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// stop hands the cell over, waits until the balancer sends no new connections, and closes the servers.
+func (n *Node) stop(servers []*server) {
+	n.stopping.Store(true)
+	n.log.Info().Str("event", "instance-stopping").Msg("")
+	ctx, cancel := context.WithTimeout(context.Background(), n.config.DrainTime)
+	defer cancel()
+	if owner := n.owner.Load(); owner != nil {
+		if err := owner.Release(ctx); err != nil {
+			n.log.Warn().Str("event", "release-failed").Err(err).Msg("")
+		}
+	}
+	<-ctx.Done()
+	closing, cancelClosing := context.WithTimeout(context.Background(), n.config.DrainTime/2)
+	defer cancelClosing()
+	for _, s := range servers {
+		if err := s.shutdown(closing); err != nil {
+			n.log.Warn().Str("event", "server-not-drained").Str("server", s.name).Err(err).Msg("")
+		}
+	}
+}
--- /dev/null
+++ b/internal/operation/medlarnode/peer.go
@@ -0,0 +1,156 @@
+package medlarnode
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+)
+
+// Paths of the questions that instances ask the owner of the cell.
+const (
+	peerPathState   = "/peer/state"
+	peerPathWaiting = "/peer/waiting"
+)
+
+// peerQuestion is a question to the owner of the cell.
+type peerQuestion struct {
+	Submission medlarsubmission.ID `json:"submission,omitempty"`
+	Route      string              `json:"route,omitempty"`
+}
+
+// peerAnswer is the owner's answer.
+type peerAnswer struct {
+	Known   bool                   `json:"known,omitempty"`
+	State   medlarsubmission.State `json:"state,omitempty"`
+	Waiting int                    `json:"waiting,omitempty"`
+}
+
+// Check reports every fault of a.
+func (a *peerAnswer) Check() medlarwheel.Faults {
+	if a.Known && a.State != "" && !a.State.IsValid() {
+		return medlarwheel.Faults{}.Add("state", a.State, "a state of a submission")
+	}
+	return nil
+}
+
+// errNoOwner means that no instance is known to own the cell.
+var errNoOwner = errors.New("no instance owns the cell")
+
+// peerConnections bounds the connections to the owner of the cell.
+const peerConnections = 32
+
+// peerClient asks other instances. It keeps the client of one address, since there is one owner at a time.
+type peerClient struct {
+	timeout time.Duration
+	mu      sync.Mutex
+	client  *fasthttp.HostClient
+}
+
+func newPeerClient(timeout time.Duration) *peerClient { return &peerClient{timeout: timeout} }
+
+func (p *peerClient) of(address string) *fasthttp.HostClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client == nil || p.client.Addr != address {
+		p.client = &fasthttp.HostClient{
+			Addr: address, MaxConns: peerConnections, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
+		}
+	}
+	return p.client
+}
+
+func (p *peerClient) ask(address, path string, q peerQuestion) (peerAnswer, error) {
+	var answer peerAnswer
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	body, err := json.Marshal(q)
+	if err != nil {
+		return answer, medlarwheel.AtStep("ask owner", address, err)
+	}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + address + path)
+	request.SetBody(body)
+	if err := p.of(address).DoTimeout(request, response, p.timeout); err != nil {
+		return answer, medlarwheel.AtStep("ask owner", address, err)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return answer, medlarwheel.AtStep("ask owner", address, errors.Errorf("status %d", response.StatusCode()))
+	}
+	answer, err = medlarwheel.Decode[peerAnswer](response.Body())
+	return answer, medlarwheel.AtStep("ask owner", address, err)
+}
+
+// handlePeer answers the questions of other instances.
+func (n *Node) handlePeer(ctx *fasthttp.RequestCtx) {
+	var q peerQuestion
+	if err := json.Unmarshal(ctx.PostBody(), &q); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	answer, err := n.answerPeer(string(ctx.Path()), q)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(body)
+}
+
+func (n *Node) answerPeer(path string, q peerQuestion) (peerAnswer, error) {
+	var a peerAnswer
+	owner := n.owner.Load()
+	if owner == nil {
+		return a, errNoOwner
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), n.config.PeerTimeout)
+	defer cancel()
+	var err error
+	switch path {
+	case peerPathState:
+		a.State, a.Known, err = owner.State(ctx, q.Submission)
+	case peerPathWaiting:
+		a.Known = true
+		a.Waiting, err = owner.Waiting(ctx, q.Route)
+	default:
+		err = errors.Errorf("unknown path %q", path)
+	}
+	return a, err
+}
+
+// askOwner asks the owner of the cell, which may be this instance.
+func (n *Node) askOwner(path string, q peerQuestion) (peerAnswer, error) {
+	if n.owner.Load() != nil {
+		return n.answerPeer(path, q)
+	}
+	term := n.term.Load()
+	if term == nil || term.Released || term.Process == n.process {
+		return peerAnswer{}, errNoOwner
+	}
+	return n.peers.ask(term.Address, path, q)
+}
+
+func (n *Node) askState(_ context.Context, id medlarsubmission.ID) (medlarsubmission.State, bool) {
+	a, err := n.askOwner(peerPathState, peerQuestion{Submission: id})
+	if err != nil {
+		n.log.Warn().Str("event", "owner-not-asked").Str("id", string(id)).Err(err).Msg("")
+		return "", false
+	}
+	return a.State, a.Known
+}
+
+func (n *Node) askWaiting(_ context.Context, route string) (int, error) {
+	a, err := n.askOwner(peerPathWaiting, peerQuestion{Route: route})
+	return a.Waiting, err
+}
--- /dev/null
+++ b/internal/operation/medlarnode/serve.go
@@ -0,0 +1,75 @@
+package medlarnode
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
+	"medlarwheel/platform"
+)
+
+// Limits of the servers.
+const (
+	// maxHeader and maxBody are the limits of the operator's configuration at present, with room to grow.
+	maxHeader = 32 << 10
+	maxBody   = 1 << 20
+	// readTimeout bounds the time that a client may take to send a request.
+	readTimeout = 10 * time.Second
+	// idleTimeout closes connections without requests.
+	idleTimeout = 75 * time.Second
+)
+
+// server is one listener with its handler.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *fasthttp.Server
+}
+
+func (s *server) serve() error {
+	return medlarwheel.AtStep("serve "+s.name, s.listener.Addr().String(), s.http.Serve(s.listener))
+}
+
+func (s *server) shutdown(ctx context.Context) error {
+	return medlarwheel.AtStep("shut down "+s.name, "", s.http.ShutdownWithContext(ctx))
+}
+
+// listen opens all listeners, so that a port that is taken shows before anything else starts.
+func (n *Node) listen() ([]*server, error) {
+	site := &n.config.Site
+	var servers []*server
+	for _, s := range []struct {
+		name, address string
+		handler       fasthttp.RequestHandler
+	}{
+		{"clients", site.Serve, platform.NewFrontHandler(n, n.clock.Now)},
+		{"readiness", site.Ready, platform.NewReadyHandler(n.isReady)},
+		{"peers", site.Peer, n.handlePeer},
+		{"metrics", site.Metrics, n.meter.Handler},
+	} {
+		listener, err := net.Listen("tcp4", s.address)
+		if err != nil {
+			return nil, medlarwheel.AtStep("listen for "+s.name, s.address, err)
+		}
+		servers = append(servers, &server{name: s.name, listener: listener, http: &fasthttp.Server{
+			Handler: s.handler, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout,
+			IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true,
+			ReduceMemoryUsage: true, Logger: quietLogger{},
+		}})
+	}
+	return servers, nil
+}
+
+// quietLogger drops the library's lines about connections that clients have broken.
+type quietLogger struct{}
+
+// Printf does nothing.
+func (quietLogger) Printf(string, ...any) {}
+
+// isReady tells the balancer whether to send new connections here.
+func (n *Node) isReady() bool {
+	return !n.stopping.Load() && n.routes.Load() != nil && n.clock.Now().Sub(n.health.LastOK()) < n.config.ReadyAge
+}
--- /dev/null
+++ b/internal/operation/medlarnode/tenure.go
@@ -0,0 +1,176 @@
+package medlarnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/internal/scheduling/medlarowner"
+	"medlarwheel/internal/state/medlarledger"
+	"medlarwheel/internal/state/medlartable"
+	"medlarwheel/internal/state/medlartenure"
+	"medlarwheel/platform"
+)
+
+// claimJitter spreads the claims of several instances that see the owner die at the same moment.
+const claimJitter = 60 * time.Millisecond
+
+// watchDialTimeout bounds the connection by which an instance sees the owner's process end.
+const watchDialTimeout = time.Second
+
+// followOwner follows the claim of the cell, and claims it when its owner is gone.
+func (n *Node) followOwner(ctx context.Context) error {
+	watch := medlartenure.NewWatch(n.config.Owner.Tenure)
+	var from medlarwheel.RowVersion
+	loaded := false
+	for ctx.Err() == nil {
+		var rows []medlartable.Row
+		var version medlarwheel.RowVersion
+		var err error
+		if loaded {
+			var page medlartable.Page
+			page, err = n.store.Follow(medlartable.Follow{Table: medlartenure.Table, After: from, Wait: n.config.FollowWait})
+			rows, version = page.Rows, page.Version
+		} else {
+			rows, version, err = medlartable.ReadAll(n.store, medlartable.Range{Table: medlartenure.Table, Part: n.config.Owner.Part})
+		}
+		if err != nil {
+			loaded = loaded && !errors.Is(err, medlartable.ErrHistoryGone)
+			n.log.Warn().Str("event", "owner-read-failed").Err(err).Msg("")
+			sleep(ctx, n.config.FollowRetry)
+			continue
+		}
+		n.health.Report(true)
+		loaded, from = true, max(from, version)
+		if err := watch.Observe(n.clock.Now(), rows); err != nil {
+			n.log.Error().Str("event", "row-refused").Str("table", medlartenure.Table).Err(err).Msg("")
+		}
+		n.noteDeaths(watch)
+		n.setTerm(ctx, watch.Term())
+		if watch.ShouldClaim() && !n.stopping.Load() && n.owner.Load() == nil {
+			sleep(ctx, rand.N(claimJitter))
+			n.claim(ctx, watch.Term())
+		}
+	}
+	return ctx.Err()
+}
+
+func (n *Node) noteDeaths(watch *medlartenure.Watch) {
+	select {
+	case t := <-n.deaths:
+		watch.OwnerDied(t)
+	default:
+	}
+}
+
+// setTerm notes who owns the cell, and watches the process of a new owner.
+func (n *Node) setTerm(ctx context.Context, t medlartenure.Term) {
+	present := n.term.Load()
+	if t.Number == 0 || present != nil && present.Number >= t.Number && present.Released == t.Released {
+		return
+	}
+	n.term.Store(&t)
+	n.log.Info().Str("event", "owner-changed").Uint64("term", t.Number).Str("instance", string(t.Instance)).
+		Bool("released", t.Released).Msg("")
+	if t.Process != n.process && !t.Released {
+		go n.watchProcess(ctx, t)
+	}
+}
+
+// watchProcess holds a connection to the owner. A connection that is closed and then refused shows that the process has
+// ended; silence shows nothing.
+func (n *Node) watchProcess(ctx context.Context, t medlartenure.Term) {
+	for ctx.Err() == nil {
+		if present := n.term.Load(); present == nil || present.Number != t.Number {
+			return
+		}
+		conn, err := net.DialTimeout("tcp4", t.Address, watchDialTimeout)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			n.log.Warn().Str("event", "owner-process-ended").Uint64("term", t.Number).Str("instance", string(t.Instance)).Msg("")
+			n.deaths <- t
+			return
+		}
+		if err != nil {
+			sleep(ctx, watchDialTimeout/4)
+			continue
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		_, _ = conn.Read(make([]byte, 1))
+		stop()
+		_ = conn.Close()
+	}
+}
+
+// claim makes this instance the owner of the cell, unless another one is faster.
+func (n *Node) claim(ctx context.Context, present medlartenure.Term) {
+	next := medlartenure.Term{
+		Number: present.Number + 1, Instance: n.config.Site.Instance, Address: n.config.Site.Peer, Process: n.process,
+	}
+	link, err := medlarledger.FirstLink(n.config.Owner.Part, next.Number)
+	if err != nil {
+		n.log.Error().Str("event", "claim-failed").Err(err).Msg("")
+		return
+	}
+	t, err := medlartenure.Claim(present, next, n.config.Owner.Part, link)
+	if err != nil {
+		n.log.Error().Str("event", "claim-failed").Err(err).Msg("")
+		return
+	}
+	claimedAt := n.clock.Now()
+	commit, err := n.store.Transact(t)
+	var conflict *medlartable.ConflictError
+	if errors.As(err, &conflict) {
+		if commit.Version = n.ownClaim(conflict); commit.Version != 0 {
+			err = nil
+		}
+	}
+	if err != nil {
+		n.log.Warn().Str("event", "claim-failed").Uint64("term", next.Number).Err(err).Msg("")
+		return
+	}
+	next.Version = commit.Version
+	n.log.Info().Str("event", "cell-claimed").Uint64("term", next.Number).Str("from", string(present.Instance)).Msg("")
+	n.setTerm(ctx, next)
+	n.own(ctx, next, claimedAt)
+}
+
+// ownClaim returns the version of a claim by this process whose answer was lost.
+func (n *Node) ownClaim(conflict *medlartable.ConflictError) medlarwheel.RowVersion {
+	row, found := conflict.Find(medlartenure.Table, medlartenure.KeyTerm)
+	if !found {
+		return 0
+	}
+	t, err := medlartenure.DecodeTerm(row)
+	if err != nil || t.Process != n.process || t.Released {
+		return 0
+	}
+	if present := n.term.Load(); present != nil && present.Number >= t.Number {
+		return 0
+	}
+	return t.Version
+}
+
+// own runs the scheduler in the background.
+func (n *Node) own(ctx context.Context, term medlartenure.Term, claimedAt time.Time) {
+	owner := medlarowner.New(n.config.Owner, medlarowner.Dependencies{
+		Store:    n.store,
+		Registry: medlarowner.Registry{Range: platform.WorkerRange(), Decode: platform.DecodeWorker},
+		Connect: func(id medlarwheel.WorkerID, address string) medlarowner.Agent {
+			return platform.NewWorker(platform.WorkerConfig{
+				ID: id, Address: address, Connections: n.config.OrderConnections, Timeout: n.config.OrderTimeout,
+			})
+		},
+		Clock: n.clock, Log: n.log, Meter: n.meter,
+	}, term, claimedAt)
+	n.owner.Store(owner)
+	go func() {
+		err := owner.Run(ctx)
+		n.owner.Store(nil)
+		n.log.Info().Str("event", "ownership-ended").Uint64("term", term.Number).Err(err).Msg("")
+	}()
+}
--- /dev/null
+++ b/internal/scheduling/medlarcell/cell.go
@@ -0,0 +1,309 @@
+package medlarcell
+
+import (
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
+)
+
+// Cell schedules the submissions of one cell on its workers.
+type Cell struct {
+	config Config
+	fence  medlarwheel.FencingToken
+	// firstRun is the lowest run number of this tenure. It is above all numbers of earlier ones.
+	firstRun medlarorder.RunNumber
+	// settleAt is when a task that no worker knows may be started even if some workers have not reported.
+	settleAt time.Time
+	settled  bool
+	jobs     map[medlarsubmission.ID]*job
+	workers  map[medlarwheel.WorkerID]*worker
+	// queue holds the steps with tasks that wait for a worker.
+	queue    []*step
+	dirty    []*job
+	waiting  map[string]int
+	commands []Command
+	notes    []Note
+	// authority is until when this owner may order, unless it renews its ownership.
+	authority time.Time
+	// superseded is true once a worker has seen the fencing token of another owner.
+	superseded bool
+	finished   []*job
+}
+
+// Tenure identifies one ownership of the cell.
+type Tenure struct {
+	// Fence is above the tokens of all earlier owners and leaves room below the next for raises.
+	Fence medlarwheel.FencingToken
+	// Term counts the owners of the cell from 1.
+	Term uint64
+}
+
+// runsPerTerm is the number of run numbers that one owner may use for a task.
+const runsPerTerm = 1000
+
+// New returns a cell without work.
+func New(c Config) *Cell {
+	return &Cell{
+		config: c, jobs: map[medlarsubmission.ID]*job{}, workers: map[medlarwheel.WorkerID]*worker{}, waiting: map[string]int{},
+	}
+}
+
+// Begin starts a tenure. Workers that an earlier owner may have ordered report before tasks that they may run are started.
+func (c *Cell) Begin(now time.Time, t Tenure) {
+	c.fence = t.Fence
+	c.firstRun = medlarorder.RunNumber((t.Term-1)*runsPerTerm + 1)
+	c.settleAt = now.Add(c.inheritedLease())
+}
+
+// Authorize sets until when this owner may order workers. Leases end at the latest one lease time after it.
+func (c *Cell) Authorize(until time.Time) {
+	if until.After(c.authority) {
+		c.authority = until
+	}
+}
+
+// leaseOf returns the end of the lease that the owner may grant now, on the worker's clock.
+func (c *Cell) leaseOf(now time.Time, w *worker) time.Duration {
+	if now.After(c.authority) {
+		now = c.authority
+	}
+	return w.until(now, c.config.Lease)
+}
+
+// inheritedLease bounds how long a lease of an earlier owner may last after its successor's claim.
+func (c *Cell) inheritedLease() time.Duration {
+	return time.Duration(float64(c.config.Lease)*(1+2*c.config.ClockDrift)) + c.config.LeaseMargin
+}
+
+// Restore takes in a submission that was accepted before this tenure, with its progress.
+func (c *Cell) Restore(now time.Time, s medlarsubmission.Submission, p Progress, cancelled bool) error {
+	if _, known := c.jobs[s.ID]; known {
+		return nil
+	}
+	j := c.add(now, s, true)
+	if err := j.apply(p); err != nil {
+		return err
+	}
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			c.enqueue(now, st)
+		}
+	}
+	if p.hasStarted() {
+		c.markStarted(j)
+	}
+	if p.State.IsFinal() {
+		c.finish(now, j, p.State)
+		j.durable = p.State
+	} else if cancelled {
+		c.cancel(now, j)
+	} else {
+		c.checkComplete(now, j)
+	}
+	return nil
+}
+
+// Accept takes in a newly accepted submission. A repetition changes nothing.
+func (c *Cell) Accept(now time.Time, s medlarsubmission.Submission) {
+	if _, known := c.jobs[s.ID]; known {
+		return
+	}
+	j := c.add(now, s, false)
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			c.enqueue(now, st)
+		}
+	}
+	c.note(Note{Kind: NoteAccepted, Submission: s.ID, Route: s.Route, Age: now.Sub(s.AcceptedAt)})
+}
+
+func (c *Cell) add(now time.Time, s medlarsubmission.Submission, inherited bool) *job {
+	j := newJob(s, inherited)
+	j.useless = s.AcceptedAt.Add(time.Duration(c.config.LateFactor * float64(j.due.Sub(s.AcceptedAt))))
+	c.jobs[s.ID] = j
+	if s.Times == 0 {
+		c.waiting[s.Route]++
+	}
+	return j
+}
+
+// markStarted notes that the first task of the job has started.
+func (c *Cell) markStarted(j *job) {
+	if j.state == medlarsubmission.StateQueued {
+		j.state = medlarsubmission.StateRunning
+	}
+	c.stopWaiting(j)
+}
+
+func (c *Cell) stopWaiting(j *job) {
+	if !j.counted() {
+		return
+	}
+	j.started = true
+	c.waiting[j.submission.Route]--
+}
+
+// counted reports whether the job is in the number of waiting submissions.
+func (j *job) counted() bool { return !j.started && j.submission.Times == 0 }
+
+// Cancel stops all tasks of a submission for good. It reports whether the submission is known.
+func (c *Cell) Cancel(now time.Time, id medlarsubmission.ID) bool {
+	j, known := c.jobs[id]
+	if known && !j.state.IsFinal() {
+		c.cancel(now, j)
+		c.note(Note{Kind: NoteCancelled, Submission: id, Route: j.submission.Route, Age: now.Sub(j.submission.AcceptedAt)})
+	}
+	return known
+}
+
+func (c *Cell) cancel(now time.Time, j *job) { c.finish(now, j, medlarsubmission.StateCancelled) }
+
+// finish puts the job into a final state and stops what still runs.
+func (c *Cell) finish(now time.Time, j *job, state medlarsubmission.State) {
+	c.stopWaiting(j)
+	j.started = true
+	j.state, j.finishedAt = state, now
+	c.finished = append(c.finished, j)
+	c.markDirty(j)
+	j.eachRun(func(r *run) { c.stop(now, r) })
+}
+
+// State returns the state of a submission as its caller may see it.
+func (c *Cell) State(id medlarsubmission.ID) (medlarsubmission.State, bool) {
+	j, known := c.jobs[id]
+	if !known {
+		return "", false
+	}
+	if j.state.IsFinal() && j.durable != j.state && j.state != medlarsubmission.StateCancelled {
+		return medlarsubmission.StateRunning, true
+	}
+	return j.state, true
+}
+
+// Waiting returns the number of accepted submissions of a route of which no task has started.
+func (c *Cell) Waiting(route string) int { return c.waiting[route] }
+
+// Superseded reports whether another owner has taken over.
+func (c *Cell) Superseded() bool { return c.superseded }
+
+// SetWorkers replaces the list of registered workers.
+func (c *Cell) SetWorkers(now time.Time, workers []medlarorder.Worker) {
+	listed := make(map[medlarwheel.WorkerID]bool, len(workers))
+	for i := range workers {
+		listed[workers[i].ID] = true
+		c.SetWorker(now, workers[i])
+	}
+	for id := range c.workers {
+		if !listed[id] {
+			c.Unregister(now, id)
+		}
+	}
+}
+
+// SetWorker takes in the registration of a worker.
+func (c *Cell) SetWorker(now time.Time, info medlarorder.Worker) {
+	w := c.workers[info.ID]
+	if w == nil {
+		w = newWorker(info, c.fence, c.settleAt)
+		c.workers[info.ID] = w
+		c.note(Note{Kind: NoteWorkerJoined, Worker: info.ID})
+	}
+	if info.Draining && !w.info.Draining {
+		c.note(Note{Kind: NoteWorkerDraining, Worker: info.ID, Age: info.Remaining})
+	}
+	address := w.info.Address
+	w.registered = true
+	if info.Life < w.life {
+		// An older registration than the worker's own report.
+		return
+	}
+	w.info = info
+	if info.Life != w.life {
+		c.restarted(now, w, info.Life)
+	}
+	if !w.holding || address != info.Address {
+		c.hold(now, w, 0)
+	}
+}
+
+// Unregister notes that the registration of a worker has gone. What runs there is kept while the worker answers.
+func (c *Cell) Unregister(now time.Time, id medlarwheel.WorkerID) {
+	w := c.workers[id]
+	if w == nil || !w.registered {
+		return
+	}
+	w.registered = false
+	c.note(Note{Kind: NoteWorkerGone, Worker: id, Age: now.Sub(w.contact)})
+}
+
+// restarted drops what ran in an earlier life of the worker.
+func (c *Cell) restarted(now time.Time, w *worker, life medlarorder.Life) {
+	known := w.life != 0
+	w.life = life
+	if !known {
+		return
+	}
+	c.note(Note{Kind: NoteWorkerRestarted, Worker: w.info.ID, Count: len(w.runs)})
+	for r := range w.runs {
+		c.lose(now, r, lostRestart)
+	}
+	w.processed, w.acked, w.reported = 0, 0, false
+	w.clockAt = time.Time{}
+	w.failedJobs, w.rate, w.fillRoom = nil, 1, 0
+}
+
+// Tick does what is due: leases that have ended, stops to send again, finished submissions to forget.
+func (c *Cell) Tick(now time.Time) {
+	if !c.settled && c.isSettled(now) {
+		c.settled = true
+		c.note(Note{Kind: NoteSettled, Count: len(c.workers)})
+	}
+	for id, w := range c.workers {
+		if len(w.runs) > 0 && now.After(w.leaseEnd) {
+			c.note(Note{Kind: NoteLeaseEnded, Worker: id, Count: len(w.runs), Age: now.Sub(w.contact)})
+			for r := range w.runs {
+				c.lose(now, r, lostLease)
+			}
+		}
+		if !w.registered && len(w.runs) == 0 && now.Sub(w.contact) > 2*c.config.Lease && now.After(w.leaseEnd) {
+			delete(c.workers, id)
+			c.commands = append(c.commands, Command{Kind: CommandForget, Worker: id})
+			continue
+		}
+		for r := range w.runs {
+			if r.stopping && now.Sub(r.stopSentAt) > c.config.StopRetry {
+				c.sendStop(now, r)
+			}
+		}
+	}
+	c.forget(now)
+}
+
+// isSettled reports whether every task that no worker has reported is known not to run.
+func (c *Cell) isSettled(now time.Time) bool {
+	if !now.Before(c.settleAt) {
+		return true
+	}
+	for _, w := range c.workers {
+		if !w.reported {
+			return false
+		}
+	}
+	return len(c.workers) > 0
+}
+
+func (c *Cell) forget(now time.Time) {
+	kept := 0
+	for kept < len(c.finished) && now.Sub(c.finished[kept].finishedAt) > c.config.KeepFinished {
+		j := c.finished[kept]
+		if j.dirty {
+			break
+		}
+		delete(c.jobs, j.submission.ID)
+		c.commands = append(c.commands, Command{Kind: CommandErase, Submission: j.submission.ID})
+		kept++
+	}
+	c.finished = c.finished[kept:]
+}
--- /dev/null
+++ b/internal/scheduling/medlarcell/config.go
@@ -0,0 +1,52 @@
+package medlarcell
+
+import "time"
+
+// Config configures a cell.
+type Config struct {
+	// Lease is how long a worker keeps running without hearing from its owner. Longer leases outlive a change of owner;
+	// shorter ones free the tasks of an unreachable worker sooner.
+	Lease time.Duration
+	// HoldWait is how long a worker may wait for an end before it answers a renewal. It bounds the age of the figures of
+	// running tasks.
+	HoldWait time.Duration
+	// HoldRetry is the pause after a renewal without an answer.
+	HoldRetry time.Duration
+	// ContactTimeout is the age of a worker's last answer after which it gets no new tasks.
+	ContactTimeout time.Duration
+	// ClockDrift is the greatest relative error of a worker's clock.
+	ClockDrift float64
+	// LeaseMargin is added to the computed end of a lease for rounding and delays.
+	LeaseMargin time.Duration
+	// StopTime is the longest time that a worker takes to stop a run.
+	StopTime time.Duration
+	// StopRetry is the time after which a stop without effect is sent again.
+	StopRetry time.Duration
+	// KeepFinished is how long a finished submission stays known.
+	KeepFinished time.Duration
+	// EarlyStart is how much before its due time an occurrence may start.
+	EarlyStart time.Duration
+	// RemoteFactor is how much slower a task is away from its data.
+	RemoteFactor float64
+	// FailuresToSuspend is the number of failed runs in a row, of different submissions, that suspends a worker.
+	FailuresToSuspend int
+	// SuspendTime is how long a suspended worker gets no new tasks. It doubles with each suspension in a row.
+	SuspendTime time.Duration
+	// UnhealthyPause is the pause after a worker has rejected an order as unhealthy or for want of room.
+	UnhealthyPause time.Duration
+	// ServingLoad is the part of its declared processors that a serving task uses, which leaves the rest to filling tasks.
+	ServingLoad float64
+	// LateFactor times its objective is the time after which a submission is of no more use to its caller.
+	LateFactor float64
+}
+
+// DefaultConfig returns the configuration for workers whose clocks are at most 2% slow.
+func DefaultConfig() Config {
+	return Config{
+		Lease: 3 * time.Second, HoldWait: 600 * time.Millisecond, HoldRetry: 150 * time.Millisecond,
+		ContactTimeout: 1300 * time.Millisecond, ClockDrift: 0.02, LeaseMargin: 200 * time.Millisecond,
+		StopTime: 400 * time.Millisecond, StopRetry: time.Second, KeepFinished: 2 * time.Minute,
+		EarlyStart: 0, RemoteFactor: 2, FailuresToSuspend: 2, SuspendTime: 4 * time.Second,
+		UnhealthyPause: 200 * time.Millisecond, ServingLoad: 0.5, LateFactor: 3,
+	}
+}
--- /dev/null
+++ b/internal/scheduling/medlarcell/job.go
@@ -0,0 +1,197 @@
+package medlarcell
+
+import (
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
+)
+
+// job is an accepted submission with the state of its tasks.
+type job struct {
+	submission medlarsubmission.Submission
+	state      medlarsubmission.State
+	// durable is the last final state that is stored. Callers see a final state only once it is durable.
+	durable     medlarsubmission.State
+	occurrences []*occurrence
+	// due is when the submission should be complete, and useless when it is of no more use.
+	due, useless time.Time
+	// chain is the longest chain of estimated work from each step to the end.
+	chain []time.Duration
+	// work is the estimated work of all tasks in core-seconds.
+	work       float64
+	started    bool
+	finishedAt time.Time
+	// inherited jobs were accepted before this tenure, so that their tasks may run on workers that have not reported yet.
+	inherited bool
+	dirty     bool
+}
+
+// occurrence is one run through the steps of a submission.
+type occurrence struct {
+	job   *job
+	index int
+	due   time.Time
+	steps []*step
+	left  int
+}
+
+// step is one step of an occurrence.
+type step struct {
+	occurrence *occurrence
+	index      int
+	spec       *medlarsubmission.Step
+	tasks      []task
+	// ready lists the tasks that wait for a worker.
+	ready []int
+	// blockers counts the unfinished steps that this step waits for.
+	blockers int
+	left     int
+	queued   bool
+	// readySince is when the step last became ready.
+	readySince time.Time
+	perWorker  map[*worker]int
+}
+
+// task is one task of a step.
+type task struct {
+	done     bool
+	waiting  bool
+	failures int
+	// lastRun is the highest run number used, and endedRun the highest that is known to have ended.
+	lastRun, endedRun medlarorder.RunNumber
+	checkpoint        string
+	runs              []*run
+	// avoid is the worker on which the last run failed.
+	avoid medlarwheel.WorkerID
+}
+
+// runPhase is how much is known about a run.
+type runPhase int
+
+const (
+	// runSent means that the start has no answer yet.
+	runSent runPhase = iota
+	// runConfirmed means that the worker has confirmed the run.
+	runConfirmed
+	// runUncertain means that the start got no answer: the run may be there, or may come later.
+	runUncertain
+)
+
+// run is one start of a task on a worker. It takes room there until its end is known.
+type run struct {
+	step   *step
+	index  int
+	number medlarorder.RunNumber
+	worker *worker
+	phase  runPhase
+	// sentAt is when the start was sent and confirmedAt when the worker confirmed it.
+	sentAt, confirmedAt time.Time
+	// settleFence is the fencing token above which the worker's lists say for good whether an uncertain run is there.
+	settleFence medlarwheel.FencingToken
+	stopping    bool
+	stopSentAt  time.Time
+	percent     int
+	saved       string
+	usage       int64
+	// progressAt is when percent last rose.
+	progressAt time.Time
+	// pace is the share of its speed at which the run works, in percent.
+	pace int
+}
+
+func (r *run) task() *task { return &r.step.tasks[r.index] }
+
+func (r *run) job() *job { return r.step.occurrence.job }
+
+func (r *run) name() medlarsubmission.TaskName { return r.step.name(r.index) }
+
+func (s *step) name(index int) medlarsubmission.TaskName {
+	return medlarsubmission.TaskName{
+		Submission: s.occurrence.job.submission.ID, Occurrence: s.occurrence.index, Step: s.index, Index: index,
+	}
+}
+
+// isOpen reports whether tasks of the step may run at the time.
+func (s *step) isOpen(now time.Time, early time.Duration) bool {
+	return s.blockers == 0 && !now.Add(early).Before(s.occurrence.due)
+}
+
+func newJob(s medlarsubmission.Submission, inherited bool) *job {
+	j := &job{submission: s, state: medlarsubmission.StateQueued, inherited: inherited}
+	j.chain = chains(s.Steps)
+	longest := time.Duration(0)
+	for i := range s.Steps {
+		longest = max(longest, j.chain[i])
+		j.work += float64(s.Steps[i].Count) * s.Steps[i].Estimate.Seconds() * float64(s.Steps[i].Size.MilliCPU) / milli
+	}
+	objective := time.Duration(s.Terms.Stretch*float64(longest)) + s.Terms.Allowance
+	j.due = s.AcceptedAt.Add(objective)
+	for k := range s.Occurrences() {
+		j.occurrences = append(j.occurrences, newOccurrence(j, k))
+	}
+	if s.Times > 0 {
+		j.due = s.Due(0).Add(objective)
+	}
+	return j
+}
+
+// milli is the number of thousandths of a core in a core.
+const milli = 1000
+
+// chains returns the longest chain of estimated work from each step to the end.
+func chains(steps []medlarsubmission.Step) []time.Duration {
+	chain := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- {
+		chain[i] += steps[i].Estimate
+		for _, earlier := range steps[i].After {
+			chain[earlier] = max(chain[earlier], chain[i])
+		}
+	}
+	return chain
+}
+
+func newOccurrence(j *job, index int) *occurrence {
+	o := &occurrence{job: j, index: index, due: j.submission.Due(index), left: len(j.submission.Steps)}
+	for i := range j.submission.Steps {
+		spec := &j.submission.Steps[i]
+		s := &step{occurrence: o, index: i, spec: spec, left: spec.Count, blockers: len(spec.After)}
+		s.tasks = make([]task, spec.Count)
+		s.ready = make([]int, spec.Count)
+		for t := range s.tasks {
+			s.tasks[t].waiting = true
+			s.ready[t] = t
+		}
+		if spec.MaxPerWorker > 0 {
+			s.perWorker = map[*worker]int{}
+		}
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+// taskOf returns the step and the task that a name stands for.
+func (j *job) taskOf(n medlarsubmission.TaskName) (*step, *task) {
+	if n.Occurrence >= len(j.occurrences) || n.Step >= len(j.occurrences[n.Occurrence].steps) {
+		return nil, nil
+	}
+	s := j.occurrences[n.Occurrence].steps[n.Step]
+	if n.Index >= len(s.tasks) {
+		return nil, nil
+	}
+	return s, &s.tasks[n.Index]
+}
+
+// eachRun calls f for every run of the job. f may end runs.
+func (j *job) eachRun(f func(*run)) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				for _, r := range append([]*run(nil), s.tasks[i].runs...) {
+					f(r)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduling/medlarcell/place.go
@@ -0,0 +1,234 @@
+package medlarcell
+
+import (
+	"slices"
+	"time"
+
+	"medlarwheel/internal/execution/medlarorder"
+)
+
+// Place starts waiting tasks on workers with room, in the order of the queue.
+func (c *Cell) Place(now time.Time) {
+	if c.superseded || len(c.queue) == 0 || now.After(c.authority) {
+		return
+	}
+	c.compact()
+	c.order(now)
+	usable := c.usable(now)
+	if len(usable) == 0 {
+		return
+	}
+	misses := 0
+	for _, s := range c.queue {
+		if misses >= maxMisses {
+			break
+		}
+		if !c.isOpen(now, s) {
+			continue
+		}
+		if s.spec.Gang {
+			c.placeGang(now, s, usable)
+		} else {
+			c.placeStep(now, s, usable)
+		}
+		if len(s.ready) > 0 {
+			misses++
+		}
+	}
+	c.compact()
+}
+
+// maxMisses bounds the steps without room that one pass looks at.
+const maxMisses = 60
+
+func (c *Cell) isOpen(now time.Time, s *step) bool {
+	if s.occurrence.job.inherited && !c.settled {
+		return false
+	}
+	return s.isOpen(now, c.config.EarlyStart)
+}
+
+// compact drops steps without waiting tasks from the queue.
+func (c *Cell) compact() {
+	c.queue = slices.DeleteFunc(c.queue, func(s *step) bool {
+		if len(s.ready) > 0 && !s.occurrence.job.state.IsFinal() {
+			return false
+		}
+		s.queued = false
+		return true
+	})
+}
+
+func (c *Cell) usable(now time.Time) []*worker {
+	usable := make([]*worker, 0, len(c.workers))
+	for _, w := range c.workers {
+		if w.isUsable(now, &c.config) {
+			usable = append(usable, w)
+		}
+	}
+	slices.SortFunc(usable, func(a, b *worker) int {
+		if a.info.ID < b.info.ID {
+			return -1
+		}
+		return 1
+	})
+	return usable
+}
+
+func (c *Cell) placeStep(now time.Time, s *step, usable []*worker) {
+	for len(s.ready) > 0 {
+		index := s.ready[0]
+		w := c.choose(now, s, &s.tasks[index], usable)
+		if w == nil {
+			return
+		}
+		c.start(now, w, s, index, 0)
+	}
+}
+
+// placeGang starts all tasks of a step or none.
+func (c *Cell) placeGang(now time.Time, s *step, usable []*worker) {
+	if len(s.ready) < len(s.tasks) {
+		return
+	}
+	var chosen []*run
+	number := c.firstRun
+	for i := range s.tasks {
+		number = max(number, s.tasks[i].lastRun+1)
+	}
+	for i := range s.tasks {
+		w := c.choose(now, s, &s.tasks[i], usable)
+		if w == nil {
+			break
+		}
+		r := &run{step: s, index: i, number: number, worker: w, sentAt: now, pace: fullPace}
+		w.add(r)
+		chosen = append(chosen, r)
+	}
+	for _, r := range chosen {
+		r.worker.remove(r)
+	}
+	if len(chosen) < len(s.tasks) {
+		return
+	}
+	checkpoint := s.tasks[0].checkpoint
+	for _, r := range chosen {
+		s.tasks[r.index].checkpoint = checkpoint
+		c.start(now, r.worker, s, r.index, number)
+	}
+}
+
+// start sends a task to a worker. Number zero means the next run number of the task.
+func (c *Cell) start(now time.Time, w *worker, s *step, index int, number medlarorder.RunNumber) {
+	t := &s.tasks[index]
+	if number == 0 {
+		number = max(c.firstRun, t.lastRun+1)
+	}
+	t.lastRun = number
+	r := &run{step: s, index: index, number: number, worker: w, sentAt: now, pace: fullPace, usage: -1}
+	c.begin(r)
+	order := medlarorder.Start{
+		Task: s.name(index), Run: number, Spec: s.occurrence.job.submission.Spec, Fence: w.fence,
+		Until: c.leaseOf(now, w), Checkpoint: t.checkpoint,
+	}
+	w.granted(order.Until, &c.config)
+	c.commands = append(c.commands, Command{Kind: CommandStart, Worker: w.info.ID, Address: w.info.Address, Start: order})
+}
+
+// choose returns the best worker with room for a task, or nil.
+func (c *Cell) choose(now time.Time, s *step, t *task, usable []*worker) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range usable {
+		if !c.fits(s, t, w) {
+			continue
+		}
+		if score := c.score(s, t, w); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// fits reports whether the worker may and can run the task.
+func (c *Cell) fits(s *step, t *task, w *worker) bool {
+	spec := s.spec
+	if w.info.Service != s.occurrence.job.submission.Service || spec.Requires != "" && !w.info.HasLabel(spec.Requires) {
+		return false
+	}
+	if spec.MaxPerWorker > 0 && s.perWorker[w] >= spec.MaxPerWorker {
+		return false
+	}
+	need := spec.Size
+	if spec.Fills {
+		need.MilliCPU = 0
+		if w.filling+spec.Size.MilliCPU > c.leftover(w) {
+			return false
+		}
+	}
+	return need.Fits(w.free())
+}
+
+// leftover estimates the processors that the tasks on a worker which don't fill leave unused.
+func (c *Cell) leftover(w *worker) int64 {
+	serving := float64(w.serving) * c.config.ServingLoad
+	return w.info.Capacity.MilliCPU - (w.committed.MilliCPU - w.serving) - int64(serving)
+}
+
+// Weights of the parts of a score. The parts are shares of a worker's capacity, from 0 to 1.
+const (
+	remotePenalty   = 2.0
+	avoidPenalty    = 4.0
+	slownessPenalty = 1.0
+	servingPenalty  = 0.5
+)
+
+// score rates a worker that fits. Higher is better.
+func (c *Cell) score(s *step, t *task, w *worker) float64 {
+	capacity := float64(max(1, w.info.Capacity.MilliCPU))
+	score := 0.0
+	switch {
+	case s.spec.Fills:
+		score = float64(c.leftover(w)-w.filling)/capacity - servingPenalty*float64(w.serving)/capacity
+	case s.spec.LongRunning:
+		// Serving tasks stay together, which keeps workers free of them for wide and filling work.
+		score = float64(w.serving)/capacity - float64(w.filling)/capacity
+	default:
+		score = float64(w.free().MilliCPU)/capacity - servingPenalty*float64(w.filling)/capacity
+	}
+	if s.spec.Rack != "" && s.spec.Rack != w.info.Rack {
+		score -= remotePenalty
+	}
+	if t.avoid == w.info.ID {
+		score -= avoidPenalty
+	}
+	score -= float64(len(w.failedJobs)) + slownessPenalty*max(0, 1-w.rate)
+	return score
+}
+
+// order sorts the queue: urgent routes first, then what can still meet its objective, then what is still of use.
+func (c *Cell) order(now time.Time) {
+	slices.SortStableFunc(c.queue, func(a, b *step) int {
+		ja, jb := a.occurrence.job, b.occurrence.job
+		if d := ja.submission.Terms.Priority - jb.submission.Terms.Priority; d != 0 {
+			return d
+		}
+		if d := hope(now, a) - hope(now, b); d != 0 {
+			return d
+		}
+		return ja.due.Compare(jb.due)
+	})
+}
+
+// hope returns 0 for work that can still meet its objective, 1 for work that is late but of use, and 2 for the rest.
+func hope(now time.Time, s *step) int {
+	j := s.occurrence.job
+	end := now.Add(j.chain[s.index])
+	if s.spec.LongRunning || !end.After(j.due) {
+		return 0
+	}
+	if !end.After(j.useless) {
+		return 1
+	}
+	return 2
+}
--- /dev/null
+++ b/internal/scheduling/medlarcell/progress.go
@@ -0,0 +1,221 @@
+package medlarcell
+
+import (
+	"encoding/base64"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
+)
+
+// Progress is what is stored about the execution of a submission. Runs are not part of it: the workers' lists are their
+// record.
+type Progress struct {
+	// State is set once it is final. The other fields are then empty.
+	State medlarsubmission.State `json:"state,omitempty"`
+	// Done holds one bit for each done task, by occurrence and step.
+	Done map[string]string `json:"done,omitempty"`
+	// Failures counts the failed runs by occurrence, step and task.
+	Failures map[string]int `json:"failures,omitempty"`
+	// Saved holds the checkpoints of interrupted tasks by occurrence, step and task.
+	Saved map[string]string `json:"saved,omitempty"`
+}
+
+// Record is the progress of one submission.
+type Record struct {
+	Submission medlarsubmission.ID
+	Progress   Progress
+}
+
+// Batch is a set of records that is stored as a whole.
+type Batch struct {
+	Records []Record
+	jobs    []*job
+	acks    map[*worker]ack
+}
+
+type ack struct {
+	life medlarorder.Life
+	end  medlarorder.EndNumber
+}
+
+// IsEmpty reports whether there is nothing to store and no end to acknowledge.
+func (b *Batch) IsEmpty() bool { return len(b.Records) == 0 && len(b.acks) == 0 }
+
+func (c *Cell) markDirty(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		c.dirty = append(c.dirty, j)
+	}
+}
+
+// HasFlush reports whether TakeFlush would return records.
+func (c *Cell) HasFlush() bool { return len(c.dirty) > 0 }
+
+// TakeFlush returns up to limit records that have changed. The ends that led to them are acknowledged once Flushed is
+// called with the batch. At most one batch may be on its way.
+func (c *Cell) TakeFlush(limit int) *Batch {
+	b := &Batch{acks: map[*worker]ack{}}
+	n := min(limit, len(c.dirty))
+	for _, j := range c.dirty[:n] {
+		j.dirty = false
+		b.jobs = append(b.jobs, j)
+		b.Records = append(b.Records, Record{Submission: j.submission.ID, Progress: j.progress()})
+	}
+	c.dirty = append([]*job(nil), c.dirty[n:]...)
+	if len(c.dirty) > 0 {
+		// An end may belong to a record that is not in this batch.
+		return b
+	}
+	for _, w := range c.workers {
+		if w.processed > w.acked {
+			b.acks[w] = ack{life: w.life, end: w.processed}
+		}
+	}
+	return b
+}
+
+// Flushed notes that the batch is stored.
+func (c *Cell) Flushed(b *Batch) {
+	for w, a := range b.acks {
+		if w.life == a.life {
+			w.acked = max(w.acked, a.end)
+		}
+	}
+	for i, j := range b.jobs {
+		if state := b.Records[i].Progress.State; state.IsFinal() {
+			j.durable = state
+		}
+	}
+}
+
+// FlushFailed puts the records of a batch back that could not be stored.
+func (c *Cell) FlushFailed(b *Batch) {
+	for _, j := range b.jobs {
+		c.markDirty(j)
+	}
+}
+
+func (j *job) progress() Progress {
+	if j.state.IsFinal() {
+		return Progress{State: j.state}
+	}
+	p := Progress{Done: map[string]string{}, Failures: map[string]int{}, Saved: map[string]string{}}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			s.record(&p)
+		}
+	}
+	return p
+}
+
+func (s *step) record(p *Progress) {
+	var bits []byte
+	key := fmt.Sprintf("%d.%d", s.occurrence.index, s.index)
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.done {
+			if bits == nil {
+				bits = make([]byte, (len(s.tasks)+7)/8)
+			}
+			bits[i/8] |= 1 << (i % 8)
+			continue
+		}
+		if t.failures > 0 {
+			p.Failures[fmt.Sprintf("%s.%d", key, i)] = t.failures
+		}
+		if t.checkpoint != "" && len(t.runs) == 0 {
+			p.Saved[fmt.Sprintf("%s.%d", key, i)] = t.checkpoint
+		}
+	}
+	if bits != nil {
+		p.Done[key] = base64.RawStdEncoding.EncodeToString(bits)
+	}
+}
+
+// hasStarted reports whether a task of the submission has run.
+func (p *Progress) hasStarted() bool { return len(p.Done)+len(p.Failures)+len(p.Saved) > 0 }
+
+// apply sets the state of a fresh job from its stored progress.
+func (j *job) apply(p Progress) error {
+	for key, text := range p.Done {
+		var k, index int
+		if _, err := fmt.Sscanf(key, "%d.%d", &k, &index); err != nil {
+			return errors.Wrapf(err, "key %q of done tasks", key)
+		}
+		bits, err := base64.RawStdEncoding.DecodeString(text)
+		if err != nil {
+			return errors.Wrapf(err, "done tasks of %q", key)
+		}
+		s, _ := j.taskOf(medlarsubmission.TaskName{Occurrence: k, Step: index})
+		if s == nil {
+			return errors.Errorf("done tasks of %q, which does not exist", key)
+		}
+		s.restoreDone(bits)
+	}
+	for key, n := range p.Failures {
+		if t, err := j.taskAt(key); err != nil {
+			return err
+		} else if t != nil {
+			t.failures = n
+		}
+	}
+	for key, saved := range p.Saved {
+		if t, err := j.taskAt(key); err != nil {
+			return err
+		} else if t != nil {
+			t.checkpoint = saved
+		}
+	}
+	return nil
+}
+
+func (j *job) taskAt(key string) (*task, error) {
+	var n medlarsubmission.TaskName
+	if _, err := fmt.Sscanf(key, "%d.%d.%d", &n.Occurrence, &n.Step, &n.Index); err != nil {
+		return nil, errors.Wrapf(err, "key %q of a task", key)
+	}
+	_, t := j.taskOf(n)
+	return t, nil
+}
+
+func (s *step) restoreDone(bits []byte) {
+	for i := range s.tasks {
+		if i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
+			s.complete(i)
+		}
+	}
+}
+
+// complete marks a task as done and unblocks the steps that wait for the last one.
+func (s *step) complete(index int) {
+	t := &s.tasks[index]
+	if t.done {
+		return
+	}
+	t.done, t.waiting = true, false
+	s.removeReady(index)
+	s.left--
+	if s.left > 0 {
+		return
+	}
+	s.occurrence.left--
+	for _, later := range s.occurrence.steps {
+		for _, earlier := range later.spec.After {
+			if earlier == s.index {
+				later.blockers--
+			}
+		}
+	}
+}
+
+func (s *step) removeReady(index int) {
+	for i, t := range s.ready {
+		if t == index {
+			s.ready = append(s.ready[:i], s.ready[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduling/medlarcell/report.go
@@ -0,0 +1,425 @@
+package medlarcell
+
+import (
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
+)
+
+// Reasons for which a run is given up without the worker's word.
+const (
+	lostLease   = "lease ended"
+	lostRestart = "worker restarted"
+	lostMissing = "not in the worker's lists"
+)
+
+// Reported takes in the result of a hold that was sent at sentAt. It orders the next one.
+func (c *Cell) Reported(now time.Time, id medlarwheel.WorkerID, extra bool, sentAt time.Time, h medlarorder.Hold, report medlarorder.Report, err error) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	if extra {
+		w.settling = false
+	} else {
+		w.holding = false
+	}
+	delay := time.Duration(0)
+	switch {
+	case err != nil:
+		c.unanswered(now, w)
+		delay = c.config.HoldRetry
+	case report.Verdict == medlarorder.VerdictFenced:
+		c.fencedOff(now, w, h.Fence)
+	case report.Verdict != medlarorder.VerdictAccepted:
+		delay = c.config.HoldRetry
+	default:
+		c.take(now, w, sentAt, h, report)
+	}
+	if !extra {
+		c.hold(now, w, delay)
+	}
+}
+
+func (c *Cell) unanswered(now time.Time, w *worker) {
+	if !w.contact.IsZero() && now.Sub(w.contact) >= c.config.ContactTimeout && now.Sub(w.contact) < c.config.ContactTimeout+c.config.HoldRetry {
+		c.note(Note{Kind: NoteWorkerSilent, Worker: w.info.ID, Age: now.Sub(w.contact), Count: len(w.runs)})
+	}
+	w.lifeUnsure = true
+	w.reported = w.reported && now.Sub(w.contact) < c.config.ContactTimeout
+}
+
+// fencedOff handles a worker that has seen a higher token than fence.
+func (c *Cell) fencedOff(now time.Time, w *worker, fence medlarwheel.FencingToken) {
+	if fence < w.fence {
+		return
+	}
+	if !c.superseded {
+		c.note(Note{Kind: NoteSuperseded, Worker: w.info.ID, Age: now.Sub(w.contact)})
+	}
+	c.superseded = true
+}
+
+// hold orders the next renewal of a worker's lease.
+func (c *Cell) hold(now time.Time, w *worker, delay time.Duration) {
+	if w.holding {
+		return
+	}
+	w.holding = true
+	c.commands = append(c.commands, Command{
+		Kind: CommandHold, Worker: w.info.ID, Address: w.info.Address, Delay: delay, Hold: c.renewal(now.Add(delay), w),
+	})
+}
+
+func (c *Cell) renewal(now time.Time, w *worker) medlarorder.Hold {
+	h := medlarorder.Hold{Fence: w.fence}
+	if w.reported && !w.lifeUnsure {
+		// Ends are acknowledged only towards the life that has listed them.
+		h.AckedUpTo, h.Wait = w.acked, c.config.HoldWait
+	}
+	if !w.clockAt.IsZero() {
+		h.Until = c.leaseOf(now, w)
+		w.granted(h.Until, &c.config)
+	}
+	return h
+}
+
+// settle asks a worker at once, under a raised token, for its lists. Orders with lower tokens then have no later effect.
+func (c *Cell) settle(now time.Time, w *worker, r *run) {
+	if w.settling {
+		r.settleFence = w.fence + 1
+		return
+	}
+	w.fence++
+	r.settleFence = w.fence
+	w.settling = true
+	h := c.renewal(now, w)
+	h.Wait = 0
+	c.commands = append(c.commands, Command{
+		Kind: CommandHold, Worker: w.info.ID, Address: w.info.Address, Extra: true, Hold: h,
+	})
+}
+
+// take takes in the lists of a worker.
+func (c *Cell) take(now time.Time, w *worker, sentAt time.Time, h medlarorder.Hold, report medlarorder.Report) {
+	if report.Life < w.life && report.Life != 0 {
+		return
+	}
+	if report.Life != w.life && report.Life != 0 {
+		c.restarted(now, w, report.Life)
+	}
+	if now.Sub(w.contact) >= c.config.ContactTimeout && !w.contact.IsZero() {
+		c.note(Note{Kind: NoteWorkerBack, Worker: w.info.ID, Age: now.Sub(w.contact)})
+	}
+	w.heard(now, report.Clock)
+	w.lifeUnsure = false
+	first := !w.reported
+	for i := range report.Ended {
+		if e := &report.Ended[i]; e.Number > w.processed {
+			w.processed = e.Number
+			c.ended(now, w, e)
+		}
+	}
+	listed := make(map[*run]struct{}, len(report.Running))
+	for i := range report.Running {
+		if r := c.listed(now, w, &report.Running[i]); r != nil {
+			listed[r] = struct{}{}
+		}
+	}
+	for r := range w.runs {
+		if _, ok := listed[r]; !ok && r.isMissing(sentAt, h.Fence) {
+			c.lose(now, r, lostMissing)
+		}
+	}
+	w.reported = true
+	if first && !c.settled && c.isSettled(now) {
+		c.settled = true
+		c.note(Note{Kind: NoteSettled, Count: len(c.workers)})
+	}
+	c.observe(now, w)
+	c.settleRest(now, w)
+}
+
+// isMissing reports whether a list that was asked for at sentAt, under fence, says that the run is not there for good.
+func (r *run) isMissing(sentAt time.Time, fence medlarwheel.FencingToken) bool {
+	switch r.phase {
+	case runConfirmed:
+		return sentAt.After(r.confirmedAt)
+	case runUncertain:
+		return fence >= r.settleFence
+	default:
+		return false
+	}
+}
+
+// settleRest asks again for uncertain runs that this report did not settle.
+func (c *Cell) settleRest(now time.Time, w *worker) {
+	for r := range w.runs {
+		if r.phase == runUncertain {
+			c.settle(now, w, r)
+			return
+		}
+	}
+}
+
+// listed takes in one running task of a worker. It returns the run, or nil if it is to be stopped.
+func (c *Cell) listed(now time.Time, w *worker, l *medlarorder.Running) *run {
+	r := w.find(l.Task, l.Run)
+	if r == nil {
+		r = c.adopt(now, w, l)
+	}
+	if r == nil {
+		c.commands = append(c.commands, Command{
+			Kind: CommandStop, Worker: w.info.ID, Address: w.info.Address,
+			Stop: medlarorder.Stop{Task: l.Task, Run: l.Run, Fence: w.fence},
+		})
+		c.note(Note{Kind: NoteStrayStopped, Task: l.Task, Run: l.Run, Worker: w.info.ID})
+		return nil
+	}
+	if r.phase != runConfirmed {
+		c.confirm(now, r)
+	}
+	if l.Percent > r.percent || r.progressAt.IsZero() {
+		r.percent, r.progressAt = l.Percent, now
+	}
+	r.saved = l.Saved
+	if l.Saved != "" {
+		r.task().checkpoint = l.Saved
+	}
+	r.usage = -1
+	if l.HasUsage {
+		r.usage = l.Usage
+	}
+	return r
+}
+
+// adopt takes over a run that an earlier owner has started, or returns nil if nobody needs it.
+func (c *Cell) adopt(now time.Time, w *worker, l *medlarorder.Running) *run {
+	j := c.jobs[l.Task.Submission]
+	if j == nil || j.state.IsFinal() {
+		return nil
+	}
+	s, t := j.taskOf(l.Task)
+	if t == nil || t.done || l.Run <= t.endedRun || len(t.runs) > 0 {
+		return nil
+	}
+	t.lastRun = max(t.lastRun, l.Run)
+	r := &run{step: s, index: l.Task.Index, number: l.Run, worker: w, sentAt: now, progressAt: now, pace: fullPace}
+	c.begin(r)
+	c.note(Note{Kind: NoteTaskAdopted, Task: l.Task, Run: l.Run, Worker: w.info.ID})
+	return r
+}
+
+// fullPace is the pace of a run that is not slowed, in percent.
+const fullPace = 100
+
+// begin attaches a run to its task and its worker.
+func (c *Cell) begin(r *run) {
+	t := r.task()
+	if t.waiting {
+		t.waiting = false
+		r.step.removeReady(r.index)
+	}
+	t.runs = append(t.runs, r)
+	r.worker.add(r)
+}
+
+// confirm notes that the worker has the run.
+func (c *Cell) confirm(now time.Time, r *run) {
+	if r.phase == runConfirmed {
+		return
+	}
+	r.phase, r.confirmedAt = runConfirmed, now
+	if r.progressAt.IsZero() {
+		r.progressAt = now
+	}
+	j := r.job()
+	if !j.started {
+		c.markStarted(j)
+		c.note(Note{
+			Kind: NoteFirstStart, Submission: j.submission.ID, Route: j.submission.Route, Worker: r.worker.info.ID,
+			Age: now.Sub(j.submission.AcceptedAt),
+		})
+	}
+}
+
+// detach removes a run from its task and its worker.
+func (c *Cell) detach(r *run) {
+	t := r.task()
+	for i, other := range t.runs {
+		if other == r {
+			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			break
+		}
+	}
+	r.worker.remove(r)
+}
+
+// lose gives up a run that can't be running any more, and puts its task back into the queue.
+func (c *Cell) lose(now time.Time, r *run, reason string) {
+	c.detach(r)
+	t := r.task()
+	t.endedRun = max(t.endedRun, r.number)
+	c.note(Note{Kind: NoteTaskLost, Task: r.name(), Run: r.number, Worker: r.worker.info.ID, Reason: reason, Age: now.Sub(r.sentAt)})
+	c.requeue(now, r.step, r.index)
+}
+
+// ended takes in one end from a worker's list.
+func (c *Cell) ended(now time.Time, w *worker, e *medlarorder.Ended) {
+	r := w.find(e.Task, e.Run)
+	if r != nil {
+		if r.phase != runConfirmed {
+			c.confirm(now, r)
+		}
+		c.detach(r)
+	}
+	j := c.jobs[e.Task.Submission]
+	if j == nil {
+		return
+	}
+	s, t := j.taskOf(e.Task)
+	if t == nil {
+		return
+	}
+	t.endedRun = max(t.endedRun, e.Run)
+	t.lastRun = max(t.lastRun, e.Run)
+	if j.state.IsFinal() || t.done {
+		return
+	}
+	if e.Saved != "" {
+		t.checkpoint = e.Saved
+	}
+	switch e.Kind {
+	case medlarorder.EndDone:
+		c.done(now, w, r, s, e)
+	case medlarorder.EndFailed:
+		c.failed(now, w, s, e)
+	default:
+		c.markDirty(j)
+		c.requeue(now, s, e.Task.Index)
+	}
+}
+
+// done records the end of a task's work.
+func (c *Cell) done(now time.Time, w *worker, r *run, s *step, e *medlarorder.Ended) {
+	w.failedJobs, w.suspensions = w.failedJobs[:0], 0
+	j := s.occurrence.job
+	if !j.started {
+		c.markStarted(j)
+	}
+	if s.spec.LongRunning {
+		c.requeue(now, s, e.Task.Index)
+		return
+	}
+	if r != nil {
+		c.learn(now, r)
+	}
+	for _, other := range append([]*run(nil), s.tasks[e.Task.Index].runs...) {
+		c.stop(now, other)
+	}
+	if s.spec.Gang {
+		// One end stands for all members.
+		for i := range s.tasks {
+			s.complete(i)
+		}
+	}
+	s.complete(e.Task.Index)
+	c.markDirty(j)
+	if s.left == 0 {
+		for _, later := range s.occurrence.steps {
+			c.enqueue(now, later)
+		}
+	}
+	c.checkComplete(now, j)
+}
+
+func (c *Cell) checkComplete(now time.Time, j *job) {
+	for _, o := range j.occurrences {
+		if o.left > 0 {
+			return
+		}
+	}
+	if j.state.IsFinal() {
+		return
+	}
+	c.finish(now, j, medlarsubmission.StateCompleted)
+	c.note(Note{
+		Kind: NoteCompleted, Submission: j.submission.ID, Route: j.submission.Route, Age: now.Sub(j.submission.AcceptedAt),
+		Reason: timeliness(now, j),
+	})
+}
+
+func timeliness(now time.Time, j *job) string {
+	switch {
+	case !now.After(j.due):
+		return "in time"
+	case !now.After(j.useless):
+		return "late"
+	default:
+		return "too late"
+	}
+}
+
+// failed counts a failed run, and fails the submission once the attempts are used up.
+func (c *Cell) failed(now time.Time, w *worker, s *step, e *medlarorder.Ended) {
+	j, t := s.occurrence.job, &s.tasks[e.Task.Index]
+	c.blame(now, w, j)
+	t.avoid = w.info.ID
+	c.note(Note{Kind: NoteTaskFailed, Task: e.Task, Run: e.Run, Worker: w.info.ID, Count: t.failures + 1})
+	if s.spec.LongRunning {
+		c.requeue(now, s, e.Task.Index)
+		return
+	}
+	t.failures++
+	c.markDirty(j)
+	if t.failures >= max(1, j.submission.Terms.MaxAttempts) {
+		c.finish(now, j, medlarsubmission.StateFailed)
+		c.note(Note{Kind: NoteFailed, Submission: j.submission.ID, Route: j.submission.Route, Task: e.Task, Worker: w.info.ID, Age: now.Sub(j.submission.AcceptedAt)})
+		return
+	}
+	c.requeue(now, s, e.Task.Index)
+}
+
+// blame counts a failed run against the worker. Failures of different submissions in a row point to the worker; those of
+// one submission point to the submission.
+func (c *Cell) blame(now time.Time, w *worker, j *job) {
+	for _, id := range w.failedJobs {
+		if id == j.submission.ID {
+			return
+		}
+	}
+	w.failedJobs = append(w.failedJobs, j.submission.ID)
+	if len(w.failedJobs) < c.config.FailuresToSuspend {
+		return
+	}
+	pause := c.config.SuspendTime << min(w.suspensions, maxSuspendDoublings)
+	w.suspensions++
+	w.failedJobs = w.failedJobs[:0]
+	w.pausedTo = now.Add(pause)
+	c.note(Note{Kind: NoteWorkerSuspended, Worker: w.info.ID, Age: pause, Count: w.suspensions})
+}
+
+// maxSuspendDoublings bounds the growth of the suspension of a worker that fails everything.
+const maxSuspendDoublings = 3
+
+// requeue makes a task wait for a worker again, unless it is done or another copy runs.
+func (c *Cell) requeue(now time.Time, s *step, index int) {
+	t := &s.tasks[index]
+	if t.done || t.waiting || len(t.runs) > 0 || s.occurrence.job.state.IsFinal() {
+		return
+	}
+	t.waiting = true
+	s.ready = append(s.ready, index)
+	c.enqueue(now, s)
+}
+
+// enqueue puts a step with waiting tasks into the queue.
+func (c *Cell) enqueue(now time.Time, s *step) {
+	if s.queued || len(s.ready) == 0 || s.blockers > 0 || s.occurrence.job.state.IsFinal() {
+		return
+	}
+	s.queued, s.readySince = true, now
+	c.queue = append(c.queue, s)
+}
--- /dev/null
+++ b/internal/scheduling/medlarowner/flush.go
@@ -0,0 +1,126 @@
+package medlarowner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/scheduling/medlarcell"
+	"medlarwheel/internal/state/medlarledger"
+	"medlarwheel/internal/state/medlartable"
+	"medlarwheel/internal/state/medlartenure"
+)
+
+// maxErase bounds the forgotten submissions that one batch removes, at three rows each.
+const maxErase = 10
+
+// flush stores changed records and renews the ownership, one batch at a time.
+func (o *Owner) flush(ctx context.Context, now time.Time) {
+	if o.flushing || o.releasing {
+		return
+	}
+	if wait := o.config.FlushInterval - now.Sub(o.flushedAt); wait > 0 {
+		o.wakeForFlush(wait)
+		return
+	}
+	renew := now.Sub(o.renewedAt) >= o.config.Tenure.RenewInterval
+	limit := medlarledger.MaxRecords
+	var erase []medlarsubmission.ID
+	if renew && len(o.erase) > 0 {
+		n := min(len(o.erase), maxErase)
+		erase, o.erase = o.erase[:n], o.erase[n:]
+		limit -= 3 * n
+	}
+	if !renew && !o.cell.HasFlush() {
+		if batch := o.cell.TakeFlush(0); !batch.IsEmpty() {
+			// Ends that change no record need no write before they are forgotten.
+			o.cell.Flushed(batch)
+		}
+		return
+	}
+	batch := o.cell.TakeFlush(limit)
+	transaction, err := o.chain.Next(batch.Records, erase, renew)
+	if err != nil {
+		o.Log.Error().Str("event", "flush-not-encoded").Err(err).Msg("")
+		o.cell.FlushFailed(batch)
+		return
+	}
+	o.flushing, o.flushedAt = true, now
+	go o.store(ctx, transaction, batch, renew)
+}
+
+// wakeForFlush makes the control goroutine look again once the next batch may be sent.
+func (o *Owner) wakeForFlush(wait time.Duration) {
+	if o.flushWake || !o.cell.HasFlush() {
+		return
+	}
+	o.flushWake = true
+	time.AfterFunc(wait, func() { o.post(func(time.Time) { o.flushWake = false }) })
+}
+
+// store sends a batch until its outcome is known.
+func (o *Owner) store(ctx context.Context, t medlartable.Transaction, batch *medlarcell.Batch, renew bool) {
+	for {
+		sentAt := o.Clock.Now()
+		commit, err := o.Store.Transact(t)
+		o.Meter.Time("owner.flush", o.Clock.Now().Sub(sentAt))
+		outcome := o.chain.Settle(commit, err)
+		if outcome != medlarledger.OutcomeRetry {
+			o.post(func(now time.Time) { o.stored(now, batch, outcome, sentAt, renew) })
+			return
+		}
+		o.Log.Warn().Str("event", "flush-failed").Int("records", len(batch.Records)).Err(err).Msg("")
+		if !sleep(ctx, o.config.FlushRetry) {
+			return
+		}
+	}
+}
+
+func (o *Owner) stored(now time.Time, batch *medlarcell.Batch, outcome medlarledger.Outcome, sentAt time.Time, renew bool) {
+	o.flushing = false
+	if outcome == medlarledger.OutcomeSuperseded {
+		o.Log.Warn().Str("event", "owner-superseded").Uint64("term", o.term.Number).Dur("flush-age", now.Sub(sentAt)).Msg("")
+		o.superseded = true
+		return
+	}
+	o.cell.Flushed(batch)
+	if renew {
+		o.renewedAt = sentAt
+		o.cell.Authorize(sentAt.Add(o.config.Tenure.OwnerTimeout))
+	}
+}
+
+// Release gives the cell back, so that another instance can claim it at once. The owner gives no more orders.
+func (o *Owner) Release(ctx context.Context) error {
+	stopped := make(chan struct{})
+	if !o.post(func(time.Time) { o.releasing = true; o.superseded = true; close(stopped) }) {
+		return nil
+	}
+	select {
+	case <-stopped:
+	case <-o.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return ReleaseTerm(o.Store, o.config.Part, o.term)
+}
+
+// ReleaseTerm marks a claim as released.
+func ReleaseTerm(store Store, part string, term medlartenure.Term) error {
+	present := term.Version
+	term.Released = true
+	value, err := json.Marshal(term)
+	if err != nil {
+		return errors.Wrap(err, "release of a claim")
+	}
+	row := medlartable.Row{Table: medlartenure.Table, Part: part, Key: medlartenure.KeyTerm}
+	t := medlartable.Transaction{Require: []medlartable.Row{row}, Put: []medlartable.Row{row}}
+	t.Require[0].Version = present
+	t.Put[0].Value = value
+	_, err = store.Transact(t)
+	return medlarwheel.AtStep("release cell", "", err)
+}
--- /dev/null
+++ b/internal/scheduling/medlarowner/load.go
@@ -0,0 +1,191 @@
+package medlarowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
+	"medlarwheel/internal/scheduling/medlarcell"
+	"medlarwheel/internal/state/medlarledger"
+	"medlarwheel/internal/state/medlartable"
+)
+
+// load reads the records of the cell and the list of workers.
+func (o *Owner) load(ctx context.Context) error {
+	var submissions, progress, workers []medlartable.Row
+	began := o.Clock.Now()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() (err error) {
+		submissions, o.followFrom, err = o.readAll(ctx, medlartable.Range{Table: medlarledger.TableSubmissions, Part: o.config.Part})
+		return err
+	})
+	group.Go(func() (err error) {
+		progress, _, err = o.readAll(ctx, medlartable.Range{Table: medlarledger.TableProgress, Part: o.config.Part})
+		return err
+	})
+	group.Go(func() (err error) {
+		workers, o.workersFrom, err = o.readAll(ctx, o.Registry.Range)
+		return err
+	})
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	now := o.Clock.Now()
+	o.restore(now, submissions, progress)
+	o.cell.SetWorkers(now, o.decodeWorkers(workers))
+	o.Log.Info().Str("event", "cell-loaded").Uint64("term", o.term.Number).Int("submission-rows", len(submissions)).
+		Int("workers", len(workers)).Dur("took", now.Sub(began)).Msg("")
+	return nil
+}
+
+// readAll repeats a read until it succeeds or the context ends.
+func (o *Owner) readAll(ctx context.Context, r medlartable.Range) ([]medlartable.Row, medlarwheel.RowVersion, error) {
+	for {
+		rows, version, err := medlartable.ReadAll(o.Store, r)
+		if err == nil {
+			return rows, version, nil
+		}
+		o.Log.Warn().Str("event", "table-read-failed").Str("table", r.Table).Err(err).Msg("")
+		if !sleep(ctx, o.config.FollowRetry) {
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (o *Owner) restore(now time.Time, submissions, progress []medlartable.Row) {
+	states := make(map[medlarsubmission.ID]medlarcell.Progress, len(progress))
+	for _, r := range progress {
+		p, err := medlarledger.DecodeProgress(r)
+		if err != nil {
+			o.Log.Error().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
+			continue
+		}
+		states[medlarsubmission.ID(r.Key)] = p
+	}
+	entries, cancelled := o.decodeEntries(submissions)
+	for i := range entries {
+		s := entries[i].Submission
+		if err := o.cell.Restore(now, s, states[s.ID], cancelled[s.ID]); err != nil {
+			o.Log.Error().Str("event", "row-refused").Str("table", medlarledger.TableProgress).Str("id", string(s.ID)).Err(err).Msg("")
+		}
+	}
+}
+
+func (o *Owner) decodeEntries(rows []medlartable.Row) (accepted []medlarledger.Entry, cancelled map[medlarsubmission.ID]bool) {
+	cancelled = map[medlarsubmission.ID]bool{}
+	for _, r := range rows {
+		if r.Deleted {
+			continue
+		}
+		e, err := medlarledger.DecodeEntry(r)
+		switch {
+		case err != nil:
+			o.Log.Error().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
+		case e.Cancel:
+			cancelled[e.ID] = true
+		default:
+			accepted = append(accepted, e)
+		}
+	}
+	return accepted, cancelled
+}
+
+func (o *Owner) decodeWorkers(rows []medlartable.Row) []medlarorder.Worker {
+	var workers []medlarorder.Worker
+	for _, r := range rows {
+		w, err := o.Registry.Decode(r.Key, r.Value)
+		if err != nil {
+			o.Log.Warn().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
+			continue
+		}
+		workers = append(workers, w)
+	}
+	return workers
+}
+
+// followSubmissions takes in newly accepted submissions and cancellations.
+func (o *Owner) followSubmissions(ctx context.Context) error {
+	r := medlartable.Range{Table: medlarledger.TableSubmissions, Part: o.config.Part}
+	return o.follow(ctx, r, o.followFrom, func(rows []medlartable.Row, _ bool) {
+		entries, cancelled := o.decodeEntries(rows)
+		o.post(func(now time.Time) {
+			for i := range entries {
+				o.cell.Accept(now, entries[i].Submission)
+			}
+			for id := range cancelled {
+				o.cell.Cancel(now, id)
+			}
+		})
+	})
+}
+
+// followWorkers takes in changes of the list of workers.
+func (o *Owner) followWorkers(ctx context.Context) error {
+	return o.follow(ctx, o.Registry.Range, o.workersFrom, func(rows []medlartable.Row, whole bool) {
+		var gone []medlartable.Row
+		present := rows[:0:0]
+		for _, r := range rows {
+			if r.Deleted {
+				gone = append(gone, r)
+			} else {
+				present = append(present, r)
+			}
+		}
+		workers := o.decodeWorkers(present)
+		o.post(func(now time.Time) {
+			if whole {
+				o.cell.SetWorkers(now, workers)
+				return
+			}
+			for _, w := range workers {
+				o.cell.SetWorker(now, w)
+			}
+			for _, r := range gone {
+				o.cell.Unregister(now, medlarwheel.WorkerID(r.Key))
+			}
+		})
+	})
+}
+
+// follow calls take with the changes of a table in order, and with all its rows after its history was dropped.
+func (o *Owner) follow(ctx context.Context, r medlartable.Range, from medlarwheel.RowVersion, take func(rows []medlartable.Row, whole bool)) error {
+	for ctx.Err() == nil {
+		page, err := o.Store.Follow(medlartable.Follow{Table: r.Table, After: from, Wait: o.config.FollowWait})
+		switch {
+		case errors.Is(err, medlartable.ErrHistoryGone):
+			o.Log.Warn().Str("event", "table-history-gone").Str("table", r.Table).Uint64("after", uint64(from)).Msg("")
+			rows, version, err := o.readAll(ctx, r)
+			if err != nil {
+				return err
+			}
+			from = version
+			take(rows, true)
+		case err != nil:
+			o.Log.Warn().Str("event", "table-follow-failed").Str("table", r.Table).Err(err).Msg("")
+			sleep(ctx, o.config.FollowRetry)
+		default:
+			from = max(from, page.Version)
+			if len(page.Rows) > 0 {
+				take(page.Rows, false)
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// sleep waits and reports whether the context is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/scheduling/medlarowner/owner.go
@@ -0,0 +1,229 @@
+// Package medlarowner runs the scheduler of a cell on the instance that owns it: it loads the cell's records, follows new
+// submissions and workers, carries out the commands of the scheduler, and stores its records.
+//
+// One goroutine owns the scheduler; everything else reaches it as events. Calls to workers and to the table are made by
+// other goroutines, which report back with events.
+//
+// # Usage
+//
+//	owner, err := medlarowner.New(config, dependencies, tenure)
+//	err = owner.Run(ctx) // until the context ends or another instance owns the cell
+package medlarowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
+	"medlarwheel/internal/operation/medlarmeter"
+	"medlarwheel/internal/scheduling/medlarcell"
+	"medlarwheel/internal/state/medlarledger"
+	"medlarwheel/internal/state/medlartable"
+	"medlarwheel/internal/state/medlartenure"
+)
+
+// ErrSuperseded means that another instance owns the cell.
+var ErrSuperseded = errors.New("another instance owns the cell")
+
+// Store is the platform's table.
+type Store interface {
+	Transact(t medlartable.Transaction) (medlartable.Commit, error)
+	Read(r medlartable.Range) (medlartable.Page, error)
+	Follow(f medlartable.Follow) (medlartable.Page, error)
+}
+
+// Agent gives orders to one worker.
+type Agent interface {
+	Start(s medlarorder.Start) (medlarorder.Answer, error)
+	Stop(s medlarorder.Stop) (medlarorder.Answer, error)
+	Pace(p medlarorder.Pace) (medlarorder.Answer, error)
+	Hold(h medlarorder.Hold) (medlarorder.Report, error)
+	Close()
+}
+
+// Registry reads the list of workers.
+type Registry struct {
+	// Range selects the rows in which workers register themselves.
+	Range medlartable.Range
+	// Decode reads one row.
+	Decode func(id string, data []byte) (medlarorder.Worker, error)
+}
+
+// Config configures an owner.
+type Config struct {
+	// Part is the part of the table that holds the cell's rows.
+	Part   string
+	Cell   medlarcell.Config
+	Tenure medlartenure.Config
+	// TickInterval is the time between two looks at what is due.
+	TickInterval time.Duration
+	// FlushInterval is the least time between two writes of records. It bounds the calls to the table.
+	FlushInterval time.Duration
+	// FlushRetry is the pause after a write that the table has refused.
+	FlushRetry time.Duration
+	// FollowWait is how long the table may hold a read of changes. It bounds the time lost on a connection gone silent.
+	FollowWait time.Duration
+	// FollowRetry is the pause after a failed read of changes.
+	FollowRetry time.Duration
+}
+
+// DefaultConfig returns the configuration for a cell of some hundred workers.
+func DefaultConfig() Config {
+	return Config{
+		Part: "c0", Cell: medlarcell.DefaultConfig(), Tenure: medlartenure.DefaultConfig(),
+		TickInterval: 50 * time.Millisecond, FlushInterval: 15 * time.Millisecond, FlushRetry: 100 * time.Millisecond,
+		FollowWait: 700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
+	}
+}
+
+// Dependencies are what an owner works with.
+type Dependencies struct {
+	Store    Store
+	Registry Registry
+	// Connect returns the agent of a worker.
+	Connect func(id medlarwheel.WorkerID, address string) Agent
+	Clock   medlarwheel.Clock
+	Log     zerolog.Logger
+	Meter   *medlarmeter.Meter
+}
+
+// eventBuffer is the number of events that may wait for the control goroutine.
+const eventBuffer = 1024
+
+// Owner runs the scheduler of a cell.
+type Owner struct {
+	config Config
+	Dependencies
+	term   medlartenure.Term
+	cell   *medlarcell.Cell
+	chain  *medlarledger.Chain
+	agents map[medlarwheel.WorkerID]*agentEntry
+	events chan func(now time.Time)
+	done   chan struct{}
+
+	flushing  bool
+	flushWake bool
+	flushedAt time.Time
+	renewedAt time.Time
+	// followFrom and workersFrom are the versions up to which submissions and workers are loaded.
+	followFrom, workersFrom medlarwheel.RowVersion
+	erase                   []medlarsubmission.ID
+	releasing               bool
+	superseded              bool
+}
+
+type agentEntry struct {
+	agent   Agent
+	address string
+}
+
+// New returns the owner of a cell after its claim was stored with the version of term.
+func New(c Config, d Dependencies, term medlartenure.Term, claimedAt time.Time) *Owner {
+	o := &Owner{
+		config: c, Dependencies: d, term: term, cell: medlarcell.New(c.Cell),
+		chain:  medlarledger.NewChain(c.Part, term.Number, term.Version),
+		agents: map[medlarwheel.WorkerID]*agentEntry{}, events: make(chan func(time.Time), eventBuffer),
+		done: make(chan struct{}), renewedAt: claimedAt,
+	}
+	o.cell.Begin(claimedAt, medlarcell.Tenure{Fence: medlartenure.Fence(term.Version), Term: term.Number})
+	o.cell.Authorize(claimedAt.Add(c.Tenure.OwnerTimeout))
+	return o
+}
+
+// Run works until the context ends or another instance owns the cell.
+func (o *Owner) Run(ctx context.Context) error {
+	defer close(o.done)
+	if err := o.load(ctx); err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return o.followSubmissions(ctx) })
+	group.Go(func() error { return o.followWorkers(ctx) })
+	group.Go(func() error { return o.control(ctx) })
+	err := group.Wait()
+	for _, a := range o.agents {
+		a.agent.Close()
+	}
+	return err
+}
+
+// control is the only goroutine that touches the scheduler.
+func (o *Owner) control(ctx context.Context) error {
+	ticker := time.NewTicker(o.config.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case event := <-o.events:
+			event(o.Clock.Now())
+			o.drain()
+		case <-ticker.C:
+			o.cell.Tick(o.Clock.Now())
+		}
+		now := o.Clock.Now()
+		o.cell.Place(now)
+		o.carryOut(ctx)
+		o.flush(ctx, now)
+		o.logNotes()
+		if o.superseded || o.cell.Superseded() {
+			return ErrSuperseded
+		}
+	}
+}
+
+// drain handles the events that have come in meanwhile, so that one pass of placement serves them all.
+func (o *Owner) drain() {
+	for range eventBuffer {
+		select {
+		case event := <-o.events:
+			event(o.Clock.Now())
+		default:
+			return
+		}
+	}
+}
+
+// post hands an event to the control goroutine. It reports false once that has ended.
+func (o *Owner) post(event func(now time.Time)) bool {
+	select {
+	case o.events <- event:
+		return true
+	case <-o.done:
+		return false
+	}
+}
+
+// ask runs a read of the scheduler on the control goroutine.
+func (o *Owner) ask(ctx context.Context, read func()) error {
+	answered := make(chan struct{})
+	if !o.post(func(time.Time) { read(); close(answered) }) {
+		return ErrSuperseded
+	}
+	select {
+	case <-answered:
+		return nil
+	case <-o.done:
+		return ErrSuperseded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// State returns the state of a submission, if the owner knows it.
+func (o *Owner) State(ctx context.Context, id medlarsubmission.ID) (state medlarsubmission.State, known bool, err error) {
+	err = o.ask(ctx, func() { state, known = o.cell.State(id) })
+	return state, known, err
+}
+
+// Waiting returns the number of submissions of a route of which no task has started.
+func (o *Owner) Waiting(ctx context.Context, route string) (n int, err error) {
+	err = o.ask(ctx, func() { n = o.cell.Waiting(route) })
+	return n, err
+}
--- /dev/null
+++ b/internal/state/medlarledger/ledger.go
@@ -0,0 +1,187 @@
+// Package medlarledger holds the rows of a cell in the platform's table: accepted submissions, cancellations and progress.
+//
+// An accepted submission is one row that is never changed, so that following its table tells an owner of new work.
+// Progress is written only by the owner, in batches that form a chain: each requires the row that the batch before it has
+// written, and the claim of a new owner breaks the chain. A batch that is carried out late therefore changes nothing.
+//
+// # Usage
+//
+//	chain := medlarledger.NewChain("c0", term, claimVersion)
+//	transaction, err := chain.Next(records, renew)
+//	commit, err := store.Transact(transaction)
+//	outcome := chain.Settle(commit, err)
+package medlarledger
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/scheduling/medlarcell"
+	"medlarwheel/internal/state/medlartable"
+	"medlarwheel/internal/state/medlartenure"
+)
+
+// Names of the tables.
+const (
+	TableSubmissions = "medlar-submission"
+	TableProgress    = "medlar-progress"
+	TableChain       = "medlar-chain"
+	// KeyChain is the row that every batch requires and writes.
+	KeyChain = "last"
+	// cancelSuffix follows the id in the key of a cancellation.
+	cancelSuffix = "/cancel"
+)
+
+// MaxRecords is the number of progress records that fit into one batch, beside the rows of chain and renewal.
+const MaxRecords = medlartable.MaxEntries - 5
+
+// SubmissionRow returns the row of an accepted submission.
+func SubmissionRow(part string, s *medlarsubmission.Submission) (medlartable.Row, error) {
+	value, err := json.Marshal(s)
+	return medlartable.Row{Table: TableSubmissions, Part: part, Key: string(s.ID), Value: value}, errors.Wrap(err, "submission")
+}
+
+// CancelRow returns the row of a cancellation.
+func CancelRow(part string, id medlarsubmission.ID) medlartable.Row {
+	return medlartable.Row{Table: TableSubmissions, Part: part, Key: string(id) + cancelSuffix, Value: []byte("{}")}
+}
+
+// SubmissionRange selects the rows of one submission and its cancellation.
+func SubmissionRange(part string, id medlarsubmission.ID) medlartable.Range {
+	return medlartable.Range{Table: TableSubmissions, Part: part, From: string(id), To: string(id) + cancelSuffix + "\x00"}
+}
+
+// ProgressRange selects the progress of one submission.
+func ProgressRange(part string, id medlarsubmission.ID) medlartable.Range {
+	return medlartable.Range{Table: TableProgress, Part: part, From: string(id), To: string(id) + "\x00"}
+}
+
+// Entry is one row of the table of submissions: an accepted submission or a cancellation.
+type Entry struct {
+	ID         medlarsubmission.ID
+	Cancel     bool
+	Submission medlarsubmission.Submission
+}
+
+// DecodeEntry reads and checks a row of the table of submissions.
+func DecodeEntry(r medlartable.Row) (Entry, error) {
+	if n := len(r.Key) - len(cancelSuffix); n > 0 && r.Key[n:] == cancelSuffix {
+		return Entry{ID: medlarsubmission.ID(r.Key[:n]), Cancel: true}, nil
+	}
+	e := Entry{ID: medlarsubmission.ID(r.Key)}
+	if err := json.Unmarshal(r.Value, &e.Submission); err != nil {
+		return e, errors.Wrapf(err, "submission %s", r.Key)
+	}
+	if faults := e.Submission.Check(); len(faults) > 0 {
+		return e, errors.Wrapf(faults, "submission %s", r.Key)
+	}
+	return e, nil
+}
+
+// DecodeProgress reads a row of the table of progress.
+func DecodeProgress(r medlartable.Row) (medlarcell.Progress, error) {
+	var p medlarcell.Progress
+	err := json.Unmarshal(r.Value, &p)
+	if err == nil && p.State != "" && !p.State.IsFinal() {
+		err = errors.Errorf("unknown final state %q", p.State)
+	}
+	return p, errors.Wrapf(err, "progress of %s", r.Key)
+}
+
+// link is the content of the chain row.
+type link struct {
+	Term uint64 `json:"term"`
+	Next uint64 `json:"next"`
+}
+
+// Chain orders the batches of one owner.
+type Chain struct {
+	part    string
+	term    uint64
+	next    uint64
+	version medlarwheel.RowVersion
+}
+
+// NewChain returns the chain of an owner whose claim has written the first link with the version.
+func NewChain(part string, term uint64, version medlarwheel.RowVersion) *Chain {
+	return &Chain{part: part, term: term, version: version}
+}
+
+// FirstLink returns the chain row that a claim writes.
+func FirstLink(part string, term uint64) (medlartable.Row, error) {
+	value, err := json.Marshal(link{Term: term})
+	return medlartable.Row{Table: TableChain, Part: part, Key: KeyChain, Value: value}, errors.Wrap(err, "chain row")
+}
+
+// Next returns the transaction of the next batch. The same batch may be sent again until Settle knows its outcome.
+func (c *Chain) Next(records []medlarcell.Record, erase []medlarsubmission.ID, renew bool) (medlartable.Transaction, error) {
+	value, err := json.Marshal(link{Term: c.term, Next: c.next + 1})
+	if err != nil {
+		return medlartable.Transaction{}, errors.Wrap(err, "chain row")
+	}
+	chain := medlartable.Row{Table: TableChain, Part: c.part, Key: KeyChain}
+	t := medlartable.Transaction{Require: []medlartable.Row{chain}, Put: []medlartable.Row{chain}}
+	t.Require[0].Version = c.version
+	t.Put[0].Value = value
+	if renew {
+		t.Put = append(t.Put, medlartable.Row{Table: medlartenure.Table, Part: c.part, Key: medlartenure.KeyBeat, Value: value})
+	}
+	for _, r := range records {
+		value, err := json.Marshal(r.Progress)
+		if err != nil {
+			return t, errors.Wrapf(err, "progress of %s", r.Submission)
+		}
+		t.Put = append(t.Put, medlartable.Row{Table: TableProgress, Part: c.part, Key: string(r.Submission), Value: value})
+	}
+	for _, id := range erase {
+		t.Remove = append(t.Remove,
+			medlartable.Row{Table: TableSubmissions, Part: c.part, Key: string(id)},
+			medlartable.Row{Table: TableProgress, Part: c.part, Key: string(id)},
+			medlartable.Row{Table: TableSubmissions, Part: c.part, Key: string(id) + cancelSuffix})
+	}
+	return t, nil
+}
+
+// Outcome is the outcome of a batch.
+type Outcome int
+
+// The outcomes of a batch.
+const (
+	// OutcomeStored means that the batch is stored.
+	OutcomeStored Outcome = iota
+	// OutcomeRetry means that the batch is to be sent again.
+	OutcomeRetry
+	// OutcomeSuperseded means that another owner has claimed the cell.
+	OutcomeSuperseded
+)
+
+// Settle takes in the result of a batch.
+func (c *Chain) Settle(commit medlartable.Commit, err error) Outcome {
+	if err == nil {
+		c.advance(commit.Version)
+		return OutcomeStored
+	}
+	var conflict *medlartable.ConflictError
+	if !errors.As(err, &conflict) {
+		return OutcomeRetry
+	}
+	row, found := conflict.Find(TableChain, KeyChain)
+	var l link
+	if !found || json.Unmarshal(row.Value, &l) != nil || l.Term != c.term {
+		return OutcomeSuperseded
+	}
+	if l.Next == c.next+1 {
+		// An earlier copy of this batch was stored, and its answer was lost.
+		c.advance(row.Version)
+		return OutcomeStored
+	}
+	return OutcomeSuperseded
+}
+
+func (c *Chain) advance(version medlarwheel.RowVersion) {
+	c.version = version
+	c.next++
+}
