Learn the pressure of filling tasks on serving ones, and pace them

SIGHUP ended the process.

Change: medlarpressure fits the rise of a serving task's level by pairs of images; filling work is placed where no level passes its limit, and paced where one does. SIGHUP reloads. Renewals wait for stored ends.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -6,6 +6,7 @@
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
+	"medlarwheel/internal/scheduling/medlarpressure"
 )
 
 // Cell schedules the submissions of one cell on its workers.
@@ -25,6 +26,8 @@
 	waiting  map[string]int
 	commands []Command
 	notes    []Note
+	pressure *medlarpressure.Model
+	refitAt  time.Time
 	// authority is until when this owner may order, unless it renews its ownership.
 	authority time.Time
 	// superseded is true once a worker has seen the fencing token of another owner.
@@ -47,6 +50,7 @@
 func New(c Config) *Cell {
 	return &Cell{
 		config: c, jobs: map[medlarsubmission.ID]*job{}, workers: map[medlarwheel.WorkerID]*worker{}, waiting: map[string]int{},
+		pressure: medlarpressure.New(c.Interference.Model),
 	}
 }
 
@@ -251,7 +255,7 @@
 	}
 	w.processed, w.acked, w.reported = 0, 0, false
 	w.clockAt = time.Time{}
-	w.failedJobs, w.rate, w.fillRoom = nil, 1, 0
+	w.failedJobs, w.rate = nil, 1
 }
 
 // Tick does what is due: leases that have ended, stops to send again, finished submissions to forget.
@@ -278,6 +282,8 @@
 			}
 		}
 	}
+	c.holdAcked(now)
+	c.refit(now)
 	c.forget(now)
 }
 
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -12,6 +12,8 @@
 	HoldWait time.Duration
 	// HoldRetry is the pause after a renewal without an answer.
 	HoldRetry time.Duration
+	// AckWait is how long a renewal waits for the ends of the last one to be stored and acknowledged.
+	AckWait time.Duration
 	// ContactTimeout is the age of a worker's last answer after which it gets no new tasks.
 	ContactTimeout time.Duration
 	// ClockDrift is the greatest relative error of a worker's clock.
@@ -37,16 +39,19 @@
 	// ServingLoad is the part of its declared processors that a serving task uses, which leaves the rest to filling tasks.
 	ServingLoad float64
 	// LateFactor times its objective is the time after which a submission is of no more use to its caller.
-	LateFactor float64
+	LateFactor   float64
+	Interference InterferenceConfig
 }
 
 // DefaultConfig returns the configuration for workers whose clocks are at most 2% slow.
 func DefaultConfig() Config {
 	return Config{
 		Lease: 3 * time.Second, HoldWait: 600 * time.Millisecond, HoldRetry: 150 * time.Millisecond,
+		AckWait:        200 * time.Millisecond,
 		ContactTimeout: 1300 * time.Millisecond, ClockDrift: 0.02, LeaseMargin: 200 * time.Millisecond,
 		StopTime: 400 * time.Millisecond, StopRetry: time.Second, KeepFinished: 2 * time.Minute,
 		EarlyStart: 0, RemoteFactor: 2, FailuresToSuspend: 2, SuspendTime: 4 * time.Second,
 		UnhealthyPause: 200 * time.Millisecond, ServingLoad: 0.5, LateFactor: 3,
+		Interference: DefaultInterferenceConfig(),
 	}
 }
--- /dev/null
+++ b/internal/scheduling/medlarcell/interference.go
@@ -0,0 +1,252 @@
+package medlarcell
+
+import (
+	"time"
+
+	"medlarwheel/internal/execution/medlarorder"
+	"medlarwheel/internal/scheduling/medlarpressure"
+)
+
+// InterferenceConfig configures how filling tasks are kept from harming the serving tasks beside them.
+type InterferenceConfig struct {
+	// PlaceMargin is how far below the level of its tail target a serving task must stay when a filling task is placed
+	// beside it, and PaceMargin when the pace of filling tasks is set.
+	PlaceMargin, PaceMargin float64
+	// LevelWeight is the weight of a report in the level that a serving task has by itself.
+	LevelWeight float64
+	// SlowAfter and HaltAfter are how long a serving task may be over its target before the filling tasks beside it are
+	// slowed and halted whatever the model says.
+	SlowAfter, HaltAfter time.Duration
+	// RaiseInterval is the least time between two raises of a pace, and RaiseStep its size in percent.
+	RaiseInterval time.Duration
+	RaiseStep     int
+	// RefitInterval is the time between two fits of the model.
+	RefitInterval time.Duration
+	Model         medlarpressure.Config
+}
+
+// DefaultInterferenceConfig returns the configuration for figures that workers average over half a second.
+func DefaultInterferenceConfig() InterferenceConfig {
+	return InterferenceConfig{
+		PlaceMargin: 0.08, PaceMargin: 0.02, LevelWeight: 0.4, SlowAfter: 700 * time.Millisecond,
+		HaltAfter: 1500 * time.Millisecond, RaiseInterval: 600 * time.Millisecond, RaiseStep: 40,
+		RefitInterval: time.Second, Model: medlarpressure.DefaultConfig(),
+	}
+}
+
+func (r *run) isServing() bool { return r.step.spec.LongRunning && r.step.spec.TailTarget > 0 }
+
+func (r *run) image() medlarpressure.Image { return medlarpressure.Image(r.step.spec.Image) }
+
+// share returns the part of the worker's processors that a filling run uses at full pace, as reported or declared.
+func (r *run) share(now time.Time) float64 {
+	capacity := float64(max(1, r.worker.info.Capacity.MilliCPU))
+	if r.usage > 0 && r.pace == fullPace && now.Sub(r.confirmedAt) > usageWindow {
+		return float64(r.usage) / capacity
+	}
+	return float64(r.step.spec.Size.MilliCPU) / capacity
+}
+
+// limit returns the level at which a serving run reaches its tail target.
+func (c *Cell) limit(r *run) float64 { return c.pressure.Level(r.image(), r.step.spec.TailTarget) }
+
+// observe takes in the figures of the serving tasks on a worker, and sets the pace of the filling ones.
+func (c *Cell) observe(now time.Time, w *worker) {
+	var shares []medlarpressure.Share
+	stable := now.Sub(w.fillChangedAt) > usageWindow
+	fills := w.fills()
+	for _, f := range fills {
+		shares = append(shares, medlarpressure.Share{Image: f.image(), Share: f.share(now) * float64(f.pace) / fullPace})
+	}
+	for r := range w.runs {
+		if !r.isServing() || r.usage <= 0 {
+			continue
+		}
+		tail := time.Duration(r.usage) * time.Millisecond
+		if stable {
+			c.pressure.Observe(r.image(), tail, shares)
+		}
+		pressed := 0.0
+		for _, s := range shares {
+			pressed += s.Share * c.pressure.Pressure(s.Image, r.image())
+		}
+		own := c.pressure.Level(r.image(), tail) - pressed
+		if !r.hasLevel {
+			r.level, r.hasLevel = own, true
+		} else {
+			r.level += c.config.Interference.LevelWeight * (own - r.level)
+		}
+		c.noteTarget(now, r, tail)
+	}
+	w.roomsStale = true
+	if len(fills) > 0 {
+		c.setPaces(now, w, fills)
+	}
+}
+
+// noteTarget notes since when a serving run is over its target.
+func (c *Cell) noteTarget(now time.Time, r *run, tail time.Duration) {
+	if tail < r.step.spec.TailTarget {
+		r.overSince = time.Time{}
+		return
+	}
+	if r.overSince.IsZero() {
+		r.overSince = now
+		c.note(Note{Kind: NoteTailExceeded, Task: r.name(), Run: r.number, Worker: r.worker.info.ID, Age: tail, Count: len(r.worker.runs)})
+	}
+}
+
+func (w *worker) fills() []*run {
+	var fills []*run
+	for r := range w.runs {
+		if r.step.spec.Fills && !r.stopping {
+			fills = append(fills, r)
+		}
+	}
+	return fills
+}
+
+// setPaces slows filling tasks so far that the serving tasks beside them stay below their targets.
+func (c *Cell) setPaces(now time.Time, w *worker, fills []*run) {
+	wanted := make([]float64, len(fills))
+	for i := range wanted {
+		wanted[i] = 1
+	}
+	for r := range w.runs {
+		if !r.isServing() || !r.hasLevel {
+			continue
+		}
+		allowed := c.allowedShare(now, r, fills)
+		for i, f := range fills {
+			if f.share(now)*c.pressure.Pressure(f.image(), r.image()) > minPressure || allowed == 0 {
+				wanted[i] = min(wanted[i], allowed)
+			}
+		}
+	}
+	for i, f := range fills {
+		c.setPace(now, f, int(wanted[i]*fullPace))
+	}
+}
+
+// minPressure is the rise of a level below which a filling task is left alone.
+const minPressure = 0.01
+
+// allowedShare returns the part of their speed that filling runs may keep beside a serving run.
+func (c *Cell) allowedShare(now time.Time, r *run, fills []*run) float64 {
+	config := &c.config.Interference
+	pressed := 0.0
+	for _, f := range fills {
+		pressed += f.share(now) * c.pressure.Pressure(f.image(), r.image())
+	}
+	allowed := 1.0
+	if room := c.limit(r) - config.PaceMargin - r.level; pressed > room {
+		allowed = max(0, room) / pressed
+	}
+	if !r.overSince.IsZero() {
+		switch over := now.Sub(r.overSince); {
+		case over >= config.HaltAfter:
+			allowed = 0
+		case over >= config.SlowAfter:
+			allowed = min(allowed, slowShare)
+		}
+	}
+	return allowed
+}
+
+// slowShare is the share of their speed that filling tasks keep beside a serving task that stays over its target.
+const slowShare = 0.3
+
+// paceStep is the least change of a pace, in percent, that is worth an order.
+const paceStep = 10
+
+// setPace orders the pace of a run, lowering it at once and raising it in steps.
+func (c *Cell) setPace(now time.Time, r *run, percent int) {
+	percent -= percent % paceStep
+	config := &c.config.Interference
+	if percent > r.pace {
+		if now.Sub(r.pacedAt) < config.RaiseInterval {
+			return
+		}
+		percent = min(percent, r.pace+config.RaiseStep)
+	}
+	if percent == r.pace || r.phase != runConfirmed {
+		return
+	}
+	r.pace, r.pacedAt = percent, now
+	r.worker.fillChangedAt = now
+	c.commands = append(c.commands, Command{
+		Kind: CommandPace, Worker: r.worker.info.ID, Address: r.worker.info.Address,
+		Pace: medlarorder.Pace{Task: r.name(), Run: r.number, Fence: r.worker.fence, Percent: percent},
+	})
+}
+
+// refit fits the model to the observations since the last time.
+func (c *Cell) refit(now time.Time) {
+	if now.Sub(c.refitAt) >= c.config.Interference.RefitInterval {
+		c.refitAt = now
+		c.pressure.Refit()
+	}
+}
+
+// serveRoom is how far the levels of the serving runs of one image on a worker may rise.
+type serveRoom struct {
+	image medlarpressure.Image
+	// count is the number of runs, and room the least room of them.
+	count int
+	room  float64
+}
+
+// updateRooms computes how far the levels of the serving tasks on a worker may rise by one more filling task.
+func (c *Cell) updateRooms(now time.Time, w *worker) {
+	w.rooms, w.roomsStale = w.rooms[:0], false
+	if w.serving == 0 {
+		return
+	}
+	fills := w.fills()
+	for r := range w.runs {
+		if r.isServing() {
+			c.addRoom(w, r.image(), c.roomOf(now, r, fills))
+		}
+	}
+}
+
+func (c *Cell) roomOf(now time.Time, r *run, fills []*run) float64 {
+	own := c.pressure.OwnLevel(r.image())
+	if r.hasLevel {
+		own = max(own, r.level)
+	}
+	room := c.limit(r) - c.config.Interference.PlaceMargin - own
+	for _, f := range fills {
+		room -= f.share(now) * c.pressure.Pressure(f.image(), r.image())
+	}
+	return room
+}
+
+func (c *Cell) addRoom(w *worker, image medlarpressure.Image, room float64) {
+	for i := range w.rooms {
+		if w.rooms[i].image == image {
+			w.rooms[i].count++
+			w.rooms[i].room = min(w.rooms[i].room, room)
+			return
+		}
+	}
+	w.rooms = append(w.rooms, serveRoom{image: image, count: 1, room: room})
+}
+
+// harm returns by how much a filling task of the step would raise the levels of the serving tasks on a worker, and
+// whether all of them would stay below their targets.
+func (c *Cell) harm(now time.Time, s *step, w *worker) (total float64, ok bool) {
+	if w.roomsStale {
+		c.updateRooms(now, w)
+	}
+	image := medlarpressure.Image(s.spec.Image)
+	share := float64(s.spec.Size.MilliCPU) / float64(max(1, w.info.Capacity.MilliCPU))
+	for i := range w.rooms {
+		rise := share * c.pressure.Pressure(image, w.rooms[i].image)
+		if rise > w.rooms[i].room {
+			return 0, false
+		}
+		total += rise * float64(w.rooms[i].count)
+	}
+	return total, true
+}
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -97,8 +97,13 @@
 	usage       int64
 	// progressAt is when percent last rose.
 	progressAt time.Time
-	// pace is the share of its speed at which the run works, in percent.
-	pace int
+	// pace is the share of its speed at which the run works, in percent, and pacedAt when it was set.
+	pace    int
+	pacedAt time.Time
+	// level is the level that a serving run has by itself, and overSince is when it went over its tail target.
+	level     float64
+	hasLevel  bool
+	overSince time.Time
 }
 
 func (r *run) task() *task { return &r.step.tasks[r.index] }
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 )
 
@@ -19,11 +21,12 @@
 		return
 	}
 	misses := 0
+	missed := map[shape]medlarsubmission.Size{}
 	for _, s := range c.queue {
 		if misses >= maxMisses {
 			break
 		}
-		if !c.isOpen(now, s) {
+		if !c.isOpen(now, s) || s.resembles(missed) {
 			continue
 		}
 		if s.spec.Gang {
@@ -33,11 +36,41 @@
 		}
 		if len(s.ready) > 0 {
 			misses++
+			s.remember(missed)
 		}
 	}
 	c.compact()
 }
 
+// shape is what steps have in common that fit the same workers, but for their size.
+type shape struct {
+	service  medlarwheel.ServiceName
+	image    string
+	fills    bool
+	requires string
+}
+
+func (s *step) shape() shape {
+	return shape{service: s.occurrence.job.submission.Service, image: s.spec.Image, fills: s.spec.Fills, requires: s.spec.Requires}
+}
+
+// resembles reports whether a step of the same shape that asks for no more has found no room in this pass.
+func (s *step) resembles(missed map[shape]medlarsubmission.Size) bool {
+	size, ok := missed[s.shape()]
+	return ok && size.Fits(s.spec.Size)
+}
+
+// remember notes that the step has found no room. Steps that bound their spread say nothing about others.
+func (s *step) remember(missed map[shape]medlarsubmission.Size) {
+	if s.spec.MaxPerWorker > 0 || s.spec.Gang {
+		return
+	}
+	key := s.shape()
+	if size, ok := missed[key]; !ok || s.spec.Size.Fits(size) {
+		missed[key] = s.spec.Size
+	}
+}
+
 // maxMisses bounds the steps without room that one pass looks at.
 const maxMisses = 60
 
@@ -143,7 +176,14 @@
 		if !c.fits(s, t, w) {
 			continue
 		}
-		if score := c.score(s, t, w); best == nil || score > bestScore {
+		harm := 0.0
+		if s.spec.Fills {
+			var ok bool
+			if harm, ok = c.harm(now, s, w); !ok {
+				continue
+			}
+		}
+		if score := c.score(s, t, w) - harmPenalty*harm; best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -181,6 +221,7 @@
 	avoidPenalty    = 4.0
 	slownessPenalty = 1.0
 	servingPenalty  = 0.5
+	harmPenalty     = 2.0
 )
 
 // score rates a worker that fits. Higher is better.
@@ -189,7 +230,7 @@
 	score := 0.0
 	switch {
 	case s.spec.Fills:
-		score = float64(c.leftover(w)-w.filling)/capacity - servingPenalty*float64(w.serving)/capacity
+		score = float64(c.leftover(w)-w.filling) / capacity
 	case s.spec.LongRunning:
 		// Serving tasks stay together, which keeps workers free of them for wide and filling work.
 		score = float64(w.serving)/capacity - float64(w.filling)/capacity
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -78,7 +79,7 @@
 }
 
 // Flushed notes that the batch is stored.
-func (c *Cell) Flushed(b *Batch) {
+func (c *Cell) Flushed(now time.Time, b *Batch) {
 	for w, a := range b.acks {
 		if w.life == a.life {
 			w.acked = max(w.acked, a.end)
@@ -89,6 +90,7 @@
 			j.durable = state
 		}
 	}
+	c.holdAcked(now)
 }
 
 // FlushFailed puts the records of a batch back that could not be stored.
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -38,8 +38,23 @@
 	default:
 		c.take(now, w, sentAt, h, report)
 	}
-	if !extra {
-		c.hold(now, w, delay)
+	if extra {
+		return
+	}
+	if err == nil && w.processed > w.acked {
+		// A worker answers at once while it lists ends, so the next renewal waits until they are acknowledged.
+		w.holdDue = now.Add(c.config.AckWait)
+		return
+	}
+	c.hold(now, w, delay)
+}
+
+// holdAcked orders the renewals that have waited for ends to be acknowledged, or for long enough.
+func (c *Cell) holdAcked(now time.Time) {
+	for _, w := range c.workers {
+		if !w.holdDue.IsZero() && (w.processed == w.acked || !now.Before(w.holdDue)) {
+			c.hold(now, w, 0)
+		}
 	}
 }
 
@@ -67,7 +82,7 @@
 	if w.holding {
 		return
 	}
-	w.holding = true
+	w.holding, w.holdDue = true, time.Time{}
 	c.commands = append(c.commands, Command{
 		Kind: CommandHold, Worker: w.info.ID, Address: w.info.Address, Delay: delay, Hold: c.renewal(now.Add(delay), w),
 	})
@@ -224,6 +239,9 @@
 	}
 	t.runs = append(t.runs, r)
 	r.worker.add(r)
+	if r.step.spec.Fills {
+		r.worker.fillChangedAt = r.sentAt
+	}
 }
 
 // confirm notes that the worker has the run.
@@ -274,6 +292,9 @@
 			c.confirm(now, r)
 		}
 		c.detach(r)
+		if r.step.spec.Fills {
+			w.fillChangedAt = now
+		}
 	}
 	j := c.jobs[e.Task.Submission]
 	if j == nil {
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -33,9 +33,12 @@
 	filling int64
 	// serving is the part of committed processors that serving tasks have reserved.
 	serving int64
-	// fillRoom is the learnt number of thousandths of a core that others leave unused. Zero means not learnt.
-	fillRoom float64
-	pausedTo time.Time
+	// rooms says how far the levels of serving tasks may rise. It is computed anew when it is stale.
+	rooms      []serveRoom
+	roomsStale bool
+	// fillChangedAt is when a filling task last started, ended or changed its pace.
+	fillChangedAt time.Time
+	pausedTo      time.Time
 	// failedJobs lists the submissions of the last failed runs in a row.
 	failedJobs  []medlarsubmission.ID
 	suspensions int
@@ -46,6 +49,8 @@
 	lifeUnsure bool
 	// holding is true while a renewal is in flight.
 	holding bool
+	// holdDue is set while the next renewal waits for ends to be acknowledged.
+	holdDue time.Time
 	// settling is true while an extra request for the lists is in flight.
 	settling bool
 }
@@ -113,6 +118,7 @@
 
 func (w *worker) count(r *run, sign int64) {
 	size := r.step.spec.Size
+	w.roomsStale = true
 	if r.step.spec.Fills {
 		w.filling += sign * size.MilliCPU
 		size.MilliCPU = 0
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -38,7 +38,7 @@
 	if !renew && !o.cell.HasFlush() {
 		if batch := o.cell.TakeFlush(0); !batch.IsEmpty() {
 			// Ends that change no record need no write before they are forgotten.
-			o.cell.Flushed(batch)
+			o.cell.Flushed(now, batch)
 		}
 		return
 	}
@@ -87,7 +87,7 @@
 		o.superseded = true
 		return
 	}
-	o.cell.Flushed(batch)
+	o.cell.Flushed(now, batch)
 	if renew {
 		o.renewedAt = sentAt
 		o.cell.Authorize(sentAt.Add(o.config.Tenure.OwnerTimeout))
--- a/medlarcommand/edge.go
+++ b/medlarcommand/edge.go
@@ -36,6 +36,10 @@
 			if err != nil {
 				return err
 			}
+			reloads := make(chan os.Signal, 1)
+			signal.Notify(reloads, syscall.SIGHUP)
+			defer signal.Stop(reloads)
+			go node.Reload(reloads, path)
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			return node.Run(ctx)
