Do not extend the lease of a worker that does not answer

A renewal without an answer may have extended the lease, so each retry moved the computed end of the lease of a crashed worker further away, and its tasks never started elsewhere.

Change: after an unanswered renewal the next ones carry no lease until the worker answers. Waiting urgent tasks are logged with the reasons per worker.

Ruled out: want of room and the bound per worker, by the new log line.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -21,13 +21,14 @@
 	jobs     map[medlarsubmission.ID]*job
 	workers  map[medlarwheel.WorkerID]*worker
 	// queue holds the steps with tasks that wait for a worker.
-	queue    []*step
-	dirty    []*job
-	waiting  map[string]int
-	commands []Command
-	notes    []Note
-	pressure *medlarpressure.Model
-	refitAt  time.Time
+	queue        []*step
+	dirty        []*job
+	waiting      map[string]int
+	commands     []Command
+	notes        []Note
+	waitsNotedAt time.Time
+	pressure     *medlarpressure.Model
+	refitAt      time.Time
 	// authority is until when this owner may order, unless it renews its ownership.
 	authority time.Time
 	// superseded is true once a worker has seen the fencing token of another owner.
@@ -284,6 +285,7 @@
 	}
 	c.holdAcked(now)
 	c.refit(now)
+	c.noteWaits(now)
 	c.forget(now)
 }
 
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -75,6 +75,7 @@
 	NoteLeaseEnded      NoteKind = "worker-lease-ended"
 	NoteSettled         NoteKind = "takeover-settled"
 	NoteSuperseded      NoteKind = "owner-superseded"
+	NoteTaskWaits       NoteKind = "task-waits"
 	NoteTailExceeded    NoteKind = "tail-target-exceeded"
 )
 
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -94,7 +94,9 @@
 		// Ends are acknowledged only towards the life that has listed them.
 		h.AckedUpTo, h.Wait = w.acked, c.config.HoldWait
 	}
-	if !w.clockAt.IsZero() {
+	if !w.clockAt.IsZero() && !w.lifeUnsure {
+		// An unanswered renewal may still have extended the lease. Until the worker answers, none is asked for, so that
+		// the end of its lease is known.
 		h.Until = c.leaseOf(now, w)
 		w.granted(h.Until, &c.config)
 	}
