--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -222,6 +222,8 @@
 	slownessPenalty = 1.0
 	servingPenalty  = 0.5
 	harmPenalty     = 2.0
+	sameImageBonus  = 1.0
+	emptyPenalty    = 0.2
 )
 
 // score rates a worker that fits. Higher is better.
@@ -232,8 +234,11 @@
 	case s.spec.Fills:
 		score = float64(c.leftover(w)-w.filling) / capacity
 	case s.spec.LongRunning:
-		// Serving tasks stay together, which keeps workers free of them for wide and filling work.
-		score = float64(w.serving)/capacity - float64(w.filling)/capacity
+		// Serving tasks stay with others of their image: filling work is then beside one image, and is placed where that
+		// one bears it. Beside several images, it would have to suit them all.
+		same := float64(w.servingBy[s.spec.Image])
+		score = (sameImageBonus*same-(float64(w.serving)-same))/capacity - float64(w.filling)/capacity -
+			emptyPenalty*float64(w.free().MilliCPU)/capacity
 	default:
 		score = float64(w.free().MilliCPU)/capacity - servingPenalty*float64(w.filling)/capacity
 	}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -33,6 +33,8 @@
 	filling int64
 	// serving is the part of committed processors that serving tasks have reserved.
 	serving int64
+	// servingBy is serving by image.
+	servingBy map[string]int64
 	// rooms says how far the levels of serving tasks may rise. It is computed anew when it is stale.
 	rooms      []serveRoom
 	roomsStale bool
@@ -58,6 +60,7 @@
 func newWorker(info medlarorder.Worker, fence medlarwheel.FencingToken, leaseEnd time.Time) *worker {
 	return &worker{
 		info: info, life: info.Life, registered: true, fence: fence, leaseEnd: leaseEnd, runs: map[*run]struct{}{}, rate: 1,
+		servingBy: map[string]int64{},
 	}
 }
 
@@ -124,6 +127,7 @@
 		size.MilliCPU = 0
 	} else if r.step.spec.LongRunning {
 		w.serving += sign * size.MilliCPU
+		w.servingBy[r.step.spec.Image] += sign * size.MilliCPU
 	}
 	w.committed.MilliCPU += sign * size.MilliCPU
 	w.committed.MemoryMB += sign * size.MemoryMB
