Learn pressure from changes between reports, and follow the swing of serving tasks

Cause: the load of serving tasks swings by half over some 15 to 20 s, more than one filling task adds. A fit to levels mistook the swing for pressure, and placement kept the mean level free where the present one was low.

Change: the model is fitted to changes between close reports; placement uses the present level and its trend. Work is ranked by value for each remaining core-second (medlarrank).

--- a/internal/scheduling/medlarcell/answer.go
+++ b/internal/scheduling/medlarcell/answer.go
@@ -51,7 +51,7 @@
 		return
 	}
 	c.note(Note{Kind: NoteStartRejected, Task: r.name(), Run: r.number, Worker: r.worker.info.ID, Reason: reason, Age: now.Sub(r.sentAt)})
-	c.detach(r)
+	c.detach(now, r)
 	c.requeue(now, r.step, r.index)
 }
 
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -27,8 +27,10 @@
 	commands     []Command
 	notes        []Note
 	waitsNotedAt time.Time
-	pressure     *medlarpressure.Model
-	refitAt      time.Time
+	// meanWork is the mean work of the submissions of each route in core-seconds.
+	meanWork map[string]float64
+	pressure *medlarpressure.Model
+	refitAt  time.Time
 	// authority is until when this owner may order, unless it renews its ownership.
 	authority time.Time
 	// superseded is true once a worker has seen the fencing token of another owner.
@@ -51,6 +53,7 @@
 func New(c Config) *Cell {
 	return &Cell{
 		config: c, jobs: map[medlarsubmission.ID]*job{}, workers: map[medlarwheel.WorkerID]*worker{}, waiting: map[string]int{},
+		meanWork: map[string]float64{},
 		pressure: medlarpressure.New(c.Interference.Model),
 	}
 }
@@ -128,6 +131,7 @@
 	j := newJob(s, inherited)
 	j.useless = s.AcceptedAt.Add(time.Duration(c.config.LateFactor * float64(j.due.Sub(s.AcceptedAt))))
 	c.jobs[s.ID] = j
+	c.learnWork(j)
 	if s.Times == 0 {
 		c.waiting[s.Route]++
 	}
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -76,6 +76,7 @@
 	NoteSettled         NoteKind = "takeover-settled"
 	NoteSuperseded      NoteKind = "owner-superseded"
 	NoteTaskWaits       NoteKind = "task-waits"
+	NoteLoad            NoteKind = "cell-load"
 	NoteTailExceeded    NoteKind = "tail-target-exceeded"
 )
 
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -1,6 +1,10 @@
 package medlarcell
 
-import "time"
+import (
+	"time"
+
+	"medlarwheel/internal/scheduling/medlarrank"
+)
 
 // Config configures a cell.
 type Config struct {
@@ -40,6 +44,7 @@
 	ServingLoad float64
 	// LateFactor times its objective is the time after which a submission is of no more use to its caller.
 	LateFactor   float64
+	Rank         medlarrank.Config
 	Interference InterferenceConfig
 }
 
@@ -52,6 +57,6 @@
 		StopTime: 400 * time.Millisecond, StopRetry: time.Second, KeepFinished: 2 * time.Minute,
 		EarlyStart: 0, RemoteFactor: 2, FailuresToSuspend: 2, SuspendTime: 4 * time.Second,
 		UnhealthyPause: 200 * time.Millisecond, ServingLoad: 0.5, LateFactor: 3,
-		Interference: DefaultInterferenceConfig(),
+		Rank: medlarrank.DefaultConfig(), Interference: DefaultInterferenceConfig(),
 	}
 }
--- a/internal/scheduling/medlarcell/interference.go
+++ b/internal/scheduling/medlarcell/interference.go
@@ -12,8 +12,19 @@
 	// PlaceMargin is how far below the level of its tail target a serving task must stay when a filling task is placed
 	// beside it, and PaceMargin when the pace of filling tasks is set.
 	PlaceMargin, PaceMargin float64
-	// LevelWeight is the weight of a report in the level that a serving task has by itself.
-	LevelWeight float64
+	// HopeMargins is added to PlaceMargin for work by what it can still reach: late work must not cost others theirs.
+	HopeMargins [3]float64
+	// LevelWeight and TrendWeight are the weights of a report in the level that a serving task has by itself and in its
+	// trend.
+	LevelWeight, TrendWeight float64
+	// MaxTrend bounds the trend of a level in a second.
+	MaxTrend float64
+	// Horizon is how far ahead levels are projected when a filling task is placed: about its run time.
+	Horizon time.Duration
+	// UnknownOwnLevel is taken for serving tasks without reports.
+	UnknownOwnLevel float64
+	// MinSampleSpan and MaxSampleSpan bound the time between two reports that are compared.
+	MinSampleSpan, MaxSampleSpan time.Duration
 	// SlowAfter and HaltAfter are how long a serving task may be over its target before the filling tasks beside it are
 	// slowed and halted whatever the model says.
 	SlowAfter, HaltAfter time.Duration
@@ -28,7 +39,9 @@
 // DefaultInterferenceConfig returns the configuration for figures that workers average over half a second.
 func DefaultInterferenceConfig() InterferenceConfig {
 	return InterferenceConfig{
-		PlaceMargin: 0.08, PaceMargin: 0.02, LevelWeight: 0.4, SlowAfter: 700 * time.Millisecond,
+		PlaceMargin: 0.02, PaceMargin: 0.02, HopeMargins: [3]float64{0, 0.1, 0.2}, LevelWeight: 0.6, TrendWeight: 0.3, MaxTrend: 0.12,
+		Horizon: 2 * time.Second, UnknownOwnLevel: 0.5, MinSampleSpan: 300 * time.Millisecond,
+		MaxSampleSpan: 2 * time.Second, SlowAfter: 700 * time.Millisecond,
 		HaltAfter: 1500 * time.Millisecond, RaiseInterval: 600 * time.Millisecond, RaiseStep: 40,
 		RefitInterval: time.Second, Model: medlarpressure.DefaultConfig(),
 	}
@@ -38,52 +51,66 @@
 
 func (r *run) image() medlarpressure.Image { return medlarpressure.Image(r.step.spec.Image) }
 
-// share returns the part of the worker's processors that a filling run uses at full pace, as reported or declared.
-func (r *run) share(now time.Time) float64 {
-	capacity := float64(max(1, r.worker.info.Capacity.MilliCPU))
-	if r.usage > 0 && r.pace == fullPace && now.Sub(r.confirmedAt) > usageWindow {
-		return float64(r.usage) / capacity
-	}
-	return float64(r.step.spec.Size.MilliCPU) / capacity
+// share returns the part of the worker's processors that a filling run asks for at full pace.
+func (r *run) share() float64 {
+	return float64(r.step.spec.Size.MilliCPU) / float64(max(1, r.worker.info.Capacity.MilliCPU))
 }
 
 // limit returns the level at which a serving run reaches its tail target.
-func (c *Cell) limit(r *run) float64 { return c.pressure.Level(r.image(), r.step.spec.TailTarget) }
+func (c *Cell) limit(r *run) float64 { return c.pressure.Limit(r.image(), r.step.spec.TailTarget) }
 
 // observe takes in the figures of the serving tasks on a worker, and sets the pace of the filling ones.
 func (c *Cell) observe(now time.Time, w *worker) {
-	var shares []medlarpressure.Share
-	stable := now.Sub(w.fillChangedAt) > usageWindow
-	fills := w.fills()
-	for _, f := range fills {
-		shares = append(shares, medlarpressure.Share{Image: f.image(), Share: f.share(now) * float64(f.pace) / fullPace})
-	}
+	shares := w.history.average(now, figureWindow)
 	for r := range w.runs {
-		if !r.isServing() || r.usage <= 0 {
-			continue
-		}
-		tail := time.Duration(r.usage) * time.Millisecond
-		if stable {
-			c.pressure.Observe(r.image(), tail, shares)
+		if r.isServing() && r.usage > 0 {
+			c.observeServing(now, r, shares)
 		}
-		pressed := 0.0
-		for _, s := range shares {
-			pressed += s.Share * c.pressure.Pressure(s.Image, r.image())
-		}
-		own := c.pressure.Level(r.image(), tail) - pressed
-		if !r.hasLevel {
-			r.level, r.hasLevel = own, true
-		} else {
-			r.level += c.config.Interference.LevelWeight * (own - r.level)
-		}
-		c.noteTarget(now, r, tail)
 	}
 	w.roomsStale = true
-	if len(fills) > 0 {
+	if fills := w.fills(); len(fills) > 0 {
 		c.setPaces(now, w, fills)
 	}
 }
 
+// observeServing takes in the tail latency of a serving run beside the filling shares of the same span.
+func (c *Cell) observeServing(now time.Time, r *run, shares []medlarpressure.Share) {
+	config := &c.config.Interference
+	tail := time.Duration(r.usage) * time.Millisecond
+	level := c.pressure.Level(r.image(), tail)
+	pressed := 0.0
+	for _, s := range shares {
+		pressed += s.Share * c.pressure.Pressure(s.Image, r.image())
+	}
+	own := level - pressed
+	c.noteTarget(now, r, tail)
+	span := now.Sub(r.sampledAt)
+	if !r.hasLevel || span > config.MaxSampleSpan {
+		r.level, r.trend, r.hasLevel = own, 0, true
+	} else if span >= config.MinSampleSpan {
+		if !c.pressure.IsSaturated(level) && !c.pressure.IsSaturated(r.sample) {
+			if changes := difference(shares, r.shares); len(changes) > 0 {
+				c.pressure.Observe(r.image(), level-r.sample-r.trend*span.Seconds(), changes)
+			}
+		}
+		before := r.level
+		r.level += config.LevelWeight * (own - r.level)
+		r.trend += config.TrendWeight * ((r.level-before)/span.Seconds() - r.trend)
+		r.trend = min(max(r.trend, -config.MaxTrend), config.MaxTrend)
+	} else {
+		return
+	}
+	r.sample, r.sampledAt, r.shares = level, now, shares
+}
+
+// expected returns the highest level that a serving run is expected to have by itself while a filling task runs.
+func (c *Cell) expected(r *run) float64 {
+	if !r.hasLevel {
+		return c.config.Interference.UnknownOwnLevel
+	}
+	return r.level + max(0, r.trend)*c.config.Interference.Horizon.Seconds()
+}
+
 // noteTarget notes since when a serving run is over its target.
 func (c *Cell) noteTarget(now time.Time, r *run, tail time.Duration) {
 	if tail < r.step.spec.TailTarget {
@@ -118,7 +145,7 @@
 		}
 		allowed := c.allowedShare(now, r, fills)
 		for i, f := range fills {
-			if f.share(now)*c.pressure.Pressure(f.image(), r.image()) > minPressure || allowed == 0 {
+			if f.share()*c.pressure.Pressure(f.image(), r.image()) > minPressure || allowed == 0 {
 				wanted[i] = min(wanted[i], allowed)
 			}
 		}
@@ -136,7 +163,7 @@
 	config := &c.config.Interference
 	pressed := 0.0
 	for _, f := range fills {
-		pressed += f.share(now) * c.pressure.Pressure(f.image(), r.image())
+		pressed += f.share() * c.pressure.Pressure(f.image(), r.image())
 	}
 	allowed := 1.0
 	if room := c.limit(r) - config.PaceMargin - r.level; pressed > room {
@@ -173,7 +200,7 @@
 		return
 	}
 	r.pace, r.pacedAt = percent, now
-	r.worker.fillChangedAt = now
+	r.worker.history.change(now, r)
 	c.commands = append(c.commands, Command{
 		Kind: CommandPace, Worker: r.worker.info.ID, Address: r.worker.info.Address,
 		Pace: medlarorder.Pace{Task: r.name(), Run: r.number, Fence: r.worker.fence, Percent: percent},
@@ -197,7 +224,7 @@
 }
 
 // updateRooms computes how far the levels of the serving tasks on a worker may rise by one more filling task.
-func (c *Cell) updateRooms(now time.Time, w *worker) {
+func (c *Cell) updateRooms(w *worker) {
 	w.rooms, w.roomsStale = w.rooms[:0], false
 	if w.serving == 0 {
 		return
@@ -205,19 +232,15 @@
 	fills := w.fills()
 	for r := range w.runs {
 		if r.isServing() {
-			c.addRoom(w, r.image(), c.roomOf(now, r, fills))
+			c.addRoom(w, r.image(), c.roomOf(r, fills))
 		}
 	}
 }
 
-func (c *Cell) roomOf(now time.Time, r *run, fills []*run) float64 {
-	own := c.pressure.OwnLevel(r.image())
-	if r.hasLevel {
-		own = max(own, r.level)
-	}
-	room := c.limit(r) - c.config.Interference.PlaceMargin - own
+func (c *Cell) roomOf(r *run, fills []*run) float64 {
+	room := c.limit(r) - c.config.Interference.PlaceMargin - c.expected(r)
 	for _, f := range fills {
-		room -= f.share(now) * c.pressure.Pressure(f.image(), r.image())
+		room -= f.share() * c.pressure.Pressure(f.image(), r.image())
 	}
 	return room
 }
@@ -235,15 +258,15 @@
 
 // harm returns by how much a filling task of the step would raise the levels of the serving tasks on a worker, and
 // whether all of them would stay below their targets.
-func (c *Cell) harm(now time.Time, s *step, w *worker) (total float64, ok bool) {
+func (c *Cell) harm(s *step, w *worker) (total float64, ok bool) {
 	if w.roomsStale {
-		c.updateRooms(now, w)
+		c.updateRooms(w)
 	}
 	image := medlarpressure.Image(s.spec.Image)
 	share := float64(s.spec.Size.MilliCPU) / float64(max(1, w.info.Capacity.MilliCPU))
 	for i := range w.rooms {
 		rise := share * c.pressure.Pressure(image, w.rooms[i].image)
-		if rise > w.rooms[i].room {
+		if rise > w.rooms[i].room-c.config.Interference.HopeMargins[s.rank.Hope] {
 			return 0, false
 		}
 		total += rise * float64(w.rooms[i].count)
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -6,6 +6,8 @@
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
+	"medlarwheel/internal/scheduling/medlarpressure"
+	"medlarwheel/internal/scheduling/medlarrank"
 )
 
 // job is an accepted submission with the state of its tasks.
@@ -20,7 +22,9 @@
 	// chain is the longest chain of estimated work from each step to the end.
 	chain []time.Duration
 	// work is the estimated work of all tasks in core-seconds.
-	work       float64
+	work float64
+	// remaining is the part of work whose tasks are not done.
+	remaining  float64
 	started    bool
 	finishedAt time.Time
 	// inherited jobs were accepted before this tenure, so that their tasks may run on workers that have not reported yet.
@@ -51,6 +55,7 @@
 	queued   bool
 	// readySince is when the step last became ready.
 	readySince time.Time
+	rank       medlarrank.Rank
 	perWorker  map[*worker]int
 }
 
@@ -101,8 +106,13 @@
 	pace    int
 	pacedAt time.Time
 	// level is the level that a serving run has by itself, and overSince is when it went over its tail target.
-	level     float64
-	hasLevel  bool
+	level    float64
+	trend    float64
+	hasLevel bool
+	// sample is the whole level at sampledAt, beside the shares.
+	sample    float64
+	sampledAt time.Time
+	shares    []medlarpressure.Share
 	overSince time.Time
 }
 
@@ -129,8 +139,9 @@
 	longest := time.Duration(0)
 	for i := range s.Steps {
 		longest = max(longest, j.chain[i])
-		j.work += float64(s.Steps[i].Count) * s.Steps[i].Estimate.Seconds() * float64(s.Steps[i].Size.MilliCPU) / milli
+		j.work += float64(s.Steps[i].Count) * taskWork(&s.Steps[i])
 	}
+	j.remaining = j.work
 	objective := time.Duration(s.Terms.Stretch*float64(longest)) + s.Terms.Allowance
 	j.due = s.AcceptedAt.Add(objective)
 	for k := range s.Occurrences() {
@@ -142,6 +153,11 @@
 	return j
 }
 
+// taskWork returns the estimated work of one task in core-seconds.
+func taskWork(s *medlarsubmission.Step) float64 {
+	return s.Estimate.Seconds() * float64(s.Size.MilliCPU) / milli
+}
+
 // milli is the number of thousandths of a core in a core.
 const milli = 1000
 
--- a/internal/scheduling/medlarcell/observe.go
+++ b/internal/scheduling/medlarcell/observe.go
@@ -1,8 +1,6 @@
 package medlarcell
 
-import (
-	"time"
-)
+import "time"
 
 // learn takes in the run time of a done task.
 func (c *Cell) learn(now time.Time, r *run) {
@@ -20,6 +18,3 @@
 	// maxRate bounds the speed that one short task may show.
 	maxRate = 2
 )
-
-// usageWindow is the span over which workers average the figures of a task, and a little more for the way.
-const usageWindow = 650 * time.Millisecond
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -1,12 +1,14 @@
 package medlarcell
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
+	"medlarwheel/internal/scheduling/medlarrank"
 )
 
 // Place starts waiting tasks on workers with room, in the order of the queue.
@@ -179,7 +181,7 @@
 		harm := 0.0
 		if s.spec.Fills {
 			var ok bool
-			if harm, ok = c.harm(now, s, w); !ok {
+			if harm, ok = c.harm(s, w); !ok {
 				continue
 			}
 		}
@@ -223,7 +225,9 @@
 	servingPenalty  = 0.5
 	harmPenalty     = 2.0
 	sameImageBonus  = 1.0
-	emptyPenalty    = 0.2
+
+	sameSubmissionBonus = 1.0
+	emptyPenalty        = 0.2
 )
 
 // score rates a worker that fits. Higher is better.
@@ -236,8 +240,10 @@
 	case s.spec.LongRunning:
 		// Serving tasks stay with others of their image: filling work is then beside one image, and is placed where that
 		// one bears it. Beside several images, it would have to suit them all.
+		// Tasks of one submission also have their peaks at the same time.
 		same := float64(w.servingBy[s.spec.Image])
-		score = (sameImageBonus*same-(float64(w.serving)-same))/capacity - float64(w.filling)/capacity -
+		score = sameSubmissionBonus * float64(w.servingOf(s.occurrence.job)) / capacity
+		score += (sameImageBonus*same-(float64(w.serving)-same))/capacity - float64(w.filling)/capacity -
 			emptyPenalty*float64(w.free().MilliCPU)/capacity
 	default:
 		score = float64(w.free().MilliCPU)/capacity - servingPenalty*float64(w.filling)/capacity
@@ -252,29 +258,54 @@
 	return score
 }
 
-// order sorts the queue: urgent routes first, then what can still meet its objective, then what is still of use.
+// order sorts the queue by rank.
 func (c *Cell) order(now time.Time) {
+	for _, s := range c.queue {
+		s.rank = c.rankOf(now, s)
+	}
 	slices.SortStableFunc(c.queue, func(a, b *step) int {
-		ja, jb := a.occurrence.job, b.occurrence.job
-		if d := ja.submission.Terms.Priority - jb.submission.Terms.Priority; d != 0 {
-			return d
-		}
-		if d := hope(now, a) - hope(now, b); d != 0 {
+		if d := a.rank.Compare(b.rank); d != 0 {
 			return d
 		}
-		return ja.due.Compare(jb.due)
+		return a.occurrence.job.due.Compare(b.occurrence.job.due)
 	})
 }
 
-// hope returns 0 for work that can still meet its objective, 1 for work that is late but of use, and 2 for the rest.
-func hope(now time.Time, s *step) int {
+func (c *Cell) rankOf(now time.Time, s *step) medlarrank.Rank {
 	j := s.occurrence.job
-	end := now.Add(j.chain[s.index])
-	if s.spec.LongRunning || !end.After(j.due) {
-		return 0
+	if s.spec.LongRunning {
+		return medlarrank.Rank{Priority: j.submission.Terms.Priority, Score: longRunningScore}
 	}
-	if !end.After(j.useless) {
+	return medlarrank.Of(now, c.config.Rank, j.submission.Terms.Priority, medlarrank.Work{
+		Due: j.due, Useless: j.useless, Chain: j.chain[s.index], Value: c.valueOf(j), Remaining: j.remaining,
+	})
+}
+
+// longRunningScore puts tasks that last before others of their priority: they earn from the moment they run.
+const longRunningScore = math.MaxFloat64
+
+// Parts of the value of a submission: one for each, and one in proportion to its work against the mean of its route.
+const (
+	fixedValue = 0.3
+	sizedValue = 0.7
+)
+
+func (c *Cell) valueOf(j *job) float64 {
+	mean := c.meanWork[j.submission.Route]
+	if mean <= 0 {
 		return 1
 	}
-	return 2
+	return fixedValue + sizedValue*j.work/mean
+}
+
+// meanWorkWeight is the weight of one submission in the mean work of its route.
+const meanWorkWeight = 0.05
+
+// learnWork takes in the size of a submission.
+func (c *Cell) learnWork(j *job) {
+	mean, known := c.meanWork[j.submission.Route]
+	if !known {
+		mean = j.work
+	}
+	c.meanWork[j.submission.Route] = mean + meanWorkWeight*(j.work-mean)
 }
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -241,9 +241,6 @@
 	}
 	t.runs = append(t.runs, r)
 	r.worker.add(r)
-	if r.step.spec.Fills {
-		r.worker.fillChangedAt = r.sentAt
-	}
 }
 
 // confirm notes that the worker has the run.
@@ -252,6 +249,9 @@
 		return
 	}
 	r.phase, r.confirmedAt = runConfirmed, now
+	if r.step.spec.Fills {
+		r.worker.history.start(now, r)
+	}
 	if r.progressAt.IsZero() {
 		r.progressAt = now
 	}
@@ -266,7 +266,8 @@
 }
 
 // detach removes a run from its task and its worker.
-func (c *Cell) detach(r *run) {
+func (c *Cell) detach(now time.Time, r *run) {
+	r.worker.history.end(now, r)
 	t := r.task()
 	for i, other := range t.runs {
 		if other == r {
@@ -279,7 +280,7 @@
 
 // lose gives up a run that can't be running any more, and puts its task back into the queue.
 func (c *Cell) lose(now time.Time, r *run, reason string) {
-	c.detach(r)
+	c.detach(now, r)
 	t := r.task()
 	t.endedRun = max(t.endedRun, r.number)
 	c.note(Note{Kind: NoteTaskLost, Task: r.name(), Run: r.number, Worker: r.worker.info.ID, Reason: reason, Age: now.Sub(r.sentAt)})
@@ -293,10 +294,7 @@
 		if r.phase != runConfirmed {
 			c.confirm(now, r)
 		}
-		c.detach(r)
-		if r.step.spec.Fills {
-			w.fillChangedAt = now
-		}
+		c.detach(now, r)
 	}
 	j := c.jobs[e.Task.Submission]
 	if j == nil {
--- a/internal/scheduling/medlarcell/waiting.go
+++ b/internal/scheduling/medlarcell/waiting.go
@@ -17,6 +17,7 @@
 		return
 	}
 	c.waitsNotedAt = now
+	c.note(c.loadNote())
 	for _, s := range c.queue {
 		if s.occurrence.job.submission.Terms.Priority > 0 || now.Sub(s.readySince) < waitNoteAfter || !c.isOpen(now, s) || len(s.ready) == 0 {
 			continue
@@ -54,3 +55,34 @@
 	return fmt.Sprintf("away %d, silent %d, draining %d, paused %d, spread %d, processors %d, memory %d, other %d",
 		away, silent, draining, paused, spread, processors, memory, rest)
 }
+
+// loadNote sums up the load of the cell.
+func (c *Cell) loadNote() Note {
+	var waiting, waitingFill, running, runningFill, slowed int64
+	for _, s := range c.queue {
+		cores := int64(len(s.ready)) * s.spec.Size.MilliCPU / milli
+		if s.spec.Fills {
+			waitingFill += cores
+		} else {
+			waiting += cores
+		}
+	}
+	var capacity, leftover int64
+	usable := 0
+	for _, w := range c.workers {
+		if !w.registered || !w.reported {
+			continue
+		}
+		usable++
+		capacity += w.info.Capacity.MilliCPU / milli
+		leftover += c.leftover(w) / milli
+		running += (w.committed.MilliCPU) / milli
+		runningFill += w.filling / milli
+		for _, f := range w.fills() {
+			slowed += f.step.spec.Size.MilliCPU * int64(fullPace-f.pace) / fullPace / milli
+		}
+	}
+	return Note{Kind: NoteLoad, Count: usable, Reason: fmt.Sprintf(
+		"cores: capacity %d, committed %d, leftover %d, filling %d, slowed away %d, waiting %d, waiting to fill %d",
+		capacity, running, leftover, runningFill, slowed, waiting, waitingFill)}
+}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -38,9 +38,8 @@
 	// rooms says how far the levels of serving tasks may rise. It is computed anew when it is stale.
 	rooms      []serveRoom
 	roomsStale bool
-	// fillChangedAt is when a filling task last started, ended or changed its pace.
-	fillChangedAt time.Time
-	pausedTo      time.Time
+	history    history
+	pausedTo   time.Time
 	// failedJobs lists the submissions of the last failed runs in a row.
 	failedJobs  []medlarsubmission.ID
 	suspensions int
@@ -146,3 +145,14 @@
 	}
 	return nil
 }
+
+// servingOf returns the processors that serving tasks of a job have reserved on the worker.
+func (w *worker) servingOf(j *job) int64 {
+	var sum int64
+	for r := range w.runs {
+		if r.step.spec.LongRunning && r.job() == j {
+			sum += r.step.spec.Size.MilliCPU
+		}
+	}
+	return sum
+}
--- a/internal/scheduling/medlarpressure/model.go
+++ b/internal/scheduling/medlarpressure/model.go
@@ -3,7 +3,9 @@
 // The tail latency of a serving task grows like that of a queue: it is its base latency divided by the share of its speed
 // that is left. The model therefore works with the level of a task, 1 - base/tail, which its own load and the pressure of
 // each filling task beside it add up to. Pressure is proportional to the processors that a filling task uses, as a share of
-// the worker, and depends on the pair of images. It is fitted by least squares with a prior and slow forgetting.
+// the worker, and depends on the pair of images. The load of a serving task swings by more than one filling task adds, and
+// filling tasks are placed where it is low; the model is therefore fitted to changes between two reports that are close in
+// time, by least squares with a prior and slow forgetting.
 //
 // It answers the load of filling work that arrives in bursts on workers which also serve: without it, filling work goes
 // beside the tasks that it harms most as readily as beside those that hardly notice it.
@@ -11,14 +13,13 @@
 // # Usage
 //
 //	model := medlarpressure.New(medlarpressure.DefaultConfig())
-//	model.Observe("web", 21*time.Millisecond, []medlarpressure.Share{{Image: "etl", Share: 0.1}})
+//	before, after := model.Level("web", 21*time.Millisecond), model.Level("web", 25*time.Millisecond)
+//	model.Observe("web", after-before, []medlarpressure.Share{{Image: "etl", Share: 0.1}})
 //	model.Refit()
-//	level := model.Level("web", 21*time.Millisecond) + model.Pressure("etl", "web")*0.1
+//	level := after + model.Pressure("etl", "web")*0.1
 package medlarpressure
 
-import (
-	"time"
-)
+import "time"
 
 // Image names what a task runs.
 type Image string
@@ -39,13 +40,20 @@
 	Forgetting float64
 	// MaxLevel bounds levels, since saturated tails carry no further information.
 	MaxLevel float64
+	// SaturatedLevel is the level from which on a change says little about its cause.
+	SaturatedLevel float64
+	// UnknownLimit is the level taken for a tail target while the base latency is not known.
+	UnknownLimit float64
 	// MaxImages bounds the filling images that are told apart for one serving image.
 	MaxImages int
 }
 
 // DefaultConfig returns the configuration for one fit a second and a memory of about half a minute.
 func DefaultConfig() Config {
-	return Config{Prior: 0.8, PriorWeight: 10, Forgetting: 0.98, MaxLevel: 0.97, MaxImages: 48}
+	return Config{
+		Prior: 0.8, PriorWeight: 10, Forgetting: 0.98, MaxLevel: 0.97, SaturatedLevel: 0.92,
+		UnknownLimit: 0.7, MaxImages: 48,
+	}
 }
 
 // typicalShare is the share of a worker at which the weight of the prior is defined.
@@ -60,11 +68,11 @@
 // New returns a model without observations.
 func New(c Config) *Model { return &Model{config: c, serving: map[Image]*fit{}} }
 
-// fit is the least-squares fit of the level of one serving image.
+// fit is the least-squares fit of the changes of the level of one serving image.
 type fit struct {
 	// base is the smallest tail latency seen.
 	base time.Duration
-	// index gives each filling image its column. Column 0 is the constant.
+	// index gives each filling image its column.
 	index map[Image]int
 	// squares and products are the weighted sums of the normal equations.
 	squares  [][]float64
@@ -75,21 +83,21 @@
 func (m *Model) fitOf(image Image) *fit {
 	f := m.serving[image]
 	if f == nil {
-		f = &fit{index: map[Image]int{}, squares: [][]float64{{0}}, products: []float64{0}, solution: []float64{0}}
+		f = &fit{index: map[Image]int{}}
 		m.serving[image] = f
 	}
 	return f
 }
 
-// column returns the column of a filling image, or 0 if there are too many images.
-func (f *fit) column(image Image, c *Config) int {
+// column returns the column of a filling image. It reports false if there are too many images.
+func (f *fit) column(image Image, c *Config) (int, bool) {
 	if n, known := f.index[image]; known {
-		return n
-	}
-	if len(f.index) >= c.MaxImages {
-		return 0
+		return n, true
 	}
 	n := len(f.products)
+	if n >= c.MaxImages {
+		return 0, false
+	}
 	f.index[image] = n
 	for i := range f.squares {
 		f.squares[i] = append(f.squares[i], 0)
@@ -97,18 +105,33 @@
 	f.squares = append(f.squares, make([]float64, n+1))
 	f.products = append(f.products, 0)
 	f.solution = append(f.solution, c.Prior)
-	return n
+	return n, true
 }
 
-// Level returns the level of a serving task with the tail latency.
+// Level returns the level of a serving task with the tail latency, and learns the base latency of its image.
 func (m *Model) Level(serving Image, tail time.Duration) float64 {
-	f := m.serving[serving]
-	if f == nil || f.base == 0 || tail <= 0 {
+	if tail <= 0 {
 		return 0
 	}
-	return min(max(0, 1-float64(f.base)/float64(tail)), m.config.MaxLevel)
+	f := m.fitOf(serving)
+	if f.base == 0 || tail < f.base {
+		f.base = tail
+	}
+	return min(1-float64(f.base)/float64(tail), m.config.MaxLevel)
 }
 
+// Limit returns the level at which a serving task reaches its tail target.
+func (m *Model) Limit(serving Image, target time.Duration) float64 {
+	f := m.serving[serving]
+	if f == nil || f.base == 0 || target <= 0 {
+		return m.config.UnknownLimit
+	}
+	return min(max(0, 1-float64(f.base)/float64(target)), m.config.MaxLevel)
+}
+
+// IsSaturated reports whether a level carries no information beyond being high.
+func (m *Model) IsSaturated(level float64) bool { return level >= m.config.SaturatedLevel }
+
 // Pressure returns how much the level of the serving image rises for each whole worker's worth of the filling image.
 func (m *Model) Pressure(filling, serving Image) float64 {
 	f := m.serving[serving]
@@ -122,44 +145,22 @@
 	return max(0, f.solution[n])
 }
 
-// OwnLevel returns the mean level of the serving image without filling tasks beside it.
-func (m *Model) OwnLevel(serving Image) float64 {
-	if f := m.serving[serving]; f != nil {
-		return f.solution[0]
-	}
-	return 0
-}
-
-// Observe takes in the tail latency of a serving task beside filling tasks, none of which has just started or ended.
-func (m *Model) Observe(serving Image, tail time.Duration, filling []Share) {
-	if tail <= 0 {
-		return
-	}
+// Observe takes in a change of the level of a serving task, and the changes of the shares of the filling images beside it.
+func (m *Model) Observe(serving Image, change float64, filling []Share) {
 	f := m.fitOf(serving)
-	if f.base == 0 || tail < f.base {
-		f.base = tail
-	}
-	level := m.Level(serving, tail)
-	row := make([]float64, len(f.products), len(f.products)+len(filling))
-	row[0] = 1
-	for _, s := range filling {
-		n := f.column(s.Image, &m.config)
-		if n == 0 {
+	columns := make([]int, len(filling))
+	for i, s := range filling {
+		n, ok := f.column(s.Image, &m.config)
+		if !ok {
 			return
 		}
-		for len(row) <= n {
-			row = append(row, 0)
-		}
-		row[n] += s.Share
+		columns[i] = n
 	}
-	for i, x := range row {
-		if x == 0 {
-			continue
+	for i, n := range columns {
+		for k, o := range columns {
+			f.squares[n][o] += filling[i].Share * filling[k].Share
 		}
-		for j, y := range row {
-			f.squares[i][j] += x * y
-		}
-		f.products[i] += x * level
+		f.products[n] += filling[i].Share * change
 	}
 }
 
@@ -183,16 +184,10 @@
 	weight := c.PriorWeight * typicalShare * typicalShare
 	for i := range rows {
 		rows[i] = append(append(make([]float64, 0, n+1), f.squares[i]...), f.products[i])
-		if i > 0 {
-			rows[i][i] += weight
-			rows[i][n] += weight * c.Prior
-		}
+		rows[i][i] += weight
+		rows[i][n] += weight * c.Prior
 	}
 	for i := range rows {
-		if rows[i][i] < minPivot {
-			// No observation yet.
-			continue
-		}
 		for r := range rows {
 			if r == i || rows[r][i] == 0 {
 				continue
@@ -204,11 +199,7 @@
 		}
 	}
 	for i := range rows {
-		if rows[i][i] >= minPivot {
-			f.solution[i] = rows[i][n] / rows[i][i]
-		}
+		// The prior keeps every pivot above zero.
+		f.solution[i] = rows[i][n] / rows[i][i]
 	}
 }
-
-// minPivot is the smallest pivot that is divided by. The matrix is symmetric and positive with its prior.
-const minPivot = 1e-9
--- /dev/null
+++ b/internal/scheduling/medlarrank/rank.go
@@ -0,0 +1,96 @@
+// Package medlarrank decides in which order waiting work is started.
+//
+// It answers two loads. In a burst of batch work that the workers can't finish in time, starting the oldest or the most
+// urgent work first makes nearly all of it late; work is therefore ranked by what its caller gains for each core-second
+// that is left to do, so that little and nearly finished work comes first. In an ordinary hour, all work can be in time,
+// and the rank falls with the slack, so that work that can wait does wait.
+//
+// # Usage
+//
+//	rank := medlarrank.Of(now, config, medlarrank.Work{Due: due, Useless: useless, Chain: chain, Value: 1, Remaining: 40})
+//	if other.Before(rank) { ... }
+package medlarrank
+
+import (
+	"math"
+	"time"
+)
+
+// Config configures ranks.
+type Config struct {
+	// SlackScale is the slack at which the rank has fallen to about a third.
+	SlackScale time.Duration
+	// SizeExponent says how strongly the remaining work lowers the rank. One maximises the gain for each core-second;
+	// less than one keeps large work from waiting for ever.
+	SizeExponent float64
+}
+
+// DefaultConfig returns the configuration for work of a few seconds.
+func DefaultConfig() Config { return Config{SlackScale: 3 * time.Second, SizeExponent: 0.7} }
+
+// Hope says what a piece of work can still reach.
+type Hope int
+
+// The hopes, best first.
+const (
+	// HopeInTime means that the work can meet its objective.
+	HopeInTime Hope = iota
+	// HopeLate means that it can't, but is still of use to its caller.
+	HopeLate
+	// HopeNone means that it comes too late to be of use.
+	HopeNone
+)
+
+// Work is what the rank of a piece of work depends on.
+type Work struct {
+	// Due is when the work should be complete, and Useless when it is of no more use.
+	Due, Useless time.Time
+	// Chain is the time that the work still takes if nothing has to wait.
+	Chain time.Duration
+	// Value is what the caller gains, in any unit.
+	Value float64
+	// Remaining is the work that is left, in core-seconds.
+	Remaining float64
+}
+
+// Rank orders work. The zero Rank is in time and has no score.
+type Rank struct {
+	Priority int
+	Hope     Hope
+	Score    float64
+}
+
+// Compare returns a negative number if r comes before other.
+func (r Rank) Compare(other Rank) int {
+	switch {
+	case r.Priority != other.Priority:
+		return r.Priority - other.Priority
+	case r.Hope != other.Hope:
+		return int(r.Hope - other.Hope)
+	case r.Score > other.Score:
+		return -1
+	case r.Score < other.Score:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// minRemaining keeps ranks finite, in core-seconds.
+const minRemaining = 0.1
+
+// Of returns the rank of a piece of work.
+func Of(now time.Time, c Config, priority int, w Work) Rank {
+	end := now.Add(w.Chain)
+	rank := Rank{Priority: priority, Hope: HopeInTime}
+	slack := w.Due.Sub(end)
+	if slack < 0 {
+		rank.Hope, slack = HopeLate, w.Useless.Sub(end)
+	}
+	if slack < 0 {
+		rank.Hope, slack = HopeNone, 0
+	}
+	density := w.Value / math.Pow(max(w.Remaining, minRemaining), c.SizeExponent)
+	rank.Score = density * math.Exp(-slack.Seconds()/c.SlackScale.Seconds())
+	return rank
+}
