Cap the projected level of serving tasks, and price workers by scarcity

Cause: filling work waited while workers that suit it had 500 free cores: a rising level was projected far above what serving tasks reach, so that one of the five on a worker nearly always excluded it.

Change: the projection is capped at a level that is rarely exceeded. Workers that suit images with few alternatives are kept for these by a price.

Ruled out: free processors and memory, by a print of the room per image.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -30,7 +30,10 @@
 	// meanWork is the mean work of the submissions of each route in core-seconds.
 	meanWork map[string]float64
 	pressure *medlarpressure.Model
-	refitAt  time.Time
+	// shortages is the waiting work of each filling image against the room on workers that suit it.
+	shortages map[medlarpressure.Image]float64
+	pricedAt  time.Time
+	refitAt   time.Time
 	// authority is until when this owner may order, unless it renews its ownership.
 	authority time.Time
 	// superseded is true once a worker has seen the fencing token of another owner.
--- a/internal/scheduling/medlarcell/interference.go
+++ b/internal/scheduling/medlarcell/interference.go
@@ -100,6 +100,7 @@
 	} else {
 		return
 	}
+	c.pressure.ObserveOwn(r.image(), own)
 	r.sample, r.sampledAt, r.shares = level, now, shares
 }
 
@@ -108,7 +109,8 @@
 	if !r.hasLevel {
 		return c.config.Interference.UnknownOwnLevel
 	}
-	return r.level + max(0, r.trend)*c.config.Interference.Horizon.Seconds()
+	ahead := r.level + max(0, r.trend)*c.config.Interference.Horizon.Seconds()
+	return max(r.level, min(ahead, c.pressure.High(r.image())))
 }
 
 // noteTarget notes since when a serving run is over its target.
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -18,6 +18,7 @@
 	}
 	c.compact()
 	c.order(now)
+	c.updatePrices(now)
 	usable := c.usable(now)
 	if len(usable) == 0 {
 		return
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -38,8 +38,10 @@
 	// rooms says how far the levels of serving tasks may rise. It is computed anew when it is stale.
 	rooms      []serveRoom
 	roomsStale bool
-	history    history
-	pausedTo   time.Time
+	// price is what filling work on the worker costs filling work of other images.
+	price    float64
+	history  history
+	pausedTo time.Time
 	// failedJobs lists the submissions of the last failed runs in a row.
 	failedJobs  []medlarsubmission.ID
 	suspensions int
--- a/internal/scheduling/medlarpressure/model.go
+++ b/internal/scheduling/medlarpressure/model.go
@@ -42,6 +42,9 @@
 	MaxLevel float64
 	// SaturatedLevel is the level from which on a change says little about its cause.
 	SaturatedLevel float64
+	// InitialHigh is the first estimate of the level that a serving task rarely exceeds by itself, HighQuantile the share
+	// of reports below it, and HighStep the step of its estimate.
+	InitialHigh, HighQuantile, HighStep float64
 	// UnknownLimit is the level taken for a tail target while the base latency is not known.
 	UnknownLimit float64
 	// MaxImages bounds the filling images that are told apart for one serving image.
@@ -52,7 +55,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Prior: 0.8, PriorWeight: 10, Forgetting: 0.98, MaxLevel: 0.97, SaturatedLevel: 0.92,
-		UnknownLimit: 0.7, MaxImages: 48,
+		UnknownLimit: 0.7, InitialHigh: 0.7, HighQuantile: 0.95, HighStep: 0.01, MaxImages: 48,
 	}
 }
 
@@ -72,6 +75,8 @@
 type fit struct {
 	// base is the smallest tail latency seen.
 	base time.Duration
+	// high is a level that the serving tasks rarely exceed by themselves.
+	high float64
 	// index gives each filling image its column.
 	index map[Image]int
 	// squares and products are the weighted sums of the normal equations.
@@ -83,7 +88,7 @@
 func (m *Model) fitOf(image Image) *fit {
 	f := m.serving[image]
 	if f == nil {
-		f = &fit{index: map[Image]int{}}
+		f = &fit{index: map[Image]int{}, high: m.config.InitialHigh}
 		m.serving[image] = f
 	}
 	return f
@@ -145,6 +150,25 @@
 	return max(0, f.solution[n])
 }
 
+// ObserveOwn takes in the level that a serving task has by itself.
+func (m *Model) ObserveOwn(serving Image, level float64) {
+	f := m.fitOf(serving)
+	// The estimate moves up by more than it moves down, so that it settles where the shares of both balance.
+	if level > f.high {
+		f.high += m.config.HighStep * m.config.HighQuantile
+	} else {
+		f.high -= m.config.HighStep * (1 - m.config.HighQuantile)
+	}
+}
+
+// High returns a level that tasks of the serving image rarely exceed by themselves.
+func (m *Model) High(serving Image) float64 {
+	if f := m.serving[serving]; f != nil {
+		return f.high
+	}
+	return m.config.InitialHigh
+}
+
 // Observe takes in a change of the level of a serving task, and the changes of the shares of the filling images beside it.
 func (m *Model) Observe(serving Image, change float64, filling []Share) {
 	f := m.fitOf(serving)
