Keep room for short urgent work: order, and a door for tasks that last

Change: short tasks that can be in time come before tasks that last; the door refuses new ones that would take the room that short work has lately needed.

Ruled out: memory, spread, silent and paused workers, by the task-waits lines.

--- /dev/null
+++ b/internal/acceptance/medlardoor/door.go
@@ -0,0 +1,93 @@
+// Package medlardoor decides whether a new submission is accepted, from the load that the scheduler last reported.
+//
+// It answers two loads. Tasks that last take their room for minutes: when they arrive on a nearly full fleet, short urgent
+// tasks find no room for the rest of the hour. The door therefore keeps the room that short urgent work has lately needed.
+// In a flood of batch work, whatever would be of no more use to its caller when its turn comes is refused at once.
+//
+// A report that is too old decides nothing: the submission is accepted.
+//
+// # Usage
+//
+//	verdict := door.Admit(now, &submission, load)
+//	if !verdict.Accept {
+//		// Refuse with verdict.RetryAfter.
+//	}
+package medlardoor
+
+import (
+	"time"
+
+	"medlarwheel/internal/acceptance/medlarsubmission"
+)
+
+// Load is what the scheduler reports about the workers of one service.
+type Load struct {
+	// At is when the report was made.
+	At time.Time `json:"at"`
+	// LastingRoom is the number of cores that tasks that last may still take.
+	LastingRoom float64 `json:"lasting-room"`
+	// LastingRelease is the rate at which tasks that last have given room back, in cores a second.
+	LastingRelease float64 `json:"lasting-release"`
+	// Backlog is the waiting work of routes that are not urgent, in core-seconds, and Drain the rate at which it gets done.
+	Backlog float64 `json:"backlog"`
+	Drain   float64 `json:"drain"`
+}
+
+// Config configures the door.
+type Config struct {
+	// MaxAge is the age of a report up to which it decides.
+	MaxAge time.Duration
+	// MinRetryAfter and MaxRetryAfter bound the time that a refused caller is told.
+	MinRetryAfter, MaxRetryAfter time.Duration
+}
+
+// DefaultConfig returns the configuration for reports that come with the answers of the scheduler.
+func DefaultConfig() Config {
+	return Config{MaxAge: 2 * time.Second, MinRetryAfter: time.Second, MaxRetryAfter: 30 * time.Second}
+}
+
+// Verdict is the door's decision.
+type Verdict struct {
+	Accept     bool
+	RetryAfter time.Duration
+	// Reason names the load that decided.
+	Reason string
+	// Age is the age of the report.
+	Age time.Duration
+}
+
+// Admit decides on a submission.
+func (c Config) Admit(now time.Time, s *medlarsubmission.Submission, load Load) Verdict {
+	v := Verdict{Accept: true, Age: now.Sub(load.At)}
+	if load.At.IsZero() || v.Age > c.MaxAge {
+		return v
+	}
+	if cores := lastingCores(s); cores > 0 && cores > load.LastingRoom {
+		v.Accept, v.Reason = false, "no room for tasks that last"
+		v.RetryAfter = c.wait(cores-load.LastingRoom, load.LastingRelease)
+	}
+	return v
+}
+
+// wait returns the time in which the missing amount comes free at the rate.
+func (c Config) wait(missing, rate float64) time.Duration {
+	if rate <= 0 {
+		return c.MaxRetryAfter
+	}
+	wait := time.Duration(missing / rate * float64(time.Second))
+	return min(max(wait, c.MinRetryAfter), c.MaxRetryAfter)
+}
+
+// milli is the number of thousandths of a core in a core.
+const milli = 1000
+
+// lastingCores returns the cores that the tasks of a submission that last ask for.
+func lastingCores(s *medlarsubmission.Submission) float64 {
+	cores := 0.0
+	for i := range s.Steps {
+		if step := &s.Steps[i]; step.LongRunning && !step.Fills {
+			cores += float64(step.Count) * float64(step.Size.MilliCPU) / milli
+		}
+	}
+	return cores
+}
--- a/internal/operation/medlarnode/entry.go
+++ b/internal/operation/medlarnode/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"medlarwheel/internal/acceptance/medlarintake"
@@ -37,6 +38,12 @@
 	if !n.health.MayTry() {
 		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, "table does not answer"
 	}
+	verdict := n.config.Door.Admit(n.clock.Now(), s, n.load(s.Service))
+	if !verdict.Accept {
+		n.meter.Count("door.refused")
+		return platform.Reply{Outcome: platform.OutcomeRefused, Overloaded: true, RetryAfter: verdict.RetryAfter},
+			fmt.Sprintf("%s, report is %d ms old", verdict.Reason, verdict.Age.Milliseconds())
+	}
 	row, err := medlarledger.SubmissionRow(n.config.Owner.Part, s)
 	if err != nil {
 		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, err.Error()
--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlardoor"
 	"medlarwheel/internal/acceptance/medlarintake"
 	"medlarwheel/internal/acceptance/medlarroute"
 	"medlarwheel/internal/operation/medlarclock"
@@ -32,6 +33,7 @@
 type Config struct {
 	Site  platform.Site
 	Owner medlarowner.Config
+	Door  medlardoor.Config
 	// StoreConnections bounds the connections to the platform's table.
 	StoreConnections int
 	// StoreTimeout bounds a call to the table: a table that is a hundred times slower than usual still answers in it.
@@ -65,7 +67,7 @@
 	owner.Cell.KeepFinished = max(owner.Cell.KeepFinished, site.KeepFinished+10*time.Second)
 	owner.Cell.RemoteFactor = site.RemoteFactor
 	return Config{
-		Site: site, Owner: owner, StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
+		Site: site, Owner: owner, Door: medlardoor.DefaultConfig(), StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
 		FollowWait: 700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
 		OrderTimeout: 350 * time.Millisecond, OrderConnections: 12, PeerTimeout: 300 * time.Millisecond,
 		ProbeInterval: 250 * time.Millisecond, ReadyAge: 2500 * time.Millisecond,
@@ -89,6 +91,7 @@
 	term     atomic.Pointer[medlartenure.Term]
 	owner    atomic.Pointer[medlarowner.Owner]
 	stopping atomic.Bool
+	loads    loadCache
 	deaths   chan medlartenure.Term
 }
 
@@ -107,6 +110,7 @@
 		peers:   newPeerClient(c.PeerTimeout),
 		process: fmt.Sprintf("%s-%d-%d", c.Site.Instance, os.Getpid(), clock.Now().UnixNano()),
 		deaths:  make(chan medlartenure.Term, 1),
+		loads:   loadCache{loads: map[medlarwheel.ServiceName]loadEntry{}},
 	}
 	n.intake = medlarintake.New(medlarintake.DefaultConfig(), n.store, n.health)
 	return n, nil
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlardoor"
 	"medlarwheel/internal/acceptance/medlarsubmission"
 )
 
@@ -17,12 +18,15 @@
 const (
 	peerPathState   = "/peer/state"
 	peerPathWaiting = "/peer/waiting"
+	peerPathLoad    = "/peer/load"
 )
 
 // peerQuestion is a question to the owner of the cell.
 type peerQuestion struct {
 	Submission medlarsubmission.ID `json:"submission,omitempty"`
 	Route      string              `json:"route,omitempty"`
+	// Service is the service whose load is asked for.
+	Service medlarwheel.ServiceName `json:"service,omitempty"`
 }
 
 // peerAnswer is the owner's answer.
@@ -30,6 +34,7 @@
 	Known   bool                   `json:"known,omitempty"`
 	State   medlarsubmission.State `json:"state,omitempty"`
 	Waiting int                    `json:"waiting,omitempty"`
+	Load    medlardoor.Load        `json:"load,omitzero"`
 }
 
 // Check reports every fault of a.
@@ -120,6 +125,9 @@
 	switch path {
 	case peerPathState:
 		a.State, a.Known, err = owner.State(ctx, q.Submission)
+	case peerPathLoad:
+		a.Load, err = owner.Load(ctx, q.Service)
+		a.Known = !a.Load.At.IsZero()
 	case peerPathWaiting:
 		a.Known = true
 		a.Waiting, err = owner.Waiting(ctx, q.Route)
@@ -154,3 +162,49 @@
 	a, err := n.askOwner(peerPathWaiting, peerQuestion{Route: route})
 	return a.Waiting, err
 }
+
+// loadCache keeps the last report of each service. Submissions that come while a report is fetched use the one before.
+type loadCache struct {
+	mu    sync.Mutex
+	loads map[medlarwheel.ServiceName]loadEntry
+}
+
+type loadEntry struct {
+	load     medlardoor.Load
+	fetching bool
+	asked    time.Time
+}
+
+// loadRefresh is the age of a report from which on the next submission fetches a new one.
+const loadRefresh = 250 * time.Millisecond
+
+// load returns the last known load of a service, and fetches a new one in the background when it is old.
+func (n *Node) load(service medlarwheel.ServiceName) medlardoor.Load {
+	now := n.clock.Now()
+	n.loads.mu.Lock()
+	defer n.loads.mu.Unlock()
+	entry := n.loads.loads[service]
+	if !entry.fetching && now.Sub(entry.asked) >= loadRefresh {
+		entry.fetching, entry.asked = true, now
+		n.loads.loads[service] = entry
+		go n.fetchLoad(service, now)
+	}
+	return entry.load
+}
+
+func (n *Node) fetchLoad(service medlarwheel.ServiceName, asked time.Time) {
+	a, err := n.askOwner(peerPathLoad, peerQuestion{Service: service})
+	if err != nil {
+		n.log.Warn().Str("event", "load-unknown").Str("service", string(service)).Err(err).Msg("")
+	}
+	n.loads.mu.Lock()
+	defer n.loads.mu.Unlock()
+	entry := n.loads.loads[service]
+	entry.fetching = false
+	if err == nil && a.Known {
+		entry.load = a.Load
+		// The clocks of two instances may differ, so the age counts from the question.
+		entry.load.At = asked
+	}
+	n.loads.loads[service] = entry
+}
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -27,6 +27,8 @@
 	commands     []Command
 	notes        []Note
 	waitsNotedAt time.Time
+	loads        map[medlarwheel.ServiceName]*serviceLoad
+	measuredAt   time.Time
 	// meanWork is the mean work of the submissions of each route in core-seconds.
 	meanWork map[string]float64
 	pressure *medlarpressure.Model
@@ -292,6 +294,7 @@
 	}
 	c.holdAcked(now)
 	c.refit(now)
+	c.measure(now)
 	c.noteWaits(now)
 	c.forget(now)
 }
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -46,6 +46,7 @@
 	LateFactor   float64
 	Rank         medlarrank.Config
 	Interference InterferenceConfig
+	Load         LoadConfig
 }
 
 // DefaultConfig returns the configuration for workers whose clocks are at most 2% slow.
@@ -58,5 +59,6 @@
 		EarlyStart: 0, RemoteFactor: 2, FailuresToSuspend: 2, SuspendTime: 4 * time.Second,
 		UnhealthyPause: 200 * time.Millisecond, ServingLoad: 0.5, LateFactor: 3,
 		Rank: medlarrank.DefaultConfig(), Interference: DefaultInterferenceConfig(),
+		Load: DefaultLoadConfig(),
 	}
 }
--- /dev/null
+++ b/internal/scheduling/medlarcell/load.go
@@ -0,0 +1,107 @@
+package medlarcell
+
+import (
+	"math"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlardoor"
+)
+
+// LoadConfig configures what the cell reports to the door.
+type LoadConfig struct {
+	// Interval is the time between two measurements.
+	Interval time.Duration
+	// PeakDecay is the time in which a past peak of short urgent work loses two thirds of its weight.
+	PeakDecay time.Duration
+	// Headroom times the lately highest use of short urgent work is kept free of tasks that last.
+	Headroom float64
+	// MinReserve is the least part of the workers' processors that is kept for short urgent work.
+	MinReserve float64
+	// ReleaseDecay is the time over which the release of room is averaged.
+	ReleaseDecay time.Duration
+}
+
+// DefaultLoadConfig returns the configuration for short tasks of about a second.
+func DefaultLoadConfig() LoadConfig {
+	return LoadConfig{
+		Interval: 250 * time.Millisecond, PeakDecay: 10 * time.Second, Headroom: 1.3, MinReserve: 0.04,
+		ReleaseDecay: 15 * time.Second,
+	}
+}
+
+// serviceLoad is the measured load of one service, in cores.
+type serviceLoad struct {
+	capacity, lasting, lastingWaiting, short float64
+	// peak is the lately highest use of short urgent work.
+	peak float64
+	// release is the rate at which tasks that last give room back, in cores a second.
+	release float64
+}
+
+// measure updates the loads of all services.
+func (c *Cell) measure(now time.Time) {
+	elapsed := now.Sub(c.measuredAt)
+	if elapsed < c.config.Load.Interval {
+		return
+	}
+	c.measuredAt = now
+	before := c.loads
+	c.loads = map[medlarwheel.ServiceName]*serviceLoad{}
+	for _, w := range c.workers {
+		l := c.loadOf(w.info.Service)
+		l.lasting += float64(w.serving) / milli
+		l.short += float64(w.committed.MilliCPU-w.serving) / milli
+		if w.registered && w.reported && !w.info.Draining {
+			l.capacity += float64(w.info.Capacity.MilliCPU) / milli
+		}
+	}
+	for _, s := range c.queue {
+		if s.spec.Fills {
+			continue
+		}
+		l := c.loadOf(s.occurrence.job.submission.Service)
+		cores := float64(len(s.ready)) * float64(s.spec.Size.MilliCPU) / milli
+		if s.spec.LongRunning {
+			l.lastingWaiting += cores
+		} else if s.occurrence.job.submission.Terms.Priority == 0 {
+			l.short += cores
+		}
+	}
+	for name, l := range c.loads {
+		l.follow(before[name], elapsed, &c.config.Load)
+	}
+}
+
+func (c *Cell) loadOf(name medlarwheel.ServiceName) *serviceLoad {
+	l := c.loads[name]
+	if l == nil {
+		l = &serviceLoad{}
+		c.loads[name] = l
+	}
+	return l
+}
+
+// follow carries the peak and the rate over from the measurement before.
+func (l *serviceLoad) follow(before *serviceLoad, elapsed time.Duration, c *LoadConfig) {
+	l.peak = l.short
+	if before == nil {
+		return
+	}
+	l.peak = max(l.short, before.peak*math.Exp(-elapsed.Seconds()/c.PeakDecay.Seconds()))
+	weight := 1 - math.Exp(-elapsed.Seconds()/c.ReleaseDecay.Seconds())
+	released := max(0, before.lasting-l.lasting) / elapsed.Seconds()
+	l.release = before.release + weight*(released-before.release)
+}
+
+// Load reports the load of a service to the door.
+func (c *Cell) Load(now time.Time, service medlarwheel.ServiceName) medlardoor.Load {
+	l := c.loads[service]
+	if l == nil || l.capacity == 0 || !c.settled {
+		return medlardoor.Load{}
+	}
+	reserve := max(c.config.Load.MinReserve*l.capacity, c.config.Load.Headroom*l.peak)
+	return medlardoor.Load{
+		At: now, LastingRoom: l.capacity - l.lasting - l.lastingWaiting - reserve, LastingRelease: l.release,
+	}
+}
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -1,7 +1,6 @@
 package medlarcell
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -282,8 +281,9 @@
 	})
 }
 
-// longRunningScore puts tasks that last before others of their priority: they earn from the moment they run.
-const longRunningScore = math.MaxFloat64
+// longRunningScore puts tasks that last behind short tasks of their priority that can still be in time, and before all
+// others. For the room that a task that lasts takes for minutes, many short tasks can be served.
+const longRunningScore = 0
 
 // Parts of the value of a submission: one for each, and one in proportion to its work against the mean of its route.
 const (
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlardoor"
 	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 	"medlarwheel/internal/operation/medlarmeter"
@@ -222,6 +223,12 @@
 	return state, known, err
 }
 
+// Load returns the load of a service.
+func (o *Owner) Load(ctx context.Context, service medlarwheel.ServiceName) (load medlardoor.Load, err error) {
+	err = o.ask(ctx, func() { load = o.cell.Load(o.Clock.Now(), service) })
+	return load, err
+}
+
 // Waiting returns the number of submissions of a route of which no task has started.
 func (o *Owner) Waiting(ctx context.Context, route string) (n int, err error) {
 	err = o.ask(ctx, func() { n = o.cell.Waiting(route) })
