Confirm the ownership at the table when a worker refuses a token, and claim at once after the owner's process ended

A worker that had been forgotten and came back knew a token that the same owner had raised for it before. After the loss of power the claim of an ended process was noticed only after its renewals were missing for 2.3 s.

Change: a refused token makes the owner write to the table under its condition; only that ends its ownership. Instances ask the process that answers at the owner's address for its name.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -92,7 +92,7 @@
 	owner    atomic.Pointer[medlarowner.Owner]
 	stopping atomic.Bool
 	loads    loadCache
-	deaths   chan medlartenure.Term
+	tenure   tenure
 }
 
 // New returns an instance that is not running yet.
@@ -109,7 +109,7 @@
 		health:  medlarintake.NewHealth(clock, c.ProbeInterval),
 		peers:   newPeerClient(c.PeerTimeout),
 		process: fmt.Sprintf("%s-%d-%d", c.Site.Instance, os.Getpid(), clock.Now().UnixNano()),
-		deaths:  make(chan medlartenure.Term, 1),
+		tenure:  tenure{watch: medlartenure.NewWatch(c.Owner.Tenure)},
 		loads:   loadCache{loads: map[medlarwheel.ServiceName]loadEntry{}},
 	}
 	n.intake = medlarintake.New(medlarintake.DefaultConfig(), n.store, n.health)
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -19,6 +19,7 @@
 	peerPathState   = "/peer/state"
 	peerPathWaiting = "/peer/waiting"
 	peerPathLoad    = "/peer/load"
+	peerPathProcess = "/peer/process"
 )
 
 // peerQuestion is a question to the owner of the cell.
@@ -35,6 +36,8 @@
 	State   medlarsubmission.State `json:"state,omitempty"`
 	Waiting int                    `json:"waiting,omitempty"`
 	Load    medlardoor.Load        `json:"load,omitzero"`
+	// Process names the answering process.
+	Process string `json:"process,omitempty"`
 }
 
 // Check reports every fault of a.
@@ -51,6 +54,9 @@
 // peerConnections bounds the connections to the owner of the cell.
 const peerConnections = 32
 
+// peerIdleLifetime closes idle connections well before the other side does.
+const peerIdleLifetime = 20 * time.Second
+
 // peerClient asks other instances. It keeps the client of one address, since there is one owner at a time.
 type peerClient struct {
 	timeout time.Duration
@@ -66,6 +72,7 @@
 	if p.client == nil || p.client.Addr != address {
 		p.client = &fasthttp.HostClient{
 			Addr: address, MaxConns: peerConnections, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
+			MaxIdleConnDuration: peerIdleLifetime,
 		}
 	}
 	return p.client
@@ -114,7 +121,11 @@
 }
 
 func (n *Node) answerPeer(path string, q peerQuestion) (peerAnswer, error) {
-	var a peerAnswer
+	a := peerAnswer{}
+	if path == peerPathProcess {
+		a.Process = n.process
+		return a, nil
+	}
 	owner := n.owner.Load()
 	if owner == nil {
 		return a, errNoOwner
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,9 +24,19 @@
 // watchDialTimeout bounds the connection by which an instance sees the owner's process end.
 const watchDialTimeout = time.Second
 
+// watchPause is the pause after a connection that can't be opened.
+const watchPause = 100 * time.Millisecond
+
+// tenure is what this instance knows about the ownership of the cell.
+type tenure struct {
+	mu    sync.Mutex
+	watch *medlartenure.Watch
+	// claiming serialises the claims of this instance.
+	claiming sync.Mutex
+}
+
 // followOwner follows the claim of the cell, and claims it when its owner is gone.
 func (n *Node) followOwner(ctx context.Context) error {
-	watch := medlartenure.NewWatch(n.config.Owner.Tenure)
 	var from medlarwheel.RowVersion
 	loaded := false
 	for ctx.Err() == nil {
@@ -47,25 +58,47 @@
 		}
 		n.health.Report(true)
 		loaded, from = true, max(from, version)
-		if err := watch.Observe(n.clock.Now(), rows); err != nil {
-			n.log.Error().Str("event", "row-refused").Str("table", medlartenure.Table).Err(err).Msg("")
-		}
-		n.noteDeaths(watch)
-		n.setTerm(ctx, watch.Term())
-		if watch.ShouldClaim() && !n.stopping.Load() && n.owner.Load() == nil {
-			sleep(ctx, rand.N(claimJitter))
-			n.claim(ctx, watch.Term())
-		}
+		n.observeTenure(ctx, rows)
+		n.claimIfVacant(ctx)
 	}
 	return ctx.Err()
 }
 
-func (n *Node) noteDeaths(watch *medlartenure.Watch) {
-	select {
-	case t := <-n.deaths:
-		watch.OwnerDied(t)
-	default:
+func (n *Node) observeTenure(ctx context.Context, rows []medlartable.Row) {
+	n.tenure.mu.Lock()
+	err := n.tenure.watch.Observe(n.clock.Now(), rows)
+	term := n.tenure.watch.Term()
+	if term.Instance == n.config.Site.Instance && term.Process != n.process {
+		// The claim is of an earlier process of this instance.
+		n.tenure.watch.OwnerDied(term)
+	}
+	n.tenure.mu.Unlock()
+	if err != nil {
+		n.log.Error().Str("event", "row-refused").Str("table", medlartenure.Table).Err(err).Msg("")
 	}
+	n.setTerm(ctx, term)
+}
+
+// claimIfVacant claims the cell if its owner is gone.
+func (n *Node) claimIfVacant(ctx context.Context) {
+	n.tenure.claiming.Lock()
+	defer n.tenure.claiming.Unlock()
+	if !n.isVacant() {
+		return
+	}
+	sleep(ctx, rand.N(claimJitter))
+	n.tenure.mu.Lock()
+	term := n.tenure.watch.Term()
+	n.tenure.mu.Unlock()
+	if n.isVacant() {
+		n.claim(ctx, term)
+	}
+}
+
+func (n *Node) isVacant() bool {
+	n.tenure.mu.Lock()
+	defer n.tenure.mu.Unlock()
+	return n.tenure.watch.ShouldClaim() && !n.stopping.Load() && n.owner.Load() == nil
 }
 
 // setTerm notes who owns the cell, and watches the process of a new owner.
@@ -77,33 +110,51 @@
 	n.term.Store(&t)
 	n.log.Info().Str("event", "owner-changed").Uint64("term", t.Number).Str("instance", string(t.Instance)).
 		Bool("released", t.Released).Msg("")
-	if t.Process != n.process && !t.Released {
+	if t.Instance != n.config.Site.Instance && !t.Released {
 		go n.watchProcess(ctx, t)
 	}
 }
 
-// watchProcess holds a connection to the owner. A connection that is closed and then refused shows that the process has
-// ended; silence shows nothing.
+// watchProcess holds a connection to the owner. The process has ended when the connection is closed and another process
+// answers at its address, or none; silence shows nothing.
 func (n *Node) watchProcess(ctx context.Context, t medlartenure.Term) {
 	for ctx.Err() == nil {
 		if present := n.term.Load(); present == nil || present.Number != t.Number {
 			return
 		}
-		conn, err := net.DialTimeout("tcp4", t.Address, watchDialTimeout)
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if n.processEnded(t) {
 			n.log.Warn().Str("event", "owner-process-ended").Uint64("term", t.Number).Str("instance", string(t.Instance)).Msg("")
-			n.deaths <- t
+			n.tenure.mu.Lock()
+			n.tenure.watch.OwnerDied(t)
+			n.tenure.mu.Unlock()
+			n.claimIfVacant(ctx)
 			return
 		}
-		if err != nil {
-			sleep(ctx, watchDialTimeout/4)
-			continue
-		}
-		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-		_, _ = conn.Read(make([]byte, 1))
-		stop()
-		_ = conn.Close()
+		n.waitForClose(ctx, t.Address)
+	}
+}
+
+// processEnded reports whether the owner's process is known to have ended.
+func (n *Node) processEnded(t medlartenure.Term) bool {
+	a, err := n.peers.ask(t.Address, peerPathProcess, peerQuestion{})
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return a.Process != t.Process
+}
+
+// waitForClose returns when a connection to the address is closed, or can't be opened after a pause.
+func (n *Node) waitForClose(ctx context.Context, address string) {
+	conn, err := net.DialTimeout("tcp4", address, watchDialTimeout)
+	if err != nil {
+		sleep(ctx, watchPause)
+		return
 	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	// Nothing is ever sent on this connection, so that any result of the read means its end.
+	_, _ = conn.Read(make([]byte, 1))
+	_ = conn.Close()
 }
 
 // claim makes this instance the owner of the cell, unless another one is faster.
@@ -135,6 +186,9 @@
 	}
 	next.Version = commit.Version
 	n.log.Info().Str("event", "cell-claimed").Uint64("term", next.Number).Str("from", string(present.Instance)).Msg("")
+	n.tenure.mu.Lock()
+	n.tenure.watch.Claimed(next)
+	n.tenure.mu.Unlock()
 	n.setTerm(ctx, next)
 	n.own(ctx, next, claimedAt)
 }
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -38,9 +38,7 @@
 	refitAt   time.Time
 	// authority is until when this owner may order, unless it renews its ownership.
 	authority time.Time
-	// superseded is true once a worker has seen the fencing token of another owner.
-	superseded bool
-	finished   []*job
+	finished  []*job
 }
 
 // Tenure identifies one ownership of the cell.
@@ -199,9 +197,6 @@
 // Waiting returns the number of accepted submissions of a route of which no task has started.
 func (c *Cell) Waiting(route string) int { return c.waiting[route] }
 
-// Superseded reports whether another owner has taken over.
-func (c *Cell) Superseded() bool { return c.superseded }
-
 // SetWorkers replaces the list of registered workers.
 func (c *Cell) SetWorkers(now time.Time, workers []medlarorder.Worker) {
 	listed := make(map[medlarwheel.WorkerID]bool, len(workers))
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -74,7 +74,7 @@
 	NoteWorkerSuspended NoteKind = "worker-suspended"
 	NoteLeaseEnded      NoteKind = "worker-lease-ended"
 	NoteSettled         NoteKind = "takeover-settled"
-	NoteSuperseded      NoteKind = "owner-superseded"
+	NoteFenced          NoteKind = "worker-fenced"
 	NoteTaskWaits       NoteKind = "task-waits"
 	NoteLoad            NoteKind = "cell-load"
 	NoteTailExceeded    NoteKind = "tail-target-exceeded"
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -12,7 +12,7 @@
 
 // Place starts waiting tasks on workers with room, in the order of the queue.
 func (c *Cell) Place(now time.Time) {
-	if c.superseded || len(c.queue) == 0 || now.After(c.authority) {
+	if len(c.queue) == 0 || now.After(c.authority) {
 		return
 	}
 	c.compact()
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -33,6 +33,7 @@
 		delay = c.config.HoldRetry
 	case report.Verdict == medlarorder.VerdictFenced:
 		c.fencedOff(now, w, h.Fence)
+		delay = c.config.HoldRetry
 	case report.Verdict != medlarorder.VerdictAccepted:
 		delay = c.config.HoldRetry
 	default:
@@ -66,15 +67,39 @@
 	w.reported = w.reported && now.Sub(w.contact) < c.config.ContactTimeout
 }
 
-// fencedOff handles a worker that has seen a higher token than fence.
+// fencedOff handles a worker that has seen a higher token than fence. Either another instance owns the cell, or this one
+// has raised the worker's token in an earlier life of its entry; the table knows.
 func (c *Cell) fencedOff(now time.Time, w *worker, fence medlarwheel.FencingToken) {
-	if fence < w.fence {
+	if fence < w.fence || w.fencedOff {
 		return
 	}
-	if !c.superseded {
-		c.note(Note{Kind: NoteSuperseded, Worker: w.info.ID, Age: now.Sub(w.contact)})
+	w.fencedOff, w.fencedAt = true, now
+	c.note(Note{Kind: NoteFenced, Worker: w.info.ID, Count: int(fence - c.fence)})
+}
+
+// IsDoubtful reports whether a worker has seen a higher token, so that the ownership is to be confirmed at once.
+func (c *Cell) IsDoubtful() bool {
+	for _, w := range c.workers {
+		if w.fencedOff {
+			return true
+		}
+	}
+	return false
+}
+
+// fenceJump is by how much the token of a worker is raised that has seen a higher one of the same owner.
+const fenceJump = 64
+
+// Confirmed notes that this owner has written to the table, under the condition of its ownership, at sentAt.
+func (c *Cell) Confirmed(now, sentAt time.Time) {
+	for _, w := range c.workers {
+		if !w.fencedOff || !sentAt.After(w.fencedAt) {
+			continue
+		}
+		w.fencedOff = false
+		w.fence += fenceJump
+		c.settleRest(now, w)
 	}
-	c.superseded = true
 }
 
 // hold orders the next renewal of a worker's lease.
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -50,6 +50,9 @@
 	// lifeUnsure is true after a renewal without an answer: the next connection may reach another life of the worker,
 	// whose ends have numbers of their own.
 	lifeUnsure bool
+	// fencedOff is true since fencedAt, when the worker has seen a higher token, until the ownership is confirmed.
+	fencedOff bool
+	fencedAt  time.Time
 	// holding is true while a renewal is in flight.
 	holding bool
 	// holdDue is set while the next renewal waits for ends to be acknowledged.
@@ -95,7 +98,7 @@
 
 // isUsable reports whether the worker may get new tasks.
 func (w *worker) isUsable(now time.Time, c *Config) bool {
-	return w.registered && w.reported && !w.info.Draining && !now.Before(w.pausedTo) &&
+	return w.registered && w.reported && !w.fencedOff && !w.info.Draining && !now.Before(w.pausedTo) &&
 		now.Sub(w.contact) < c.ContactTimeout && !w.clockAt.IsZero()
 }
 
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -27,7 +27,7 @@
 		o.wakeForFlush(wait)
 		return
 	}
-	renew := now.Sub(o.renewedAt) >= o.config.Tenure.RenewInterval
+	renew := now.Sub(o.renewedAt) >= o.config.Tenure.RenewInterval || o.cell.IsDoubtful()
 	limit := medlarledger.MaxRecords
 	var erase []medlarsubmission.ID
 	if renew && len(o.erase) > 0 {
@@ -88,6 +88,7 @@
 		return
 	}
 	o.cell.Flushed(now, batch)
+	o.cell.Confirmed(now, sentAt)
 	if renew {
 		o.renewedAt = sentAt
 		o.cell.Authorize(sentAt.Add(o.config.Tenure.OwnerTimeout))
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -173,7 +173,7 @@
 		o.carryOut(ctx)
 		o.flush(ctx, now)
 		o.logNotes()
-		if o.superseded || o.cell.Superseded() {
+		if o.superseded {
 			return ErrSuperseded
 		}
 	}
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -138,6 +138,13 @@
 	return nil
 }
 
+// Claimed notes the claim of this instance itself.
+func (w *Watch) Claimed(t Term) {
+	if t.Version > w.term.Version {
+		w.term, w.quiet, w.ownerDead = t, 0, false
+	}
+}
+
 // OwnerDied notes that the process with the claim has ended.
 func (w *Watch) OwnerDied(t Term) {
 	if t.Number == w.term.Number && t.Process == w.term.Process {
