Keep the list of the fleet in the table, and go on while the table answers nobody

Also, an owner stopped giving orders 2 s into an outage of the table, and all work lapsed 3 s later.

Change: the owner records the workers that it uses before it uses them. Every instance registers itself; an owner without the table goes on as long as every registered instance says that the table does not answer it either, since none of them can then claim the cell.

--- a/internal/execution/medlarorder/order.go
+++ b/internal/execution/medlarorder/order.go
@@ -31,18 +31,27 @@
 
 // Worker is a worker as it registers itself.
 type Worker struct {
-	ID         medlarwheel.WorkerID
-	Life       Life
-	Service    medlarwheel.ServiceName
-	Address    string
-	DataCentre medlarwheel.DataCentreID
-	Rack       medlarwheel.RackID
-	Labels     []string
-	Capacity   medlarsubmission.Size
+	ID         medlarwheel.WorkerID     `json:"id"`
+	Life       Life                     `json:"life"`
+	Service    medlarwheel.ServiceName  `json:"service"`
+	Address    string                   `json:"address"`
+	DataCentre medlarwheel.DataCentreID `json:"data-centre,omitempty"`
+	Rack       medlarwheel.RackID       `json:"rack,omitempty"`
+	Labels     []string                 `json:"labels,omitempty"`
+	Capacity   medlarsubmission.Size    `json:"capacity"`
 	// Draining workers take no new tasks.
-	Draining bool
+	Draining bool `json:"draining,omitempty"`
 	// Remaining is the least time that a draining worker still serves.
-	Remaining time.Duration
+	Remaining time.Duration `json:"-"`
+}
+
+// Check reports every fault of w.
+func (w *Worker) Check() medlarwheel.Faults {
+	faults := medlarwheel.CheckAddress("address", w.Address)
+	if w.ID == "" {
+		faults = faults.Add("id", "", "the name of a worker")
+	}
+	return faults
 }
 
 // HasLabel reports whether the worker carries the label.
--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -25,6 +25,7 @@
 	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/operation/medlarmeter"
 	"medlarwheel/internal/scheduling/medlarowner"
+	"medlarwheel/internal/state/medlarinstance"
 	"medlarwheel/internal/state/medlartenure"
 	"medlarwheel/platform"
 )
@@ -34,6 +35,8 @@
 	Site  platform.Site
 	Owner medlarowner.Config
 	Door  medlardoor.Config
+	// Register configures the register of instances.
+	Register medlarinstance.Config
 	// StoreConnections bounds the connections to the platform's table.
 	StoreConnections int
 	// StoreTimeout bounds a call to the table: a table that is a hundred times slower than usual still answers in it.
@@ -67,7 +70,7 @@
 	owner.Cell.KeepFinished = max(owner.Cell.KeepFinished, site.KeepFinished+10*time.Second)
 	owner.Cell.RemoteFactor = site.RemoteFactor
 	return Config{
-		Site: site, Owner: owner, Door: medlardoor.DefaultConfig(), StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
+		Site: site, Owner: owner, Door: medlardoor.DefaultConfig(), Register: medlarinstance.DefaultConfig(), StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
 		FollowWait: 700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
 		OrderTimeout: 350 * time.Millisecond, OrderConnections: 12, PeerTimeout: 300 * time.Millisecond,
 		ProbeInterval: 250 * time.Millisecond, ReadyAge: 2500 * time.Millisecond,
@@ -93,6 +96,9 @@
 	stopping atomic.Bool
 	loads    loadCache
 	tenure   tenure
+	register register
+	// registerRead is when the register was last read. Only followInstances uses it.
+	registerRead time.Time
 }
 
 // New returns an instance that is not running yet.
@@ -106,11 +112,12 @@
 		store: platform.NewStore(platform.StoreConfig{
 			Address: c.Site.StoreAddress, Connections: c.StoreConnections, Timeout: c.StoreTimeout,
 		}),
-		health:  medlarintake.NewHealth(clock, c.ProbeInterval),
-		peers:   newPeerClient(c.PeerTimeout),
-		process: fmt.Sprintf("%s-%d-%d", c.Site.Instance, os.Getpid(), clock.Now().UnixNano()),
-		tenure:  tenure{watch: medlartenure.NewWatch(c.Owner.Tenure)},
-		loads:   loadCache{loads: map[medlarwheel.ServiceName]loadEntry{}},
+		health:   medlarintake.NewHealth(clock, c.ProbeInterval),
+		peers:    newPeerClient(c.PeerTimeout),
+		process:  fmt.Sprintf("%s-%d-%d", c.Site.Instance, os.Getpid(), clock.Now().UnixNano()),
+		register: register{list: medlarinstance.NewRegister(c.Register)},
+		tenure:   tenure{watch: medlartenure.NewWatch(c.Owner.Tenure)},
+		loads:    loadCache{loads: map[medlarwheel.ServiceName]loadEntry{}},
 	}
 	n.intake = medlarintake.New(medlarintake.DefaultConfig(), n.store, n.health)
 	return n, nil
@@ -130,6 +137,8 @@
 	group.Go(func() error { return n.intake.Run(working) })
 	group.Go(func() error { return n.followConfig(working) })
 	group.Go(func() error { return n.followOwner(working) })
+	group.Go(func() error { return n.followInstances(working) })
+	group.Go(func() error { return n.renewRegistration(working) })
 	for _, s := range servers {
 		group.Go(s.serve)
 	}
@@ -158,6 +167,7 @@
 			n.log.Warn().Str("event", "release-failed").Err(err).Msg("")
 		}
 	}
+	n.unregister()
 	<-ctx.Done()
 	closing, cancelClosing := context.WithTimeout(context.Background(), n.config.DrainTime/2)
 	defer cancelClosing()
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	peerPathWaiting = "/peer/waiting"
 	peerPathLoad    = "/peer/load"
 	peerPathProcess = "/peer/process"
+	peerPathPromise = "/peer/promise"
 )
 
 // peerQuestion is a question to the owner of the cell.
@@ -38,6 +40,8 @@
 	Load    medlardoor.Load        `json:"load,omitzero"`
 	// Process names the answering process.
 	Process string `json:"process,omitempty"`
+	// Promise is true if the answering instance can't claim the cell within the owner's timeout.
+	Promise bool `json:"promise,omitempty"`
 }
 
 // Check reports every fault of a.
@@ -62,22 +66,47 @@
 	timeout time.Duration
 	mu      sync.Mutex
 	client  *fasthttp.HostClient
+	// silentUntil is until when an address that did not answer is not asked again, so that every question does not wait
+	// for its own timeout.
+	silentUntil time.Time
 }
 
+// silentPause is how long an address that did not answer is not asked.
+const silentPause = 250 * time.Millisecond
+
+// errPeerSilent means that the address did not answer a moment ago.
+var errPeerSilent = errors.New("did not answer a moment ago")
+
 func newPeerClient(timeout time.Duration) *peerClient { return &peerClient{timeout: timeout} }
 
 func (p *peerClient) of(address string) *fasthttp.HostClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.client == nil || p.client.Addr != address {
+		p.silentUntil = time.Time{}
 		p.client = &fasthttp.HostClient{
 			Addr: address, MaxConns: peerConnections, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
 			MaxIdleConnDuration: peerIdleLifetime,
+			DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
+				return net.DialTimeout("tcp4", address, min(timeout, p.timeout))
+			},
 		}
 	}
 	return p.client
 }
 
+func (p *peerClient) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.silentUntil)
+}
+
+func (p *peerClient) noteSilence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silentUntil = time.Now().Add(silentPause)
+}
+
 func (p *peerClient) ask(address, path string, q peerQuestion) (peerAnswer, error) {
 	var answer peerAnswer
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -90,7 +119,14 @@
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.SetRequestURI("http://" + address + path)
 	request.SetBody(body)
-	if err := p.of(address).DoTimeout(request, response, p.timeout); err != nil {
+	client := p.of(address)
+	if p.isSilent() {
+		return answer, medlarwheel.AtStep("ask owner", address, errPeerSilent)
+	}
+	if err := client.DoTimeout(request, response, p.timeout); err != nil {
+		if errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, fasthttp.ErrDialTimeout) {
+			p.noteSilence()
+		}
 		return answer, medlarwheel.AtStep("ask owner", address, err)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
@@ -126,6 +162,10 @@
 		a.Process = n.process
 		return a, nil
 	}
+	if path == peerPathPromise {
+		a.Promise = n.promise()
+		return a, nil
+	}
 	owner := n.owner.Load()
 	if owner == nil {
 		return a, errNoOwner
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -1,6 +1,8 @@
 package medlarcell
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"medlarwheel"
@@ -36,6 +38,8 @@
 	shortages map[medlarpressure.Image]float64
 	pricedAt  time.Time
 	refitAt   time.Time
+	// fleetDirty is true while the table's list of the fleet is out of date.
+	fleetDirty bool
 	// authority is until when this owner may order, unless it renews its ownership.
 	authority time.Time
 	finished  []*job
@@ -211,12 +215,37 @@
 	}
 }
 
+// RestoreFleet takes in the workers that the owner before this one has used. Those whose registration has gone may still
+// run tasks, and have to report or lose their leases like all others.
+func (c *Cell) RestoreFleet(now time.Time, fleet []medlarorder.Worker) {
+	for _, info := range fleet {
+		if c.workers[info.ID] == nil {
+			// The life is left open: the worker may have restarted since.
+			info.Life = 0
+			c.SetWorker(now, info)
+			c.workers[info.ID].registered = false
+		}
+		c.workers[info.ID].recorded = true
+	}
+}
+
+// Fleet lists the workers that may run tasks.
+func (c *Cell) Fleet() []medlarorder.Worker {
+	fleet := make([]medlarorder.Worker, 0, len(c.workers))
+	for _, w := range c.workers {
+		fleet = append(fleet, w.info)
+	}
+	slices.SortFunc(fleet, func(a, b medlarorder.Worker) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return fleet
+}
+
 // SetWorker takes in the registration of a worker.
 func (c *Cell) SetWorker(now time.Time, info medlarorder.Worker) {
 	w := c.workers[info.ID]
 	if w == nil {
 		w = newWorker(info, c.fence, c.settleAt)
 		c.workers[info.ID] = w
+		c.fleetDirty = true
 		c.note(Note{Kind: NoteWorkerJoined, Worker: info.ID})
 	}
 	if info.Draining && !w.info.Draining {
@@ -278,6 +307,7 @@
 		}
 		if !w.registered && len(w.runs) == 0 && now.Sub(w.contact) > 2*c.config.Lease && now.After(w.leaseEnd) {
 			delete(c.workers, id)
+			c.fleetDirty = true
 			c.commands = append(c.commands, Command{Kind: CommandForget, Worker: id})
 			continue
 		}
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -34,8 +34,10 @@
 // Batch is a set of records that is stored as a whole.
 type Batch struct {
 	Records []Record
-	jobs    []*job
-	acks    map[*worker]ack
+	// Fleet is the list of workers that may run tasks, if it has changed.
+	Fleet []medlarorder.Worker
+	jobs  []*job
+	acks  map[*worker]ack
 }
 
 type ack struct {
@@ -44,7 +46,7 @@
 }
 
 // IsEmpty reports whether there is nothing to store and no end to acknowledge.
-func (b *Batch) IsEmpty() bool { return len(b.Records) == 0 && len(b.acks) == 0 }
+func (b *Batch) IsEmpty() bool { return len(b.Records) == 0 && len(b.acks) == 0 && b.Fleet == nil }
 
 func (c *Cell) markDirty(j *job) {
 	if !j.dirty {
@@ -54,12 +56,16 @@
 }
 
 // HasFlush reports whether TakeFlush would return records.
-func (c *Cell) HasFlush() bool { return len(c.dirty) > 0 }
+func (c *Cell) HasFlush() bool { return len(c.dirty) > 0 || c.fleetDirty }
 
 // TakeFlush returns up to limit records that have changed. The ends that led to them are acknowledged once Flushed is
 // called with the batch. At most one batch may be on its way.
 func (c *Cell) TakeFlush(limit int) *Batch {
 	b := &Batch{acks: map[*worker]ack{}}
+	if limit > 0 && c.fleetDirty {
+		c.fleetDirty = false
+		b.Fleet = c.Fleet()
+	}
 	n := min(limit, len(c.dirty))
 	for _, j := range c.dirty[:n] {
 		j.dirty = false
@@ -86,6 +92,11 @@
 			w.acked = max(w.acked, a.end)
 		}
 	}
+	for i := range b.Fleet {
+		if w := c.workers[b.Fleet[i].ID]; w != nil {
+			w.recorded = true
+		}
+	}
 	for i, j := range b.jobs {
 		if state := b.Records[i].Progress.State; state.IsFinal() {
 			j.durable = state
@@ -99,6 +110,7 @@
 	for _, j := range b.jobs {
 		c.markDirty(j)
 	}
+	c.fleetDirty = c.fleetDirty || b.Fleet != nil
 }
 
 func (j *job) progress() Progress {
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -26,6 +26,7 @@
 	for i := range workers {
 		b.cell.SetWorker(b.now, benchWorker(i))
 	}
+	b.flush()
 	b.look()
 	return b
 }
@@ -187,3 +188,36 @@
 		t.Fatal("after its ownership is confirmed, the owner does not raise the worker's token")
 	}
 }
+
+// TestUnregisteredWorkerKeepsItsTasks guards against a second run of tasks on workers whose registrations lapsed while the
+// table was away: they are cut off or slow to register again, and run on under their leases.
+func TestUnregisteredWorkerKeepsItsTasks(t *testing.T) {
+	b := newBench(t, 0, Tenure{Fence: 2 << 12, Term: 2})
+	if err := b.cell.Restore(b.now, benchSubmission(benchStep()), Progress{}, false); err != nil {
+		t.Fatal(err)
+	}
+	b.cell.SetWorker(b.now, benchWorker(0))
+	b.cell.RestoreFleet(b.now, []medlarorder.Worker{benchWorker(0), benchWorker(1)})
+	b.flush()
+	b.look()
+	for _, h := range b.holds {
+		if h.Worker == "w0" {
+			b.report(h, medlarorder.Report{})
+		}
+	}
+	b.look()
+	if len(b.starts) > 0 {
+		t.Fatal("a task was started although it may run on a worker whose registration has lapsed")
+	}
+	pending := b.holds
+	b.wait(b.cell.inheritedLease() + 100*time.Millisecond)
+	for _, h := range pending {
+		if h.Worker == "w0" {
+			b.report(h, medlarorder.Report{})
+		}
+	}
+	b.look()
+	if len(b.starts) != 1 {
+		t.Fatal("the task was not started after every lease must have ended")
+	}
+}
--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -56,6 +56,7 @@
 	cancelled map[medlarsubmission.ID]bool
 	progress  map[medlarsubmission.ID]Progress
 	term      uint64
+	fleet     []medlarorder.Worker
 
 	cell     *Cell
 	owner    int // counts owners; events of earlier ones are dropped
@@ -114,7 +115,12 @@
 			w.t.Fatal(err)
 		}
 	}
+	cell.RestoreFleet(w.time(), w.fleet)
 	for i := range len(w.workers) {
+		// The registrations of workers that are cut off have lapsed.
+		if w.workers[medlarwheel.WorkerID(fmt.Sprintf("w%d", i))].cut {
+			continue
+		}
 		cell.SetWorker(w.time(), w.workers[medlarwheel.WorkerID(fmt.Sprintf("w%d", i))].info)
 	}
 	w.turn()
@@ -155,6 +161,9 @@
 		if owner != w.owner {
 			return // The claim of the next owner has broken the chain.
 		}
+		if batch.Fleet != nil {
+			w.fleet = batch.Fleet
+		}
 		for _, r := range batch.Records {
 			w.progress[r.Submission] = r.Progress
 		}
@@ -320,7 +329,11 @@
 	for range 4 {
 		worker := w.workers[medlarwheel.WorkerID(fmt.Sprintf("w%d", w.rng.IntN(len(w.workers))))]
 		w.after(time.Duration(w.rng.Int64N(int64(simLength))), func() { worker.cut = true })
-		w.after(simLength+time.Second, func() { worker.cut = false })
+		w.after(simLength+time.Second, func() {
+			worker.cut = false
+			w.cell.SetWorker(w.time(), worker.info)
+			w.turn()
+		})
 	}
 }
 
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -14,6 +14,9 @@
 	life medlarorder.Life
 	// registered is false once the worker's registration has gone. It then gets no new tasks.
 	registered bool
+	// recorded is true once the table's list of the fleet names the worker. Before that it gets no tasks, since the next
+	// owner would not know where to look for them.
+	recorded bool
 	// reported is true once the worker has listed its runs in this tenure.
 	reported bool
 	// contact is when the worker last answered.
@@ -98,7 +101,7 @@
 
 // isUsable reports whether the worker may get new tasks.
 func (w *worker) isUsable(now time.Time, c *Config) bool {
-	return w.registered && w.reported && !w.fencedOff && !w.info.Draining && !now.Before(w.pausedTo) &&
+	return w.registered && w.recorded && w.reported && !w.fencedOff && !w.info.Draining && !now.Before(w.pausedTo) &&
 		now.Sub(w.contact) < c.ContactTimeout && !w.clockAt.IsZero()
 }
 
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -43,7 +43,7 @@
 		return
 	}
 	batch := o.cell.TakeFlush(limit)
-	transaction, err := o.chain.Next(batch.Records, erase, renew)
+	transaction, err := o.chain.Next(batch, erase, renew)
 	if err != nil {
 		o.Log.Error().Str("event", "flush-not-encoded").Err(err).Msg("")
 		o.cell.FlushFailed(batch)
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -17,7 +17,7 @@
 
 // load reads the records of the cell and the list of workers.
 func (o *Owner) load(ctx context.Context) error {
-	var submissions, progress, workers []medlartable.Row
+	var submissions, progress, workers, fleet []medlartable.Row
 	began := o.Clock.Now()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
@@ -32,12 +32,23 @@
 		workers, o.workersFrom, err = o.readAll(ctx, o.Registry.Range)
 		return err
 	})
+	group.Go(func() (err error) {
+		fleet, _, err = o.readAll(ctx, medlarledger.FleetRange(o.config.Part))
+		return err
+	})
 	if err := group.Wait(); err != nil {
 		return err
 	}
 	now := o.Clock.Now()
 	o.restore(now, submissions, progress)
 	o.cell.SetWorkers(now, o.decodeWorkers(workers))
+	for _, r := range fleet {
+		list, err := medlarledger.DecodeFleet(r)
+		if err != nil {
+			return err
+		}
+		o.cell.RestoreFleet(now, list)
+	}
 	o.Log.Info().Str("event", "cell-loaded").Uint64("term", o.term.Number).Int("submission-rows", len(submissions)).
 		Int("workers", len(workers)).Dur("took", now.Sub(began)).Msg("")
 	return nil
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -223,6 +223,11 @@
 	return state, known, err
 }
 
+// Extend lets the owner give orders until the given time.
+func (o *Owner) Extend(until time.Time) {
+	o.post(func(time.Time) { o.cell.Authorize(until) })
+}
+
 // Load returns the load of a service.
 func (o *Owner) Load(ctx context.Context, service medlarwheel.ServiceName) (load medlardoor.Load, err error) {
 	err = o.ask(ctx, func() { load = o.cell.Load(o.Clock.Now(), service) })
--- /dev/null
+++ b/internal/state/medlarinstance/instance.go
@@ -0,0 +1,110 @@
+// Package medlarinstance holds the register of instances in the platform's table, and the rule by which an owner that
+// can't reach the table may go on.
+//
+// Every instance renews a row of its own. While the table answers nobody, nobody can claim the cell; an owner that has
+// heard this from every registered instance may therefore go on giving orders for as long as a claim would take.
+//
+// # Usage
+//
+//	register := medlarinstance.NewRegister(medlarinstance.DefaultConfig())
+//	err := register.Replace(now, rows)
+//	for _, peer := range register.Live(lastAnswer) { ... }
+package medlarinstance
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/internal/state/medlartable"
+)
+
+// Table is the name of the table.
+const Table = "medlar-instance"
+
+// Config configures the register.
+type Config struct {
+	// RenewInterval is the time between two renewals of an instance's row.
+	RenewInterval time.Duration
+	// Lifetime is how long an instance stays in the register without a renewal.
+	Lifetime time.Duration
+}
+
+// DefaultConfig returns the configuration for instances that are replaced within a minute.
+func DefaultConfig() Config {
+	return Config{RenewInterval: 5 * time.Second, Lifetime: 12 * time.Second}
+}
+
+// Instance is one registered instance.
+type Instance struct {
+	ID medlarwheel.InstanceID `json:"id"`
+	// Address is where other instances reach it.
+	Address string `json:"address"`
+	Process string `json:"process"`
+}
+
+// Row returns the row by which an instance registers.
+func Row(part string, i Instance) (medlartable.Row, error) {
+	value, err := json.Marshal(i)
+	return medlartable.Row{Table: Table, Part: part, Key: string(i.ID), Value: value}, errors.Wrap(err, "instance row")
+}
+
+// Decode reads and checks a row.
+func Decode(r medlartable.Row) (Instance, error) {
+	var i Instance
+	if err := json.Unmarshal(r.Value, &i); err != nil {
+		return i, errors.Wrapf(err, "instance %s", r.Key)
+	}
+	return i, medlarwheel.CheckAddress("address", i.Address).Err()
+}
+
+// Register is the list of instances.
+type Register struct {
+	config  Config
+	entries map[medlarwheel.InstanceID]entry
+}
+
+type entry struct {
+	instance Instance
+	version  medlarwheel.RowVersion
+	seenAt   time.Time
+}
+
+// NewRegister returns an empty register.
+func NewRegister(c Config) *Register {
+	return &Register{config: c, entries: map[medlarwheel.InstanceID]entry{}}
+}
+
+// Replace takes in all rows of the table. An instance counts as renewed when the version of its row has changed.
+func (g *Register) Replace(now time.Time, rows []medlartable.Row) error {
+	var failure error
+	entries := make(map[medlarwheel.InstanceID]entry, len(rows))
+	for _, r := range rows {
+		i, err := Decode(r)
+		if err != nil {
+			failure = err
+			continue
+		}
+		e := entry{instance: i, version: r.Version, seenAt: now}
+		if before, known := g.entries[i.ID]; known && before.version == r.Version {
+			e.seenAt = before.seenAt
+		}
+		entries[i.ID] = e
+	}
+	g.entries = entries
+	return failure
+}
+
+// Live returns the instances that were renewed not too long before lastAnswer, when the table last answered. An outage of
+// the table does not age them.
+func (g *Register) Live(lastAnswer time.Time) []Instance {
+	var live []Instance
+	for _, e := range g.entries {
+		if lastAnswer.Sub(e.seenAt) <= g.config.Lifetime {
+			live = append(live, e.instance)
+		}
+	}
+	return live
+}
--- a/internal/state/medlarledger/ledger.go
+++ b/internal/state/medlarledger/ledger.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	chain := medlarledger.NewChain("c0", term, claimVersion)
-//	transaction, err := chain.Next(records, renew)
+//	transaction, err := chain.Next(batch, erase, renew)
 //	commit, err := store.Transact(transaction)
 //	outcome := chain.Settle(commit, err)
 package medlarledger
@@ -19,6 +19,7 @@
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
 	"medlarwheel/internal/scheduling/medlarcell"
 	"medlarwheel/internal/state/medlartable"
 	"medlarwheel/internal/state/medlartenure"
@@ -29,6 +30,8 @@
 	TableSubmissions = "medlar-submission"
 	TableProgress    = "medlar-progress"
 	TableChain       = "medlar-chain"
+	// KeyFleet is the row with the list of workers that may run tasks.
+	KeyFleet = "fleet"
 	// KeyChain is the row that every batch requires and writes.
 	KeyChain = "last"
 	// cancelSuffix follows the id in the key of a cancellation.
@@ -36,7 +39,7 @@
 )
 
 // MaxRecords is the number of progress records that fit into one batch, beside the rows of chain and renewal.
-const MaxRecords = medlartable.MaxEntries - 5
+const MaxRecords = medlartable.MaxEntries - 6
 
 // SubmissionRow returns the row of an accepted submission.
 func SubmissionRow(part string, s *medlarsubmission.Submission) (medlartable.Row, error) {
@@ -91,6 +94,25 @@
 	return p, errors.Wrapf(err, "progress of %s", r.Key)
 }
 
+// DecodeFleet reads and checks the list of workers that may run tasks.
+func DecodeFleet(r medlartable.Row) ([]medlarorder.Worker, error) {
+	var fleet []medlarorder.Worker
+	if err := json.Unmarshal(r.Value, &fleet); err != nil {
+		return nil, errors.Wrap(err, "list of the fleet")
+	}
+	for i := range fleet {
+		if faults := fleet[i].Check(); len(faults) > 0 {
+			return nil, errors.Wrap(faults, "list of the fleet")
+		}
+	}
+	return fleet, nil
+}
+
+// FleetRange selects the list of workers that may run tasks.
+func FleetRange(part string) medlartable.Range {
+	return medlartable.Range{Table: TableChain, Part: part, From: KeyFleet, To: KeyFleet + "\x00"}
+}
+
 // link is the content of the chain row.
 type link struct {
 	Term uint64 `json:"term"`
@@ -117,7 +139,7 @@
 }
 
 // Next returns the transaction of the next batch. The same batch may be sent again until Settle knows its outcome.
-func (c *Chain) Next(records []medlarcell.Record, erase []medlarsubmission.ID, renew bool) (medlartable.Transaction, error) {
+func (c *Chain) Next(batch *medlarcell.Batch, erase []medlarsubmission.ID, renew bool) (medlartable.Transaction, error) {
 	value, err := json.Marshal(link{Term: c.term, Next: c.next + 1})
 	if err != nil {
 		return medlartable.Transaction{}, errors.Wrap(err, "chain row")
@@ -129,7 +151,14 @@
 	if renew {
 		t.Put = append(t.Put, medlartable.Row{Table: medlartenure.Table, Part: c.part, Key: medlartenure.KeyBeat, Value: value})
 	}
-	for _, r := range records {
+	if batch.Fleet != nil {
+		value, err := json.Marshal(batch.Fleet)
+		if err != nil {
+			return t, errors.Wrap(err, "list of the fleet")
+		}
+		t.Put = append(t.Put, medlartable.Row{Table: TableChain, Part: c.part, Key: KeyFleet, Value: value})
+	}
+	for _, r := range batch.Records {
 		value, err := json.Marshal(r.Progress)
 		if err != nil {
 			return t, errors.Wrapf(err, "progress of %s", r.Submission)
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -39,7 +39,7 @@
 func DefaultConfig() Config {
 	return Config{
 		RenewInterval: 500 * time.Millisecond, OwnerTimeout: 2000 * time.Millisecond,
-		ClaimTimeout: 2300 * time.Millisecond, MaxGap: 1500 * time.Millisecond,
+		ClaimTimeout: 2300 * time.Millisecond, MaxGap: 1200 * time.Millisecond,
 	}
 }
 
@@ -152,6 +152,12 @@
 	}
 }
 
+// Promise reports whether this instance can't claim the cell within the owner's timeout from now on, because the table has
+// not answered for so long that the owner gets its whole time again.
+func (w *Watch) Promise(now time.Time) bool {
+	return w.read && !w.term.Released && !w.ownerDead && now.Sub(w.answered) > w.config.MaxGap
+}
+
 // ShouldClaim reports whether the cell has no owner that renews its claim.
 func (w *Watch) ShouldClaim() bool {
 	if !w.read {
