Record the fleet by worker, and let the strongest instance own the cell

Owners were picked by chance among instances of 0.192 to 0.8 cores.

Change: one row a worker. Weak instances wait before they claim a vacant cell, and hand it over to one that is 1.5 times as strong.

Ruled out: several cells.

--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"medlarwheel"
+	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
 	"medlarwheel/internal/state/medlartable"
 )
@@ -21,7 +22,7 @@
 // renewRegistration keeps the row of this instance in the table, and removes it at a planned stop.
 func (n *Node) renewRegistration(ctx context.Context) error {
 	row, err := medlarinstance.Row(n.config.Owner.Part, medlarinstance.Instance{
-		ID: n.config.Site.Instance, Address: n.config.Site.Peer, Process: n.process,
+		ID: n.config.Site.Instance, Address: n.config.Site.Peer, Process: n.process, Power: n.config.Site.Power,
 	})
 	if err != nil {
 		return err
@@ -47,6 +48,7 @@
 		}
 		n.refreshRegister()
 		n.extendAuthority(ctx)
+		n.yieldToStronger(ctx, owner)
 	}
 	return ctx.Err()
 }
@@ -81,6 +83,55 @@
 	}
 }
 
+const (
+	// yieldFactor is how much stronger another instance must be for the owner to hand the cell over. A hand-over costs
+	// some hundred milliseconds of scheduling.
+	yieldFactor = 1.5
+	// yieldAfter is how long an instance owns the cell at least, so that the register is complete and the cell does not
+	// move back and forth.
+	yieldAfter = 3 * time.Second
+)
+
+// yieldToStronger hands the cell over when a much stronger instance is there.
+func (n *Node) yieldToStronger(ctx context.Context, owner *medlarowner.Owner) {
+	now := n.clock.Now()
+	if now.Sub(n.health.LastOK()) > tableQuiet || now.Sub(owner.Since()) < yieldAfter {
+		return
+	}
+	n.register.mu.Lock()
+	strongest := medlarinstance.Strongest(n.register.list.Live(now))
+	n.register.mu.Unlock()
+	if strongest < yieldFactor*n.config.Site.Power {
+		return
+	}
+	n.log.Info().Str("event", "cell-yielded").Float64("power", n.config.Site.Power).Float64("strongest", strongest).Msg("")
+	if err := owner.Release(ctx); err != nil {
+		n.log.Warn().Str("event", "release-failed").Err(err).Msg("")
+	}
+}
+
+// claimDelay returns how long this instance waits before it claims a vacant cell: weak instances leave it to strong ones.
+func (n *Node) claimDelay() time.Duration {
+	rows, _, err := medlartable.ReadAll(n.store, medlartable.Range{Table: medlarinstance.Table, Part: n.config.Owner.Part})
+	if err != nil {
+		n.log.Warn().Str("event", "register-read-failed").Err(err).Msg("")
+		return claimJitter
+	}
+	strongest := n.config.Site.Power
+	for _, r := range rows {
+		if i, err := medlarinstance.Decode(r); err == nil {
+			strongest = max(strongest, i.Power)
+		}
+	}
+	if strongest <= 0 {
+		return 0
+	}
+	return time.Duration((1 - n.config.Site.Power/strongest) * float64(weakDelay))
+}
+
+// weakDelay is how much longer than the strongest instance the weakest one waits before it claims a vacant cell.
+const weakDelay = 400 * time.Millisecond
+
 // extendAuthority lets the owner go on while the table answers none of the instances that could claim the cell.
 func (n *Node) extendAuthority(ctx context.Context) {
 	now := n.clock.Now()
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -86,7 +86,7 @@
 	if !n.isVacant() {
 		return
 	}
-	sleep(ctx, rand.N(claimJitter))
+	sleep(ctx, n.claimDelay()+rand.N(claimJitter))
 	n.tenure.mu.Lock()
 	term := n.tenure.watch.Term()
 	n.tenure.mu.Unlock()
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -1,8 +1,6 @@
 package medlarcell
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"medlarwheel"
@@ -38,8 +36,8 @@
 	shortages map[medlarpressure.Image]float64
 	pricedAt  time.Time
 	refitAt   time.Time
-	// fleetDirty is true while the table's list of the fleet is out of date.
-	fleetDirty bool
+	// joined and left are the changes of the fleet that are not stored yet.
+	joined, left []medlarwheel.WorkerID
 	// authority is until when this owner may order, unless it renews its ownership.
 	authority time.Time
 	finished  []*job
@@ -229,23 +227,13 @@
 	}
 }
 
-// Fleet lists the workers that may run tasks.
-func (c *Cell) Fleet() []medlarorder.Worker {
-	fleet := make([]medlarorder.Worker, 0, len(c.workers))
-	for _, w := range c.workers {
-		fleet = append(fleet, w.info)
-	}
-	slices.SortFunc(fleet, func(a, b medlarorder.Worker) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return fleet
-}
-
 // SetWorker takes in the registration of a worker.
 func (c *Cell) SetWorker(now time.Time, info medlarorder.Worker) {
 	w := c.workers[info.ID]
 	if w == nil {
 		w = newWorker(info, c.fence, c.settleAt)
 		c.workers[info.ID] = w
-		c.fleetDirty = true
+		c.joined = append(c.joined, info.ID)
 		c.note(Note{Kind: NoteWorkerJoined, Worker: info.ID})
 	}
 	if info.Draining && !w.info.Draining {
@@ -307,7 +295,7 @@
 		}
 		if !w.registered && len(w.runs) == 0 && now.Sub(w.contact) > 2*c.config.Lease && now.After(w.leaseEnd) {
 			delete(c.workers, id)
-			c.fleetDirty = true
+			c.left = append(c.left, id)
 			c.commands = append(c.commands, Command{Kind: CommandForget, Worker: id})
 			continue
 		}
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 )
@@ -34,10 +35,11 @@
 // Batch is a set of records that is stored as a whole.
 type Batch struct {
 	Records []Record
-	// Fleet is the list of workers that may run tasks, if it has changed.
-	Fleet []medlarorder.Worker
-	jobs  []*job
-	acks  map[*worker]ack
+	// Joined lists workers that may run tasks from now on, and Left those that no longer do.
+	Joined []medlarorder.Worker
+	Left   []medlarwheel.WorkerID
+	jobs   []*job
+	acks   map[*worker]ack
 }
 
 type ack struct {
@@ -46,7 +48,9 @@
 }
 
 // IsEmpty reports whether there is nothing to store and no end to acknowledge.
-func (b *Batch) IsEmpty() bool { return len(b.Records) == 0 && len(b.acks) == 0 && b.Fleet == nil }
+func (b *Batch) IsEmpty() bool {
+	return len(b.Records) == 0 && len(b.acks) == 0 && len(b.Joined)+len(b.Left) == 0
+}
 
 func (c *Cell) markDirty(j *job) {
 	if !j.dirty {
@@ -56,16 +60,13 @@
 }
 
 // HasFlush reports whether TakeFlush would return records.
-func (c *Cell) HasFlush() bool { return len(c.dirty) > 0 || c.fleetDirty }
+func (c *Cell) HasFlush() bool { return len(c.dirty)+len(c.joined)+len(c.left) > 0 }
 
 // TakeFlush returns up to limit records that have changed. The ends that led to them are acknowledged once Flushed is
 // called with the batch. At most one batch may be on its way.
 func (c *Cell) TakeFlush(limit int) *Batch {
 	b := &Batch{acks: map[*worker]ack{}}
-	if limit > 0 && c.fleetDirty {
-		c.fleetDirty = false
-		b.Fleet = c.Fleet()
-	}
+	limit -= c.takeFleet(b, limit)
 	n := min(limit, len(c.dirty))
 	for _, j := range c.dirty[:n] {
 		j.dirty = false
@@ -92,8 +93,8 @@
 			w.acked = max(w.acked, a.end)
 		}
 	}
-	for i := range b.Fleet {
-		if w := c.workers[b.Fleet[i].ID]; w != nil {
+	for i := range b.Joined {
+		if w := c.workers[b.Joined[i].ID]; w != nil {
 			w.recorded = true
 		}
 	}
@@ -110,7 +111,30 @@
 	for _, j := range b.jobs {
 		c.markDirty(j)
 	}
-	c.fleetDirty = c.fleetDirty || b.Fleet != nil
+	for i := range b.Joined {
+		c.joined = append(c.joined, b.Joined[i].ID)
+	}
+	c.left = append(c.left, b.Left...)
+}
+
+// takeFleet moves changes of the fleet into a batch and returns their number.
+func (c *Cell) takeFleet(b *Batch, limit int) int {
+	joined := min(limit, len(c.joined))
+	for _, id := range c.joined[:joined] {
+		if w := c.workers[id]; w != nil {
+			b.Joined = append(b.Joined, w.info)
+		}
+	}
+	c.joined = c.joined[joined:]
+	left := min(limit-joined, len(c.left))
+	for _, id := range c.left[:left] {
+		// A worker that has come back meanwhile stays in the list.
+		if c.workers[id] == nil {
+			b.Left = append(b.Left, id)
+		}
+	}
+	c.left = c.left[left:]
+	return joined + left
 }
 
 func (j *job) progress() Progress {
--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -161,9 +162,8 @@
 		if owner != w.owner {
 			return // The claim of the next owner has broken the chain.
 		}
-		if batch.Fleet != nil {
-			w.fleet = batch.Fleet
-		}
+		w.fleet = append(w.fleet, batch.Joined...)
+		w.fleet = slices.DeleteFunc(w.fleet, func(i medlarorder.Worker) bool { return slices.Contains(batch.Left, i.ID) })
 		for _, r := range batch.Records {
 			w.progress[r.Submission] = r.Progress
 		}
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -42,13 +42,7 @@
 	now := o.Clock.Now()
 	o.restore(now, submissions, progress)
 	o.cell.SetWorkers(now, o.decodeWorkers(workers))
-	for _, r := range fleet {
-		list, err := medlarledger.DecodeFleet(r)
-		if err != nil {
-			return err
-		}
-		o.cell.RestoreFleet(now, list)
-	}
+	o.cell.RestoreFleet(now, o.decodeFleet(fleet))
 	o.Log.Info().Str("event", "cell-loaded").Uint64("term", o.term.Number).Int("submission-rows", len(submissions)).
 		Int("workers", len(workers)).Dur("took", now.Sub(began)).Msg("")
 	return nil
@@ -119,6 +113,19 @@
 	return workers
 }
 
+func (o *Owner) decodeFleet(rows []medlartable.Row) []medlarorder.Worker {
+	var fleet []medlarorder.Worker
+	for _, r := range rows {
+		w, err := medlarledger.DecodeFleet(r)
+		if err != nil {
+			o.Log.Error().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
+			continue
+		}
+		fleet = append(fleet, w)
+	}
+	return fleet
+}
+
 // followSubmissions takes in newly accepted submissions and cancellations.
 func (o *Owner) followSubmissions(ctx context.Context) error {
 	r := medlartable.Range{Table: medlarledger.TableSubmissions, Part: o.config.Part}
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -112,6 +112,7 @@
 	flushWake bool
 	flushedAt time.Time
 	renewedAt time.Time
+	claimedAt time.Time
 	// followFrom and workersFrom are the versions up to which submissions and workers are loaded.
 	followFrom, workersFrom medlarwheel.RowVersion
 	erase                   []medlarsubmission.ID
@@ -130,7 +131,7 @@
 		config: c, Dependencies: d, term: term, cell: medlarcell.New(c.Cell),
 		chain:  medlarledger.NewChain(c.Part, term.Number, term.Version),
 		agents: map[medlarwheel.WorkerID]*agentEntry{}, events: make(chan func(time.Time), eventBuffer),
-		done: make(chan struct{}), renewedAt: claimedAt,
+		done: make(chan struct{}), renewedAt: claimedAt, claimedAt: claimedAt,
 	}
 	o.cell.Begin(claimedAt, medlarcell.Tenure{Fence: medlartenure.Fence(term.Version), Term: term.Number})
 	o.cell.Authorize(claimedAt.Add(c.Tenure.OwnerTimeout))
@@ -223,6 +224,9 @@
 	return state, known, err
 }
 
+// Since returns when the cell was claimed.
+func (o *Owner) Since() time.Time { return o.claimedAt }
+
 // Extend lets the owner give orders until the given time.
 func (o *Owner) Extend(until time.Time) {
 	o.post(func(time.Time) { o.cell.Authorize(until) })
--- a/internal/state/medlarinstance/instance.go
+++ b/internal/state/medlarinstance/instance.go
@@ -43,6 +43,8 @@
 	// Address is where other instances reach it.
 	Address string `json:"address"`
 	Process string `json:"process"`
+	// Power is the processor power of the instance in cores.
+	Power float64 `json:"power"`
 }
 
 // Row returns the row by which an instance registers.
@@ -108,3 +110,12 @@
 	}
 	return live
 }
+
+// Strongest returns the highest power among the instances, or zero if there are none.
+func Strongest(instances []Instance) float64 {
+	power := 0.0
+	for _, i := range instances {
+		power = max(power, i.Power)
+	}
+	return power
+}
--- a/internal/state/medlarledger/ledger.go
+++ b/internal/state/medlarledger/ledger.go
@@ -30,8 +30,8 @@
 	TableSubmissions = "medlar-submission"
 	TableProgress    = "medlar-progress"
 	TableChain       = "medlar-chain"
-	// KeyFleet is the row with the list of workers that may run tasks.
-	KeyFleet = "fleet"
+	// TableFleet holds a row for each worker that may run tasks.
+	TableFleet = "medlar-fleet"
 	// KeyChain is the row that every batch requires and writes.
 	KeyChain = "last"
 	// cancelSuffix follows the id in the key of a cancellation.
@@ -94,23 +94,18 @@
 	return p, errors.Wrapf(err, "progress of %s", r.Key)
 }
 
-// DecodeFleet reads and checks the list of workers that may run tasks.
-func DecodeFleet(r medlartable.Row) ([]medlarorder.Worker, error) {
-	var fleet []medlarorder.Worker
-	if err := json.Unmarshal(r.Value, &fleet); err != nil {
-		return nil, errors.Wrap(err, "list of the fleet")
+// DecodeFleet reads and checks the row of a worker that may run tasks.
+func DecodeFleet(r medlartable.Row) (medlarorder.Worker, error) {
+	var w medlarorder.Worker
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return w, errors.Wrapf(err, "worker %s", r.Key)
 	}
-	for i := range fleet {
-		if faults := fleet[i].Check(); len(faults) > 0 {
-			return nil, errors.Wrap(faults, "list of the fleet")
-		}
-	}
-	return fleet, nil
+	return w, errors.Wrapf(w.Check().Err(), "worker %s", r.Key)
 }
 
-// FleetRange selects the list of workers that may run tasks.
+// FleetRange selects the workers that may run tasks.
 func FleetRange(part string) medlartable.Range {
-	return medlartable.Range{Table: TableChain, Part: part, From: KeyFleet, To: KeyFleet + "\x00"}
+	return medlartable.Range{Table: TableFleet, Part: part}
 }
 
 // link is the content of the chain row.
@@ -151,12 +146,15 @@
 	if renew {
 		t.Put = append(t.Put, medlartable.Row{Table: medlartenure.Table, Part: c.part, Key: medlartenure.KeyBeat, Value: value})
 	}
-	if batch.Fleet != nil {
-		value, err := json.Marshal(batch.Fleet)
+	for i := range batch.Joined {
+		value, err := json.Marshal(batch.Joined[i])
 		if err != nil {
-			return t, errors.Wrap(err, "list of the fleet")
+			return t, errors.Wrapf(err, "worker %s", batch.Joined[i].ID)
 		}
-		t.Put = append(t.Put, medlartable.Row{Table: TableChain, Part: c.part, Key: KeyFleet, Value: value})
+		t.Put = append(t.Put, medlartable.Row{Table: TableFleet, Part: c.part, Key: string(batch.Joined[i].ID), Value: value})
+	}
+	for _, id := range batch.Left {
+		t.Remove = append(t.Remove, medlartable.Row{Table: TableFleet, Part: c.part, Key: string(id)})
 	}
 	for _, r := range batch.Records {
 		value, err := json.Marshal(r.Progress)
