--- /dev/null
+++ b/internal/acceptance/medlarintake/intake_test.go
@@ -0,0 +1,140 @@
+package medlarintake
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/internal/state/medlartable"
+)
+
+// scriptedStore answers writes from a script, and keeps rows.
+type scriptedStore struct {
+	mu     sync.Mutex
+	rows   map[string]bool
+	script []error
+	// lose makes a scripted failure of unknown outcome take effect.
+	lose  bool
+	calls int
+	sizes []int
+}
+
+var errLost = errors.New("no answer")
+
+func (s *scriptedStore) Transact(t medlartable.Transaction) (medlartable.Commit, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	s.sizes = append(s.sizes, len(t.Put))
+	var failure error
+	if len(s.script) > 0 {
+		failure, s.script = s.script[0], s.script[1:]
+	}
+	if failure != nil && !(s.lose && errors.Is(failure, errLost)) {
+		return medlartable.Commit{}, failure
+	}
+	var present []medlartable.Row
+	for _, r := range t.Require {
+		if s.rows[r.Key] {
+			present = append(present, medlartable.Row{Table: r.Table, Part: r.Part, Key: r.Key, Version: 1})
+		}
+	}
+	if len(present) > 0 {
+		return medlartable.Commit{}, &medlartable.ConflictError{Rows: present}
+	}
+	for _, r := range t.Put {
+		s.rows[r.Key] = true
+	}
+	return medlartable.Commit{Version: 1}, failure
+}
+
+func run(t *testing.T, store Store) *Intake {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	i := New(DefaultConfig(), store, NewHealth(medlarwheel.SystemClock{}, time.Second))
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = i.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return i
+}
+
+func row(key string) medlartable.Row { return medlartable.Row{Table: "t", Part: "p", Key: key} }
+
+// TestOutcomes guards against a refusal of work that is stored after all, and against an acceptance of work that is not.
+func TestOutcomes(t *testing.T) {
+	refusal := medlarwheel.WithoutEffect(errors.New("status 503"))
+	for name, c := range map[string]struct {
+		script []error
+		lose   bool
+		exists bool
+		want   Result
+		stored bool
+	}{
+		"stored":                        {want: ResultStored, stored: true},
+		"stored by an earlier request":  {exists: true, want: ResultStored, stored: true},
+		"refused without effect":        {script: []error{refusal}, want: ResultRefused},
+		"lost answer of a stored write": {script: []error{errLost}, lose: true, want: ResultStored, stored: true},
+		"lost write, then stored":       {script: []error{errLost}, want: ResultStored, stored: true},
+		"lost twice":                    {script: []error{errLost, errLost}, want: ResultUnknown},
+		"lost, then refused":            {script: []error{errLost, refusal}, want: ResultUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := &scriptedStore{rows: map[string]bool{"k": c.exists}, script: c.script, lose: c.lose}
+			if got := run(t, store).Add(context.Background(), row("k")); got != c.want {
+				t.Errorf("result %d, want %d", got, c.want)
+			}
+			if store.rows["k"] != c.stored {
+				t.Errorf("stored %v, want %v", store.rows["k"], c.stored)
+			}
+		})
+	}
+}
+
+// TestRepetitionDoesNotFailOthers guards against new submissions that are refused because they share a write with a
+// repetition of an old one.
+func TestRepetitionDoesNotFailOthers(t *testing.T) {
+	store := &scriptedStore{rows: map[string]bool{"old": true}}
+	i := New(DefaultConfig(), store, NewHealth(medlarwheel.SystemClock{}, time.Second))
+	var requests []*request
+	for _, key := range []string{"a", "old", "b"} {
+		requests = append(requests, &request{row: row(key), result: make(chan Result, 1)})
+	}
+	i.write(requests)
+	for _, r := range requests {
+		if got := <-r.result; got != ResultStored {
+			t.Errorf("%s: result %d", r.row.Key, got)
+		}
+	}
+	if !store.rows["a"] || !store.rows["b"] || store.calls != 2 {
+		t.Errorf("rows %v after %d calls", store.rows, store.calls)
+	}
+}
+
+// TestWithdrawnRequestIsTrue guards against "not stored" for a request whose write is on its way when its time is over.
+func TestWithdrawnRequestIsTrue(t *testing.T) {
+	i := New(DefaultConfig(), &scriptedStore{rows: map[string]bool{}}, NewHealth(medlarwheel.SystemClock{}, time.Second))
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	if got := i.Add(over, row("k")); got != ResultRefused {
+		t.Errorf("a request that no write has included: result %d", got)
+	}
+	started := make(chan struct{})
+	go func() {
+		for len(i.next()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		close(started)
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	result := make(chan Result, 1)
+	go func() { result <- i.Add(ctx, row("k")) }()
+	<-started
+	cancel()
+	if got := <-result; got != ResultUnknown {
+		t.Errorf("a request whose write is on its way: result %d", got)
+	}
+}
--- /dev/null
+++ b/internal/scheduling/medlarpressure/model_test.go
@@ -0,0 +1,85 @@
+package medlarpressure
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// truth is the pressure of the pairs in the tests.
+var truth = map[Image]float64{"light": 0.1, "heavy": 1.3}
+
+// tailAt returns the tail latency of a serving task with its own level and the shares beside it.
+func tailAt(own float64, shares map[Image]float64) time.Duration {
+	level := own
+	for image, share := range shares {
+		level += truth[image] * share
+	}
+	return time.Duration(float64(10*time.Millisecond) / max(0.02, 1-level))
+}
+
+// TestModelTellsSwingFromPressure guards against a fit that takes the swing of a serving task's own load for the pressure
+// of the tasks beside it, when these are placed where the load is low.
+func TestModelTellsSwingFromPressure(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	m := New(DefaultConfig())
+	m.Level("web", tailAt(0, nil))
+	before, beforeShares := 0.0, map[Image]float64{}
+	for step := range 200 {
+		own := 0.45 + 0.22*math.Sin(2*math.Pi*float64(step)*0.6/14)
+		shares := map[Image]float64{}
+		if own < 0.5 {
+			// Work is placed where the load is low.
+			shares["heavy"] = 0.1 * float64(rng.IntN(2))
+			shares["light"] = 0.1 * float64(rng.IntN(4))
+		}
+		level := m.Level("web", tailAt(own, shares))
+		if step > 0 {
+			var changes []Share
+			for image := range truth {
+				if d := shares[image] - beforeShares[image]; d != 0 {
+					changes = append(changes, Share{Image: image, Share: d})
+				}
+			}
+			m.Observe("web", level-before, changes)
+		}
+		before, beforeShares = level, shares
+		if step%2 == 0 {
+			m.Refit()
+		}
+	}
+	light, heavy := m.Pressure("light", "web"), m.Pressure("heavy", "web")
+	if math.Abs(light-truth["light"]) > 0.25 || math.Abs(heavy-truth["heavy"]) > 0.5 {
+		t.Fatalf("learnt %.2f and %.2f, want about %.2f and %.2f", light, heavy, truth["light"], truth["heavy"])
+	}
+}
+
+// TestModelWithoutObservations guards against filling work that is placed without care beside tasks of which nothing is
+// known, and against a division by zero.
+func TestModelWithoutObservations(t *testing.T) {
+	c := DefaultConfig()
+	m := New(c)
+	m.Refit()
+	if got := m.Pressure("a", "b"); got != c.Prior {
+		t.Errorf("pressure %v, want the prior %v", got, c.Prior)
+	}
+	if got := m.Limit("b", time.Second); got != c.UnknownLimit {
+		t.Errorf("limit %v, want %v", got, c.UnknownLimit)
+	}
+	if got := m.Level("b", 0); got != 0 {
+		t.Errorf("level %v of a task without a figure", got)
+	}
+}
+
+// TestModelBoundsImages guards against memory that grows with the number of images.
+func TestModelBoundsImages(t *testing.T) {
+	c := DefaultConfig()
+	m := New(c)
+	for i := range 3 * c.MaxImages {
+		m.Observe("web", 0.1, []Share{{Image: Image(rune('a' + i)), Share: 0.1}})
+	}
+	if n := len(m.serving["web"].products); n > c.MaxImages {
+		t.Errorf("%d images are kept, want at most %d", n, c.MaxImages)
+	}
+}
--- /dev/null
+++ b/internal/state/medlarledger/ledger_test.go
@@ -0,0 +1,135 @@
+package medlarledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/scheduling/medlarcell"
+	"medlarwheel/internal/state/medlartable"
+)
+
+// memoryTable applies transactions as the platform's table does.
+type memoryTable struct {
+	version medlarwheel.RowVersion
+	rows    map[string]medlartable.Row
+}
+
+func (m *memoryTable) transact(t medlartable.Transaction) (medlartable.Commit, error) {
+	var present []medlartable.Row
+	conflict := false
+	for _, r := range t.Require {
+		have := m.rows[r.Table+r.Key]
+		conflict = conflict || have.Version != r.Version
+		if have.Version > 0 {
+			present = append(present, have)
+		}
+	}
+	if conflict {
+		return medlartable.Commit{}, &medlartable.ConflictError{Rows: present}
+	}
+	m.version++
+	for _, r := range t.Put {
+		r.Version = m.version
+		m.rows[r.Table+r.Key] = r
+	}
+	for _, r := range t.Remove {
+		delete(m.rows, r.Table+r.Key)
+	}
+	return medlartable.Commit{Version: m.version}, nil
+}
+
+// own claims the cell for a term.
+func (m *memoryTable) own(t *testing.T, term uint64) *Chain {
+	t.Helper()
+	link, err := FirstLink("c0", term)
+	if err != nil {
+		t.Fatal(err)
+	}
+	commit, err := m.transact(medlartable.Transaction{Put: []medlartable.Row{link}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewChain("c0", term, commit.Version)
+}
+
+func batch(t *testing.T, c *Chain, state medlarsubmission.State) medlartable.Transaction {
+	t.Helper()
+	tx, err := c.Next(&medlarcell.Batch{Records: []medlarcell.Record{
+		{Submission: "00000000000000aa", Progress: medlarcell.Progress{State: state}},
+	}}, nil, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tx
+}
+
+// TestChainAfterLostAnswer guards against an owner that gives up because of the echo of its own write, or that stores a
+// batch twice.
+func TestChainAfterLostAnswer(t *testing.T) {
+	m := &memoryTable{rows: map[string]medlartable.Row{}}
+	c := m.own(t, 1)
+	tx := batch(t, c, medlarsubmission.StateCompleted)
+	if _, err := m.transact(tx); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.Settle(medlartable.Commit{}, errors.New("no answer")); got != OutcomeRetry {
+		t.Fatalf("after a lost answer: %d", got)
+	}
+	if got := c.Settle(m.transact(tx)); got != OutcomeStored {
+		t.Fatalf("the echo of the own write: %d", got)
+	}
+	if got := c.Settle(m.transact(batch(t, c, medlarsubmission.StateCompleted))); got != OutcomeStored {
+		t.Fatalf("the batch after the echo: %d", got)
+	}
+}
+
+// TestLateBatchChangesNothing guards against progress that goes back because a batch is carried out seconds later, after a
+// newer one or after the claim of another owner.
+func TestLateBatchChangesNothing(t *testing.T) {
+	m := &memoryTable{rows: map[string]medlartable.Row{}}
+	c := m.own(t, 1)
+	late := batch(t, c, medlarsubmission.StateFailed)
+	if got := c.Settle(m.transact(late)); got != OutcomeStored {
+		t.Fatal(got)
+	}
+	if got := c.Settle(m.transact(batch(t, c, medlarsubmission.StateCompleted))); got != OutcomeStored {
+		t.Fatal(got)
+	}
+	if _, err := m.transact(late); err == nil {
+		t.Fatal("a late batch was stored after a newer one")
+	}
+	next := m.own(t, 2)
+	if got := c.Settle(m.transact(batch(t, c, medlarsubmission.StateFailed))); got != OutcomeSuperseded {
+		t.Fatalf("a batch of the owner before: %d", got)
+	}
+	if got := next.Settle(m.transact(batch(t, next, medlarsubmission.StateCompleted))); got != OutcomeStored {
+		t.Fatalf("a batch of the present owner: %d", got)
+	}
+}
+
+// TestEntries guards against rows that can't be read back, and against a cancellation that is taken for a submission.
+func TestEntries(t *testing.T) {
+	s := medlarsubmission.Submission{
+		ID: "00000000000000aa", Route: "r", Service: "s", AcceptedAt: time.Unix(5, 0).UTC(), Spec: "x",
+		Steps: []medlarsubmission.Step{{Count: 2, Size: medlarsubmission.Size{MilliCPU: 5}, Image: "i"}},
+	}
+	row, err := SubmissionRow("c0", &s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := DecodeEntry(row)
+	if err != nil || e.Cancel || e.Submission.Steps[0].Image != "i" {
+		t.Fatalf("%+v, %v", e, err)
+	}
+	e, err = DecodeEntry(CancelRow("c0", s.ID))
+	if err != nil || !e.Cancel || e.ID != s.ID {
+		t.Fatalf("%+v, %v", e, err)
+	}
+	if _, err := DecodeEntry(medlartable.Row{Key: "00000000000000aa", Value: []byte(`{"id":"x"}`)}); err == nil {
+		t.Fatal("a row without steps was read as a submission")
+	}
+}
--- /dev/null
+++ b/internal/state/medlartenure/tenure_test.go
@@ -0,0 +1,115 @@
+package medlartenure
+
+import (
+	"testing"
+	"time"
+
+	"medlarwheel/internal/state/medlartable"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func termRow(t *testing.T, term Term) medlartable.Row {
+	t.Helper()
+	tx, err := Claim(Term{}, term, "c0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := tx.Put[0]
+	r.Version = term.Version
+	return r
+}
+
+func watching(t *testing.T) *Watch {
+	t.Helper()
+	w := NewWatch(DefaultConfig())
+	if w.ShouldClaim() {
+		t.Fatal("a claim without having read the table")
+	}
+	term := Term{Number: 3, Instance: "a", Address: "10.0.0.1:80", Process: "a-1", Version: 50}
+	if err := w.Observe(start, []medlartable.Row{termRow(t, term)}); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// observeFor lets the table answer without changes.
+func observeFor(t *testing.T, w *Watch, from time.Time, d, step time.Duration) time.Time {
+	t.Helper()
+	for now := from.Add(step); !now.After(from.Add(d)); now = now.Add(step) {
+		if err := w.Observe(now, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return from.Add(d)
+}
+
+// TestClaimAfterMissingRenewals guards against a cell without an owner, and against a claim while the owner may still give
+// orders.
+func TestClaimAfterMissingRenewals(t *testing.T) {
+	w := watching(t)
+	c := DefaultConfig()
+	now := observeFor(t, w, start, c.OwnerTimeout, 100*time.Millisecond)
+	if w.ShouldClaim() {
+		t.Fatalf("claimed %v after the last renewal", c.OwnerTimeout)
+	}
+	observeFor(t, w, now, c.ClaimTimeout-c.OwnerTimeout+100*time.Millisecond, 100*time.Millisecond)
+	if !w.ShouldClaim() {
+		t.Fatalf("not claimed %v after the last renewal", c.ClaimTimeout)
+	}
+}
+
+// TestOutageOfTheTableIsNoEvidence guards against a change of owner after each outage of the table, in which no owner can
+// renew its claim.
+func TestOutageOfTheTableIsNoEvidence(t *testing.T) {
+	w := watching(t)
+	if err := w.Observe(start.Add(10*time.Second), nil); err != nil {
+		t.Fatal(err)
+	}
+	if w.ShouldClaim() {
+		t.Fatal("claimed at the first answer after an outage")
+	}
+	if !w.Promise(start.Add(12 * time.Second)) {
+		t.Error("no promise although the table has not answered for 2 s")
+	}
+	if w.Promise(start.Add(10 * time.Second)) {
+		t.Error("a promise although the table has just answered")
+	}
+}
+
+// TestReleasedAndDeadOwners guards against seconds without an owner after a planned stop or a killed process.
+func TestReleasedAndDeadOwners(t *testing.T) {
+	w := watching(t)
+	w.OwnerDied(Term{Number: 2, Process: "b-1"})
+	if w.ShouldClaim() {
+		t.Fatal("the death of an earlier owner counts for the present one")
+	}
+	w.OwnerDied(w.Term())
+	if !w.ShouldClaim() || w.Promise(start.Add(time.Hour)) {
+		t.Fatal("the death of the owner's process is not enough for a claim")
+	}
+	w = watching(t)
+	released := w.Term()
+	released.Released, released.Version = true, 60
+	if err := w.Observe(start, []medlartable.Row{termRow(t, released)}); err != nil {
+		t.Fatal(err)
+	}
+	if !w.ShouldClaim() {
+		t.Fatal("a released cell is not claimed")
+	}
+	older := Term{Number: 1, Instance: "z", Address: "10.0.0.9:80", Version: 10}
+	if err := w.Observe(start, []medlartable.Row{termRow(t, older)}); err != nil {
+		t.Fatal(err)
+	}
+	if w.Term().Number != 3 {
+		t.Fatal("an older claim has replaced a newer one")
+	}
+}
+
+// TestTimeouts guards against settings with which two owners give orders at the same time.
+func TestTimeouts(t *testing.T) {
+	c := DefaultConfig()
+	if c.OwnerTimeout >= c.ClaimTimeout || c.RenewInterval*2 > c.OwnerTimeout || c.MaxGap >= c.ClaimTimeout {
+		t.Fatalf("%+v", c)
+	}
+}
