--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -76,11 +76,19 @@
 		n.log.Warn().Str("event", "register-read-failed").Err(err).Msg("")
 		return
 	}
+	n.setRegister(rows)
+}
+
+func (n *Node) setRegister(rows []medlartable.Row) {
 	n.register.mu.Lock()
 	defer n.register.mu.Unlock()
+	before := n.register.list.Len()
 	if err := n.register.list.Replace(n.clock.Now(), rows); err != nil {
 		n.log.Error().Str("event", "row-refused").Str("table", medlarinstance.Table).Err(err).Msg("")
 	}
+	if after := n.register.list.Len(); after != before {
+		n.log.Info().Str("event", "register-changed").Int("instances", after).Msg("")
+	}
 }
 
 const (
@@ -117,6 +125,7 @@
 		n.log.Warn().Str("event", "register-read-failed").Err(err).Msg("")
 		return claimJitter
 	}
+	n.setRegister(rows)
 	strongest := n.config.Site.Power
 	for _, r := range rows {
 		if i, err := medlarinstance.Decode(r); err == nil {
--- a/internal/state/medlarinstance/instance.go
+++ b/internal/state/medlarinstance/instance.go
@@ -99,6 +99,9 @@
 	return failure
 }
 
+// Len returns the number of instances in the register.
+func (g *Register) Len() int { return len(g.entries) }
+
 // Live returns the instances that were renewed not too long before lastAnswer, when the table last answered. An outage of
 // the table does not age them.
 func (g *Register) Live(lastAnswer time.Time) []Instance {
