Bound the time that placement takes, and keep the queue in order

Change: ranks are kept for 100 ms, new steps are merged in, and passes take at most a fifth of the processor's time.

Measured: a pass with 490 workers and 980 waiting steps 542 to 213 us, 66 workers 72 to 39 us (BenchmarkPlace).

--- /dev/null
+++ b/internal/scheduling/medlarcell/bench_test.go
@@ -0,0 +1,79 @@
+package medlarcell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
+)
+
+// loadedCell returns a cell whose workers are busy with serving and filling tasks, and a backlog of filling work.
+func loadedCell(b *testing.B, workers, backlog int) (*Cell, time.Time) {
+	b.Helper()
+	now := simEpoch
+	c := New(DefaultConfig())
+	c.Begin(now, Tenure{Fence: 1 << 12, Term: 1})
+	c.Authorize(now.Add(time.Hour))
+	for i := range workers {
+		c.SetWorker(now, medlarorder.Worker{
+			ID: medlarwheel.WorkerID(fmt.Sprintf("w%04d", i)), Life: 1, Service: "svc", Address: "10.0.0.1:80",
+			Capacity: medlarsubmission.Size{MilliCPU: 32000, MemoryMB: 128000},
+		})
+	}
+	c.TakeCommands()
+	for c.HasFlush() {
+		c.Flushed(now, c.TakeFlush(100))
+	}
+	for id := range c.workers {
+		c.Reported(now, id, false, now, medlarorder.Hold{}, medlarorder.Report{Verdict: medlarorder.VerdictAccepted, Life: 1, Clock: time.Second}, nil)
+	}
+	c.Tick(now)
+	for n := range workers * 4 / 5 {
+		c.Accept(now, benchLoad(n, medlarsubmission.Step{
+			Count: 6, Size: medlarsubmission.Size{MilliCPU: 6400, MemoryMB: 13000}, LongRunning: true,
+			TailTarget: 50 * time.Millisecond, Image: fmt.Sprintf("s%d", n%5),
+		}, 0))
+	}
+	c.Place(now)
+	for n := range backlog {
+		c.Accept(now, benchLoad(1_000_000+n, medlarsubmission.Step{
+			Count: 8, Size: medlarsubmission.Size{MilliCPU: 3500, MemoryMB: 6400}, Estimate: 1700 * time.Millisecond,
+			Fills: true, Image: fmt.Sprintf("f%d", n%9),
+		}, 2))
+	}
+	c.Place(now)
+	c.TakeCommands()
+	return c, now
+}
+
+func benchLoad(n int, s medlarsubmission.Step, priority int) medlarsubmission.Submission {
+	return medlarsubmission.Submission{
+		ID: medlarsubmission.ID(fmt.Sprintf("%016x", n)), Route: "q", Service: "svc", AcceptedAt: simEpoch,
+		Terms: medlarsubmission.Terms{MaxAttempts: 3, Stretch: 2, Allowance: time.Second, Priority: priority},
+		Steps: []medlarsubmission.Step{s},
+	}
+}
+
+// BenchmarkPlace measures one pass of placement after one worker has reported, with a backlog that finds no room.
+func BenchmarkPlace(b *testing.B) {
+	for _, workers := range []int{66, 490, 2800} {
+		b.Run(fmt.Sprintf("workers-%d", workers), func(b *testing.B) {
+			c, now := loadedCell(b, workers, 2*workers)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(2 * time.Millisecond)
+				w := c.workers[medlarwheel.WorkerID(fmt.Sprintf("w%04d", i%workers))]
+				w.contact = now
+				w.roomsStale = true
+				for _, other := range c.workers {
+					other.contact = now
+				}
+				c.Place(now)
+				c.TakeCommands()
+			}
+		})
+	}
+}
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -20,8 +20,11 @@
 	settled  bool
 	jobs     map[medlarsubmission.ID]*job
 	workers  map[medlarwheel.WorkerID]*worker
-	// queue holds the steps with tasks that wait for a worker.
-	queue        []*step
+	// sorted lists the workers by id. It is nil after a change of the fleet.
+	sorted []*worker
+	// queue holds the steps with tasks that wait for a worker, by rank, and fresh those that are not in it yet.
+	queue, fresh []*step
+	rankedAt     time.Time
 	dirty        []*job
 	waiting      map[string]int
 	commands     []Command
@@ -233,6 +236,7 @@
 	if w == nil {
 		w = newWorker(info, c.fence, c.settleAt)
 		c.workers[info.ID] = w
+		c.sorted = nil
 		c.joined = append(c.joined, info.ID)
 		c.note(Note{Kind: NoteWorkerJoined, Worker: info.ID})
 	}
@@ -295,6 +299,7 @@
 		}
 		if !w.registered && len(w.runs) == 0 && now.Sub(w.contact) > 2*c.config.Lease && now.After(w.leaseEnd) {
 			delete(c.workers, id)
+			c.sorted = nil
 			c.left = append(c.left, id)
 			c.commands = append(c.commands, Command{Kind: CommandForget, Worker: id})
 			continue
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -1,7 +1,9 @@
 package medlarcell
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"medlarwheel"
@@ -12,10 +14,9 @@
 
 // Place starts waiting tasks on workers with room, in the order of the queue.
 func (c *Cell) Place(now time.Time) {
-	if len(c.queue) == 0 || now.After(c.authority) {
+	if len(c.queue)+len(c.fresh) == 0 || now.After(c.authority) {
 		return
 	}
-	c.compact()
 	c.order(now)
 	c.updatePrices(now)
 	usable := c.usable(now)
@@ -94,19 +95,19 @@
 	})
 }
 
+// usable returns the workers that may get new tasks, by id, so that equal inputs lead to equal placements.
 func (c *Cell) usable(now time.Time) []*worker {
-	usable := make([]*worker, 0, len(c.workers))
-	for _, w := range c.workers {
+	if c.sorted == nil {
+		c.sorted = slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int {
+			return strings.Compare(string(a.info.ID), string(b.info.ID))
+		})
+	}
+	usable := make([]*worker, 0, len(c.sorted))
+	for _, w := range c.sorted {
 		if w.isUsable(now, &c.config) {
 			usable = append(usable, w)
 		}
 	}
-	slices.SortFunc(usable, func(a, b *worker) int {
-		if a.info.ID < b.info.ID {
-			return -1
-		}
-		return 1
-	})
 	return usable
 }
 
@@ -258,17 +259,47 @@
 	return score
 }
 
-// order sorts the queue by rank.
+// rankInterval is how often the ranks of waiting steps are computed anew. They change with the slack, over seconds.
+const rankInterval = 100 * time.Millisecond
+
+// order brings the queue into the order of ranks. New steps are merged into it; the others keep their ranks for a while.
 func (c *Cell) order(now time.Time) {
-	for _, s := range c.queue {
+	c.compact()
+	for _, s := range c.fresh {
 		s.rank = c.rankOf(now, s)
 	}
-	slices.SortStableFunc(c.queue, func(a, b *step) int {
-		if d := a.rank.Compare(b.rank); d != 0 {
-			return d
+	if now.Sub(c.rankedAt) >= rankInterval {
+		c.rankedAt = now
+		for _, s := range c.queue {
+			s.rank = c.rankOf(now, s)
 		}
-		return a.occurrence.job.due.Compare(b.occurrence.job.due)
-	})
+		c.queue = append(c.queue, c.fresh...)
+		slices.SortStableFunc(c.queue, compareSteps)
+	} else if len(c.fresh) > 0 {
+		slices.SortStableFunc(c.fresh, compareSteps)
+		c.queue = merge(c.queue, c.fresh)
+	}
+	c.fresh = c.fresh[:0]
+}
+
+func compareSteps(a, b *step) int {
+	if d := a.rank.Compare(b.rank); d != 0 {
+		return d
+	}
+	return a.occurrence.job.due.Compare(b.occurrence.job.due)
+}
+
+// merge merges two ordered lists.
+func merge(a, b []*step) []*step {
+	merged := make([]*step, 0, len(a)+len(b))
+	for len(a) > 0 && len(b) > 0 {
+		if compareSteps(b[0], a[0]) < 0 {
+			merged, b = append(merged, b[0]), b[1:]
+		} else {
+			merged, a = append(merged, a[0]), a[1:]
+		}
+	}
+	return append(append(merged, a...), b...)
 }
 
 func (c *Cell) rankOf(now time.Time, s *step) medlarrank.Rank {
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -470,5 +470,5 @@
 		return
 	}
 	s.queued, s.readySince = true, now
-	c.queue = append(c.queue, s)
+	c.fresh = append(c.fresh, s)
 }
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -108,6 +108,11 @@
 	events chan func(now time.Time)
 	done   chan struct{}
 
+	// placedAt is when the last pass of placement ended, and placeTook how long it took.
+	placedAt  time.Time
+	placeTook time.Duration
+	placeWake bool
+
 	flushing  bool
 	flushWake bool
 	flushedAt time.Time
@@ -170,7 +175,7 @@
 			o.cell.Tick(o.Clock.Now())
 		}
 		now := o.Clock.Now()
-		o.cell.Place(now)
+		o.place(now)
 		o.carryOut(ctx)
 		o.flush(ctx, now)
 		o.logNotes()
@@ -180,6 +185,32 @@
 	}
 }
 
+// placeShare is the inverse of the greatest part of the processor's time that placement may take, so that a long queue on a
+// small instance does not delay the renewal of leases.
+const placeShare = 4
+
+// place runs a pass of placement unless the last one has just ended.
+func (o *Owner) place(now time.Time) {
+	if wait := o.placedAt.Add(placeShare * o.placeTook).Sub(now); wait > 0 {
+		o.wakeForPlace(wait)
+		return
+	}
+	began := time.Now()
+	o.cell.Place(now)
+	o.placeTook = time.Since(began)
+	o.placedAt = o.Clock.Now()
+	o.Meter.Time("owner.place", o.placeTook)
+}
+
+// wakeForPlace makes the control goroutine look again once the next pass may run.
+func (o *Owner) wakeForPlace(wait time.Duration) {
+	if o.placeWake {
+		return
+	}
+	o.placeWake = true
+	time.AfterFunc(wait, func() { o.post(func(time.Time) { o.placeWake = false }) })
+}
+
 // drain handles the events that have come in meanwhile, so that one pass of placement serves them all.
 func (o *Owner) drain() {
 	for range eventBuffer {
