Move tasks away from workers that are slow against the mean speed

Cause: tasks on slow and hanging workers made their submissions late; speed was only learnt from tasks that ended.

Change: reports of progress are compared with estimates, relative to the mean of all workers. Steps that allow copies get one, other tasks are stopped and started elsewhere.

Ruled out: a fixed threshold against the estimates; those of wash-plan are off by up to 0.9, and 20 of 48 normal workers were taken for slow.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -30,8 +30,11 @@
 	commands     []Command
 	notes        []Note
 	waitsNotedAt time.Time
-	loads        map[medlarwheel.ServiceName]*serviceLoad
-	measuredAt   time.Time
+	tickedAt     time.Time
+	// meanSpeed is the mean speed of all runs against their estimates.
+	meanSpeed  float64
+	loads      map[medlarwheel.ServiceName]*serviceLoad
+	measuredAt time.Time
 	// meanWork is the mean work of the submissions of each route in core-seconds.
 	meanWork map[string]float64
 	pressure *medlarpressure.Model
@@ -61,7 +64,7 @@
 func New(c Config) *Cell {
 	return &Cell{
 		config: c, jobs: map[medlarsubmission.ID]*job{}, workers: map[medlarwheel.WorkerID]*worker{}, waiting: map[string]int{},
-		meanWork: map[string]float64{},
+		meanWork: map[string]float64{}, meanSpeed: 1,
 		pressure: medlarpressure.New(c.Interference.Model),
 	}
 }
@@ -70,6 +73,7 @@
 func (c *Cell) Begin(now time.Time, t Tenure) {
 	c.fence = t.Fence
 	c.firstRun = medlarorder.RunNumber((t.Term-1)*runsPerTerm + 1)
+	c.tickedAt = now
 	c.settleAt = now.Add(c.inheritedLease())
 }
 
@@ -312,6 +316,8 @@
 	}
 	c.holdAcked(now)
 	c.refit(now)
+	c.recoverRates(now, now.Sub(c.tickedAt))
+	c.tickedAt = now
 	c.measure(now)
 	c.noteWaits(now)
 	c.forget(now)
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -77,6 +77,8 @@
 	NoteFenced          NoteKind = "worker-fenced"
 	NoteTaskWaits       NoteKind = "task-waits"
 	NoteLoad            NoteKind = "cell-load"
+	NoteWorkerSpeed     NoteKind = "worker-speed"
+	NoteTaskMoved       NoteKind = "task-moved"
 	NoteTailExceeded    NoteKind = "tail-target-exceeded"
 )
 
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -47,6 +47,7 @@
 	Rank         medlarrank.Config
 	Interference InterferenceConfig
 	Load         LoadConfig
+	Progress     ProgressConfig
 }
 
 // DefaultConfig returns the configuration for workers whose clocks are at most 2% slow.
@@ -59,6 +60,6 @@
 		EarlyStart: 0, RemoteFactor: 2, FailuresToSuspend: 2, SuspendTime: 4 * time.Second,
 		UnhealthyPause: 200 * time.Millisecond, ServingLoad: 0.5, LateFactor: 3,
 		Rank: medlarrank.DefaultConfig(), Interference: DefaultInterferenceConfig(),
-		Load: DefaultLoadConfig(),
+		Load: DefaultLoadConfig(), Progress: DefaultProgressConfig(),
 	}
 }
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -69,6 +69,8 @@
 	lastRun, endedRun medlarorder.RunNumber
 	checkpoint        string
 	runs              []*run
+	// moves counts how often the task was moved away from a slow worker.
+	moves int
 	// avoid is the worker on which the last run failed.
 	avoid medlarwheel.WorkerID
 }
@@ -101,8 +103,10 @@
 	percent     int
 	saved       string
 	usage       int64
-	// progressAt is when percent last rose.
-	progressAt time.Time
+	// sampledPercent is the progress at sampledProgressAt, when the run worked at sampledPace.
+	sampledPercent    int
+	sampledProgressAt time.Time
+	sampledPace       int
 	// pace is the share of its speed at which the run works, in percent, and pacedAt when it was set.
 	pace    int
 	pacedAt time.Time
--- a/internal/scheduling/medlarcell/observe.go
+++ b/internal/scheduling/medlarcell/observe.go
@@ -2,19 +2,143 @@
 
 import "time"
 
+// ProgressConfig configures how slow and hanging workers are told from slow tasks.
+type ProgressConfig struct {
+	// MinSpan is the least time between two reports of progress that are compared.
+	MinSpan time.Duration
+	// RateWeight is the weight of one comparison in the observed speed of a worker.
+	RateWeight float64
+	// SlowRate is the speed against the mean of all workers below which a worker counts as slow. Estimates are off by
+	// half, so that a normal worker may well show half of the mean for a while.
+	SlowRate float64
+	// FleetWeight is the weight of one comparison in the mean speed of all workers.
+	FleetWeight float64
+	// RecoverTime is the time in which a worker without tasks is trusted again.
+	RecoverTime time.Duration
+	// MinAge is the age of a run from which on it is moved away from a slow worker.
+	MinAge time.Duration
+	// MaxMoves bounds how often a task is moved or copied.
+	MaxMoves int
+}
+
+// DefaultProgressConfig returns the configuration for tasks of a second and workers that report twice a second.
+func DefaultProgressConfig() ProgressConfig {
+	return ProgressConfig{
+		MinSpan: 350 * time.Millisecond, RateWeight: 0.3, SlowRate: 0.35, FleetWeight: 0.005, RecoverTime: 8 * time.Second,
+		MinAge: 700 * time.Millisecond, MaxMoves: 2,
+	}
+}
+
+// maxRate bounds the speed that one report may show.
+const maxRate = 2
+
 // learn takes in the run time of a done task.
 func (c *Cell) learn(now time.Time, r *run) {
 	took := now.Sub(r.confirmedAt)
-	if r.confirmedAt.IsZero() || r.step.spec.Estimate <= 0 || took <= 0 {
+	if r.confirmedAt.IsZero() || r.step.spec.Estimate <= 0 || took <= 0 || r.step.spec.Fills {
 		return
 	}
-	speed := r.step.spec.Estimate.Seconds() / took.Seconds()
-	r.worker.rate += rateWeight * (min(speed, maxRate) - r.worker.rate)
+	c.observeRate(now, r.worker, r.step.spec.Estimate.Seconds()/took.Seconds())
+}
+
+// observeRate takes in the speed of one run against its estimate. Rates are relative to the mean of all workers, since
+// the estimates of a whole route may be off.
+func (c *Cell) observeRate(now time.Time, w *worker, speed float64) {
+	config := &c.config.Progress
+	speed = min(speed, maxRate)
+	c.meanSpeed += config.FleetWeight * (speed - c.meanSpeed)
+	w.rate += config.RateWeight * (speed/max(c.meanSpeed, minRate) - w.rate)
+	w.ratedAt = now
 }
 
-const (
-	// rateWeight is the weight of one task in the observed speed of a worker.
-	rateWeight = 0.2
-	// maxRate bounds the speed that one short task may show.
-	maxRate = 2
-)
+// isSlow reports whether the worker's tasks work much slower than estimated.
+func (w *worker) isSlow(c *Config) bool { return w.rate < c.Progress.SlowRate }
+
+// checkProgress compares the progress of the runs on a worker with their estimates, and moves them away if it is slow.
+func (c *Cell) checkProgress(now time.Time, w *worker) {
+	wasSlow := w.isSlow(&c.config)
+	for r := range w.runs {
+		if r.step.spec.LongRunning || r.phase != runConfirmed || r.step.spec.Estimate <= 0 {
+			continue
+		}
+		c.sampleProgress(now, r)
+	}
+	if w.isSlow(&c.config) != wasSlow {
+		c.note(Note{Kind: NoteWorkerSpeed, Worker: w.info.ID, Count: int(w.rate * 100), Age: now.Sub(w.contact)})
+	}
+	if !w.isSlow(&c.config) {
+		return
+	}
+	for r := range w.runs {
+		if c.isStuck(now, r) {
+			c.move(now, r)
+		}
+	}
+}
+
+// sampleProgress takes in the progress of a run since the last comparison.
+func (c *Cell) sampleProgress(now time.Time, r *run) {
+	if r.sampledProgressAt.IsZero() || r.pace != r.sampledPace {
+		r.sampledProgressAt, r.sampledPercent, r.sampledPace = now, r.percent, r.pace
+		return
+	}
+	span := now.Sub(r.sampledProgressAt)
+	if span < c.config.Progress.MinSpan {
+		return
+	}
+	done := float64(r.percent-r.sampledPercent) / fullPace
+	r.sampledProgressAt, r.sampledPercent = now, r.percent
+	if r.pace < fullPace || r.step.spec.Fills && !r.hasProcessors() {
+		// The run is slowed on purpose or for want of processors, which says nothing about the worker.
+		return
+	}
+	c.observeRate(now, r.worker, done*r.step.spec.Estimate.Seconds()/span.Seconds())
+}
+
+// hasProcessors reports whether a filling run gets most of the processors that it asks for.
+func (r *run) hasProcessors() bool {
+	const most = 0.8
+	return r.usage >= 0 && float64(r.usage) >= most*float64(r.step.spec.Size.MilliCPU)
+}
+
+// isStuck reports whether a run on a slow worker is better started elsewhere.
+func (c *Cell) isStuck(now time.Time, r *run) bool {
+	spec := r.step.spec
+	if spec.LongRunning || spec.Gang || r.stopping || r.phase != runConfirmed || r.pace < fullPace || spec.Estimate <= 0 {
+		return false
+	}
+	age := now.Sub(r.confirmedAt)
+	if age < c.config.Progress.MinAge || r.task().moves >= c.config.Progress.MaxMoves || len(r.task().runs) > 1 {
+		return false
+	}
+	// The rest at the worker's speed, against the whole task elsewhere.
+	rest := spec.Estimate.Seconds() * float64(fullPace-r.percent) / fullPace / max(r.worker.rate, minRate)
+	return rest > 2*spec.Estimate.Seconds()
+}
+
+// minRate keeps the expected rest of a hanging run finite.
+const minRate = 0.02
+
+// move starts a copy of a run elsewhere where copies are allowed, and otherwise stops it, so that it is started again.
+func (c *Cell) move(now time.Time, r *run) {
+	t := r.task()
+	t.moves++
+	t.avoid = r.worker.info.ID
+	c.note(Note{Kind: NoteTaskMoved, Task: r.name(), Run: r.number, Worker: r.worker.info.ID, Count: r.percent, Age: now.Sub(r.confirmedAt)})
+	if !r.step.spec.Speculative {
+		c.stop(now, r)
+		return
+	}
+	t.waiting = true
+	r.step.ready = append(r.step.ready, r.index)
+	c.enqueue(now, r.step)
+}
+
+// recoverRates lets workers without comparisons become trusted again.
+func (c *Cell) recoverRates(now time.Time, elapsed time.Duration) {
+	for _, w := range c.workers {
+		if w.rate < 1 && now.Sub(w.ratedAt) > time.Second {
+			w.rate = min(1, w.rate+elapsed.Seconds()/c.config.Progress.RecoverTime.Seconds())
+		}
+	}
+}
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -202,6 +202,11 @@
 	if spec.MaxPerWorker > 0 && s.perWorker[w] >= spec.MaxPerWorker {
 		return false
 	}
+	for _, r := range t.runs {
+		if r.worker == w {
+			return false
+		}
+	}
 	need := spec.Size
 	if spec.Fills {
 		need.MilliCPU = 0
@@ -222,7 +227,7 @@
 const (
 	remotePenalty   = 2.0
 	avoidPenalty    = 4.0
-	slownessPenalty = 1.0
+	slownessPenalty = 3.0
 	servingPenalty  = 0.5
 	harmPenalty     = 2.0
 	sameImageBonus  = 1.0
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -182,6 +182,7 @@
 		c.note(Note{Kind: NoteSettled, Count: len(c.workers)})
 	}
 	c.observe(now, w)
+	c.checkProgress(now, w)
 	c.settleRest(now, w)
 }
 
@@ -224,9 +225,7 @@
 	if r.phase != runConfirmed {
 		c.confirm(now, r)
 	}
-	if l.Percent > r.percent || r.progressAt.IsZero() {
-		r.percent, r.progressAt = l.Percent, now
-	}
+	r.percent = max(r.percent, l.Percent)
 	r.saved = l.Saved
 	if l.Saved != "" {
 		r.task().checkpoint = l.Saved
@@ -249,7 +248,7 @@
 		return nil
 	}
 	t.lastRun = max(t.lastRun, l.Run)
-	r := &run{step: s, index: l.Task.Index, number: l.Run, worker: w, sentAt: now, progressAt: now, pace: fullPace}
+	r := &run{step: s, index: l.Task.Index, number: l.Run, worker: w, sentAt: now, pace: fullPace}
 	c.begin(r)
 	c.note(Note{Kind: NoteTaskAdopted, Task: l.Task, Run: l.Run, Worker: w.info.ID})
 	return r
@@ -278,9 +277,6 @@
 	if r.step.spec.Fills {
 		r.worker.history.start(now, r)
 	}
-	if r.progressAt.IsZero() {
-		r.progressAt = now
-	}
 	j := r.job()
 	if !j.started {
 		c.markStarted(j)
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -49,7 +49,8 @@
 	failedJobs  []medlarsubmission.ID
 	suspensions int
 	// rate is the observed speed of the worker's tasks against their estimates. One is normal.
-	rate float64
+	rate    float64
+	ratedAt time.Time
 	// lifeUnsure is true after a renewal without an answer: the next connection may reach another life of the worker,
 	// whose ends have numbers of their own.
 	lifeUnsure bool
