--- a/internal/acceptance/medlarintake/intake_test.go
+++ b/internal/acceptance/medlarintake/intake_test.go
@@ -34,7 +34,7 @@
 	if len(s.script) > 0 {
 		failure, s.script = s.script[0], s.script[1:]
 	}
-	if failure != nil && !(s.lose && errors.Is(failure, errLost)) {
+	if failure != nil && (!s.lose || !errors.Is(failure, errLost)) {
 		return medlartable.Commit{}, failure
 	}
 	var present []medlartable.Row
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -102,7 +102,7 @@
 	if _, known := c.jobs[s.ID]; known {
 		return nil
 	}
-	j := c.add(now, s, true)
+	j := c.add(s, true)
 	if err := j.apply(p); err != nil {
 		return err
 	}
@@ -114,12 +114,13 @@
 	if p.hasStarted() {
 		c.markStarted(j)
 	}
-	if p.State.IsFinal() {
+	switch {
+	case p.State.IsFinal():
 		c.finish(now, j, p.State)
 		j.durable = p.State
-	} else if cancelled {
+	case cancelled:
 		c.cancel(now, j)
-	} else {
+	default:
 		c.checkComplete(now, j)
 	}
 	return nil
@@ -130,7 +131,7 @@
 	if _, known := c.jobs[s.ID]; known {
 		return
 	}
-	j := c.add(now, s, false)
+	j := c.add(s, false)
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			c.enqueue(now, st)
@@ -139,7 +140,7 @@
 	c.note(Note{Kind: NoteAccepted, Submission: s.ID, Route: s.Route, Age: now.Sub(s.AcceptedAt)})
 }
 
-func (c *Cell) add(now time.Time, s medlarsubmission.Submission, inherited bool) *job {
+func (c *Cell) add(s medlarsubmission.Submission, inherited bool) *job {
 	j := newJob(s, inherited)
 	j.useless = s.AcceptedAt.Add(time.Duration(c.config.LateFactor * float64(j.due.Sub(s.AcceptedAt))))
 	c.jobs[s.ID] = j
--- a/internal/scheduling/medlarcell/interference.go
+++ b/internal/scheduling/medlarcell/interference.go
@@ -85,25 +85,32 @@
 	own := level - pressed
 	c.noteTarget(now, r, tail)
 	span := now.Sub(r.sampledAt)
-	if !r.hasLevel || span > config.MaxSampleSpan {
+	switch {
+	case !r.hasLevel || span > config.MaxSampleSpan:
 		r.level, r.trend, r.hasLevel = own, 0, true
-	} else if span >= config.MinSampleSpan {
-		if !c.pressure.IsSaturated(level) && !c.pressure.IsSaturated(r.sample) {
-			if changes := difference(shares, r.shares); len(changes) > 0 {
-				c.pressure.Observe(r.image(), level-r.sample-r.trend*span.Seconds(), changes)
-			}
-		}
-		before := r.level
-		r.level += config.LevelWeight * (own - r.level)
-		r.trend += config.TrendWeight * ((r.level-before)/span.Seconds() - r.trend)
-		r.trend = min(max(r.trend, -config.MaxTrend), config.MaxTrend)
-	} else {
+	case span < config.MinSampleSpan:
 		return
+	default:
+		c.compare(r, level, own, span, shares)
 	}
 	c.pressure.ObserveOwn(r.image(), own)
 	r.sample, r.sampledAt, r.shares = level, now, shares
 }
 
+// compare takes in the change of a serving run's level since its last report.
+func (c *Cell) compare(r *run, level, own float64, span time.Duration, shares []medlarpressure.Share) {
+	config := &c.config.Interference
+	if !c.pressure.IsSaturated(level) && !c.pressure.IsSaturated(r.sample) {
+		if changes := difference(shares, r.shares); len(changes) > 0 {
+			c.pressure.Observe(r.image(), level-r.sample-r.trend*span.Seconds(), changes)
+		}
+	}
+	before := r.level
+	r.level += config.LevelWeight * (own - r.level)
+	r.trend += config.TrendWeight * ((r.level-before)/span.Seconds() - r.trend)
+	r.trend = min(max(r.trend, -config.MaxTrend), config.MaxTrend)
+}
+
 // expected returns the highest level that a serving run is expected to have by itself while a filling task runs.
 func (c *Cell) expected(r *run) float64 {
 	if !r.hasLevel {
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -114,7 +114,7 @@
 func (c *Cell) placeStep(now time.Time, s *step, usable []*worker) {
 	for len(s.ready) > 0 {
 		index := s.ready[0]
-		w := c.choose(now, s, &s.tasks[index], usable)
+		w := c.choose(s, &s.tasks[index], usable)
 		if w == nil {
 			return
 		}
@@ -133,7 +133,7 @@
 		number = max(number, s.tasks[i].lastRun+1)
 	}
 	for i := range s.tasks {
-		w := c.choose(now, s, &s.tasks[i], usable)
+		w := c.choose(s, &s.tasks[i], usable)
 		if w == nil {
 			break
 		}
@@ -172,7 +172,7 @@
 }
 
 // choose returns the best worker with room for a task, or nil.
-func (c *Cell) choose(now time.Time, s *step, t *task, usable []*worker) *worker {
+func (c *Cell) choose(s *step, t *task, usable []*worker) *worker {
 	var best *worker
 	var bestScore float64
 	for _, w := range usable {
@@ -225,15 +225,16 @@
 
 // Weights of the parts of a score. The parts are shares of a worker's capacity, from 0 to 1.
 const (
-	remotePenalty   = 2.0
-	avoidPenalty    = 4.0
-	slownessPenalty = 3.0
-	servingPenalty  = 0.5
-	harmPenalty     = 2.0
-	sameImageBonus  = 1.0
-
+	remotePenalty       = 2.0
+	avoidPenalty        = 4.0
+	slownessPenalty     = 3.0
+	servingPenalty      = 0.5
+	harmPenalty         = 2.0
+	sameImageBonus      = 1.0
 	sameSubmissionBonus = 1.0
 	emptyPenalty        = 0.2
+	// priceWeight weighs the cost of a placement to filling work of other images against the room that is left.
+	priceWeight = 0.3
 )
 
 // score rates a worker that fits. Higher is better.
@@ -242,7 +243,7 @@
 	score := 0.0
 	switch {
 	case s.spec.Fills:
-		score = float64(c.leftover(w)-w.filling) / capacity
+		score = float64(c.leftover(w)-w.filling)/capacity - priceWeight*c.othersPrice(s, w)
 	case s.spec.LongRunning:
 		// Serving tasks stay with others of their image: filling work is then beside one image, and is placed where that
 		// one bears it. Beside several images, it would have to suit them all.
