Require the last seen renewal in a claim

Answers of a slow table were old when they arrived; an instance claimed the cell 0.7 s before the authority of an owner ended that had renewed meanwhile, and started its tasks again when the leases of the claim it had seen were over.

Change: the claim also requires the renewal that the claimant has seen last.

Ruled out: the fleet list (the worker was in it) and the fencing tokens.

--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -167,7 +167,9 @@
 		n.log.Error().Str("event", "claim-failed").Err(err).Msg("")
 		return
 	}
-	t, err := medlartenure.Claim(present, next, n.config.Owner.Part, link)
+	n.tenure.mu.Lock()
+	t, err := n.tenure.watch.Claim(next, n.config.Owner.Part, link)
+	n.tenure.mu.Unlock()
 	if err != nil {
 		n.log.Error().Str("event", "claim-failed").Err(err).Msg("")
 		return
@@ -178,6 +180,8 @@
 	if errors.As(err, &conflict) {
 		if commit.Version = n.ownClaim(conflict); commit.Version != 0 {
 			err = nil
+		} else {
+			n.observeTenure(ctx, conflict.Rows)
 		}
 	}
 	if err != nil {
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -166,14 +166,18 @@
 	return w.term.Number == 0 || w.term.Released || w.ownerDead || w.quiet >= w.config.ClaimTimeout
 }
 
-// Claim returns the transaction that makes next the owner. It fails if another instance has claimed the cell meanwhile.
-func Claim(present, next Term, part string, extra ...medlartable.Row) (medlartable.Transaction, error) {
+// Claim returns the transaction that makes next the owner. It fails if another instance has claimed the cell meanwhile, or
+// if the owner has renewed its claim since: what a slow table answers may be older than the time at which it arrives.
+func (w *Watch) Claim(next Term, part string, extra ...medlartable.Row) (medlartable.Transaction, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return medlartable.Transaction{}, errors.Wrap(err, "claim of an owner")
 	}
 	return medlartable.Transaction{
-		Require: []medlartable.Row{{Table: Table, Part: part, Key: KeyTerm, Version: present.Version}},
-		Put:     append([]medlartable.Row{{Table: Table, Part: part, Key: KeyTerm, Value: value}}, extra...),
+		Require: []medlartable.Row{
+			{Table: Table, Part: part, Key: KeyTerm, Version: w.term.Version},
+			{Table: Table, Part: part, Key: KeyBeat, Version: w.beat},
+		},
+		Put: append([]medlartable.Row{{Table: Table, Part: part, Key: KeyTerm, Value: value}}, extra...),
 	}, nil
 }
--- a/internal/state/medlartenure/tenure_test.go
+++ b/internal/state/medlartenure/tenure_test.go
@@ -11,7 +11,7 @@
 
 func termRow(t *testing.T, term Term) medlartable.Row {
 	t.Helper()
-	tx, err := Claim(Term{}, term, "c0")
+	tx, err := NewWatch(DefaultConfig()).Claim(term, "c0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -113,3 +113,24 @@
 		t.Fatalf("%+v", c)
 	}
 }
+
+// TestClaimRequiresTheLastSeenRenewal guards against two owners that give orders at the same time: the answers of a slow
+// table are old when they arrive, and the owner may have renewed its claim meanwhile.
+func TestClaimRequiresTheLastSeenRenewal(t *testing.T) {
+	w := watching(t)
+	beat := medlartable.Row{Table: Table, Part: "c0", Key: KeyBeat, Version: 77}
+	if err := w.Observe(start, []medlartable.Row{beat}); err != nil {
+		t.Fatal(err)
+	}
+	tx, err := w.Claim(Term{Number: 4, Address: "10.0.0.2:80"}, "c0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	versions := map[string]int{}
+	for _, r := range tx.Require {
+		versions[r.Key] = int(r.Version)
+	}
+	if versions[KeyTerm] != 50 || versions[KeyBeat] != 77 {
+		t.Errorf("the claim requires %v, want the claim 50 and the renewal 77", versions)
+	}
+}
