--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -32,7 +32,9 @@
 	waitsNotedAt time.Time
 	tickedAt     time.Time
 	// meanSpeed is the mean speed of all runs against their estimates.
-	meanSpeed  float64
+	meanSpeed float64
+	// speeds is the number of comparisons in meanSpeed.
+	speeds     int
 	loads      map[medlarwheel.ServiceName]*serviceLoad
 	measuredAt time.Time
 	// meanWork is the mean work of the submissions of each route in core-seconds.
--- a/internal/scheduling/medlarcell/observe.go
+++ b/internal/scheduling/medlarcell/observe.go
@@ -46,7 +46,9 @@
 func (c *Cell) observeRate(now time.Time, w *worker, speed float64) {
 	config := &c.config.Progress
 	speed = min(speed, maxRate)
-	c.meanSpeed += config.FleetWeight * (speed - c.meanSpeed)
+	// The first comparisons weigh more, so that the mean does not start from a guess.
+	c.speeds++
+	c.meanSpeed += max(config.FleetWeight, 1/float64(c.speeds)) * (speed - c.meanSpeed)
 	w.rate += config.RateWeight * (speed/max(c.meanSpeed, minRate) - w.rate)
 	w.ratedAt = now
 }
