--- a/medlarcommand/root.go
+++ b/medlarcommand/root.go
@@ -78,7 +78,7 @@
 	flags.StringVar(&o.author, "author", os.Getenv(environmentAuthor), "name of the operator (environment "+environmentAuthor+")")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error { return checkOutput(o.output) }
 	root.AddCommand(
-		newEntryCommand(), newEdgeCommand(), newTemplateCommand(o), newAccountCommand(o), newMemberCommand(o), newUpstreamCommand(o),
+		newEntryCommand(), newEdgeCommand(), newExplainCommand(), newTemplateCommand(o), newAccountCommand(o), newMemberCommand(o), newUpstreamCommand(o),
 		newJobCommand(o), newWorkerCommand(o), newTaskCommand(o), newDrainCommand(o), newReportCommand(o), newCheckCommand(), newSettingsCommand(o), newVersionCommand(o),
 	)
 	return root
