Take a refused connection for a suspicion, and hand the cell over when the table answers others

They claimed the cell 0.3 s after the cut, while the owner behind it still gave orders for 2 s.

Change: only another process at the owner's address, a release or missing renewals are certain. After a mere refusal the wait for unreachable workers is 2 s longer. An owner whose calls to the table fail while the table answers another instance stops and asks that one to claim the cell.

Ruled out: the fleet list; the worker is in it.

--- a/internal/acceptance/medlarintake/intake.go
+++ b/internal/acceptance/medlarintake/intake.go
@@ -253,6 +253,13 @@
 	return h.lastOK
 }
 
+// HasFailed reports whether the last call of which the outcome is known has failed.
+func (h *Health) HasFailed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lastNo.After(h.lastOK)
+}
+
 // MayTry reports whether a request should use the table: it has answered since its last failure, or is due for a probe.
 func (h *Health) MayTry() bool {
 	now := h.clock.Now()
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -22,12 +22,16 @@
 	peerPathLoad    = "/peer/load"
 	peerPathProcess = "/peer/process"
 	peerPathPromise = "/peer/promise"
+	// peerPathTakeOver asks an instance to claim the cell, whose owner has stopped giving orders.
+	peerPathTakeOver = "/peer/take-over"
 )
 
 // peerQuestion is a question to the owner of the cell.
 type peerQuestion struct {
 	Submission medlarsubmission.ID `json:"submission,omitempty"`
 	Route      string              `json:"route,omitempty"`
+	// Term is the number of the claim that is given up.
+	Term uint64 `json:"term,omitempty"`
 	// Service is the service whose load is asked for.
 	Service medlarwheel.ServiceName `json:"service,omitempty"`
 }
@@ -42,6 +46,8 @@
 	Process string `json:"process,omitempty"`
 	// Promise is true if the answering instance can't claim the cell within the owner's timeout.
 	Promise bool `json:"promise,omitempty"`
+	// TableAge is how long ago the table last answered the answering instance.
+	TableAge medlarwheel.Duration `json:"table-age,omitempty"`
 }
 
 // Check reports every fault of a.
@@ -164,6 +170,11 @@
 	}
 	if path == peerPathPromise {
 		a.Promise = n.promise()
+		a.TableAge = medlarwheel.Duration(n.clock.Now().Sub(n.health.LastOK()))
+		return a, nil
+	}
+	if path == peerPathTakeOver {
+		go n.takeOver(q.Term)
 		return a, nil
 	}
 	owner := n.owner.Load()
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"medlarwheel"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
 	"medlarwheel/internal/state/medlartable"
@@ -141,7 +140,8 @@
 // weakDelay is how much longer than the strongest instance the weakest one waits before it claims a vacant cell.
 const weakDelay = 400 * time.Millisecond
 
-// extendAuthority lets the owner go on while the table answers none of the instances that could claim the cell.
+// extendAuthority lets the owner go on while the table answers none of the instances that could claim the cell. If it
+// answers another instance, the owner hands the cell over to it.
 func (n *Node) extendAuthority(ctx context.Context) {
 	now := n.clock.Now()
 	lastOK := n.health.LastOK()
@@ -152,9 +152,21 @@
 	n.register.mu.Lock()
 	peers := n.register.list.Live(lastOK)
 	n.register.mu.Unlock()
-	if missing := n.withoutPromise(ctx, peers); missing != "" {
-		n.log.Warn().Str("event", "authority-not-extended").Str("instance", string(missing)).
-			Int64("table-age-ms", now.Sub(lastOK).Milliseconds()).Msg("")
+	answers := n.askAll(ctx, peers)
+	if heir, found := bestHeir(answers); found && n.health.HasFailed() {
+		n.handOver(ctx, owner, heir)
+		return
+	}
+	for _, a := range answers {
+		if !a.promise {
+			n.log.Warn().Str("event", "authority-not-extended").Str("instance", string(a.peer.ID)).
+				Int64("table-age-ms", now.Sub(lastOK).Milliseconds()).Msg("")
+			return
+		}
+	}
+	if len(answers) == 0 {
+		// Without a register nobody can promise anything.
+		n.log.Warn().Str("event", "authority-not-extended").Int64("table-age-ms", now.Sub(lastOK).Milliseconds()).Msg("")
 		return
 	}
 	owner.Extend(now.Add(n.config.Owner.Tenure.OwnerTimeout))
@@ -162,9 +174,17 @@
 		Int64("table-age-ms", now.Sub(lastOK).Milliseconds()).Msg("")
 }
 
-// withoutPromise asks all other instances at once and returns one that may claim the cell, or "".
-func (n *Node) withoutPromise(ctx context.Context, peers []medlarinstance.Instance) medlarwheel.InstanceID {
-	results := make(chan medlarwheel.InstanceID, len(peers))
+// peerView is what another instance says about the table.
+type peerView struct {
+	peer     medlarinstance.Instance
+	answered bool
+	promise  bool
+	tableAge time.Duration
+}
+
+// askAll asks all other instances at once about the table.
+func (n *Node) askAll(ctx context.Context, peers []medlarinstance.Instance) []peerView {
+	results := make(chan peerView, len(peers))
 	asked := 0
 	for _, peer := range peers {
 		if peer.ID == n.config.Site.Instance {
@@ -172,30 +192,52 @@
 		}
 		asked++
 		go func() {
-			client := newPeerClient(promiseTimeout)
-			a, err := client.ask(peer.Address, peerPathPromise, peerQuestion{})
-			if err != nil || !a.Promise {
-				results <- peer.ID
-				return
-			}
-			results <- ""
+			a, err := newPeerClient(promiseTimeout).ask(peer.Address, peerPathPromise, peerQuestion{})
+			results <- peerView{peer: peer, answered: err == nil, promise: err == nil && a.Promise, tableAge: time.Duration(a.TableAge)}
 		}()
 	}
-	if asked == 0 {
-		// Without a register nobody can promise anything.
-		return n.config.Site.Instance
-	}
+	views := make([]peerView, 0, asked)
 	for range asked {
 		select {
-		case missing := <-results:
-			if missing != "" {
-				return missing
-			}
+		case v := <-results:
+			views = append(views, v)
 		case <-ctx.Done():
-			return n.config.Site.Instance
+			return append(views, peerView{})
+		}
+	}
+	return views
+}
+
+// heirTableAge is the age of the table's last answer up to which an instance counts as served by it.
+const heirTableAge = 400 * time.Millisecond
+
+// bestHeir returns the strongest instance that the table serves.
+func bestHeir(views []peerView) (heir medlarinstance.Instance, found bool) {
+	for _, v := range views {
+		if v.answered && v.tableAge <= heirTableAge && (!found || v.peer.Power > heir.Power) {
+			heir, found = v.peer, true
 		}
 	}
-	return ""
+	return heir, found
+}
+
+// handOver stops the owner and asks another instance to claim the cell. If that fails, the others claim it once they miss
+// its renewals.
+func (n *Node) handOver(ctx context.Context, owner *medlarowner.Owner, heir medlarinstance.Instance) {
+	term := n.term.Load()
+	owner.Stop(ctx)
+	_, err := newPeerClient(promiseTimeout).ask(heir.Address, peerPathTakeOver, peerQuestion{Term: term.Number})
+	n.log.Info().Str("event", "cell-handed-over").Uint64("term", term.Number).Str("to", string(heir.ID)).Err(err).Msg("")
+}
+
+// takeOver claims the cell from an owner that has said that it gives no more orders.
+func (n *Node) takeOver(term uint64) {
+	n.tenure.mu.Lock()
+	if present := n.tenure.watch.Term(); present.Number == term {
+		n.tenure.watch.OwnerDied(present)
+	}
+	n.tenure.mu.Unlock()
+	n.claimIfVacant(context.Background())
 }
 
 // promise reports whether this instance can't claim the cell within the owner's timeout.
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -122,10 +122,15 @@
 		if present := n.term.Load(); present == nil || present.Number != t.Number {
 			return
 		}
-		if n.processEnded(t) {
-			n.log.Warn().Str("event", "owner-process-ended").Uint64("term", t.Number).Str("instance", string(t.Instance)).Msg("")
+		if ended, certain := n.processEnded(t); ended {
+			n.log.Warn().Str("event", "owner-process-ended").Uint64("term", t.Number).Str("instance", string(t.Instance)).
+				Bool("certain", certain).Msg("")
 			n.tenure.mu.Lock()
-			n.tenure.watch.OwnerDied(t)
+			if certain {
+				n.tenure.watch.OwnerDied(t)
+			} else {
+				n.tenure.watch.OwnerSuspected(t)
+			}
 			n.tenure.mu.Unlock()
 			n.claimIfVacant(ctx)
 			return
@@ -134,13 +139,14 @@
 	}
 }
 
-// processEnded reports whether the owner's process is known to have ended.
-func (n *Node) processEnded(t medlartenure.Term) bool {
+// processEnded reports whether the owner's process seems to have ended, and whether that is certain: a partition may refuse
+// connections too, but only another process answers with another name.
+func (n *Node) processEnded(t medlartenure.Term) (ended, certain bool) {
 	a, err := n.peers.ask(t.Address, peerPathProcess, peerQuestion{})
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return errors.Is(err, syscall.ECONNREFUSED), false
 	}
-	return a.Process != t.Process
+	return a.Process != t.Process, a.Process != t.Process
 }
 
 // waitForClose returns when a connection to the address is closed, or can't be opened after a pause.
@@ -168,6 +174,7 @@
 		return
 	}
 	n.tenure.mu.Lock()
+	grace := n.tenure.watch.Grace()
 	t, err := n.tenure.watch.Claim(next, n.config.Owner.Part, link)
 	n.tenure.mu.Unlock()
 	if err != nil {
@@ -194,7 +201,7 @@
 	n.tenure.watch.Claimed(next)
 	n.tenure.mu.Unlock()
 	n.setTerm(ctx, next)
-	n.own(ctx, next, claimedAt)
+	n.own(ctx, next, claimedAt, grace)
 }
 
 // ownClaim returns the version of a claim by this process whose answer was lost.
@@ -214,7 +221,7 @@
 }
 
 // own runs the scheduler in the background.
-func (n *Node) own(ctx context.Context, term medlartenure.Term, claimedAt time.Time) {
+func (n *Node) own(ctx context.Context, term medlartenure.Term, claimedAt time.Time, grace time.Duration) {
 	owner := medlarowner.New(n.config.Owner, medlarowner.Dependencies{
 		Store:    n.store,
 		Registry: medlarowner.Registry{Range: platform.WorkerRange(), Decode: platform.DecodeWorker},
@@ -224,7 +231,7 @@
 			})
 		},
 		Clock: n.clock, Log: n.log, Meter: n.meter,
-	}, term, claimedAt)
+	}, term, claimedAt, grace)
 	n.owner.Store(owner)
 	go func() {
 		err := owner.Run(ctx)
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -57,6 +57,8 @@
 	Fence medlarwheel.FencingToken
 	// Term counts the owners of the cell from 1.
 	Term uint64
+	// Grace is how long after the claim the owner before may still give orders.
+	Grace time.Duration
 }
 
 // runsPerTerm is the number of run numbers that one owner may use for a task.
@@ -76,7 +78,7 @@
 	c.fence = t.Fence
 	c.firstRun = medlarorder.RunNumber((t.Term-1)*runsPerTerm + 1)
 	c.tickedAt = now
-	c.settleAt = now.Add(c.inheritedLease())
+	c.settleAt = now.Add(t.Grace + c.inheritedLease())
 }
 
 // Authorize sets until when this owner may order workers. Leases end at the latest one lease time after it.
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -192,7 +192,13 @@
 // TestUnregisteredWorkerKeepsItsTasks guards against a second run of tasks on workers whose registrations lapsed while the
 // table was away: they are cut off or slow to register again, and run on under their leases.
 func TestUnregisteredWorkerKeepsItsTasks(t *testing.T) {
-	b := newBench(t, 0, Tenure{Fence: 2 << 12, Term: 2})
+	for _, grace := range []time.Duration{0, 2 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) { testUnregisteredWorker(t, grace) })
+	}
+}
+
+func testUnregisteredWorker(t *testing.T, grace time.Duration) {
+	b := newBench(t, 0, Tenure{Fence: 2 << 12, Term: 2, Grace: grace})
 	if err := b.cell.Restore(b.now, benchSubmission(benchStep()), Progress{}, false); err != nil {
 		t.Fatal(err)
 	}
@@ -210,7 +216,13 @@
 		t.Fatal("a task was started although it may run on a worker whose registration has lapsed")
 	}
 	pending := b.holds
-	b.wait(b.cell.inheritedLease() + 100*time.Millisecond)
+	b.wait(grace + b.cell.inheritedLease() - 200*time.Millisecond)
+	b.look()
+	if len(b.starts) > 0 {
+		t.Fatal("a task was started before every lease must have ended")
+	}
+	pending = append(pending, b.holds...)
+	b.wait(300 * time.Millisecond)
 	for _, h := range pending {
 		if h.Worker == "w0" {
 			b.report(h, medlarorder.Report{})
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -97,17 +97,25 @@
 
 // Release gives the cell back, so that another instance can claim it at once. The owner gives no more orders.
 func (o *Owner) Release(ctx context.Context) error {
+	if !o.Stop(ctx) {
+		return nil
+	}
+	return ReleaseTerm(o.Store, o.config.Part, o.term)
+}
+
+// Stop ends the ownership. When it returns true, the owner gives no more orders.
+func (o *Owner) Stop(ctx context.Context) bool {
 	stopped := make(chan struct{})
 	if !o.post(func(time.Time) { o.releasing = true; o.superseded = true; close(stopped) }) {
-		return nil
+		return false
 	}
 	select {
 	case <-stopped:
 	case <-o.done:
 	case <-ctx.Done():
-		return ctx.Err()
+		return false
 	}
-	return ReleaseTerm(o.Store, o.config.Part, o.term)
+	return true
 }
 
 // ReleaseTerm marks a claim as released.
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -130,15 +130,16 @@
 	address string
 }
 
-// New returns the owner of a cell after its claim was stored with the version of term.
-func New(c Config, d Dependencies, term medlartenure.Term, claimedAt time.Time) *Owner {
+// New returns the owner of a cell after its claim was stored with the version of term. Grace is how long the owner before may
+// still give orders.
+func New(c Config, d Dependencies, term medlartenure.Term, claimedAt time.Time, grace time.Duration) *Owner {
 	o := &Owner{
 		config: c, Dependencies: d, term: term, cell: medlarcell.New(c.Cell),
 		chain:  medlarledger.NewChain(c.Part, term.Number, term.Version),
 		agents: map[medlarwheel.WorkerID]*agentEntry{}, events: make(chan func(time.Time), eventBuffer),
 		done: make(chan struct{}), renewedAt: claimedAt, claimedAt: claimedAt,
 	}
-	o.cell.Begin(claimedAt, medlarcell.Tenure{Fence: medlartenure.Fence(term.Version), Term: term.Number})
+	o.cell.Begin(claimedAt, medlarcell.Tenure{Fence: medlartenure.Fence(term.Version), Term: term.Number, Grace: grace})
 	o.cell.Authorize(claimedAt.Add(c.Tenure.OwnerTimeout))
 	return o
 }
@@ -174,14 +175,14 @@
 		case <-ticker.C:
 			o.cell.Tick(o.Clock.Now())
 		}
+		if o.superseded {
+			return ErrSuperseded
+		}
 		now := o.Clock.Now()
 		o.place(now)
 		o.carryOut(ctx)
 		o.flush(ctx, now)
 		o.logNotes()
-		if o.superseded {
-			return ErrSuperseded
-		}
 	}
 }
 
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -96,8 +96,8 @@
 	answered time.Time
 	// read is true once the table has been read.
 	read bool
-	// ownerDead is true when the owner's process is known to have ended.
-	ownerDead bool
+	// ownerDead is true when the owner's process is known to have ended, and ownerSuspected when it only seems so.
+	ownerDead, ownerSuspected bool
 }
 
 // NewWatch returns a watch that knows no owner.
@@ -131,7 +131,7 @@
 		if err != nil {
 			return err
 		}
-		w.term, w.quiet, w.ownerDead = t, 0, false
+		w.term, w.quiet, w.ownerDead, w.ownerSuspected = t, 0, false, false
 	case r.Key == KeyBeat && r.Version > w.beat:
 		w.beat, w.quiet = r.Version, 0
 	}
@@ -141,7 +141,7 @@
 // Claimed notes the claim of this instance itself.
 func (w *Watch) Claimed(t Term) {
 	if t.Version > w.term.Version {
-		w.term, w.quiet, w.ownerDead = t, 0, false
+		w.term, w.quiet, w.ownerDead, w.ownerSuspected = t, 0, false, false
 	}
 }
 
@@ -152,10 +152,26 @@
 	}
 }
 
+// OwnerSuspected notes that the owner's address refuses connections. Its process has ended, or something between refuses
+// them in its place.
+func (w *Watch) OwnerSuspected(t Term) {
+	if t.Number == w.term.Number && t.Process == w.term.Process {
+		w.ownerSuspected = true
+	}
+}
+
+// Grace returns for how long after a claim the owner before may still give orders.
+func (w *Watch) Grace() time.Duration {
+	if w.ownerSuspected && !w.ownerDead && !w.term.Released && w.quiet < w.config.ClaimTimeout {
+		return w.config.OwnerTimeout
+	}
+	return 0
+}
+
 // Promise reports whether this instance can't claim the cell within the owner's timeout from now on, because the table has
 // not answered for so long that the owner gets its whole time again.
 func (w *Watch) Promise(now time.Time) bool {
-	return w.read && !w.term.Released && !w.ownerDead && now.Sub(w.answered) > w.config.MaxGap
+	return w.read && !w.term.Released && !w.ownerDead && !w.ownerSuspected && now.Sub(w.answered) > w.config.MaxGap
 }
 
 // ShouldClaim reports whether the cell has no owner that renews its claim.
@@ -163,7 +179,7 @@
 	if !w.read {
 		return false
 	}
-	return w.term.Number == 0 || w.term.Released || w.ownerDead || w.quiet >= w.config.ClaimTimeout
+	return w.term.Number == 0 || w.term.Released || w.ownerDead || w.ownerSuspected || w.quiet >= w.config.ClaimTimeout
 }
 
 // Claim returns the transaction that makes next the owner. It fails if another instance has claimed the cell meanwhile, or
--- a/internal/state/medlartenure/tenure_test.go
+++ b/internal/state/medlartenure/tenure_test.go
@@ -134,3 +134,17 @@
 		t.Errorf("the claim requires %v, want the claim 50 and the renewal 77", versions)
 	}
 }
+
+// TestRefusedConnectionIsOnlySuspicion guards against a second run of tasks on workers that an owner behind a partition
+// still orders: what cuts it off may refuse connections in its place.
+func TestRefusedConnectionIsOnlySuspicion(t *testing.T) {
+	w := watching(t)
+	w.OwnerSuspected(w.Term())
+	if !w.ShouldClaim() || w.Grace() != DefaultConfig().OwnerTimeout {
+		t.Fatalf("claim %v with a grace of %v", w.ShouldClaim(), w.Grace())
+	}
+	w.OwnerDied(w.Term())
+	if w.Grace() != 0 {
+		t.Fatalf("a grace of %v for a process that is known to have ended", w.Grace())
+	}
+}
