Follow the table with the timeout of writes, and take up claims whose answers were lost

A renewal that was repeated also gave the owner authority from its last try, although the table may have carried out the first one.

Change: medlarpatience sets the timeout; an open claim is taken up once the table shows it; authority counts from the first try.

--- a/internal/acceptance/medlarintake/intake.go
+++ b/internal/acceptance/medlarintake/intake.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"medlarwheel"
+	"medlarwheel/internal/state/medlarpatience"
 	"medlarwheel/internal/state/medlartable"
 )
 
@@ -37,7 +38,7 @@
 
 // Store is the platform's table.
 type Store interface {
-	Transact(t medlartable.Transaction) (medlartable.Commit, error)
+	TransactWithin(t medlartable.Transaction, timeout time.Duration) (medlartable.Commit, error)
 }
 
 // Config configures an intake.
@@ -50,11 +51,16 @@
 	MaxWaiting int
 	// Attempts is the number of writes that a row takes part in before its outcome is given up as unknown.
 	Attempts int
+	// Patience configures how long a write is waited for.
+	Patience medlarpatience.Config
 }
 
 // DefaultConfig returns the configuration for transactions of 100 entries and one megabyte.
 func DefaultConfig() Config {
-	return Config{MaxRows: medlartable.MaxEntries / 2, MaxBytes: 600 << 10, MaxWaiting: 500, Attempts: 2}
+	return Config{
+		MaxRows: medlartable.MaxEntries / 2, MaxBytes: 600 << 10, MaxWaiting: 500, Attempts: 2,
+		Patience: medlarpatience.DefaultConfig(),
+	}
 }
 
 type request struct {
@@ -67,17 +73,20 @@
 
 // Intake groups rows into writes.
 type Intake struct {
-	config Config
-	store  Store
-	health *Health
-	mu     sync.Mutex
-	queue  []*request
-	wake   chan struct{}
+	config   Config
+	store    Store
+	health   *Health
+	patience *medlarpatience.Patience
+	mu       sync.Mutex
+	queue    []*request
+	wake     chan struct{}
 }
 
 // New returns an intake. Health is told about every write.
 func New(c Config, store Store, health *Health) *Intake {
-	return &Intake{config: c, store: store, health: health, wake: make(chan struct{}, 1)}
+	return &Intake{
+		config: c, store: store, health: health, patience: medlarpatience.New(c.Patience), wake: make(chan struct{}, 1),
+	}
 }
 
 // Add stores a row that must not exist yet, and waits for the outcome.
@@ -161,9 +170,11 @@
 			t.Require = append(t.Require, medlartable.Row{Table: r.row.Table, Part: r.row.Part, Key: r.row.Key})
 			t.Put = append(t.Put, r.row)
 		}
-		_, err := i.store.Transact(t)
+		began := i.health.clock.Now()
+		_, err := i.store.TransactWithin(t, i.patience.Timeout())
 		var conflict *medlartable.ConflictError
 		isConflict := errors.As(err, &conflict)
+		i.patience.Observe(i.health.clock.Now().Sub(began), err == nil || isConflict || medlarwheel.HasNoEffect(err))
 		i.health.Report(err == nil || isConflict)
 		switch {
 		case err == nil:
--- a/internal/acceptance/medlarintake/intake_test.go
+++ b/internal/acceptance/medlarintake/intake_test.go
@@ -25,7 +25,7 @@
 
 var errLost = errors.New("no answer")
 
-func (s *scriptedStore) Transact(t medlartable.Transaction) (medlartable.Commit, error) {
+func (s *scriptedStore) TransactWithin(t medlartable.Transaction, _ time.Duration) (medlartable.Commit, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -33,6 +33,15 @@
 	watch *medlartenure.Watch
 	// claiming serialises the claims of this instance.
 	claiming sync.Mutex
+	// open is a claim whose answer was lost. It may be carried out later.
+	open *openClaim
+}
+
+// openClaim is a claim without an answer.
+type openClaim struct {
+	term      medlartenure.Term
+	claimedAt time.Time
+	grace     time.Duration
 }
 
 // followOwner follows the claim of the cell, and claims it when its owner is gone.
@@ -77,6 +86,24 @@
 		n.log.Error().Str("event", "row-refused").Str("table", medlartenure.Table).Err(err).Msg("")
 	}
 	n.setTerm(ctx, term)
+	n.takeOpenClaim(ctx, term)
+}
+
+// takeOpenClaim starts the ownership of a claim whose answer was lost, once the table shows that it was carried out.
+func (n *Node) takeOpenClaim(ctx context.Context, term medlartenure.Term) {
+	n.tenure.mu.Lock()
+	open := n.tenure.open
+	if open == nil || term.Number < open.term.Number {
+		n.tenure.mu.Unlock()
+		return
+	}
+	n.tenure.open = nil
+	n.tenure.mu.Unlock()
+	if term.Process != n.process || term.Released || term.Number != open.term.Number || n.owner.Load() != nil {
+		return
+	}
+	n.log.Info().Str("event", "cell-claimed").Uint64("term", term.Number).Str("reason", "answer lost").Msg("")
+	n.own(ctx, term, open.claimedAt, open.grace)
 }
 
 // claimIfVacant claims the cell if its owner is gone.
@@ -193,6 +220,11 @@
 	}
 	if err != nil {
 		n.log.Warn().Str("event", "claim-failed").Uint64("term", next.Number).Err(err).Msg("")
+		if conflict == nil && !medlarwheel.HasNoEffect(err) {
+			n.tenure.mu.Lock()
+			n.tenure.open = &openClaim{term: next, claimedAt: claimedAt, grace: grace}
+			n.tenure.mu.Unlock()
+		}
 		return
 	}
 	next.Version = commit.Version
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -64,17 +64,27 @@
 
 // store sends a batch until its outcome is known.
 func (o *Owner) store(ctx context.Context, t medlartable.Transaction, batch *medlarcell.Batch, renew bool) {
+	// The renewal counts from the first try: any of them may be the one that the table has carried out.
+	firstSentAt := o.Clock.Now()
 	for {
 		sentAt := o.Clock.Now()
-		commit, err := o.Store.Transact(t)
-		o.Meter.Time("owner.flush", o.Clock.Now().Sub(sentAt))
+		commit, err := o.Store.TransactWithin(t, o.patience.Timeout())
+		took := o.Clock.Now().Sub(sentAt)
+		var conflict *medlartable.ConflictError
+		o.patience.Observe(took, err == nil || errors.As(err, &conflict) || medlarwheel.HasNoEffect(err))
+		o.Meter.Time("owner.flush", took)
 		outcome := o.chain.Settle(commit, err)
 		if outcome != medlarledger.OutcomeRetry {
-			o.post(func(now time.Time) { o.stored(now, batch, outcome, sentAt, renew) })
+			o.post(func(now time.Time) { o.stored(now, batch, outcome, firstSentAt, renew) })
 			return
 		}
 		o.Log.Warn().Str("event", "flush-failed").Int("records", len(batch.Records)).Err(err).Msg("")
-		if !sleep(ctx, o.config.FlushRetry) {
+		pause := o.config.FlushRetry
+		if !medlarwheel.HasNoEffect(err) {
+			// A lost answer has taken its time already.
+			pause = 0
+		}
+		if !sleep(ctx, pause) {
 			return
 		}
 	}
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -25,6 +25,7 @@
 	"medlarwheel/internal/operation/medlarmeter"
 	"medlarwheel/internal/scheduling/medlarcell"
 	"medlarwheel/internal/state/medlarledger"
+	"medlarwheel/internal/state/medlarpatience"
 	"medlarwheel/internal/state/medlartable"
 	"medlarwheel/internal/state/medlartenure"
 )
@@ -35,6 +36,7 @@
 // Store is the platform's table.
 type Store interface {
 	Transact(t medlartable.Transaction) (medlartable.Commit, error)
+	TransactWithin(t medlartable.Transaction, timeout time.Duration) (medlartable.Commit, error)
 	Read(r medlartable.Range) (medlartable.Page, error)
 	Follow(f medlartable.Follow) (medlartable.Page, error)
 }
@@ -68,6 +70,8 @@
 	FlushInterval time.Duration
 	// FlushRetry is the pause after a write that the table has refused.
 	FlushRetry time.Duration
+	// Patience configures how long a write is waited for.
+	Patience medlarpatience.Config
 	// FollowWait is how long the table may hold a read of changes. It bounds the time lost on a connection gone silent.
 	FollowWait time.Duration
 	// FollowRetry is the pause after a failed read of changes.
@@ -79,6 +83,7 @@
 	return Config{
 		Part: "c0", Cell: medlarcell.DefaultConfig(), Tenure: medlartenure.DefaultConfig(),
 		TickInterval: 50 * time.Millisecond, FlushInterval: 15 * time.Millisecond, FlushRetry: 100 * time.Millisecond,
+		Patience:   medlarpatience.DefaultConfig(),
 		FollowWait: 700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
 	}
 }
@@ -113,6 +118,7 @@
 	placeTook time.Duration
 	placeWake bool
 
+	patience  *medlarpatience.Patience
 	flushing  bool
 	flushWake bool
 	flushedAt time.Time
@@ -138,6 +144,7 @@
 		chain:  medlarledger.NewChain(c.Part, term.Number, term.Version),
 		agents: map[medlarwheel.WorkerID]*agentEntry{}, events: make(chan func(time.Time), eventBuffer),
 		done: make(chan struct{}), renewedAt: claimedAt, claimedAt: claimedAt,
+		patience: medlarpatience.New(c.Patience),
 	}
 	o.cell.Begin(claimedAt, medlarcell.Tenure{Fence: medlartenure.Fence(term.Version), Term: term.Number, Grace: grace})
 	o.cell.Authorize(claimedAt.Add(c.Tenure.OwnerTimeout))
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -38,7 +38,7 @@
 // DefaultConfig returns the configuration for a table that answers within some tens of milliseconds.
 func DefaultConfig() Config {
 	return Config{
-		RenewInterval: 500 * time.Millisecond, OwnerTimeout: 2000 * time.Millisecond,
+		RenewInterval: 400 * time.Millisecond, OwnerTimeout: 2000 * time.Millisecond,
 		ClaimTimeout: 2300 * time.Millisecond, MaxGap: 1200 * time.Millisecond,
 	}
 }
