--- a/internal/scheduling/medlarcell/interference.go
+++ b/internal/scheduling/medlarcell/interference.go
@@ -282,3 +282,9 @@
 	}
 	return total, true
 }
+
+// Learnt returns what the cell has learnt about interference.
+func (c *Cell) Learnt() medlarpressure.Snapshot { return c.pressure.Snapshot() }
+
+// RestoreLearnt starts from what the owner before has learnt about interference.
+func (c *Cell) RestoreLearnt(s medlarpressure.Snapshot) { c.pressure.Restore(s) }
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -49,10 +49,28 @@
 		o.cell.FlushFailed(batch)
 		return
 	}
+	if renew && now.Sub(o.learntAt) >= o.config.LearntInterval {
+		o.learntAt = now
+		o.addLearnt(&transaction)
+	}
 	o.flushing, o.flushedAt = true, now
 	go o.store(ctx, transaction, batch, renew)
 }
 
+// maxLearntBytes is the size of a row on the platform, less its encoding.
+const maxLearntBytes = 40 << 10
+
+// addLearnt adds what the cell has learnt to a batch. It is only a help to the next owner, so that it is left out if it
+// can't be encoded or is too large.
+func (o *Owner) addLearnt(t *medlartable.Transaction) {
+	row, err := medlarledger.LearntRow(o.config.Part, o.cell.Learnt())
+	if err != nil || len(row.Value) > maxLearntBytes {
+		o.Log.Warn().Str("event", "learnt-not-stored").Int("bytes", len(row.Value)).Err(err).Msg("")
+		return
+	}
+	t.Put = append(t.Put, row)
+}
+
 // wakeForFlush makes the control goroutine look again once the next batch may be sent.
 func (o *Owner) wakeForFlush(wait time.Duration) {
 	if o.flushWake || !o.cell.HasFlush() {
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -17,7 +17,7 @@
 
 // load reads the records of the cell and the list of workers.
 func (o *Owner) load(ctx context.Context) error {
-	var submissions, progress, workers, fleet []medlartable.Row
+	var submissions, progress, workers, fleet, learnt []medlartable.Row
 	began := o.Clock.Now()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
@@ -36,6 +36,10 @@
 		fleet, _, err = o.readAll(ctx, medlarledger.FleetRange(o.config.Part))
 		return err
 	})
+	group.Go(func() (err error) {
+		learnt, _, err = o.readAll(ctx, medlarledger.LearntRange(o.config.Part))
+		return err
+	})
 	if err := group.Wait(); err != nil {
 		return err
 	}
@@ -43,6 +47,13 @@
 	o.restore(now, submissions, progress)
 	o.cell.SetWorkers(now, o.decodeWorkers(workers))
 	o.cell.RestoreFleet(now, o.decodeFleet(fleet))
+	for _, r := range learnt {
+		if snapshot, err := medlarledger.DecodeLearnt(r); err != nil {
+			o.Log.Warn().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
+		} else {
+			o.cell.RestoreLearnt(snapshot)
+		}
+	}
 	o.Log.Info().Str("event", "cell-loaded").Uint64("term", o.term.Number).Int("submission-rows", len(submissions)).
 		Int("workers", len(workers)).Dur("took", now.Sub(began)).Msg("")
 	return nil
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -68,6 +68,8 @@
 	TickInterval time.Duration
 	// FlushInterval is the least time between two writes of records. It bounds the calls to the table.
 	FlushInterval time.Duration
+	// LearntInterval is the time between two writes of what is learnt about interference.
+	LearntInterval time.Duration
 	// FlushRetry is the pause after a write that the table has refused.
 	FlushRetry time.Duration
 	// Patience configures how long a write is waited for.
@@ -83,8 +85,9 @@
 	return Config{
 		Part: "c0", Cell: medlarcell.DefaultConfig(), Tenure: medlartenure.DefaultConfig(),
 		TickInterval: 50 * time.Millisecond, FlushInterval: 15 * time.Millisecond, FlushRetry: 100 * time.Millisecond,
-		Patience:   medlarpatience.DefaultConfig(),
-		FollowWait: 700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
+		LearntInterval: 2 * time.Second,
+		Patience:       medlarpatience.DefaultConfig(),
+		FollowWait:     700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
 	}
 }
 
@@ -122,6 +125,7 @@
 	flushing  bool
 	flushWake bool
 	flushedAt time.Time
+	learntAt  time.Time
 	renewedAt time.Time
 	claimedAt time.Time
 	// followFrom and workersFrom are the versions up to which submissions and workers are loaded.
--- a/internal/scheduling/medlarpressure/model_test.go
+++ b/internal/scheduling/medlarpressure/model_test.go
@@ -83,3 +83,34 @@
 		t.Errorf("%d images are kept, want at most %d", n, c.MaxImages)
 	}
 }
+
+// TestSnapshot guards against a new owner that has to learn all pressures anew, or that learns nothing more.
+func TestSnapshot(t *testing.T) {
+	m := New(DefaultConfig())
+	m.Level("web", 10*time.Millisecond)
+	for range 100 {
+		m.Observe("web", 0.13, []Share{{Image: "heavy", Share: 0.1}})
+	}
+	m.Refit()
+	s := m.Snapshot()
+	if faults := s.Check(); len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	next := New(DefaultConfig())
+	next.Restore(s)
+	next.Refit()
+	if want, got := m.Pressure("heavy", "web"), next.Pressure("heavy", "web"); math.Abs(want-got) > 0.1 {
+		t.Errorf("pressure %.2f after the snapshot, %.2f before", got, want)
+	}
+	for range 1000 {
+		next.Observe("web", 0.01, []Share{{Image: "heavy", Share: 0.1}})
+	}
+	next.Refit()
+	if got := next.Pressure("heavy", "web"); got > 0.5 {
+		t.Errorf("pressure %.2f after many observations of 0.1", got)
+	}
+	s.Serving["web"] = ServingSnapshot{High: 7}
+	if len(s.Check()) == 0 {
+		t.Error("a level of 7 was accepted")
+	}
+}
--- a/internal/state/medlarledger/ledger.go
+++ b/internal/state/medlarledger/ledger.go
@@ -21,6 +21,7 @@
 	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 	"medlarwheel/internal/scheduling/medlarcell"
+	"medlarwheel/internal/scheduling/medlarpressure"
 	"medlarwheel/internal/state/medlartable"
 	"medlarwheel/internal/state/medlartenure"
 )
@@ -32,6 +33,8 @@
 	TableChain       = "medlar-chain"
 	// TableFleet holds a row for each worker that may run tasks.
 	TableFleet = "medlar-fleet"
+	// KeyLearnt is the row with what the owner has learnt about interference.
+	KeyLearnt = "learnt"
 	// KeyChain is the row that every batch requires and writes.
 	KeyChain = "last"
 	// cancelSuffix follows the id in the key of a cancellation.
@@ -39,7 +42,7 @@
 )
 
 // MaxRecords is the number of progress records that fit into one batch, beside the rows of chain and renewal.
-const MaxRecords = medlartable.MaxEntries - 6
+const MaxRecords = medlartable.MaxEntries - 7
 
 // SubmissionRow returns the row of an accepted submission.
 func SubmissionRow(part string, s *medlarsubmission.Submission) (medlartable.Row, error) {
@@ -108,6 +111,26 @@
 	return medlartable.Range{Table: TableFleet, Part: part}
 }
 
+// LearntRow returns the row with what the owner has learnt about interference.
+func LearntRow(part string, s medlarpressure.Snapshot) (medlartable.Row, error) {
+	value, err := json.Marshal(s)
+	return medlartable.Row{Table: TableChain, Part: part, Key: KeyLearnt, Value: value}, errors.Wrap(err, "learnt pressures")
+}
+
+// LearntRange selects what the owner has learnt about interference.
+func LearntRange(part string) medlartable.Range {
+	return medlartable.Range{Table: TableChain, Part: part, From: KeyLearnt, To: KeyLearnt + "\x00"}
+}
+
+// DecodeLearnt reads and checks what an owner has learnt about interference.
+func DecodeLearnt(r medlartable.Row) (medlarpressure.Snapshot, error) {
+	var s medlarpressure.Snapshot
+	if err := json.Unmarshal(r.Value, &s); err != nil {
+		return s, errors.Wrap(err, "learnt pressures")
+	}
+	return s, errors.Wrap(s.Check().Err(), "learnt pressures")
+}
+
 // link is the content of the chain row.
 type link struct {
 	Term uint64 `json:"term"`
