--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -85,8 +85,10 @@
 }
 
 // compact drops steps without waiting tasks from the queue.
-func (c *Cell) compact() {
-	c.queue = slices.DeleteFunc(c.queue, func(s *step) bool {
+func (c *Cell) compact() { c.queue = dropIdle(c.queue) }
+
+func dropIdle(steps []*step) []*step {
+	return slices.DeleteFunc(steps, func(s *step) bool {
 		if len(s.ready) > 0 && !s.occurrence.job.state.IsFinal() {
 			return false
 		}
@@ -271,6 +273,7 @@
 // order brings the queue into the order of ranks. New steps are merged into it; the others keep their ranks for a while.
 func (c *Cell) order(now time.Time) {
 	c.compact()
+	c.fresh = dropIdle(c.fresh)
 	for _, s := range c.fresh {
 		s.rank = c.rankOf(now, s)
 	}
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -233,3 +233,16 @@
 		t.Fatal("the task was not started after every lease must have ended")
 	}
 }
+
+// TestCancelledBeforeItsFirstStart guards against tasks that are started after the cancellation of their submission: both may
+// come in with one read of the table.
+func TestCancelledBeforeItsFirstStart(t *testing.T) {
+	b := newBench(t, 1, Tenure{Fence: 1 << 12, Term: 1})
+	b.report(b.holds[0], medlarorder.Report{})
+	b.cell.Accept(b.now, benchSubmission(benchStep()))
+	b.cell.Cancel(b.now, "00000000000000aa")
+	b.look()
+	if len(b.starts) > 0 {
+		t.Fatal("a task of a cancelled submission was started")
+	}
+}
