--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -66,9 +66,7 @@
 func DefaultConfig(site platform.Site) Config {
 	owner := medlarowner.DefaultConfig()
 	owner.Cell.Lease = min(owner.Cell.Lease, site.MaxLease)
-	owner.Cell.StopTime = site.StopTime
 	owner.Cell.KeepFinished = max(owner.Cell.KeepFinished, site.KeepFinished+10*time.Second)
-	owner.Cell.RemoteFactor = site.RemoteFactor
 	return Config{
 		Site: site, Owner: owner, Door: medlardoor.DefaultConfig(), Register: medlarinstance.DefaultConfig(), StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
 		FollowWait: 700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -24,16 +24,12 @@
 	ClockDrift float64
 	// LeaseMargin is added to the computed end of a lease for rounding and delays.
 	LeaseMargin time.Duration
-	// StopTime is the longest time that a worker takes to stop a run.
-	StopTime time.Duration
 	// StopRetry is the time after which a stop without effect is sent again.
 	StopRetry time.Duration
 	// KeepFinished is how long a finished submission stays known.
 	KeepFinished time.Duration
 	// EarlyStart is how much before its due time an occurrence may start.
 	EarlyStart time.Duration
-	// RemoteFactor is how much slower a task is away from its data.
-	RemoteFactor float64
 	// FailuresToSuspend is the number of failed runs in a row, of different submissions, that suspends a worker.
 	FailuresToSuspend int
 	// SuspendTime is how long a suspended worker gets no new tasks. It doubles with each suspension in a row.
@@ -56,8 +52,8 @@
 		Lease: 3 * time.Second, HoldWait: 600 * time.Millisecond, HoldRetry: 150 * time.Millisecond,
 		AckWait:        200 * time.Millisecond,
 		ContactTimeout: 1300 * time.Millisecond, ClockDrift: 0.02, LeaseMargin: 200 * time.Millisecond,
-		StopTime: 400 * time.Millisecond, StopRetry: time.Second, KeepFinished: 2 * time.Minute,
-		EarlyStart: 0, RemoteFactor: 2, FailuresToSuspend: 2, SuspendTime: 4 * time.Second,
+		StopRetry: time.Second, KeepFinished: 2 * time.Minute,
+		FailuresToSuspend: 2, SuspendTime: 4 * time.Second,
 		UnhealthyPause: 200 * time.Millisecond, ServingLoad: 0.5, LateFactor: 3,
 		Rank: medlarrank.DefaultConfig(), Interference: DefaultInterferenceConfig(),
 		Load: DefaultLoadConfig(), Progress: DefaultProgressConfig(),
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -314,16 +314,16 @@
 func (c *Cell) rankOf(now time.Time, s *step) medlarrank.Rank {
 	j := s.occurrence.job
 	if s.spec.LongRunning {
-		return medlarrank.Rank{Priority: j.submission.Terms.Priority, Score: longRunningScore}
+		return medlarrank.Rank{Priority: j.submission.Terms.Priority, Score: lastingScore}
 	}
 	return medlarrank.Of(now, c.config.Rank, j.submission.Terms.Priority, medlarrank.Work{
 		Due: j.due, Useless: j.useless, Chain: j.chain[s.index], Value: c.valueOf(j), Remaining: j.remaining,
 	})
 }
 
-// longRunningScore puts tasks that last behind short tasks of their priority that can still be in time, and before all
+// lastingScore puts tasks that last behind short tasks of their priority that can still be in time, and before all
 // others. For the room that a task that lasts takes for minutes, many short tasks can be served.
-const longRunningScore = 0
+const lastingScore = 0
 
 // Parts of the value of a submission: one for each, and one in proportion to its work against the mean of its route.
 const (
