--- a/internal/operation/medlartuning/tuning.go
+++ b/internal/operation/medlartuning/tuning.go
@@ -13,6 +13,8 @@
 import (
 	"fmt"
 	"io"
+	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -87,6 +89,25 @@
 			func(c *Config) *float64 { return &c.Node.Owner.Cell.Load.Headroom }),
 		number("late-factor", "factor", "times its objective after which a submission is of no more use", 1, 100,
 			func(c *Config) *float64 { return &c.Node.Owner.Cell.LateFactor }),
+		{
+			Name: "metrics-port", Unit: "port", Help: "port of the metrics, the one that the deploy file names", Min: 1, Max: 65535,
+			read: func(c *Config) float64 {
+				address, err := netip.ParseAddrPort(c.Node.Site.Metrics)
+				if err != nil {
+					// Decoding has checked the address.
+					return 0
+				}
+				return float64(address.Port())
+			},
+			write: func(c *Config, v float64) {
+				host, _, err := net.SplitHostPort(c.Node.Site.Metrics)
+				if err != nil {
+					// Decoding has checked the address.
+					return
+				}
+				c.Node.Site.Metrics = net.JoinHostPort(host, strconv.Itoa(int(v)))
+			},
+		},
 		{
 			Name: "log-lines-per-second", Unit: "lines", Help: "bound of the log; lines above it are dropped and counted", Min: 1, Max: 100000,
 			read:  func(c *Config) float64 { return float64(c.Log.LinesPerSecond) },
--- a/internal/operation/medlartuning/tuning_test.go
+++ b/internal/operation/medlartuning/tuning_test.go
@@ -17,7 +17,7 @@
 )
 
 func config() Config {
-	return Config{Node: medlarnode.DefaultConfig(platform.Site{MaxLease: time.Minute}), Log: medlarlog.DefaultConfig()}
+	return Config{Node: medlarnode.DefaultConfig(platform.Site{MaxLease: time.Minute, Metrics: "127.0.0.1:9464"}), Log: medlarlog.DefaultConfig()}
 }
 
 // TestApply guards against a setting that is given and has no effect, and against faults that are reported one at a time.
@@ -25,7 +25,7 @@
 	set, c := New(), config()
 	flags := pflag.NewFlagSet("edge", pflag.ContinueOnError)
 	set.Bind(flags)
-	if err := flags.Parse([]string{"--lease", "4000"}); err != nil {
+	if err := flags.Parse([]string{"--lease", "4000", "--metrics-port", "9500"}); err != nil {
 		t.Fatal(err)
 	}
 	environment := map[string]string{"MEDLARWHEEL_EDGE_LEASE": "9000", "MEDLARWHEEL_EDGE_PLACE_MARGIN": "0.1"}
@@ -36,6 +36,9 @@
 	if c.Node.Owner.Cell.Lease != 4*time.Second || c.Node.Owner.Cell.Interference.PlaceMargin != 0.1 {
 		t.Errorf("lease %v, margin %v", c.Node.Owner.Cell.Lease, c.Node.Owner.Cell.Interference.PlaceMargin)
 	}
+	if c.Node.Site.Metrics != "127.0.0.1:9500" {
+		t.Errorf("metrics at %s", c.Node.Site.Metrics)
+	}
 	environment["MEDLARWHEEL_EDGE_HOLD_WAIT"], environment["MEDLARWHEEL_EDGE_PACE_MARGIN"] = "soon", "7"
 	var faults medlarwheel.Faults
 	if err := set.Apply(&c, lookup); !errors.As(err, &faults) || len(faults) != 2 {
@@ -50,7 +53,7 @@
 		if v := s.read(&c); v < s.Min || v > s.Max {
 			t.Errorf("%s: default %g is not in %g to %g", s.Name, v, s.Min, s.Max)
 		}
-		if !slices.Contains([]string{"ms", "level", "factor", "lines"}, s.Unit) {
+		if !slices.Contains([]string{"ms", "level", "factor", "lines", "port"}, s.Unit) {
 			t.Errorf("%s: unit %q", s.Name, s.Unit)
 		}
 	}
