--- a/internal/acceptance/medlardoor/door.go
+++ b/internal/acceptance/medlardoor/door.go
@@ -1,8 +1,7 @@
 // Package medlardoor decides whether a new submission is accepted, from the load that the scheduler last reported.
 //
-// It answers two loads. Tasks that last take their room for minutes: when they arrive on a nearly full fleet, short urgent
-// tasks find no room for the rest of the hour. The door therefore keeps the room that short urgent work has lately needed.
-// In a flood of batch work, whatever would be of no more use to its caller when its turn comes is refused at once.
+// It answers the load of tasks that last on a nearly full fleet: they take their room for minutes, and short urgent tasks
+// find none for as long. The door therefore keeps the room that short urgent work has lately needed.
 //
 // A report that is too old decides nothing: the submission is accepted.
 //
@@ -28,9 +27,6 @@
 	LastingRoom float64 `json:"lasting-room"`
 	// LastingRelease is the rate at which tasks that last have given room back, in cores a second.
 	LastingRelease float64 `json:"lasting-release"`
-	// Backlog is the waiting work of routes that are not urgent, in core-seconds, and Drain the rate at which it gets done.
-	Backlog float64 `json:"backlog"`
-	Drain   float64 `json:"drain"`
 }
 
 // Config configures the door.
--- a/internal/acceptance/medlarroute/route.go
+++ b/internal/acceptance/medlarroute/route.go
@@ -76,13 +76,3 @@
 	}
 	return route, path[len(route.PathPrefix):], true
 }
-
-// ByName returns the route with the name, or nil.
-func (t *Table) ByName(name string) *Route {
-	for i := range t.Routes {
-		if t.Routes[i].Name == name {
-			return &t.Routes[i]
-		}
-	}
-	return nil
-}
--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -68,7 +68,8 @@
 	owner.Cell.Lease = min(owner.Cell.Lease, site.MaxLease)
 	owner.Cell.KeepFinished = max(owner.Cell.KeepFinished, site.KeepFinished+10*time.Second)
 	return Config{
-		Site: site, Owner: owner, Door: medlardoor.DefaultConfig(), Register: medlarinstance.DefaultConfig(), StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
+		Site: site, Owner: owner, Door: medlardoor.DefaultConfig(), Register: medlarinstance.DefaultConfig(),
+		StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
 		FollowWait: 700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
 		OrderTimeout: 350 * time.Millisecond, OrderConnections: 12, PeerTimeout: 300 * time.Millisecond,
 		ProbeInterval: 250 * time.Millisecond, ReadyAge: 2500 * time.Millisecond,
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -12,43 +12,58 @@
 // Cell schedules the submissions of one cell on its workers.
 type Cell struct {
 	config Config
-	fence  medlarwheel.FencingToken
+
+	// Ownership.
+
+	fence medlarwheel.FencingToken
 	// firstRun is the lowest run number of this tenure. It is above all numbers of earlier ones.
 	firstRun medlarorder.RunNumber
 	// settleAt is when a task that no worker knows may be started even if some workers have not reported.
 	settleAt time.Time
 	settled  bool
-	jobs     map[medlarsubmission.ID]*job
-	workers  map[medlarwheel.WorkerID]*worker
-	// sorted lists the workers by id. It is nil after a change of the fleet.
-	sorted []*worker
+	// authority is until when this owner may order, unless it renews its ownership.
+	authority time.Time
+
+	// Work.
+
+	jobs map[medlarsubmission.ID]*job
+	// waiting counts the submissions of each route of which no task has started.
+	waiting map[string]int
 	// queue holds the steps with tasks that wait for a worker, by rank, and fresh those that are not in it yet.
 	queue, fresh []*step
 	rankedAt     time.Time
-	dirty        []*job
-	waiting      map[string]int
-	commands     []Command
-	notes        []Note
-	waitsNotedAt time.Time
-	tickedAt     time.Time
-	// meanSpeed is the mean speed of all runs against their estimates.
+	// dirty lists the jobs whose records have changed, and finished those in a final state, oldest first.
+	dirty, finished []*job
+
+	// Workers.
+
+	workers map[medlarwheel.WorkerID]*worker
+	// sorted lists the workers by id. It is nil after a change of the fleet.
+	sorted []*worker
+	// joined and left are the changes of the fleet that are not stored yet.
+	joined, left []medlarwheel.WorkerID
+
+	// What is learnt and measured.
+
+	// meanSpeed is the mean speed of all runs against their estimates, and speeds the number of comparisons in it.
 	meanSpeed float64
-	// speeds is the number of comparisons in meanSpeed.
-	speeds     int
+	speeds    int
+	// meanWork is the mean work of the submissions of each route in core-seconds.
+	meanWork   map[string]float64
 	loads      map[medlarwheel.ServiceName]*serviceLoad
 	measuredAt time.Time
-	// meanWork is the mean work of the submissions of each route in core-seconds.
-	meanWork map[string]float64
-	pressure *medlarpressure.Model
+	pressure   *medlarpressure.Model
+	refitAt    time.Time
 	// shortages is the waiting work of each filling image against the room on workers that suit it.
 	shortages map[medlarpressure.Image]float64
 	pricedAt  time.Time
-	refitAt   time.Time
-	// joined and left are the changes of the fleet that are not stored yet.
-	joined, left []medlarwheel.WorkerID
-	// authority is until when this owner may order, unless it renews its ownership.
-	authority time.Time
-	finished  []*job
+
+	// Output.
+
+	commands     []Command
+	notes        []Note
+	waitsNotedAt time.Time
+	tickedAt     time.Time
 }
 
 // Tenure identifies one ownership of the cell.
