--- a/internal/scheduling/medlarcell/observe.go
+++ b/internal/scheduling/medlarcell/observe.go
@@ -124,6 +124,10 @@
 // move starts a copy of a run elsewhere where copies are allowed, and otherwise stops it, so that it is started again.
 func (c *Cell) move(now time.Time, r *run) {
 	t := r.task()
+	if t.waiting {
+		// A copy waits for a worker already.
+		return
+	}
 	t.moves++
 	t.avoid = r.worker.info.ID
 	c.note(Note{Kind: NoteTaskMoved, Task: r.name(), Run: r.number, Worker: r.worker.info.ID, Count: r.percent, Age: now.Sub(r.confirmedAt)})
--- a/internal/scheduling/medlarcell/observe_test.go
+++ b/internal/scheduling/medlarcell/observe_test.go
@@ -66,3 +66,31 @@
 		t.Fatalf("tasks were stopped on %v, want only on w2", stopped)
 	}
 }
+
+// TestCopyIsStartedOnce guards against copies of a speculative task that are started again and again, even after its end: a
+// stuck run is reported several times before its copy finds a worker.
+func TestCopyIsStartedOnce(t *testing.T) {
+	b := newBench(t, 3, Tenure{Fence: 1 << 12, Term: 1})
+	for _, h := range b.holds {
+		b.report(h, medlarorder.Report{})
+	}
+	spec := benchStep()
+	spec.Speculative = true
+	b.cell.Accept(b.now, benchSubmission(spec))
+	b.look()
+	first := b.starts[0]
+	b.cell.Started(b.now, first.Worker, first.Start, medlarorder.Answer{Verdict: medlarorder.VerdictAccepted}, nil)
+	r := b.cell.workers[first.Worker].find(first.Start.Task, first.Start.Run)
+	b.cell.move(b.now, r)
+	b.cell.move(b.now, r)
+	b.look()
+	if len(b.starts) != 1 || b.starts[0].Worker == first.Worker {
+		t.Fatalf("%d copies were started", len(b.starts))
+	}
+	end := medlarorder.Ended{Number: 1, Task: first.Start.Task, Run: first.Start.Run, Kind: medlarorder.EndDone}
+	b.cell.ended(b.now, b.cell.workers[first.Worker], &end)
+	b.look()
+	if len(b.starts) > 0 {
+		t.Fatal("a copy was started after the end of the task")
+	}
+}
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -252,10 +252,5 @@
 }
 
 func (s *step) removeReady(index int) {
-	for i, t := range s.ready {
-		if t == index {
-			s.ready = append(s.ready[:i], s.ready[i+1:]...)
-			return
-		}
-	}
+	s.ready = slices.DeleteFunc(s.ready, func(i int) bool { return i == index })
 }
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -258,10 +258,8 @@
 // begin attaches a run to its task and its worker.
 func (c *Cell) begin(r *run) {
 	t := r.task()
-	if t.waiting {
-		t.waiting = false
-		r.step.removeReady(r.index)
-	}
+	t.waiting = false
+	r.step.removeReady(r.index)
 	t.runs = append(t.runs, r)
 	r.worker.add(r)
 }
