Start no new submission while the owner before may start it too

A claim on mere suspicion comes while the owner before still gives orders and hears of new submissions.

Change: suspicion counts only once two renewals are missing (0.9 s); after such a claim, new submissions wait like inherited ones until every worker has reported or the time of the owner before is over.

Tests: TestNewSubmissionWaitsForTheGrace, TestRefusedConnectionIsOnlySuspicion; both failed without the change.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -21,6 +21,8 @@
 	// settleAt is when a task that no worker knows may be started even if some workers have not reported.
 	settleAt time.Time
 	settled  bool
+	// graceEnd is until when the owner before may still start tasks, of new submissions too.
+	graceEnd time.Time
 	// authority is until when this owner may order, unless it renews its ownership.
 	authority time.Time
 
@@ -93,6 +95,7 @@
 	c.fence = t.Fence
 	c.firstRun = medlarorder.RunNumber((t.Term-1)*runsPerTerm + 1)
 	c.tickedAt = now
+	c.graceEnd = now.Add(t.Grace)
 	c.settleAt = now.Add(t.Grace + c.inheritedLease())
 }
 
@@ -150,7 +153,7 @@
 	if _, known := c.jobs[s.ID]; known {
 		return
 	}
-	j := c.add(s, false)
+	j := c.add(s, now.Before(c.graceEnd))
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			c.enqueue(now, st)
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -246,3 +246,22 @@
 		t.Fatal("a task of a cancelled submission was started")
 	}
 }
+
+// TestNewSubmissionWaitsForTheGrace guards against a submission that two owners start: the one before may still give orders,
+// and hears of new submissions as well.
+func TestNewSubmissionWaitsForTheGrace(t *testing.T) {
+	b := newBench(t, 2, Tenure{Fence: 2 << 12, Term: 2, Grace: 2 * time.Second})
+	b.report(b.holds[0], medlarorder.Report{})
+	b.cell.Accept(b.now, benchSubmission(benchStep()))
+	second := b.holds[1]
+	b.look()
+	if len(b.starts) > 0 {
+		t.Fatal("a new submission was started while the owner before may start it too")
+	}
+	// With a raised token on every worker, the owner before can start nothing any more.
+	b.report(second, medlarorder.Report{})
+	b.look()
+	if len(b.starts) != 1 {
+		t.Fatal("the submission was not started although every worker has reported")
+	}
+}
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -31,6 +31,8 @@
 	OwnerTimeout time.Duration
 	// ClaimTimeout is how long the renewals must be missing before another instance claims the cell.
 	ClaimTimeout time.Duration
+	// SuspectTimeout is how long the renewals must be missing when the owner's address refuses connections.
+	SuspectTimeout time.Duration
 	// MaxGap is the longest time between two answers of the table that counts as observed.
 	MaxGap time.Duration
 }
@@ -39,7 +41,8 @@
 func DefaultConfig() Config {
 	return Config{
 		RenewInterval: 400 * time.Millisecond, OwnerTimeout: 2000 * time.Millisecond,
-		ClaimTimeout: 2300 * time.Millisecond, MaxGap: 1200 * time.Millisecond,
+		ClaimTimeout: 2300 * time.Millisecond, SuspectTimeout: 900 * time.Millisecond,
+		MaxGap: 1200 * time.Millisecond,
 	}
 }
 
@@ -179,7 +182,8 @@
 	if !w.read {
 		return false
 	}
-	return w.term.Number == 0 || w.term.Released || w.ownerDead || w.ownerSuspected || w.quiet >= w.config.ClaimTimeout
+	return w.term.Number == 0 || w.term.Released || w.ownerDead || w.quiet >= w.config.ClaimTimeout ||
+		w.ownerSuspected && w.quiet >= w.config.SuspectTimeout
 }
 
 // Claim returns the transaction that makes next the owner. It fails if another instance has claimed the cell meanwhile, or
--- a/internal/state/medlartenure/tenure_test.go
+++ b/internal/state/medlartenure/tenure_test.go
@@ -140,6 +140,10 @@
 func TestRefusedConnectionIsOnlySuspicion(t *testing.T) {
 	w := watching(t)
 	w.OwnerSuspected(w.Term())
+	if w.ShouldClaim() {
+		t.Fatal("a claim against an owner that has just renewed")
+	}
+	observeFor(t, w, start, DefaultConfig().SuspectTimeout, 100*time.Millisecond)
 	if !w.ShouldClaim() || w.Grace() != DefaultConfig().OwnerTimeout {
 		t.Fatalf("claim %v with a grace of %v", w.ShouldClaim(), w.Grace())
 	}
