Spread submissions over parts of the table, and hedge writes

All rows were in one part, and a part carries out its transactions one after another, so that it served about three a second while 30 instances sent some 30. Writes were also given up after 250 and 375 ms, less than one of them takes.

Ruled out: an owner that is too slow (0.23 of a core at most), lost answers, and the rate limits of the whole table.

Change: submissions are spread by id over 32 parts and registrations over four, and the intake writes parts independently. A write without an answer is sent again while its first copy is still waited for. Requests no longer probe a table that does not answer; the instance does, in the background. Forgotten submissions are erased under the version of their row, before their progress.

--- a/internal/acceptance/medlarintake/intake_test.go
+++ b/internal/acceptance/medlarintake/intake_test.go
@@ -52,14 +52,8 @@
 	return medlartable.Commit{Version: 1}, failure
 }
 
-func run(t *testing.T, store Store) *Intake {
-	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	i := New(DefaultConfig(), store, NewHealth(medlarwheel.SystemClock{}, time.Second))
-	ended := make(chan struct{})
-	go func() { defer close(ended); _ = i.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-ended })
-	return i
+func newIntake(store Store) *Intake {
+	return New(DefaultConfig(), store, NewHealth(medlarwheel.SystemClock{}))
 }
 
 func row(key string) medlartable.Row { return medlartable.Row{Table: "t", Part: "p", Key: key} }
@@ -84,7 +78,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			store := &scriptedStore{rows: map[string]bool{"k": c.exists}, script: c.script, lose: c.lose}
-			if got := run(t, store).Add(context.Background(), row("k")); got != c.want {
+			if got := newIntake(store).Add(context.Background(), row("k")); got != c.want {
 				t.Errorf("result %d, want %d", got, c.want)
 			}
 			if store.rows["k"] != c.stored {
@@ -98,7 +92,7 @@
 // repetition of an old one.
 func TestRepetitionDoesNotFailOthers(t *testing.T) {
 	store := &scriptedStore{rows: map[string]bool{"old": true}}
-	i := New(DefaultConfig(), store, NewHealth(medlarwheel.SystemClock{}, time.Second))
+	i := newIntake(store)
 	var requests []*request
 	for _, key := range []string{"a", "old", "b"} {
 		requests = append(requests, &request{row: row(key), result: make(chan Result, 1)})
@@ -114,27 +108,74 @@
 	}
 }
 
+// gatedStore holds the writes of a part until its gate is closed.
+type gatedStore struct {
+	scriptedStore
+	gates map[string]chan struct{}
+	// began receives the part of each write.
+	began chan string
+}
+
+func (g *gatedStore) TransactWithin(t medlartable.Transaction, timeout time.Duration) (medlartable.Commit, error) {
+	part := t.Put[0].Part
+	g.began <- part
+	if gate := g.gates[part]; gate != nil {
+		<-gate
+	}
+	return g.scriptedStore.TransactWithin(t, timeout)
+}
+
 // TestWithdrawnRequestIsTrue guards against "not stored" for a request whose write is on its way when its time is over.
 func TestWithdrawnRequestIsTrue(t *testing.T) {
-	i := New(DefaultConfig(), &scriptedStore{rows: map[string]bool{}}, NewHealth(medlarwheel.SystemClock{}, time.Second))
-	over, cancel := context.WithCancel(context.Background())
-	cancel()
-	if got := i.Add(over, row("k")); got != ResultRefused {
-		t.Errorf("a request that no write has included: result %d", got)
+	gate := make(chan struct{})
+	store := &gatedStore{
+		scriptedStore: scriptedStore{rows: map[string]bool{}},
+		gates:         map[string]chan struct{}{"p": gate}, began: make(chan string, 4),
 	}
-	started := make(chan struct{})
-	go func() {
-		for len(i.next()) == 0 {
-			time.Sleep(time.Millisecond)
-		}
-		close(started)
-	}()
+	i := newIntake(store)
 	ctx, cancel := context.WithCancel(context.Background())
 	result := make(chan Result, 1)
 	go func() { result <- i.Add(ctx, row("k")) }()
-	<-started
+	<-store.began
+	if got := i.Add(canceled(), row("waiting")); got != ResultRefused {
+		t.Errorf("a request that no write has included: result %d", got)
+	}
 	cancel()
 	if got := <-result; got != ResultUnknown {
 		t.Errorf("a request whose write is on its way: result %d", got)
 	}
+	close(gate)
+	if got := i.Add(context.Background(), row("after")); got != ResultStored {
+		t.Errorf("the request after it: result %d", got)
+	}
+	if store.rows["waiting"] {
+		t.Error("a refused request was stored")
+	}
+}
+
+// canceled returns a context that is over.
+func canceled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// TestPartsDoNotWaitForEachOther guards against submissions that wait for the slow write of another part.
+func TestPartsDoNotWaitForEachOther(t *testing.T) {
+	gate := make(chan struct{})
+	store := &gatedStore{
+		scriptedStore: scriptedStore{rows: map[string]bool{}},
+		gates:         map[string]chan struct{}{"p": gate}, began: make(chan string, 4),
+	}
+	i := newIntake(store)
+	result := make(chan Result, 1)
+	go func() { result <- i.Add(context.Background(), row("k")) }()
+	<-store.began
+	if got := i.Add(context.Background(), medlartable.Row{Table: "t", Part: "q", Key: "other"}); got != ResultStored {
+		t.Errorf("a row of another part: result %d", got)
+	}
+	close(gate)
+	if got := <-result; got != ResultStored {
+		t.Errorf("the held row: result %d", got)
+	}
 }
--- a/internal/operation/medlarnode/entry.go
+++ b/internal/operation/medlarnode/entry.go
@@ -35,7 +35,7 @@
 }
 
 func (n *Node) submit(s *medlarsubmission.Submission, deadline time.Time) (platform.Reply, string) {
-	if !n.health.MayTry() {
+	if n.health.HasFailed() {
 		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, "table does not answer"
 	}
 	verdict := n.config.Door.Admit(n.clock.Now(), s, n.load(s.Service))
@@ -78,7 +78,7 @@
 // say that a submission does not exist.
 func (n *Node) stateFromTable(id medlarsubmission.ID) platform.Reply {
 	refused := platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: time.Second}
-	if !n.health.MayTry() {
+	if n.health.HasFailed() {
 		return refused
 	}
 	entries, err := n.store.Read(medlarledger.SubmissionRange(n.config.Owner.Part, id))
--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -26,6 +26,7 @@
 	"medlarwheel/internal/operation/medlarmeter"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
+	"medlarwheel/internal/state/medlartable"
 	"medlarwheel/internal/state/medlartenure"
 	"medlarwheel/platform"
 )
@@ -52,7 +53,7 @@
 	OrderConnections int
 	// PeerTimeout bounds a question to the owner of the cell.
 	PeerTimeout time.Duration
-	// ProbeInterval is how often a request may try a table that does not answer.
+	// ProbeInterval is how often an instance asks a table that does not answer.
 	ProbeInterval time.Duration
 	// ReadyAge is the age of the table's last answer up to which the instance reports itself ready.
 	ReadyAge time.Duration
@@ -111,7 +112,7 @@
 		store: platform.NewStore(platform.StoreConfig{
 			Address: c.Site.StoreAddress, Connections: c.StoreConnections, Timeout: c.StoreTimeout,
 		}),
-		health:   medlarintake.NewHealth(clock, c.ProbeInterval),
+		health:   medlarintake.NewHealth(clock),
 		peers:    newPeerClient(c.PeerTimeout),
 		process:  fmt.Sprintf("%s-%d-%d", c.Site.Instance, os.Getpid(), clock.Now().UnixNano()),
 		register: register{list: medlarinstance.NewRegister(c.Register)},
@@ -133,10 +134,10 @@
 	working, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	group, working := errgroup.WithContext(working)
-	group.Go(func() error { return n.intake.Run(working) })
 	group.Go(func() error { return n.followConfig(working) })
 	group.Go(func() error { return n.followOwner(working) })
 	group.Go(func() error { return n.followInstances(working) })
+	group.Go(func() error { return n.probeTable(working) })
 	group.Go(func() error { return n.renewRegistration(working) })
 	for _, s := range servers {
 		group.Go(s.serve)
@@ -176,3 +177,22 @@
 		}
 	}
 }
+
+// probeTable asks the table while it does not answer, so that submissions are accepted again as soon as it does. The probes
+// do not wait for each other: one that was sent before the table came back may stay without an answer.
+func (n *Node) probeTable(ctx context.Context) error {
+	probe := medlartable.Range{
+		Table: medlartenure.Table, Part: n.config.Owner.Part, From: medlartenure.KeyTerm, To: medlartenure.KeyTerm + "\x00",
+	}
+	for sleep(ctx, n.config.ProbeInterval) {
+		if !n.health.HasFailed() {
+			continue
+		}
+		go func() {
+			if _, err := n.store.Read(probe); err == nil {
+				n.health.Report(true)
+			}
+		}()
+	}
+	return ctx.Err()
+}
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -30,7 +30,7 @@
 		pause := n.config.Register.RenewInterval
 		if _, err := n.store.Transact(medlartable.Transaction{Put: []medlartable.Row{row}}); err != nil {
 			n.log.Warn().Str("event", "registration-failed").Err(err).Msg("")
-			pause = n.config.FollowRetry * 5
+			pause = n.config.Register.RetryInterval
 		}
 		if !sleep(ctx, pause) {
 			return ctx.Err()
@@ -70,7 +70,7 @@
 		return
 	}
 	n.registerRead = now
-	rows, _, err := medlartable.ReadAll(n.store, medlartable.Range{Table: medlarinstance.Table, Part: n.config.Owner.Part})
+	rows, err := medlarinstance.Read(n.store, n.config.Owner.Part)
 	if err != nil {
 		n.log.Warn().Str("event", "register-read-failed").Err(err).Msg("")
 		return
@@ -119,7 +119,7 @@
 
 // claimDelay returns how long this instance waits before it claims a vacant cell: weak instances leave it to strong ones.
 func (n *Node) claimDelay() time.Duration {
-	rows, _, err := medlartable.ReadAll(n.store, medlartable.Range{Table: medlarinstance.Table, Part: n.config.Owner.Part})
+	rows, err := medlarinstance.Read(n.store, n.config.Owner.Part)
 	if err != nil {
 		n.log.Warn().Str("event", "register-read-failed").Err(err).Msg("")
 		return claimJitter
@@ -249,8 +249,7 @@
 
 // unregister removes the row of this instance.
 func (n *Node) unregister() {
-	row := medlartable.Row{Table: medlarinstance.Table, Part: n.config.Owner.Part, Key: string(n.config.Site.Instance)}
-	if _, err := n.store.Transact(medlartable.Transaction{Remove: []medlartable.Row{row}}); err != nil {
+	if _, err := n.store.Transact(medlarinstance.Remove(n.config.Owner.Part, n.config.Site.Instance)); err != nil {
 		n.log.Warn().Str("event", "unregister-failed").Err(errors.WithMessage(err, "the row expires")).Msg("")
 	}
 }
--- /dev/null
+++ b/internal/scheduling/medlarowner/erase.go
@@ -0,0 +1,129 @@
+package medlarowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/state/medlarledger"
+	"medlarwheel/internal/state/medlartable"
+)
+
+// maxErased bounds the removals of progress in one batch, so that they leave room for records.
+const maxErased = 20
+
+// eraser removes the rows of submissions that the cell has forgotten. The row of a submission is removed first, in the part
+// that holds it, and its progress after that, with a batch of the chain.
+type eraser struct {
+	// versions holds the version of each submission's row.
+	versions map[medlarsubmission.ID]medlarwheel.RowVersion
+	// forgotten holds the submissions to remove, by part.
+	forgotten map[string][]medlarledger.Erasure
+	// erased holds the submissions whose rows are gone and whose progress is to be removed.
+	erased []medlarsubmission.ID
+	// busy is true while a removal is on its way.
+	busy bool
+}
+
+func newEraser() eraser {
+	return eraser{
+		versions:  map[medlarsubmission.ID]medlarwheel.RowVersion{},
+		forgotten: map[string][]medlarledger.Erasure{},
+	}
+}
+
+// forget notes a submission whose rows are to be removed.
+func (e *eraser) forget(cell string, id medlarsubmission.ID) {
+	part := medlarledger.SubmissionPart(cell, id)
+	e.forgotten[part] = append(e.forgotten[part], medlarledger.Erasure{ID: id, Version: e.versions[id]})
+	delete(e.versions, id)
+}
+
+// findOrphans finds progress that an owner before has not removed any more after its submission.
+func (e *eraser) findOrphans(submissions, progress []medlartable.Row) {
+	present := make(map[string]bool, len(submissions))
+	for _, r := range submissions {
+		present[r.Key] = true
+	}
+	for _, r := range progress {
+		if !present[r.Key] {
+			e.erased = append(e.erased, medlarsubmission.ID(r.Key))
+		}
+	}
+}
+
+// takeErased returns some submissions whose progress is to be removed now. One that was handed in again meanwhile keeps it.
+func (e *eraser) takeErased() []medlarsubmission.ID {
+	var taken []medlarsubmission.ID
+	n := 0
+	for ; n < len(e.erased) && len(taken) < maxErased; n++ {
+		if _, known := e.versions[e.erased[n]]; !known {
+			taken = append(taken, e.erased[n])
+		}
+	}
+	e.erased = e.erased[n:]
+	return taken
+}
+
+// largest returns the part with the most submissions to remove.
+func (e *eraser) largest() (part string) {
+	for p, waiting := range e.forgotten {
+		if len(waiting) > len(e.forgotten[part]) {
+			part = p
+		}
+	}
+	return part
+}
+
+// settle takes in the result of a removal.
+func (e *eraser) settle(part string, erasures []medlarledger.Erasure, err error) {
+	e.busy = false
+	var conflict *medlartable.ConflictError
+	isConflict := errors.As(err, &conflict)
+	if err != nil && !isConflict {
+		e.forgotten[part] = append(e.forgotten[part], erasures...)
+		return
+	}
+	for _, erasure := range erasures {
+		if !isConflict {
+			e.erased = append(e.erased, erasure.ID)
+			continue
+		}
+		row, found := conflict.Find(medlarledger.TableSubmissions, string(erasure.ID))
+		switch {
+		case !found || row.Version == 0:
+			// An earlier removal was carried out, and its answer was lost.
+			e.erased = append(e.erased, erasure.ID)
+		case row.Version == erasure.Version:
+			e.forgotten[part] = append(e.forgotten[part], erasure)
+		}
+	}
+}
+
+// eraseForgotten removes submissions of one part, one transaction at a time.
+func (o *Owner) eraseForgotten(ctx context.Context) {
+	part := o.eraser.largest()
+	if part == "" || o.eraser.busy {
+		return
+	}
+	waiting := o.eraser.forgotten[part]
+	n := min(len(waiting), medlarledger.MaxErasures)
+	erasures := waiting[:n:n]
+	if n == len(waiting) {
+		delete(o.eraser.forgotten, part)
+	} else {
+		o.eraser.forgotten[part] = waiting[n:]
+	}
+	o.eraser.busy = true
+	go func() {
+		_, err := o.writer.Transact(medlarledger.Erase(o.config.Part, erasures))
+		var conflict *medlartable.ConflictError
+		if err != nil && !errors.As(err, &conflict) && ctx.Err() == nil {
+			o.Log.Warn().Str("event", "erase-failed").Str("part", part).Int("submissions", n).Err(err).Msg("")
+		}
+		o.post(func(time.Time) { o.eraser.settle(part, erasures, err) })
+	}()
+}
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -15,9 +15,6 @@
 	"medlarwheel/internal/state/medlartenure"
 )
 
-// maxErase bounds the forgotten submissions that one batch removes, at three rows each.
-const maxErase = 10
-
 // flush stores changed records and renews the ownership, one batch at a time.
 func (o *Owner) flush(ctx context.Context, now time.Time) {
 	if o.flushing || o.releasing {
@@ -29,11 +26,11 @@
 	}
 	renew := now.Sub(o.renewedAt) >= o.config.Tenure.RenewInterval || o.cell.IsDoubtful()
 	limit := medlarledger.MaxRecords
-	var erase []medlarsubmission.ID
-	if renew && len(o.erase) > 0 {
-		n := min(len(o.erase), maxErase)
-		erase, o.erase = o.erase[:n], o.erase[n:]
-		limit -= 3 * n
+	var erased []medlarsubmission.ID
+	if renew {
+		erased = o.eraser.takeErased()
+		limit -= len(erased)
+		o.eraseForgotten(ctx)
 	}
 	if !renew && !o.cell.HasFlush() {
 		if batch := o.cell.TakeFlush(0); !batch.IsEmpty() {
@@ -43,7 +40,7 @@
 		return
 	}
 	batch := o.cell.TakeFlush(limit)
-	transaction, err := o.chain.Next(batch, erase, renew)
+	transaction, err := o.chain.Next(batch, erased, renew)
 	if err != nil {
 		o.Log.Error().Str("event", "flush-not-encoded").Err(err).Msg("")
 		o.cell.FlushFailed(batch)
@@ -86,11 +83,8 @@
 	firstSentAt := o.Clock.Now()
 	for {
 		sentAt := o.Clock.Now()
-		commit, err := o.Store.TransactWithin(t, o.patience.Timeout())
-		took := o.Clock.Now().Sub(sentAt)
-		var conflict *medlartable.ConflictError
-		o.patience.Observe(took, err == nil || errors.As(err, &conflict) || medlarwheel.HasNoEffect(err))
-		o.Meter.Time("owner.flush", took)
+		commit, err := o.writer.Transact(t)
+		o.Meter.Time("owner.flush", o.Clock.Now().Sub(sentAt))
 		outcome := o.chain.Settle(commit, err)
 		if outcome != medlarledger.OutcomeRetry {
 			o.post(func(now time.Time) { o.stored(now, batch, outcome, firstSentAt, renew) })
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,7 +22,7 @@
 	began := o.Clock.Now()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() (err error) {
-		submissions, o.followFrom, err = o.readAll(ctx, medlartable.Range{Table: medlarledger.TableSubmissions, Part: o.config.Part})
+		submissions, o.followFrom, err = o.readSubmissions(ctx)
 		return err
 	})
 	group.Go(func() (err error) {
@@ -59,6 +60,26 @@
 	return nil
 }
 
+// readSubmissions reads all parts that hold submissions, and returns the version from which all their changes can be followed.
+func (o *Owner) readSubmissions(ctx context.Context) ([]medlartable.Row, medlarwheel.RowVersion, error) {
+	ranges := medlarledger.SubmissionRanges(o.config.Part)
+	parts := make([][]medlartable.Row, len(ranges))
+	versions := make([]medlarwheel.RowVersion, len(ranges))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxPartReads)
+	for i, r := range ranges {
+		group.Go(func() (err error) {
+			parts[i], versions[i], err = o.readAll(ctx, r)
+			return err
+		})
+	}
+	err := group.Wait()
+	return slices.Concat(parts...), slices.Min(versions), err
+}
+
+// maxPartReads bounds the reads at a time, below the number of connections to the table.
+const maxPartReads = 12
+
 // readAll repeats a read until it succeeds or the context ends.
 func (o *Owner) readAll(ctx context.Context, r medlartable.Range) ([]medlartable.Row, medlarwheel.RowVersion, error) {
 	for {
@@ -86,10 +107,12 @@
 	entries, cancelled := o.decodeEntries(submissions)
 	for i := range entries {
 		s := entries[i].Submission
+		o.eraser.versions[s.ID] = entries[i].Version
 		if err := o.cell.Restore(now, s, states[s.ID], cancelled[s.ID]); err != nil {
 			o.Log.Error().Str("event", "row-refused").Str("table", medlarledger.TableProgress).Str("id", string(s.ID)).Err(err).Msg("")
 		}
 	}
+	o.eraser.findOrphans(submissions, progress)
 }
 
 func (o *Owner) decodeEntries(rows []medlartable.Row) (accepted []medlarledger.Entry, cancelled map[medlarsubmission.ID]bool) {
@@ -139,11 +162,11 @@
 
 // followSubmissions takes in newly accepted submissions and cancellations.
 func (o *Owner) followSubmissions(ctx context.Context) error {
-	r := medlartable.Range{Table: medlarledger.TableSubmissions, Part: o.config.Part}
-	return o.follow(ctx, r, o.followFrom, func(rows []medlartable.Row, _ bool) {
+	return o.follow(ctx, medlarledger.TableSubmissions, o.readSubmissions, o.followFrom, func(rows []medlartable.Row, _ bool) {
 		entries, cancelled := o.decodeEntries(rows)
 		o.post(func(now time.Time) {
 			for i := range entries {
+				o.eraser.versions[entries[i].ID] = entries[i].Version
 				o.cell.Accept(now, entries[i].Submission)
 			}
 			for id := range cancelled {
@@ -155,7 +178,10 @@
 
 // followWorkers takes in changes of the list of workers.
 func (o *Owner) followWorkers(ctx context.Context) error {
-	return o.follow(ctx, o.Registry.Range, o.workersFrom, func(rows []medlartable.Row, whole bool) {
+	readAll := func(ctx context.Context) ([]medlartable.Row, medlarwheel.RowVersion, error) {
+		return o.readAll(ctx, o.Registry.Range)
+	}
+	return o.follow(ctx, o.Registry.Range.Table, readAll, o.workersFrom, func(rows []medlartable.Row, whole bool) {
 		var gone []medlartable.Row
 		present := rows[:0:0]
 		for _, r := range rows {
@@ -181,21 +207,27 @@
 	})
 }
 
+// readFunc reads all rows of a table, and the version from which their changes can be followed.
+type readFunc func(ctx context.Context) ([]medlartable.Row, medlarwheel.RowVersion, error)
+
+// takeFunc takes in changed rows in order, or all rows of a table.
+type takeFunc func(rows []medlartable.Row, whole bool)
+
 // follow calls take with the changes of a table in order, and with all its rows after its history was dropped.
-func (o *Owner) follow(ctx context.Context, r medlartable.Range, from medlarwheel.RowVersion, take func(rows []medlartable.Row, whole bool)) error {
+func (o *Owner) follow(ctx context.Context, table string, readAll readFunc, from medlarwheel.RowVersion, take takeFunc) error {
 	for ctx.Err() == nil {
-		page, err := o.Store.Follow(medlartable.Follow{Table: r.Table, After: from, Wait: o.config.FollowWait})
+		page, err := o.Store.Follow(medlartable.Follow{Table: table, After: from, Wait: o.config.FollowWait})
 		switch {
 		case errors.Is(err, medlartable.ErrHistoryGone):
-			o.Log.Warn().Str("event", "table-history-gone").Str("table", r.Table).Uint64("after", uint64(from)).Msg("")
-			rows, version, err := o.readAll(ctx, r)
+			o.Log.Warn().Str("event", "table-history-gone").Str("table", table).Uint64("after", uint64(from)).Msg("")
+			rows, version, err := readAll(ctx)
 			if err != nil {
 				return err
 			}
 			from = version
 			take(rows, true)
 		case err != nil:
-			o.Log.Warn().Str("event", "table-follow-failed").Str("table", r.Table).Err(err).Msg("")
+			o.Log.Warn().Str("event", "table-follow-failed").Str("table", table).Err(err).Msg("")
 			sleep(ctx, o.config.FollowRetry)
 		default:
 			from = max(from, page.Version)
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -12,7 +12,7 @@
 func (o *Owner) carryOut(ctx context.Context) {
 	for _, command := range o.cell.TakeCommands() {
 		if command.Kind == medlarcell.CommandErase {
-			o.erase = append(o.erase, command.Submission)
+			o.eraser.forget(o.config.Part, command.Submission)
 			continue
 		}
 		if command.Kind == medlarcell.CommandForget {
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -24,8 +24,8 @@
 	"medlarwheel/internal/execution/medlarorder"
 	"medlarwheel/internal/operation/medlarmeter"
 	"medlarwheel/internal/scheduling/medlarcell"
+	"medlarwheel/internal/state/medlarhedge"
 	"medlarwheel/internal/state/medlarledger"
-	"medlarwheel/internal/state/medlarpatience"
 	"medlarwheel/internal/state/medlartable"
 	"medlarwheel/internal/state/medlartenure"
 )
@@ -60,7 +60,7 @@
 
 // Config configures an owner.
 type Config struct {
-	// Part is the part of the table that holds the cell's rows.
+	// Part is the part of the table that holds the cell's rows, and the prefix of the parts that hold its submissions.
 	Part   string
 	Cell   medlarcell.Config
 	Tenure medlartenure.Config
@@ -72,8 +72,8 @@
 	LearntInterval time.Duration
 	// FlushRetry is the pause after a write that the table has refused.
 	FlushRetry time.Duration
-	// Patience configures how long a write is waited for.
-	Patience medlarpatience.Config
+	// Hedge configures when a write is sent again.
+	Hedge medlarhedge.Config
 	// FollowWait is how long the table may hold a read of changes. It bounds the time lost on a connection gone silent.
 	FollowWait time.Duration
 	// FollowRetry is the pause after a failed read of changes.
@@ -86,7 +86,7 @@
 		Part: "c0", Cell: medlarcell.DefaultConfig(), Tenure: medlartenure.DefaultConfig(),
 		TickInterval: 50 * time.Millisecond, FlushInterval: 15 * time.Millisecond, FlushRetry: 100 * time.Millisecond,
 		LearntInterval: 2 * time.Second,
-		Patience:       medlarpatience.DefaultConfig(),
+		Hedge:          medlarhedge.DefaultConfig(),
 		FollowWait:     700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
 	}
 }
@@ -121,7 +121,7 @@
 	placeTook time.Duration
 	placeWake bool
 
-	patience  *medlarpatience.Patience
+	writer    *medlarhedge.Writer
 	flushing  bool
 	flushWake bool
 	flushedAt time.Time
@@ -130,7 +130,7 @@
 	claimedAt time.Time
 	// followFrom and workersFrom are the versions up to which submissions and workers are loaded.
 	followFrom, workersFrom medlarwheel.RowVersion
-	erase                   []medlarsubmission.ID
+	eraser                  eraser
 	releasing               bool
 	superseded              bool
 }
@@ -148,7 +148,7 @@
 		chain:  medlarledger.NewChain(c.Part, term.Number, term.Version),
 		agents: map[medlarwheel.WorkerID]*agentEntry{}, events: make(chan func(time.Time), eventBuffer),
 		done: make(chan struct{}), renewedAt: claimedAt, claimedAt: claimedAt,
-		patience: medlarpatience.New(c.Patience),
+		writer: medlarhedge.New(c.Hedge, d.Store, d.Clock, func(bool) {}), eraser: newEraser(),
 	}
 	o.cell.Begin(claimedAt, medlarcell.Tenure{Fence: medlartenure.Fence(term.Version), Term: term.Number, Grace: grace})
 	o.cell.Authorize(claimedAt.Add(c.Tenure.OwnerTimeout))
--- /dev/null
+++ b/internal/state/medlarhedge/hedge.go
@@ -0,0 +1,124 @@
+// Package medlarhedge writes to the platform's table when answers may be lost or late.
+//
+// A transaction without an answer is sent again while the first copy is still waited for: if the answer was lost, the second
+// copy finds out soon, and if the table is slow, the answer to the first copy still counts. A transaction must therefore
+// change nothing when it is carried out twice, and its caller must recognise the conflict with its own first copy.
+//
+// # Usage
+//
+//	writer := medlarhedge.New(medlarhedge.DefaultConfig(), store, clock, observe)
+//	commit, err := writer.Transact(transaction)
+package medlarhedge
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/internal/state/medlarpatience"
+	"medlarwheel/internal/state/medlartable"
+)
+
+// Store is the platform's table.
+type Store interface {
+	TransactWithin(t medlartable.Transaction, timeout time.Duration) (medlartable.Commit, error)
+}
+
+// Config configures a writer.
+type Config struct {
+	// Copies is the number of times that a transaction is sent.
+	Copies int
+	// Timeout bounds the wait for the answer to one copy. A table that is a hundred times slower than usual answers in it.
+	Timeout time.Duration
+	// Patience configures when the next copy is sent.
+	Patience medlarpatience.Config
+}
+
+// DefaultConfig returns the configuration for a table that usually answers within some ten milliseconds.
+func DefaultConfig() Config {
+	return Config{Copies: 2, Timeout: 1500 * time.Millisecond, Patience: medlarpatience.DefaultConfig()}
+}
+
+// Writer sends transactions. It is safe for concurrent use.
+type Writer struct {
+	config   Config
+	store    Store
+	clock    medlarwheel.Clock
+	patience *medlarpatience.Patience
+	observe  func(answered bool)
+}
+
+// New returns a writer. It calls observe with each answer, and whenever an answer has not come in the usual time.
+func New(c Config, store Store, clock medlarwheel.Clock, observe func(answered bool)) *Writer {
+	return &Writer{config: c, store: store, clock: clock, patience: medlarpatience.New(c.Patience), observe: observe}
+}
+
+type answer struct {
+	commit medlartable.Commit
+	err    error
+}
+
+// isDecisive reports whether the answer settles the transaction.
+func (a *answer) isDecisive() bool {
+	var conflict *medlartable.ConflictError
+	return a.err == nil || errors.As(a.err, &conflict)
+}
+
+// Transact returns the first answer that settles the transaction. An error that says that the transaction had no effect
+// holds for all its copies.
+func (w *Writer) Transact(t medlartable.Transaction) (medlartable.Commit, error) {
+	answers := make(chan answer, w.config.Copies)
+	sent, pending := 0, 0
+	send := func() {
+		sent++
+		pending++
+		go func() { answers <- w.send(t) }()
+	}
+	send()
+	timer := time.NewTimer(w.patience.Timeout())
+	defer timer.Stop()
+	var doubt error
+	for {
+		select {
+		case a := <-answers:
+			pending--
+			if a.isDecisive() {
+				return a.commit, a.err
+			}
+			if !medlarwheel.HasNoEffect(a.err) {
+				doubt = a.err
+			}
+			if pending > 0 {
+				continue
+			}
+			if doubt == nil || sent == w.config.Copies {
+				return medlartable.Commit{}, cause(doubt, a.err)
+			}
+			send()
+		case <-timer.C:
+			w.observe(false)
+			if sent < w.config.Copies {
+				send()
+			}
+		}
+	}
+}
+
+// cause returns the error of the copy that may have had an effect, if there is one.
+func cause(doubt, last error) error {
+	if doubt != nil {
+		return doubt
+	}
+	return last
+}
+
+func (w *Writer) send(t medlartable.Transaction) answer {
+	began := w.clock.Now()
+	var a answer
+	a.commit, a.err = w.store.TransactWithin(t, w.config.Timeout)
+	answered := a.isDecisive()
+	w.patience.Observe(w.clock.Now().Sub(began), answered || medlarwheel.HasNoEffect(a.err))
+	w.observe(answered)
+	return a
+}
--- /dev/null
+++ b/internal/state/medlarhedge/hedge_test.go
@@ -0,0 +1,107 @@
+package medlarhedge
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/internal/state/medlartable"
+)
+
+var (
+	errLost    = errors.New("no answer")
+	errRefused = medlarwheel.WithoutEffect(errors.New("status 503"))
+)
+
+// reply is what a store answers to one copy.
+type reply struct {
+	after time.Duration
+	err   error
+}
+
+// scriptedStore answers the copies of a transaction in order.
+type scriptedStore struct {
+	mu      sync.Mutex
+	replies []reply
+	calls   int
+}
+
+func (s *scriptedStore) TransactWithin(_ medlartable.Transaction, timeout time.Duration) (medlartable.Commit, error) {
+	s.mu.Lock()
+	r := s.replies[min(s.calls, len(s.replies)-1)]
+	s.calls++
+	s.mu.Unlock()
+	if r.after > timeout {
+		time.Sleep(timeout)
+		return medlartable.Commit{}, errLost
+	}
+	time.Sleep(r.after)
+	return medlartable.Commit{Version: 1}, r.err
+}
+
+func newWriter(s Store) *Writer {
+	c := DefaultConfig()
+	c.Timeout = 300 * time.Millisecond
+	c.Patience.Min = 20 * time.Millisecond
+	return New(c, s, medlarwheel.SystemClock{}, func(bool) {})
+}
+
+// TestOutcomes guards against a transaction that is reported as not carried out although a copy of it may have been.
+func TestOutcomes(t *testing.T) {
+	conflict := &medlartable.ConflictError{}
+	for name, c := range map[string]struct {
+		replies  []reply
+		want     error
+		noEffect bool
+	}{
+		"answered":                        {replies: []reply{{}}},
+		"refused":                         {replies: []reply{{err: errRefused}}, want: errRefused, noEffect: true},
+		"conflict":                        {replies: []reply{{err: conflict}}, want: conflict},
+		"lost, then answered":             {replies: []reply{{err: errLost}, {}}},
+		"lost twice":                      {replies: []reply{{err: errLost}}, want: errLost},
+		"lost, then refused":              {replies: []reply{{err: errLost}, {err: errRefused}}, want: errLost},
+		"late, while the copy is refused": {replies: []reply{{after: 100 * time.Millisecond}, {err: errRefused}}},
+		"late and lost, copy refused":     {replies: []reply{{after: time.Hour}, {err: errRefused}}, want: errLost},
+		"silent, then conflict":           {replies: []reply{{after: time.Hour}, {err: conflict}}, want: conflict},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := newWriter(&scriptedStore{replies: c.replies}).Transact(medlartable.Transaction{})
+			if !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+			if got := medlarwheel.HasNoEffect(err); got != c.noEffect {
+				t.Errorf("without effect: %v, want %v", got, c.noEffect)
+			}
+		})
+	}
+}
+
+// TestSlowAnswerCounts guards against a table that answers slower than the usual time and is never waited for, and against
+// more load on it once its pace is known.
+func TestSlowAnswerCounts(t *testing.T) {
+	store := &scriptedStore{replies: []reply{{after: 60 * time.Millisecond}}}
+	w := newWriter(store)
+	const transactions = 6
+	for range transactions {
+		if _, err := w.Transact(medlartable.Transaction{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if store.calls > transactions+1 {
+		t.Errorf("%d copies of %d transactions", store.calls, transactions)
+	}
+}
+
+// TestLostAnswerCostsLittle guards against a write that waits for the whole timeout when only one answer is lost.
+func TestLostAnswerCostsLittle(t *testing.T) {
+	began := time.Now()
+	if _, err := newWriter(&scriptedStore{replies: []reply{{after: time.Hour}, {}}}).Transact(medlartable.Transaction{}); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took > 200*time.Millisecond {
+		t.Errorf("the second copy's answer came after %v", took)
+	}
+}
--- a/internal/state/medlarinstance/instance.go
+++ b/internal/state/medlarinstance/instance.go
@@ -7,15 +7,20 @@
 // # Usage
 //
 //	register := medlarinstance.NewRegister(medlarinstance.DefaultConfig())
-//	err := register.Replace(now, rows)
+//	rows, err := medlarinstance.Read(store, cell)
+//	err = register.Replace(now, rows)
 //	for _, peer := range register.Live(lastAnswer) { ... }
 package medlarinstance
 
 import (
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"medlarwheel"
 	"medlarwheel/internal/state/medlartable"
@@ -28,13 +33,15 @@
 type Config struct {
 	// RenewInterval is the time between two renewals of an instance's row.
 	RenewInterval time.Duration
+	// RetryInterval is the pause after a renewal that has failed.
+	RetryInterval time.Duration
 	// Lifetime is how long an instance stays in the register without a renewal.
 	Lifetime time.Duration
 }
 
 // DefaultConfig returns the configuration for instances that are replaced within a minute.
 func DefaultConfig() Config {
-	return Config{RenewInterval: 5 * time.Second, Lifetime: 12 * time.Second}
+	return Config{RenewInterval: 5 * time.Second, RetryInterval: time.Second, Lifetime: 12 * time.Second}
 }
 
 // Instance is one registered instance.
@@ -47,10 +54,46 @@
 	Power float64 `json:"power"`
 }
 
+// registerParts is the number of parts over which the rows are spread. A table that is a hundred times slower than usual
+// carries out some three transactions a second in each part, so that four serve the renewals of sixty instances.
+const registerParts = 4
+
+func registerPart(cell string, n uint32) string { return fmt.Sprintf("%s-%d", cell, n) }
+
+// key returns the row of an instance without its value.
+func key(cell string, id medlarwheel.InstanceID) medlartable.Row {
+	h := fnv.New32a()
+	// A hash never fails to write.
+	_, _ = h.Write([]byte(id))
+	return medlartable.Row{Table: Table, Part: registerPart(cell, h.Sum32()%registerParts), Key: string(id)}
+}
+
 // Row returns the row by which an instance registers.
-func Row(part string, i Instance) (medlartable.Row, error) {
+func Row(cell string, i Instance) (medlartable.Row, error) {
+	row := key(cell, i.ID)
 	value, err := json.Marshal(i)
-	return medlartable.Row{Table: Table, Part: part, Key: string(i.ID), Value: value}, errors.Wrap(err, "instance row")
+	row.Value = value
+	return row, errors.Wrap(err, "instance row")
+}
+
+// Remove returns the transaction by which an instance leaves the register.
+func Remove(cell string, id medlarwheel.InstanceID) medlartable.Transaction {
+	return medlartable.Transaction{Remove: []medlartable.Row{key(cell, id)}}
+}
+
+// Read returns the rows of all instances of a cell.
+func Read(reader medlartable.Reader, cell string) ([]medlartable.Row, error) {
+	parts := make([][]medlartable.Row, registerParts)
+	var group errgroup.Group
+	for n := range parts {
+		group.Go(func() (err error) {
+			r := medlartable.Range{Table: Table, Part: registerPart(cell, uint32(n))}
+			parts[n], _, err = medlartable.ReadAll(reader, r)
+			return err
+		})
+	}
+	err := group.Wait()
+	return slices.Concat(parts...), err
 }
 
 // Decode reads and checks a row.
--- a/internal/state/medlarledger/ledger.go
+++ b/internal/state/medlarledger/ledger.go
@@ -1,19 +1,25 @@
 // Package medlarledger holds the rows of a cell in the platform's table: accepted submissions, cancellations and progress.
 //
-// An accepted submission is one row that is never changed, so that following its table tells an owner of new work.
+// An accepted submission is one row that is never changed, so that following its table tells an owner of new work. The
+// submissions are spread over parts of their own, since the table carries out the transactions of one part one after
+// another: neither acceptance nor the owner's renewals wait for each other, also when the table is a hundred times slower
+// than usual.
+//
 // Progress is written only by the owner, in batches that form a chain: each requires the row that the batch before it has
 // written, and the claim of a new owner breaks the chain. A batch that is carried out late therefore changes nothing.
 //
 // # Usage
 //
 //	chain := medlarledger.NewChain("c0", term, claimVersion)
-//	transaction, err := chain.Next(batch, erase, renew)
+//	transaction, err := chain.Next(batch, erased, renew)
 //	commit, err := store.Transact(transaction)
 //	outcome := chain.Settle(commit, err)
 package medlarledger
 
 import (
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
 
 	"github.com/pkg/errors"
 
@@ -44,22 +50,75 @@
 // MaxRecords is the number of progress records that fit into one batch, beside the rows of chain and renewal.
 const MaxRecords = medlartable.MaxEntries - 7
 
+// submissionParts is the number of parts over which the submissions of a cell are spread. A table that is a hundred times
+// slower than usual carries out some three transactions a second in each part, so that 32 serve about a hundred
+// submissions a second. Every change of owner reads all of them.
+const submissionParts = 32
+
+func submissionPart(cell string, n uint32) string { return fmt.Sprintf("%s-%d", cell, n) }
+
+// SubmissionPart returns the part that holds a submission and its cancellation.
+func SubmissionPart(cell string, id medlarsubmission.ID) string {
+	h := fnv.New32a()
+	// A hash never fails to write.
+	_, _ = h.Write([]byte(id))
+	return submissionPart(cell, h.Sum32()%submissionParts)
+}
+
+// SubmissionRanges selects all submissions and cancellations of a cell, a range for each part.
+func SubmissionRanges(cell string) []medlartable.Range {
+	ranges := make([]medlartable.Range, 0, submissionParts)
+	for n := range uint32(submissionParts) {
+		ranges = append(ranges, medlartable.Range{Table: TableSubmissions, Part: submissionPart(cell, n)})
+	}
+	return ranges
+}
+
 // SubmissionRow returns the row of an accepted submission.
-func SubmissionRow(part string, s *medlarsubmission.Submission) (medlartable.Row, error) {
+func SubmissionRow(cell string, s *medlarsubmission.Submission) (medlartable.Row, error) {
 	value, err := json.Marshal(s)
-	return medlartable.Row{Table: TableSubmissions, Part: part, Key: string(s.ID), Value: value}, errors.Wrap(err, "submission")
+	row := medlartable.Row{Table: TableSubmissions, Part: SubmissionPart(cell, s.ID), Key: string(s.ID), Value: value}
+	return row, errors.Wrap(err, "submission")
 }
 
 // CancelRow returns the row of a cancellation.
-func CancelRow(part string, id medlarsubmission.ID) medlartable.Row {
-	return medlartable.Row{Table: TableSubmissions, Part: part, Key: string(id) + cancelSuffix, Value: []byte("{}")}
+func CancelRow(cell string, id medlarsubmission.ID) medlartable.Row {
+	return medlartable.Row{
+		Table: TableSubmissions, Part: SubmissionPart(cell, id), Key: string(id) + cancelSuffix, Value: []byte("{}"),
+	}
 }
 
 // SubmissionRange selects the rows of one submission and its cancellation.
-func SubmissionRange(part string, id medlarsubmission.ID) medlartable.Range {
-	return medlartable.Range{Table: TableSubmissions, Part: part, From: string(id), To: string(id) + cancelSuffix + "\x00"}
+func SubmissionRange(cell string, id medlarsubmission.ID) medlartable.Range {
+	return medlartable.Range{
+		Table: TableSubmissions, Part: SubmissionPart(cell, id), From: string(id), To: string(id) + cancelSuffix + "\x00",
+	}
+}
+
+// Erasure is a submission whose rows are to be removed.
+type Erasure struct {
+	ID medlarsubmission.ID
+	// Version is the version of the submission's row. A later submission with the same id is not removed.
+	Version medlarwheel.RowVersion
 }
 
+// Erase returns the transaction that removes submissions of one part, with their cancellations.
+func Erase(cell string, erasures []Erasure) medlartable.Transaction {
+	var t medlartable.Transaction
+	for _, e := range erasures {
+		row := medlartable.Row{Table: TableSubmissions, Part: SubmissionPart(cell, e.ID), Key: string(e.ID)}
+		cancel := row
+		cancel.Key += cancelSuffix
+		t.Remove = append(t.Remove, row, cancel)
+		row.Version = e.Version
+		t.Require = append(t.Require, row)
+	}
+	return t
+}
+
+// MaxErasures is the number of submissions that one transaction can remove.
+const MaxErasures = medlartable.MaxEntries / 3
+
 // ProgressRange selects the progress of one submission.
 func ProgressRange(part string, id medlarsubmission.ID) medlartable.Range {
 	return medlartable.Range{Table: TableProgress, Part: part, From: string(id), To: string(id) + "\x00"}
@@ -70,6 +129,8 @@
 	ID         medlarsubmission.ID
 	Cancel     bool
 	Submission medlarsubmission.Submission
+	// Version is the version of the row.
+	Version medlarwheel.RowVersion
 }
 
 // DecodeEntry reads and checks a row of the table of submissions.
@@ -77,7 +138,7 @@
 	if n := len(r.Key) - len(cancelSuffix); n > 0 && r.Key[n:] == cancelSuffix {
 		return Entry{ID: medlarsubmission.ID(r.Key[:n]), Cancel: true}, nil
 	}
-	e := Entry{ID: medlarsubmission.ID(r.Key)}
+	e := Entry{ID: medlarsubmission.ID(r.Key), Version: r.Version}
 	if err := json.Unmarshal(r.Value, &e.Submission); err != nil {
 		return e, errors.Wrapf(err, "submission %s", r.Key)
 	}
@@ -156,8 +217,10 @@
 	return medlartable.Row{Table: TableChain, Part: part, Key: KeyChain, Value: value}, errors.Wrap(err, "chain row")
 }
 
-// Next returns the transaction of the next batch. The same batch may be sent again until Settle knows its outcome.
-func (c *Chain) Next(batch *medlarcell.Batch, erase []medlarsubmission.ID, renew bool) (medlartable.Transaction, error) {
+// Next returns the transaction of the next batch. It removes the progress of erased submissions, whose rows must be gone: a
+// submission without progress would be started anew by the next owner. The same batch may be sent again until Settle knows
+// its outcome.
+func (c *Chain) Next(batch *medlarcell.Batch, erased []medlarsubmission.ID, renew bool) (medlartable.Transaction, error) {
 	value, err := json.Marshal(link{Term: c.term, Next: c.next + 1})
 	if err != nil {
 		return medlartable.Transaction{}, errors.Wrap(err, "chain row")
@@ -186,11 +249,8 @@
 		}
 		t.Put = append(t.Put, medlartable.Row{Table: TableProgress, Part: c.part, Key: string(r.Submission), Value: value})
 	}
-	for _, id := range erase {
-		t.Remove = append(t.Remove,
-			medlartable.Row{Table: TableSubmissions, Part: c.part, Key: string(id)},
-			medlartable.Row{Table: TableProgress, Part: c.part, Key: string(id)},
-			medlartable.Row{Table: TableSubmissions, Part: c.part, Key: string(id) + cancelSuffix})
+	for _, id := range erased {
+		t.Remove = append(t.Remove, medlartable.Row{Table: TableProgress, Part: c.part, Key: string(id)})
 	}
 	return t, nil
 }
--- a/internal/state/medlarledger/ledger_test.go
+++ b/internal/state/medlarledger/ledger_test.go
@@ -1,6 +1,7 @@
 package medlarledger
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -133,3 +134,48 @@
 		t.Fatal("a row without steps was read as a submission")
 	}
 }
+
+// TestEraseSparesLaterSubmission guards against a removal that is carried out late and takes a newer submission with the
+// same id, and against cancellations that stay behind.
+func TestEraseSparesLaterSubmission(t *testing.T) {
+	m := &memoryTable{rows: map[string]medlartable.Row{}}
+	s := medlarsubmission.Submission{ID: "00000000000000aa"}
+	row, err := SubmissionRow("c0", &s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := func() Erasure {
+		commit, err := m.transact(medlartable.Transaction{Put: []medlartable.Row{row, CancelRow("c0", s.ID)}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return Erasure{ID: s.ID, Version: commit.Version}
+	}
+	late := Erase("c0", []Erasure{store()})
+	if _, err := m.transact(late); err != nil || len(m.rows) != 0 {
+		t.Fatalf("%v, rows left: %v", err, m.rows)
+	}
+	store()
+	if _, err := m.transact(late); err == nil || len(m.rows) != 2 {
+		t.Fatalf("a late removal was carried out: %v, rows %v", err, m.rows)
+	}
+}
+
+// TestSubmissionRangesCoverAll guards against submissions in a part that a new owner does not read.
+func TestSubmissionRangesCoverAll(t *testing.T) {
+	parts := map[string]bool{}
+	for _, r := range SubmissionRanges("c0") {
+		parts[r.Part] = true
+	}
+	used := map[string]bool{}
+	for n := range 1000 {
+		part := SubmissionPart("c0", medlarsubmission.ID(fmt.Sprintf("%016x", n)))
+		used[part] = true
+		if !parts[part] {
+			t.Fatalf("part %s is not read", part)
+		}
+	}
+	if len(used) != len(parts) {
+		t.Errorf("%d of %d parts used", len(used), len(parts))
+	}
+}
--- a/internal/state/medlarpatience/patience.go
+++ b/internal/state/medlarpatience/patience.go
@@ -58,12 +58,13 @@
 	return min(timeout, p.config.Max)
 }
 
-// Observe takes in a call that took some time and was answered or not.
+// Observe takes in a call that took some time and was answered or not. Several calls that fail at the same time raise the
+// timeout only once.
 func (p *Patience) Observe(took time.Duration, answered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !answered {
-		p.backoff = min(time.Duration(p.config.Backoff*float64(p.timeout())), p.config.Max)
+		p.backoff = min(max(p.backoff, time.Duration(p.config.Backoff*float64(took))), p.config.Max)
 		return
 	}
 	p.backoff = 0
