Start no tasks in a data centre that owes answers

Cause: after a cut of one data centre its workers still got new tasks for up to 1.3 s each, until the last answer of each worker was too old.

Ruled out: a shorter contact timeout for all workers (idle workers answer every 600 ms on purpose), and the silence of renewals as evidence (their phases are the same after a change of owner).

Change: an order without an answer for 150 ms shows the silence of its worker, and of the whole data centre if none of its workers has answered since. Neither gets new tasks until one answers.

--- a/internal/scheduling/medlarcell/answer.go
+++ b/internal/scheduling/medlarcell/answer.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if answer.Clock > 0 {
-		w.heard(now, answer.Clock)
+		c.heard(now, w, answer.Clock)
 	}
 	switch answer.Verdict {
 	case medlarorder.VerdictAccepted:
@@ -77,7 +77,7 @@
 		return
 	}
 	if answer.Clock > 0 {
-		w.heard(now, answer.Clock)
+		c.heard(now, w, answer.Clock)
 	}
 	if answer.Verdict == medlarorder.VerdictFenced {
 		c.fencedOff(now, w, s.Fence)
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -41,7 +41,8 @@
 
 	workers map[medlarwheel.WorkerID]*worker
 	// sorted lists the workers by id. It is nil after a change of the fleet.
-	sorted []*worker
+	sorted  []*worker
+	centres centres
 	// joined and left are the changes of the fleet that are not stored yet.
 	joined, left []medlarwheel.WorkerID
 
@@ -84,7 +85,7 @@
 // New returns a cell without work.
 func New(c Config) *Cell {
 	return &Cell{
-		config: c, jobs: map[medlarsubmission.ID]*job{}, workers: map[medlarwheel.WorkerID]*worker{}, waiting: map[string]int{},
+		config: c, jobs: map[medlarsubmission.ID]*job{}, workers: map[medlarwheel.WorkerID]*worker{}, centres: centres{}, waiting: map[string]int{},
 		meanWork: map[string]float64{}, meanSpeed: 1,
 		pressure: medlarpressure.New(c.Interference.Model),
 	}
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -20,6 +20,9 @@
 	AckWait time.Duration
 	// ContactTimeout is the age of a worker's last answer after which it gets no new tasks.
 	ContactTimeout time.Duration
+	// SilenceTimeout is how long a worker or a data centre may owe the answer to an order before it gets no new tasks. Orders
+	// are usually answered within some milliseconds, across data centres too.
+	SilenceTimeout time.Duration
 	// ClockDrift is the greatest relative error of a worker's clock.
 	ClockDrift float64
 	// LeaseMargin is added to the computed end of a lease for rounding and delays.
@@ -51,7 +54,7 @@
 	return Config{
 		Lease: 3 * time.Second, HoldWait: 600 * time.Millisecond, HoldRetry: 150 * time.Millisecond,
 		AckWait:        200 * time.Millisecond,
-		ContactTimeout: 1300 * time.Millisecond, ClockDrift: 0.02, LeaseMargin: 200 * time.Millisecond,
+		ContactTimeout: 1300 * time.Millisecond, SilenceTimeout: 150 * time.Millisecond, ClockDrift: 0.02, LeaseMargin: 200 * time.Millisecond,
 		StopRetry: time.Second, KeepFinished: 2 * time.Minute,
 		FailuresToSuspend: 2, SuspendTime: 4 * time.Second,
 		UnhealthyPause: 200 * time.Millisecond, ServingLoad: 0.5, LateFactor: 3,
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -106,7 +106,7 @@
 	}
 	usable := make([]*worker, 0, len(c.sorted))
 	for _, w := range c.sorted {
-		if w.isUsable(now, &c.config) {
+		if w.isUsable(now, &c.config) && !c.isSilent(now, w) {
 			usable = append(usable, w)
 		}
 	}
@@ -170,6 +170,7 @@
 		Until: c.leaseOf(now, w), Checkpoint: t.checkpoint,
 	}
 	w.granted(order.Until, &c.config)
+	c.asked(now, w)
 	c.commands = append(c.commands, Command{Kind: CommandStart, Worker: w.info.ID, Address: w.info.Address, Start: order})
 }
 
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -154,7 +154,7 @@
 	if now.Sub(w.contact) >= c.config.ContactTimeout && !w.contact.IsZero() {
 		c.note(Note{Kind: NoteWorkerBack, Worker: w.info.ID, Age: now.Sub(w.contact)})
 	}
-	w.heard(now, report.Clock)
+	c.heard(now, w, report.Clock)
 	w.lifeUnsure = false
 	first := !w.reported
 	for i := range report.Ended {
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -21,6 +21,7 @@
 	reported bool
 	// contact is when the worker last answered.
 	contact time.Time
+	silence silence
 	// clock is the worker's clock at clockAt or earlier.
 	clock   time.Duration
 	clockAt time.Time
