Let each renewal say for how long the owner may give orders

The time was chosen for a table that is slow.

Change: a renewal carries the owner's time: 1.2 s while the table is fast, up to 3 s when renewals take long, and never less than an earlier one has claimed. Others claim 0.3 s after it, and read no longer than that. A lease lasts at most 2.2 s beyond the owner's time, so that its successor waits 2.5 s instead of 3.3 s for workers that don't answer; after a release or the end of a process it still waits for a whole lease.

Ruled out: a fixed shorter time (one slow renewal would cost the cell), and shorter leases (they would end during a change of owner).

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -45,6 +45,9 @@
 	// FollowWait is how long the table may hold a read of the configuration's changes. It bounds the time lost on a
 	// connection gone silent, well below the time in which a configuration has to be in force.
 	FollowWait time.Duration
+	// OwnerFollowWait is how long the table may hold a read of the claim of the cell. It is well below the greatest gap
+	// between answers that counts as observed.
+	OwnerFollowWait time.Duration
 	// FollowRetry is the pause after a failed read of changes.
 	FollowRetry time.Duration
 	// OrderTimeout bounds an order to a worker.
@@ -71,7 +74,7 @@
 	return Config{
 		Site: site, Owner: owner, Door: medlardoor.DefaultConfig(), Register: medlarinstance.DefaultConfig(),
 		StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
-		FollowWait: 700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
+		FollowWait: 700 * time.Millisecond, OwnerFollowWait: 500 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
 		OrderTimeout: 350 * time.Millisecond, OrderConnections: 12, PeerTimeout: 300 * time.Millisecond,
 		ProbeInterval: 250 * time.Millisecond, ReadyAge: 2500 * time.Millisecond,
 		DrainTime: max(site.StopGrace/2, time.Second), MemoryShare: 0.6,
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -41,7 +41,7 @@
 type openClaim struct {
 	term      medlartenure.Term
 	claimedAt time.Time
-	grace     time.Duration
+	before    medlartenure.Predecessor
 }
 
 // followOwner follows the claim of the cell, and claims it when its owner is gone.
@@ -54,7 +54,7 @@
 		var err error
 		if loaded {
 			var page medlartable.Page
-			page, err = n.store.Follow(medlartable.Follow{Table: medlartenure.Table, After: from, Wait: n.config.FollowWait})
+			page, err = n.store.Follow(medlartable.Follow{Table: medlartenure.Table, After: from, Wait: n.ownerWait()})
 			rows, version = page.Rows, page.Version
 		} else {
 			rows, version, err = medlartable.ReadAll(n.store, medlartable.Range{Table: medlartenure.Table, Part: n.config.Owner.Part})
@@ -73,6 +73,17 @@
 	return ctx.Err()
 }
 
+// ownerWait returns how long the table may hold a read of the claim, so that a missing renewal is noticed in time. Once the
+// cell can be claimed, an instance whose claim fails looks again after the whole wait.
+func (n *Node) ownerWait() time.Duration {
+	n.tenure.mu.Lock()
+	defer n.tenure.mu.Unlock()
+	if patience := n.tenure.watch.Patience(); patience > 0 {
+		return min(n.config.OwnerFollowWait, patience)
+	}
+	return n.config.OwnerFollowWait
+}
+
 func (n *Node) observeTenure(ctx context.Context, rows []medlartable.Row) {
 	n.tenure.mu.Lock()
 	err := n.tenure.watch.Observe(n.clock.Now(), rows)
@@ -103,7 +114,7 @@
 		return
 	}
 	n.log.Info().Str("event", "cell-claimed").Uint64("term", term.Number).Str("reason", "answer lost").Msg("")
-	n.own(ctx, term, open.claimedAt, open.grace)
+	n.own(ctx, term, open.claimedAt, open.before)
 }
 
 // claimIfVacant claims the cell if its owner is gone.
@@ -201,7 +212,7 @@
 		return
 	}
 	n.tenure.mu.Lock()
-	grace := n.tenure.watch.Grace()
+	before := n.tenure.watch.Predecessor()
 	t, err := n.tenure.watch.Claim(next, n.config.Owner.Part, link)
 	n.tenure.mu.Unlock()
 	if err != nil {
@@ -222,7 +233,7 @@
 		n.log.Warn().Str("event", "claim-failed").Uint64("term", next.Number).Err(err).Msg("")
 		if conflict == nil && !medlarwheel.HasNoEffect(err) {
 			n.tenure.mu.Lock()
-			n.tenure.open = &openClaim{term: next, claimedAt: claimedAt, grace: grace}
+			n.tenure.open = &openClaim{term: next, claimedAt: claimedAt, before: before}
 			n.tenure.mu.Unlock()
 		}
 		return
@@ -233,7 +244,7 @@
 	n.tenure.watch.Claimed(next)
 	n.tenure.mu.Unlock()
 	n.setTerm(ctx, next)
-	n.own(ctx, next, claimedAt, grace)
+	n.own(ctx, next, claimedAt, before)
 }
 
 // ownClaim returns the version of a claim by this process whose answer was lost.
@@ -253,7 +264,7 @@
 }
 
 // own runs the scheduler in the background.
-func (n *Node) own(ctx context.Context, term medlartenure.Term, claimedAt time.Time, grace time.Duration) {
+func (n *Node) own(ctx context.Context, term medlartenure.Term, claimedAt time.Time, before medlartenure.Predecessor) {
 	owner := medlarowner.New(n.config.Owner, medlarowner.Dependencies{
 		Store:    n.store,
 		Registry: medlarowner.Registry{Range: platform.WorkerRange(), Decode: platform.DecodeWorker},
@@ -263,7 +274,7 @@
 			})
 		},
 		Clock: n.clock, Log: n.log, Meter: n.meter,
-	}, term, claimedAt, grace)
+	}, term, claimedAt, before)
 	n.owner.Store(owner)
 	go func() {
 		err := owner.Run(ctx)
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -75,6 +75,8 @@
 	Fence medlarwheel.FencingToken
 	// Term counts the owners of the cell from 1.
 	Term uint64
+	// Expired is true if the authority of the owner before has ended by the claim, or ends with the grace.
+	Expired bool
 	// Grace is how long after the claim the owner before may still give orders.
 	Grace time.Duration
 }
@@ -97,27 +99,32 @@
 	c.firstRun = medlarorder.RunNumber((t.Term-1)*runsPerTerm + 1)
 	c.tickedAt = now
 	c.graceEnd = now.Add(t.Grace)
-	c.settleAt = now.Add(t.Grace + c.inheritedLease())
+	c.settleAt = now.Add(t.Grace + c.inheritedLease(t.Expired))
 }
 
-// Authorize sets until when this owner may order workers. Leases end at the latest one lease time after it.
+// Authorize sets until when this owner may order workers.
 func (c *Cell) Authorize(until time.Time) {
 	if until.After(c.authority) {
 		c.authority = until
 	}
 }
 
+// Authority returns until when this owner may order workers.
+func (c *Cell) Authority() time.Time { return c.authority }
+
 // leaseOf returns the end of the lease that the owner may grant now, on the worker's clock.
 func (c *Cell) leaseOf(now time.Time, w *worker) time.Duration {
-	if now.After(c.authority) {
-		now = c.authority
-	}
-	return w.until(now, c.config.Lease)
+	return w.until(now, min(c.config.Lease, c.authority.Add(c.config.LeaseTail).Sub(now)))
 }
 
-// inheritedLease bounds how long a lease of an earlier owner may last after its successor's claim.
-func (c *Cell) inheritedLease() time.Duration {
-	return time.Duration(float64(c.config.Lease)*(1+2*c.config.ClockDrift)) + c.config.LeaseMargin
+// inheritedLease bounds how long a lease of an earlier owner may last after its successor's claim. An owner whose authority
+// had ended has granted none beyond the tail; one that has released the cell or died before may have granted a whole one.
+func (c *Cell) inheritedLease(expired bool) time.Duration {
+	lease := c.config.Lease
+	if expired {
+		lease = min(lease, c.config.LeaseTail)
+	}
+	return time.Duration(float64(lease)*(1+2*c.config.ClockDrift)) + c.config.LeaseMargin
 }
 
 // Restore takes in a submission that was accepted before this tenure, with its progress.
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -11,6 +11,9 @@
 	// Lease is how long a worker keeps running without hearing from its owner. Longer leases outlive a change of owner;
 	// shorter ones free the tasks of an unreachable worker sooner.
 	Lease time.Duration
+	// LeaseTail bounds a lease beyond the time until when the owner may give orders. It leaves a new owner time to claim the
+	// cell and to renew the leases before they end.
+	LeaseTail time.Duration
 	// HoldWait is how long a worker may wait for an end before it answers a renewal. It bounds the age of the figures of
 	// running tasks.
 	HoldWait time.Duration
@@ -52,7 +55,7 @@
 // DefaultConfig returns the configuration for workers whose clocks are at most 2% slow.
 func DefaultConfig() Config {
 	return Config{
-		Lease: 3 * time.Second, HoldWait: 600 * time.Millisecond, HoldRetry: 150 * time.Millisecond,
+		Lease: 3 * time.Second, LeaseTail: 2200 * time.Millisecond, HoldWait: 600 * time.Millisecond, HoldRetry: 150 * time.Millisecond,
 		AckWait:        200 * time.Millisecond,
 		ContactTimeout: 1300 * time.Millisecond, SilenceTimeout: 150 * time.Millisecond, ClockDrift: 0.02, LeaseMargin: 200 * time.Millisecond,
 		StopRetry: time.Second, KeepFinished: 2 * time.Minute,
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -40,7 +40,12 @@
 		return
 	}
 	batch := o.cell.TakeFlush(limit)
-	transaction, err := o.chain.Next(batch, erased, renew)
+	var renewal medlartenure.Beat
+	if renew {
+		// A renewal never shortens the time that an earlier one has claimed.
+		renewal.Timeout = max(o.config.Tenure.TimeoutFor(o.renewTook), o.cell.Authority().Sub(now))
+	}
+	transaction, err := o.chain.Next(batch, erased, renewal)
 	if err != nil {
 		o.Log.Error().Str("event", "flush-not-encoded").Err(err).Msg("")
 		o.cell.FlushFailed(batch)
@@ -51,7 +56,7 @@
 		o.addLearnt(&transaction)
 	}
 	o.flushing, o.flushedAt = true, now
-	go o.store(ctx, transaction, batch, renew)
+	go o.store(ctx, transaction, batch, renewal)
 }
 
 // maxLearntBytes is the size of a row on the platform, less its encoding.
@@ -78,7 +83,7 @@
 }
 
 // store sends a batch until its outcome is known.
-func (o *Owner) store(ctx context.Context, t medlartable.Transaction, batch *medlarcell.Batch, renew bool) {
+func (o *Owner) store(ctx context.Context, t medlartable.Transaction, batch *medlarcell.Batch, renewal medlartenure.Beat) {
 	// The renewal counts from the first try: any of them may be the one that the table has carried out.
 	firstSentAt := o.Clock.Now()
 	for {
@@ -87,7 +92,7 @@
 		o.Meter.Time("owner.flush", o.Clock.Now().Sub(sentAt))
 		outcome := o.chain.Settle(commit, err)
 		if outcome != medlarledger.OutcomeRetry {
-			o.post(func(now time.Time) { o.stored(now, batch, outcome, firstSentAt, renew) })
+			o.post(func(now time.Time) { o.stored(now, batch, outcome, firstSentAt, renewal) })
 			return
 		}
 		o.Log.Warn().Str("event", "flush-failed").Int("records", len(batch.Records)).Err(err).Msg("")
@@ -102,7 +107,7 @@
 	}
 }
 
-func (o *Owner) stored(now time.Time, batch *medlarcell.Batch, outcome medlarledger.Outcome, sentAt time.Time, renew bool) {
+func (o *Owner) stored(now time.Time, batch *medlarcell.Batch, outcome medlarledger.Outcome, sentAt time.Time, renewal medlartenure.Beat) {
 	o.flushing = false
 	if outcome == medlarledger.OutcomeSuperseded {
 		o.Log.Warn().Str("event", "owner-superseded").Uint64("term", o.term.Number).Dur("flush-age", now.Sub(sentAt)).Msg("")
@@ -111,12 +116,17 @@
 	}
 	o.cell.Flushed(now, batch)
 	o.cell.Confirmed(now, sentAt)
-	if renew {
+	// The longest renewal of late counts, so that one fast answer does not hide that the table is slow.
+	o.renewTook = max(now.Sub(sentAt), time.Duration(renewTookDecay*float64(o.renewTook)))
+	if renewal.Timeout > 0 {
 		o.renewedAt = sentAt
-		o.cell.Authorize(sentAt.Add(o.config.Tenure.OwnerTimeout))
+		o.cell.Authorize(sentAt.Add(renewal.Timeout))
 	}
 }
 
+// renewTookDecay is the part of the longest duration of a write that is remembered at the next one.
+const renewTookDecay = 0.8
+
 // Release gives the cell back, so that another instance can claim it at once. The owner gives no more orders.
 func (o *Owner) Release(ctx context.Context) error {
 	if !o.Stop(ctx) {
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -127,6 +127,7 @@
 	flushedAt time.Time
 	learntAt  time.Time
 	renewedAt time.Time
+	renewTook time.Duration
 	claimedAt time.Time
 	// followFrom and workersFrom are the versions up to which submissions and workers are loaded.
 	followFrom, workersFrom medlarwheel.RowVersion
@@ -140,9 +141,8 @@
 	address string
 }
 
-// New returns the owner of a cell after its claim was stored with the version of term. Grace is how long the owner before may
-// still give orders.
-func New(c Config, d Dependencies, term medlartenure.Term, claimedAt time.Time, grace time.Duration) *Owner {
+// New returns the owner of a cell after its claim was stored with the version of term.
+func New(c Config, d Dependencies, term medlartenure.Term, claimedAt time.Time, before medlartenure.Predecessor) *Owner {
 	o := &Owner{
 		config: c, Dependencies: d, term: term, cell: medlarcell.New(c.Cell),
 		chain:  medlarledger.NewChain(c.Part, term.Number, term.Version),
@@ -150,7 +150,9 @@
 		done: make(chan struct{}), renewedAt: claimedAt, claimedAt: claimedAt,
 		writer: medlarhedge.New(c.Hedge, d.Store, d.Clock, func(bool) {}), eraser: newEraser(),
 	}
-	o.cell.Begin(claimedAt, medlarcell.Tenure{Fence: medlartenure.Fence(term.Version), Term: term.Number, Grace: grace})
+	o.cell.Begin(claimedAt, medlarcell.Tenure{
+		Fence: medlartenure.Fence(term.Version), Term: term.Number, Expired: before.Expired, Grace: before.Grace,
+	})
 	o.cell.Authorize(claimedAt.Add(c.Tenure.OwnerTimeout))
 	return o
 }
--- a/internal/state/medlarledger/ledger.go
+++ b/internal/state/medlarledger/ledger.go
@@ -11,7 +11,7 @@
 // # Usage
 //
 //	chain := medlarledger.NewChain("c0", term, claimVersion)
-//	transaction, err := chain.Next(batch, erased, renew)
+//	transaction, err := chain.Next(batch, erased, renewal)
 //	commit, err := store.Transact(transaction)
 //	outcome := chain.Settle(commit, err)
 package medlarledger
@@ -219,8 +219,8 @@
 
 // Next returns the transaction of the next batch. It removes the progress of erased submissions, whose rows must be gone: a
 // submission without progress would be started anew by the next owner. The same batch may be sent again until Settle knows
-// its outcome.
-func (c *Chain) Next(batch *medlarcell.Batch, erased []medlarsubmission.ID, renew bool) (medlartable.Transaction, error) {
+// its outcome. A renewal without a timeout is left out.
+func (c *Chain) Next(batch *medlarcell.Batch, erased []medlarsubmission.ID, renewal medlartenure.Beat) (medlartable.Transaction, error) {
 	value, err := json.Marshal(link{Term: c.term, Next: c.next + 1})
 	if err != nil {
 		return medlartable.Transaction{}, errors.Wrap(err, "chain row")
@@ -229,8 +229,12 @@
 	t := medlartable.Transaction{Require: []medlartable.Row{chain}, Put: []medlartable.Row{chain}}
 	t.Require[0].Version = c.version
 	t.Put[0].Value = value
-	if renew {
-		t.Put = append(t.Put, medlartable.Row{Table: medlartenure.Table, Part: c.part, Key: medlartenure.KeyBeat, Value: value})
+	if renewal.Timeout > 0 {
+		beat, err := medlartenure.BeatRow(c.part, renewal)
+		if err != nil {
+			return t, err
+		}
+		t.Put = append(t.Put, beat)
 	}
 	for i := range batch.Joined {
 		value, err := json.Marshal(batch.Joined[i])
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -1,9 +1,12 @@
 // Package medlartenure decides which instance owns a cell, and since when an owner may no longer order workers.
 //
 // The owner's claim is a row that is changed under a condition. The version of that change is the base of the fencing
-// token, so that tokens rise over all owners. The owner renews a second row while it can write. Another instance claims
-// the cell when it sees that row unchanged for a while during which the table has answered its own reads; a table that is
-// away therefore never leads to a change of owner.
+// token, so that tokens rise over all owners. The owner renews a second row while it can write. Each renewal says for how
+// long the owner may give orders after it. Another instance claims the cell when it sees that row unchanged for longer,
+// while the table has answered its own reads; a table that is away therefore never leads to a change of owner.
+//
+// An owner whose renewals take long asks for more time, so that a slow table leads to no change of owner, and an owner that
+// is cut off is replaced soon while the table is fast.
 //
 // # Usage
 //
@@ -26,11 +29,15 @@
 type Config struct {
 	// RenewInterval is the longest time between two renewals of an owner.
 	RenewInterval time.Duration
-	// OwnerTimeout is how long after its last renewal an owner may order workers. It is below ClaimTimeout by more than
-	// the time that an order takes to leave the instance.
-	OwnerTimeout time.Duration
-	// ClaimTimeout is how long the renewals must be missing before another instance claims the cell.
-	ClaimTimeout time.Duration
+	// OwnerTimeout is how long after a renewal an owner may order workers, while the table is fast. MaxOwnerTimeout bounds it
+	// while the table is slow.
+	OwnerTimeout, MaxOwnerTimeout time.Duration
+	// SlowFactor times the duration of a renewal is added to the interval of renewals for the time that an owner asks for:
+	// one renewal, and a second one after a lost answer.
+	SlowFactor float64
+	// ClaimMargin is how much longer than the owner's time the renewals must be missing before another instance claims the
+	// cell. It is above the time that an order takes to leave the instance.
+	ClaimMargin time.Duration
 	// SuspectTimeout is how long the renewals must be missing when the owner's address refuses connections.
 	SuspectTimeout time.Duration
 	// MaxGap is the longest time between two answers of the table that counts as observed.
@@ -40,12 +47,18 @@
 // DefaultConfig returns the configuration for a table that answers within some tens of milliseconds.
 func DefaultConfig() Config {
 	return Config{
-		RenewInterval: 400 * time.Millisecond, OwnerTimeout: 2000 * time.Millisecond,
-		ClaimTimeout: 2300 * time.Millisecond, SuspectTimeout: 900 * time.Millisecond,
-		MaxGap: 1200 * time.Millisecond,
+		RenewInterval: 400 * time.Millisecond, OwnerTimeout: 1200 * time.Millisecond, MaxOwnerTimeout: 3 * time.Second,
+		SlowFactor: 3, ClaimMargin: 300 * time.Millisecond, SuspectTimeout: 900 * time.Millisecond,
+		MaxGap: 1000 * time.Millisecond,
 	}
 }
 
+// TimeoutFor returns for how long after a renewal an owner whose renewals take some time should be allowed to give orders.
+func (c *Config) TimeoutFor(took time.Duration) time.Duration {
+	wanted := c.RenewInterval + time.Duration(c.SlowFactor*float64(took))
+	return min(max(wanted, c.OwnerTimeout), c.MaxOwnerTimeout)
+}
+
 // Names of the rows.
 const (
 	Table   = "medlar-owner"
@@ -81,6 +94,30 @@
 	return t, medlarwheel.CheckAddress("address", t.Address).Err()
 }
 
+// Beat is a stored renewal.
+type Beat struct {
+	// Timeout is for how long after it the owner may give orders.
+	Timeout time.Duration `json:"timeout-ns"`
+}
+
+// BeatRow returns the row of a renewal.
+func BeatRow(part string, b Beat) (medlartable.Row, error) {
+	value, err := json.Marshal(b)
+	return medlartable.Row{Table: Table, Part: part, Key: KeyBeat, Value: value}, errors.Wrap(err, "renewal of an owner")
+}
+
+// DecodeBeat reads and checks a stored renewal.
+func DecodeBeat(r medlartable.Row) (Beat, error) {
+	var b Beat
+	if err := json.Unmarshal(r.Value, &b); err != nil {
+		return b, errors.Wrap(err, "renewal of an owner")
+	}
+	if b.Timeout <= 0 {
+		return b, errors.Errorf("renewal of an owner with a timeout of %v", b.Timeout)
+	}
+	return b, nil
+}
+
 // fenceRaises is the number of times that an owner may raise its fencing token.
 const fenceRaises = 1 << 12
 
@@ -94,6 +131,8 @@
 	config Config
 	term   Term
 	beat   medlarwheel.RowVersion
+	// timeout is for how long after its last renewal the owner may give orders.
+	timeout time.Duration
 	// quiet is for how long the table has answered without a renewal.
 	quiet    time.Duration
 	answered time.Time
@@ -104,7 +143,7 @@
 }
 
 // NewWatch returns a watch that knows no owner.
-func NewWatch(c Config) *Watch { return &Watch{config: c} }
+func NewWatch(c Config) *Watch { return &Watch{config: c, timeout: c.OwnerTimeout} }
 
 // Term returns the present claim. Its number is zero before the first one.
 func (w *Watch) Term() Term { return w.term }
@@ -134,17 +173,29 @@
 		if err != nil {
 			return err
 		}
-		w.term, w.quiet, w.ownerDead, w.ownerSuspected = t, 0, false, false
+		w.take(t)
 	case r.Key == KeyBeat && r.Version > w.beat:
 		w.beat, w.quiet = r.Version, 0
+		b, err := DecodeBeat(r)
+		if err != nil {
+			// The owner may have asked for all the time there is.
+			w.timeout = w.config.MaxOwnerTimeout
+			return err
+		}
+		w.timeout = b.Timeout
 	}
 	return nil
 }
 
+// take takes in a newer claim.
+func (w *Watch) take(t Term) {
+	w.term, w.timeout, w.quiet, w.ownerDead, w.ownerSuspected = t, w.config.OwnerTimeout, 0, false, false
+}
+
 // Claimed notes the claim of this instance itself.
 func (w *Watch) Claimed(t Term) {
 	if t.Version > w.term.Version {
-		w.term, w.quiet, w.ownerDead, w.ownerSuspected = t, 0, false, false
+		w.take(t)
 	}
 }
 
@@ -163,12 +214,36 @@
 	}
 }
 
-// Grace returns for how long after a claim the owner before may still give orders.
-func (w *Watch) Grace() time.Duration {
-	if w.ownerSuspected && !w.ownerDead && !w.term.Released && w.quiet < w.config.ClaimTimeout {
-		return w.config.OwnerTimeout
+// Predecessor returns what is known at a claim about the owner before.
+func (w *Watch) Predecessor() Predecessor {
+	switch {
+	case w.term.Number == 0 || w.ownerDead || w.term.Released:
+		return Predecessor{}
+	case w.quiet < w.claimTimeout():
+		return Predecessor{Expired: true, Grace: w.timeout}
+	default:
+		return Predecessor{Expired: true}
+	}
+}
+
+// Predecessor is what is known about the owner before at the time of a claim.
+type Predecessor struct {
+	// Expired is true if the owner before was not heard of any more, so that its authority has ended or ends with the grace.
+	// Otherwise it has given no orders since the claim, and its authority may have lasted longer.
+	Expired bool
+	// Grace is for how long after the claim it may still give orders.
+	Grace time.Duration
+}
+
+func (w *Watch) claimTimeout() time.Duration { return w.timeout + w.config.ClaimMargin }
+
+// Patience returns after how much more quiet the cell can be claimed.
+func (w *Watch) Patience() time.Duration {
+	timeout := w.claimTimeout()
+	if w.ownerSuspected {
+		timeout = min(timeout, w.config.SuspectTimeout)
 	}
-	return 0
+	return max(0, timeout-w.quiet)
 }
 
 // Promise reports whether this instance can't claim the cell within the owner's timeout from now on, because the table has
@@ -182,8 +257,7 @@
 	if !w.read {
 		return false
 	}
-	return w.term.Number == 0 || w.term.Released || w.ownerDead || w.quiet >= w.config.ClaimTimeout ||
-		w.ownerSuspected && w.quiet >= w.config.SuspectTimeout
+	return w.term.Number == 0 || w.term.Released || w.ownerDead || w.Patience() == 0
 }
 
 // Claim returns the transaction that makes next the owner. It fails if another instance has claimed the cell meanwhile, or
