Leave the cell when the machine gives the owner no processor time

Ruled out: the lateness of a timer of 100 ms as a measure (about 50 ms on such a machine: each wake-up comes soon, and too little is done in it).

Change: the owner measures the turnaround of its orders, from the decision to the answer taken in. Above 150 ms it releases the cell and leaves it to others for 5 s.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -102,6 +102,8 @@
 	register register
 	// registerRead is when the register was last read. Only followInstances uses it.
 	registerRead time.Time
+	// restUntil is until when this instance leaves the cell to others, in nanoseconds of the Unix time.
+	restUntil atomic.Int64
 }
 
 // New returns an instance that is not running yet.
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -47,7 +47,7 @@
 		}
 		n.refreshRegister()
 		n.extendAuthority(ctx)
-		n.yieldToStronger(ctx, owner)
+		n.yield(ctx, owner)
 	}
 	return ctx.Err()
 }
@@ -99,15 +99,54 @@
 	yieldAfter = 3 * time.Second
 )
 
-// yieldToStronger hands the cell over when a much stronger instance is there.
-func (n *Node) yieldToStronger(ctx context.Context, owner *medlarowner.Owner) {
+// yield hands the cell over when another instance serves it better.
+func (n *Node) yield(ctx context.Context, owner *medlarowner.Owner) {
 	now := n.clock.Now()
 	if now.Sub(n.health.LastOK()) > tableQuiet || now.Sub(owner.Since()) < yieldAfter {
 		return
 	}
 	n.register.mu.Lock()
-	strongest := medlarinstance.Strongest(n.register.list.Live(now))
+	live := n.register.list.Live(now)
 	n.register.mu.Unlock()
+	if len(live) < 2 {
+		return
+	}
+	n.yieldForSlowness(ctx, owner)
+	n.yieldToStronger(ctx, owner, medlarinstance.Strongest(live))
+}
+
+const (
+	// maxTurnaround is the mean turnaround of orders from which on an owner leaves the cell to another instance. It is a good
+	// part of the slack of a short submission.
+	maxTurnaround = 150 * time.Millisecond
+	// yieldRest is for how long an instance that has left the cell for its slowness leaves it to others.
+	yieldRest = 5 * time.Second
+)
+
+// yieldForSlowness hands the cell over when this machine gives too little processor time to schedule it.
+func (n *Node) yieldForSlowness(ctx context.Context, owner *medlarowner.Owner) {
+	turnaround := owner.Turnaround()
+	if turnaround < maxTurnaround {
+		return
+	}
+	n.restUntil.Store(n.clock.Now().Add(yieldRest).UnixNano())
+	n.log.Warn().Str("event", "cell-yielded").Int64("turnaround-ms", turnaround.Milliseconds()).Msg("")
+	if err := owner.Release(ctx); err != nil {
+		n.log.Warn().Str("event", "release-failed").Err(err).Msg("")
+	}
+}
+
+// restDelay is how much longer an instance waits before it claims a cell that it has left for its slowness. The claim of
+// another instance takes some hundred milliseconds at most.
+func (n *Node) restDelay() time.Duration {
+	if n.clock.Now().UnixNano() < n.restUntil.Load() {
+		return 2 * weakDelay
+	}
+	return 0
+}
+
+// yieldToStronger hands the cell over when a much stronger instance is there.
+func (n *Node) yieldToStronger(ctx context.Context, owner *medlarowner.Owner, strongest float64) {
 	if strongest < yieldFactor*n.config.Site.Power {
 		return
 	}
@@ -132,9 +171,9 @@
 		}
 	}
 	if strongest <= 0 {
-		return 0
+		return n.restDelay()
 	}
-	return time.Duration((1 - n.config.Site.Power/strongest) * float64(weakDelay))
+	return time.Duration((1-n.config.Site.Power/strongest)*float64(weakDelay)) + n.restDelay()
 }
 
 // weakDelay is how much longer than the strongest instance the weakest one waits before it claims a vacant cell.
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -22,7 +22,7 @@
 		agent := o.agentOf(command.Worker, command.Address)
 		switch command.Kind {
 		case medlarcell.CommandStart:
-			go o.start(agent, command)
+			go o.start(agent, command, o.Clock.Now())
 		case medlarcell.CommandStop:
 			go o.stop(agent, command)
 		case medlarcell.CommandPace:
@@ -53,11 +53,16 @@
 	}
 }
 
-func (o *Owner) start(agent Agent, c medlarcell.Command) {
+func (o *Owner) start(agent Agent, c medlarcell.Command, decidedAt time.Time) {
 	began := time.Now()
 	answer, err := agent.Start(c.Start)
 	o.Meter.Time("worker.start", time.Since(began))
-	o.post(func(now time.Time) { o.cell.Started(now, c.Worker, c.Start, answer, err) })
+	o.post(func(now time.Time) {
+		if err == nil {
+			o.turnaround.observe(now.Sub(decidedAt))
+		}
+		o.cell.Started(now, c.Worker, c.Start, answer, err)
+	})
 }
 
 func (o *Owner) stop(agent Agent, c medlarcell.Command) {
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -128,7 +128,9 @@
 	learntAt  time.Time
 	renewedAt time.Time
 	renewTook time.Duration
-	claimedAt time.Time
+	// turnaround tells whether this machine gives the owner its processor time.
+	turnaround turnaround
+	claimedAt  time.Time
 	// followFrom and workersFrom are the versions up to which submissions and workers are loaded.
 	followFrom, workersFrom medlarwheel.RowVersion
 	eraser                  eraser
