Let promises bind, so that an outage of one part costs no owner

Ruled out: a longer time of the owner (the outages last longer), and the health of reads as evidence (reads of changes go on).

Change: an owner that can't renew for 0.75 s asks the others to promise not to claim the cell for 1.5 s, and the promise binds. The question whether the table serves an instance is answered by a read of the cell's part. Instances that the owner's register may not name do not claim on silence.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -26,7 +26,6 @@
 	"medlarwheel/internal/operation/medlarmeter"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
-	"medlarwheel/internal/state/medlartable"
 	"medlarwheel/internal/state/medlartenure"
 	"medlarwheel/platform"
 )
@@ -102,6 +101,7 @@
 	register register
 	// registerRead is when the register was last read. Only followInstances uses it.
 	registerRead time.Time
+	registration registration
 	// restUntil is until when this instance leaves the cell to others, in nanoseconds of the Unix time.
 	restUntil atomic.Int64
 }
@@ -186,15 +186,12 @@
 // probeTable asks the table while it does not answer, so that submissions are accepted again as soon as it does. The probes
 // do not wait for each other: one that was sent before the table came back may stay without an answer.
 func (n *Node) probeTable(ctx context.Context) error {
-	probe := medlartable.Range{
-		Table: medlartenure.Table, Part: n.config.Owner.Part, From: medlartenure.KeyTerm, To: medlartenure.KeyTerm + "\x00",
-	}
 	for sleep(ctx, n.config.ProbeInterval) {
 		if !n.health.HasFailed() {
 			continue
 		}
 		go func() {
-			if _, err := n.store.Read(probe); err == nil {
+			if _, err := n.store.Read(n.claimRange()); err == nil {
 				n.health.Report(true)
 			}
 		}()
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -30,7 +30,7 @@
 type peerQuestion struct {
 	Submission medlarsubmission.ID `json:"submission,omitempty"`
 	Route      string              `json:"route,omitempty"`
-	// Term is the number of the claim that is given up.
+	// Term is the number of the claim that is given up, or to which a promise is asked for.
 	Term uint64 `json:"term,omitempty"`
 	// Service is the service whose load is asked for.
 	Service medlarwheel.ServiceName `json:"service,omitempty"`
@@ -44,10 +44,10 @@
 	Load    medlardoor.Load        `json:"load,omitzero"`
 	// Process names the answering process.
 	Process string `json:"process,omitempty"`
-	// Promise is true if the answering instance can't claim the cell within the owner's timeout.
+	// Promise is true if the answering instance does not claim the cell within the owner's timeout.
 	Promise bool `json:"promise,omitempty"`
-	// TableAge is how long ago the table last answered the answering instance.
-	TableAge medlarwheel.Duration `json:"table-age,omitempty"`
+	// Served is true if the table answers the answering instance.
+	Served bool `json:"served,omitempty"`
 }
 
 // Check reports every fault of a.
@@ -169,8 +169,8 @@
 		return a, nil
 	}
 	if path == peerPathPromise {
-		a.Promise = n.promise()
-		a.TableAge = medlarwheel.Duration(n.clock.Now().Sub(n.health.LastOK()))
+		a.Promise = n.promise(q.Term)
+		a.Served = n.readsCell()
 		return a, nil
 	}
 	if path == peerPathTakeOver {
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -7,15 +7,19 @@
 
 	"github.com/pkg/errors"
 
+	"medlarwheel"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
 	"medlarwheel/internal/state/medlartable"
+	"medlarwheel/internal/state/medlartenure"
 )
 
 // register is what this instance knows about the others.
 type register struct {
 	mu   sync.Mutex
 	list *medlarinstance.Register
+	// readAt is when the list was last read.
+	readAt time.Time
 }
 
 // renewRegistration keeps the row of this instance in the table, and removes it at a planned stop.
@@ -28,9 +32,12 @@
 	}
 	for {
 		pause := n.config.Register.RenewInterval
+		sentAt := n.clock.Now()
 		if _, err := n.store.Transact(medlartable.Transaction{Put: []medlartable.Row{row}}); err != nil {
 			n.log.Warn().Str("event", "registration-failed").Err(err).Msg("")
 			pause = n.config.Register.RetryInterval
+		} else {
+			n.registration.renewed(sentAt, n.clock.Now())
 		}
 		if !sleep(ctx, pause) {
 			return ctx.Err()
@@ -38,6 +45,36 @@
 	}
 }
 
+// registration is for how long this instance has been in the register without a gap.
+type registration struct {
+	mu          sync.Mutex
+	since, last time.Time
+}
+
+// minRegistered is how long an instance must have been in the register before it claims the cell from an owner that was not
+// heard of: the owner may go on without the table on the word of the instances that its register names.
+const minRegistered = registerTrust + time.Second
+
+// maxRegistrationAge is the age of the last renewal up to which every register names the instance.
+const maxRegistrationAge = 9 * time.Second
+
+// renewed notes a renewal that was stored between two times.
+func (g *registration) renewed(sentAt, storedAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.since.IsZero() || storedAt.Sub(g.last) > maxRegistrationAge {
+		g.since = storedAt
+	}
+	g.last = sentAt
+}
+
+// isEstablished reports whether the owner's register names this instance.
+func (g *registration) isEstablished(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.since.IsZero() && now.Sub(g.since) >= minRegistered && now.Sub(g.last) <= maxRegistrationAge
+}
+
 // followInstances follows the register while this instance owns the cell.
 func (n *Node) followInstances(ctx context.Context) error {
 	for sleep(ctx, extendInterval) {
@@ -46,7 +83,7 @@
 			continue
 		}
 		n.refreshRegister()
-		n.extendAuthority(ctx)
+		n.extendAuthority(ctx, owner)
 		n.yield(ctx, owner)
 	}
 	return ctx.Err()
@@ -54,12 +91,17 @@
 
 const (
 	// extendInterval is how often an owner looks whether the table is away. It is a fraction of the owner's timeout.
-	extendInterval = 250 * time.Millisecond
+	extendInterval = 150 * time.Millisecond
 	// registerAge is the age of the register at which an owner reads it anew.
 	registerAge = 2 * time.Second
-	// promiseTimeout bounds the question to another instance.
-	promiseTimeout = 200 * time.Millisecond
-	// tableQuiet is the age of the table's last answer from which on an owner asks the others.
+	// cellReadTimeout bounds the read by which an instance finds out whether the table answers it.
+	cellReadTimeout = 120 * time.Millisecond
+	// promiseTimeout bounds the question to another instance, which then reads the table itself.
+	promiseTimeout = 220 * time.Millisecond
+	// renewalQuiet is the age of the last renewal from which on an owner asks the others. It leaves time for their answers
+	// before the owner's own time is over.
+	renewalQuiet = 750 * time.Millisecond
+	// tableQuiet is the age of the table's last answer from which on the register is not read.
 	tableQuiet = 900 * time.Millisecond
 )
 
@@ -75,12 +117,14 @@
 		n.log.Warn().Str("event", "register-read-failed").Err(err).Msg("")
 		return
 	}
-	n.setRegister(rows)
+	n.setRegister(now, rows)
 }
 
-func (n *Node) setRegister(rows []medlartable.Row) {
+// setRegister takes in the rows of a read that began at readAt.
+func (n *Node) setRegister(readAt time.Time, rows []medlartable.Row) {
 	n.register.mu.Lock()
 	defer n.register.mu.Unlock()
+	n.register.readAt = readAt
 	before := n.register.list.Len()
 	if err := n.register.list.Replace(n.clock.Now(), rows); err != nil {
 		n.log.Error().Str("event", "row-refused").Str("table", medlarinstance.Table).Err(err).Msg("")
@@ -158,12 +202,13 @@
 
 // claimDelay returns how long this instance waits before it claims a vacant cell: weak instances leave it to strong ones.
 func (n *Node) claimDelay() time.Duration {
+	readAt := n.clock.Now()
 	rows, err := medlarinstance.Read(n.store, n.config.Owner.Part)
 	if err != nil {
 		n.log.Warn().Str("event", "register-read-failed").Err(err).Msg("")
 		return claimJitter
 	}
-	n.setRegister(rows)
+	n.setRegister(readAt, rows)
 	strongest := n.config.Site.Power
 	for _, r := range rows {
 		if i, err := medlarinstance.Decode(r); err == nil {
@@ -179,50 +224,72 @@
 // weakDelay is how much longer than the strongest instance the weakest one waits before it claims a vacant cell.
 const weakDelay = 400 * time.Millisecond
 
-// extendAuthority lets the owner go on while the table answers none of the instances that could claim the cell. If it
-// answers another instance, the owner hands the cell over to it.
-func (n *Node) extendAuthority(ctx context.Context) {
+// extendAuthority lets the owner go on while it can't renew its claim, if none of the instances that could claim the cell
+// does so meanwhile. If the table answers another instance and not this one, the owner hands the cell over.
+func (n *Node) extendAuthority(ctx context.Context, owner *medlarowner.Owner) {
 	now := n.clock.Now()
-	lastOK := n.health.LastOK()
-	owner := n.owner.Load()
-	if owner == nil || now.Sub(lastOK) < tableQuiet {
+	quiet := now.Sub(owner.RenewedAt())
+	term := n.term.Load()
+	if quiet < renewalQuiet || term == nil {
 		return
 	}
 	n.register.mu.Lock()
-	peers := n.register.list.Live(lastOK)
+	peers := n.register.list.Live(n.register.readAt)
+	age := now.Sub(n.register.readAt)
 	n.register.mu.Unlock()
-	answers := n.askAll(ctx, peers)
-	if heir, found := bestHeir(answers); found && n.health.HasFailed() {
+	isServed := n.readsCell()
+	answers := n.askAll(ctx, peers, term.Number)
+	if heir, found := bestHeir(answers); found && !isServed {
 		n.handOver(ctx, owner, heir)
 		return
 	}
+	if refuser, ok := canExtend(answers, age); !ok {
+		n.log.Warn().Str("event", "authority-not-extended").Str("instance", string(refuser)).Int("instances", len(answers)).
+			Int64("register-age-ms", age.Milliseconds()).Int64("renewal-age-ms", quiet.Milliseconds()).Msg("")
+		return
+	}
+	owner.Extend(now.Add(n.config.Owner.Tenure.OwnerTimeout))
+	n.log.Info().Str("event", "authority-extended").Int("instances", len(peers)).
+		Int64("renewal-age-ms", quiet.Milliseconds()).Msg("")
+}
+
+// registerTrust is the age of the register up to which it names every instance that may claim the cell from an owner that
+// was not heard of. Such an instance must have been registered for longer.
+const registerTrust = 8 * time.Second
+
+// canExtend reports whether all other instances have promised not to claim the cell, and if not, one that has not. Without
+// another instance nobody can promise anything.
+func canExtend(answers []peerView, registerAge time.Duration) (refuser medlarwheel.InstanceID, ok bool) {
 	for _, a := range answers {
 		if !a.promise {
-			n.log.Warn().Str("event", "authority-not-extended").Str("instance", string(a.peer.ID)).
-				Int64("table-age-ms", now.Sub(lastOK).Milliseconds()).Msg("")
-			return
+			return a.peer.ID, false
 		}
 	}
-	if len(answers) == 0 {
-		// Without a register nobody can promise anything.
-		n.log.Warn().Str("event", "authority-not-extended").Int64("table-age-ms", now.Sub(lastOK).Milliseconds()).Msg("")
-		return
+	return "", len(answers) > 0 && registerAge <= registerTrust
+}
+
+// readsCell reports whether the table answers reads of the part that holds the claim of the cell.
+func (n *Node) readsCell() bool {
+	_, err := n.store.ReadWithin(n.claimRange(), cellReadTimeout)
+	return err == nil
+}
+
+func (n *Node) claimRange() medlartable.Range {
+	return medlartable.Range{
+		Table: medlartenure.Table, Part: n.config.Owner.Part, From: medlartenure.KeyTerm, To: medlartenure.KeyTerm + "\x00",
 	}
-	owner.Extend(now.Add(n.config.Owner.Tenure.OwnerTimeout))
-	n.log.Info().Str("event", "authority-extended").Int("instances", len(peers)).
-		Int64("table-age-ms", now.Sub(lastOK).Milliseconds()).Msg("")
 }
 
 // peerView is what another instance says about the table.
 type peerView struct {
-	peer     medlarinstance.Instance
-	answered bool
-	promise  bool
-	tableAge time.Duration
+	peer medlarinstance.Instance
+	// served is true if the table answers it.
+	served  bool
+	promise bool
 }
 
-// askAll asks all other instances at once about the table.
-func (n *Node) askAll(ctx context.Context, peers []medlarinstance.Instance) []peerView {
+// askAll asks all other instances at once for the promise not to claim the cell.
+func (n *Node) askAll(ctx context.Context, peers []medlarinstance.Instance, term uint64) []peerView {
 	results := make(chan peerView, len(peers))
 	asked := 0
 	for _, peer := range peers {
@@ -231,8 +298,8 @@
 		}
 		asked++
 		go func() {
-			a, err := newPeerClient(promiseTimeout).ask(peer.Address, peerPathPromise, peerQuestion{})
-			results <- peerView{peer: peer, answered: err == nil, promise: err == nil && a.Promise, tableAge: time.Duration(a.TableAge)}
+			a, err := newPeerClient(promiseTimeout).ask(peer.Address, peerPathPromise, peerQuestion{Term: term})
+			results <- peerView{peer: peer, served: err == nil && a.Served, promise: err == nil && a.Promise}
 		}()
 	}
 	views := make([]peerView, 0, asked)
@@ -247,13 +314,10 @@
 	return views
 }
 
-// heirTableAge is the age of the table's last answer up to which an instance counts as served by it.
-const heirTableAge = 400 * time.Millisecond
-
 // bestHeir returns the strongest instance that the table serves.
 func bestHeir(views []peerView) (heir medlarinstance.Instance, found bool) {
 	for _, v := range views {
-		if v.answered && v.tableAge <= heirTableAge && (!found || v.peer.Power > heir.Power) {
+		if v.served && (!found || v.peer.Power > heir.Power) {
 			heir, found = v.peer, true
 		}
 	}
@@ -279,11 +343,16 @@
 	n.claimIfVacant(context.Background())
 }
 
-// promise reports whether this instance can't claim the cell within the owner's timeout.
-func (n *Node) promise() bool {
+// promise promises the owner not to claim the cell for a while. An instance whose claim is on its way, or may still be
+// carried out, can't promise that.
+func (n *Node) promise(term uint64) bool {
+	if !n.tenure.claiming.TryLock() {
+		return false
+	}
+	defer n.tenure.claiming.Unlock()
 	n.tenure.mu.Lock()
 	defer n.tenure.mu.Unlock()
-	return n.tenure.watch.Promise(n.clock.Now())
+	return n.tenure.open == nil && n.tenure.watch.Promise(n.clock.Now(), term)
 }
 
 // unregister removes the row of this instance.
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -134,9 +134,13 @@
 }
 
 func (n *Node) isVacant() bool {
+	now := n.clock.Now()
 	n.tenure.mu.Lock()
 	defer n.tenure.mu.Unlock()
-	return n.tenure.watch.ShouldClaim() && !n.stopping.Load() && n.owner.Load() == nil
+	if !n.tenure.watch.ShouldClaim(now) || n.stopping.Load() || n.owner.Load() != nil {
+		return false
+	}
+	return !n.tenure.watch.Predecessor().Expired || n.registration.isEstablished(now)
 }
 
 // setTerm notes who owns the cell, and watches the process of a new owner.
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -120,6 +120,7 @@
 	o.renewTook = max(now.Sub(sentAt), time.Duration(renewTookDecay*float64(o.renewTook)))
 	if renewal.Timeout > 0 {
 		o.renewedAt = sentAt
+		o.renewedNanos.Store(sentAt.UnixNano())
 		o.cell.Authorize(sentAt.Add(renewal.Timeout))
 	}
 }
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -128,6 +129,8 @@
 	learntAt  time.Time
 	renewedAt time.Time
 	renewTook time.Duration
+	// renewedNanos is renewedAt in nanoseconds of the Unix time, for other goroutines.
+	renewedNanos atomic.Int64
 	// turnaround tells whether this machine gives the owner its processor time.
 	turnaround turnaround
 	claimedAt  time.Time
@@ -155,6 +158,7 @@
 	o.cell.Begin(claimedAt, medlarcell.Tenure{
 		Fence: medlartenure.Fence(term.Version), Term: term.Number, Expired: before.Expired, Grace: before.Grace,
 	})
+	o.renewedNanos.Store(claimedAt.UnixNano())
 	o.cell.Authorize(claimedAt.Add(c.Tenure.OwnerTimeout))
 	return o
 }
@@ -274,6 +278,9 @@
 // Since returns when the cell was claimed.
 func (o *Owner) Since() time.Time { return o.claimedAt }
 
+// RenewedAt returns when the last renewal that the table has stored was sent.
+func (o *Owner) RenewedAt() time.Time { return time.Unix(0, o.renewedNanos.Load()) }
+
 // Extend lets the owner give orders until the given time.
 func (o *Owner) Extend(until time.Time) {
 	o.post(func(time.Time) { o.cell.Authorize(until) })
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -136,6 +136,8 @@
 	// quiet is for how long the table has answered without a renewal.
 	quiet    time.Duration
 	answered time.Time
+	// promised is until when this instance has promised the owner not to claim the cell.
+	promised time.Time
 	// read is true once the table has been read.
 	read bool
 	// ownerDead is true when the owner's process is known to have ended, and ownerSuspected when it only seems so.
@@ -246,18 +248,25 @@
 	return max(0, timeout-w.quiet)
 }
 
-// Promise reports whether this instance can't claim the cell within the owner's timeout from now on, because the table has
-// not answered for so long that the owner gets its whole time again.
-func (w *Watch) Promise(now time.Time) bool {
-	return w.read && !w.term.Released && !w.ownerDead && !w.ownerSuspected && now.Sub(w.answered) > w.config.MaxGap
+// Promise promises the owner with the claim that this instance does not claim the cell within the owner's timeout from now
+// on, unless the owner's process ends or gives the cell back.
+func (w *Watch) Promise(now time.Time, number uint64) bool {
+	if !w.read || w.term.Number != number || w.term.Released || w.ownerDead {
+		return false
+	}
+	w.promised = now.Add(w.config.OwnerTimeout + w.config.ClaimMargin)
+	return true
 }
 
 // ShouldClaim reports whether the cell has no owner that renews its claim.
-func (w *Watch) ShouldClaim() bool {
+func (w *Watch) ShouldClaim(now time.Time) bool {
 	if !w.read {
 		return false
 	}
-	return w.term.Number == 0 || w.term.Released || w.ownerDead || w.Patience() == 0
+	if w.term.Number == 0 || w.term.Released || w.ownerDead {
+		return true
+	}
+	return w.Patience() == 0 && now.After(w.promised)
 }
 
 // Claim returns the transaction that makes next the owner. It fails if another instance has claimed the cell meanwhile, or
--- a/internal/state/medlartenure/tenure_test.go
+++ b/internal/state/medlartenure/tenure_test.go
@@ -24,7 +24,7 @@
 func watching(t *testing.T) *Watch {
 	t.Helper()
 	w := NewWatch(DefaultConfig())
-	if w.ShouldClaim() {
+	if w.ShouldClaim(start) {
 		t.Fatal("a claim without having read the table")
 	}
 	term := Term{Number: 3, Instance: "a", Address: "10.0.0.1:80", Process: "a-1", Version: 50}
@@ -51,11 +51,11 @@
 	w := watching(t)
 	c := DefaultConfig()
 	now := observeFor(t, w, start, c.OwnerTimeout, 100*time.Millisecond)
-	if w.ShouldClaim() {
+	if w.ShouldClaim(now) {
 		t.Fatalf("claimed %v after the last renewal", c.OwnerTimeout)
 	}
 	observeFor(t, w, now, c.ClaimMargin+100*time.Millisecond, 100*time.Millisecond)
-	if !w.ShouldClaim() {
+	if !w.ShouldClaim(now) {
 		t.Fatalf("not claimed %v after the last renewal", c.OwnerTimeout+c.ClaimMargin)
 	}
 }
@@ -67,14 +67,33 @@
 	if err := w.Observe(start.Add(10*time.Second), nil); err != nil {
 		t.Fatal(err)
 	}
-	if w.ShouldClaim() {
+	if w.ShouldClaim(start) {
 		t.Fatal("claimed at the first answer after an outage")
 	}
-	if !w.Promise(start.Add(12 * time.Second)) {
-		t.Error("no promise although the table has not answered for 2 s")
+}
+
+// TestPromiseIsKept guards against a claim from an owner that goes on without the table because all others have promised
+// not to claim the cell, and against a promise that outlives the owner.
+func TestPromiseIsKept(t *testing.T) {
+	c := DefaultConfig()
+	w := watching(t)
+	if w.Promise(start, 2) {
+		t.Error("a promise to an earlier owner")
+	}
+	now := observeFor(t, w, start, c.OwnerTimeout+c.ClaimMargin, 100*time.Millisecond)
+	if !w.ShouldClaim(now) || !w.Promise(now, w.Term().Number) {
+		t.Fatal("no claim, or no promise before it")
 	}
-	if w.Promise(start.Add(10 * time.Second)) {
-		t.Error("a promise although the table has just answered")
+	w.OwnerSuspected(w.Term())
+	if w.ShouldClaim(now.Add(c.OwnerTimeout)) {
+		t.Error("claimed within the promised time")
+	}
+	if !w.ShouldClaim(now.Add(c.OwnerTimeout + c.ClaimMargin + time.Millisecond)) {
+		t.Error("not claimed after the promised time")
+	}
+	w.OwnerDied(w.Term())
+	if !w.ShouldClaim(now) || w.Promise(now, w.Term().Number) {
+		t.Error("the promise outlives the owner's process")
 	}
 }
 
@@ -82,11 +101,11 @@
 func TestReleasedAndDeadOwners(t *testing.T) {
 	w := watching(t)
 	w.OwnerDied(Term{Number: 2, Process: "b-1"})
-	if w.ShouldClaim() {
+	if w.ShouldClaim(start) {
 		t.Fatal("the death of an earlier owner counts for the present one")
 	}
 	w.OwnerDied(w.Term())
-	if !w.ShouldClaim() || w.Promise(start.Add(time.Hour)) {
+	if !w.ShouldClaim(start) || w.Promise(start, 3) {
 		t.Fatal("the death of the owner's process is not enough for a claim")
 	}
 	w = watching(t)
@@ -95,7 +114,7 @@
 	if err := w.Observe(start, []medlartable.Row{termRow(t, released)}); err != nil {
 		t.Fatal(err)
 	}
-	if !w.ShouldClaim() {
+	if !w.ShouldClaim(start) {
 		t.Fatal("a released cell is not claimed")
 	}
 	older := Term{Number: 1, Instance: "z", Address: "10.0.0.9:80", Version: 10}
@@ -141,12 +160,12 @@
 func TestRefusedConnectionIsOnlySuspicion(t *testing.T) {
 	w := watching(t)
 	w.OwnerSuspected(w.Term())
-	if w.ShouldClaim() {
+	if w.ShouldClaim(start) {
 		t.Fatal("a claim against an owner that has just renewed")
 	}
 	observeFor(t, w, start, DefaultConfig().SuspectTimeout, 100*time.Millisecond)
-	if got := w.Predecessor(); !w.ShouldClaim() || got.Grace != DefaultConfig().OwnerTimeout || !got.Expired {
-		t.Fatalf("claim %v, owner before %+v", w.ShouldClaim(), got)
+	if got := w.Predecessor(); !w.ShouldClaim(start) || got.Grace != DefaultConfig().OwnerTimeout || !got.Expired {
+		t.Fatalf("claim %v, owner before %+v", w.ShouldClaim(start), got)
 	}
 	w.OwnerDied(w.Term())
 	if got := w.Predecessor(); got.Grace != 0 || got.Expired {
@@ -176,12 +195,12 @@
 		t.Fatal(err)
 	}
 	now := observeFor(t, w, start, asked, 100*time.Millisecond)
-	if w.ShouldClaim() || w.Patience() != c.ClaimMargin {
-		t.Fatalf("claim %v within the owner's time, patience %v", w.ShouldClaim(), w.Patience())
+	if w.ShouldClaim(now) || w.Patience() != c.ClaimMargin {
+		t.Fatalf("claim %v within the owner's time, patience %v", w.ShouldClaim(now), w.Patience())
 	}
 	observeFor(t, w, now, c.ClaimMargin, 100*time.Millisecond)
-	if got := w.Predecessor(); !w.ShouldClaim() || got.Grace != 0 || !got.Expired {
-		t.Fatalf("after the owner's time: claim %v, owner before %+v", w.ShouldClaim(), got)
+	if got := w.Predecessor(); !w.ShouldClaim(now) || got.Grace != 0 || !got.Expired {
+		t.Fatalf("after the owner's time: claim %v, owner before %+v", w.ShouldClaim(now), got)
 	}
 	if got := c.TimeoutFor(time.Hour); got != c.MaxOwnerTimeout {
 		t.Errorf("an owner may ask for %v", got)
@@ -195,7 +214,7 @@
 		t.Fatal("no error")
 	}
 	observeFor(t, w, start, c.MaxOwnerTimeout, 100*time.Millisecond)
-	if w.ShouldClaim() {
+	if w.ShouldClaim(start) {
 		t.Fatal("claimed within the longest time of an owner")
 	}
 }
