Ask for promises with the owner's own claim

An owner that came back from a cut of 6 s had already heard of its successor's claim, asked for promises under that claim, and everybody, the successor too, gave one: it went on beside the successor for 110 ms.

Ruled out: a lease beyond its bound, and a late renewal (the chain refused it, which ended the old owner).

Change: the question names the owner's own claim, and an instance that owns the cell promises nothing.

Test: TestPromisesThatCantBeKept, which fails without the second change.

--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -229,8 +229,7 @@
 func (n *Node) extendAuthority(ctx context.Context, owner *medlarowner.Owner) {
 	now := n.clock.Now()
 	quiet := now.Sub(owner.RenewedAt())
-	term := n.term.Load()
-	if quiet < renewalQuiet || term == nil {
+	if quiet < renewalQuiet {
 		return
 	}
 	n.register.mu.Lock()
@@ -238,7 +237,7 @@
 	age := now.Sub(n.register.readAt)
 	n.register.mu.Unlock()
 	isServed := n.readsCell()
-	answers := n.askAll(ctx, peers, term.Number)
+	answers := n.askAll(ctx, peers, owner.Term())
 	if heir, found := bestHeir(answers); found && !isServed {
 		n.handOver(ctx, owner, heir)
 		return
@@ -327,10 +326,9 @@
 // handOver stops the owner and asks another instance to claim the cell. If that fails, the others claim it once they miss
 // its renewals.
 func (n *Node) handOver(ctx context.Context, owner *medlarowner.Owner, heir medlarinstance.Instance) {
-	term := n.term.Load()
 	owner.Stop(ctx)
-	_, err := newPeerClient(promiseTimeout).ask(heir.Address, peerPathTakeOver, peerQuestion{Term: term.Number})
-	n.log.Info().Str("event", "cell-handed-over").Uint64("term", term.Number).Str("to", string(heir.ID)).Err(err).Msg("")
+	_, err := newPeerClient(promiseTimeout).ask(heir.Address, peerPathTakeOver, peerQuestion{Term: owner.Term()})
+	n.log.Info().Str("event", "cell-handed-over").Uint64("term", owner.Term()).Str("to", string(heir.ID)).Err(err).Msg("")
 }
 
 // takeOver claims the cell from an owner that has said that it gives no more orders.
@@ -343,8 +341,8 @@
 	n.claimIfVacant(context.Background())
 }
 
-// promise promises the owner not to claim the cell for a while. An instance whose claim is on its way, or may still be
-// carried out, can't promise that.
+// promise promises the owner not to claim the cell for a while. An instance that owns the cell itself, or whose claim is on
+// its way or may still be carried out, can't promise that.
 func (n *Node) promise(term uint64) bool {
 	if !n.tenure.claiming.TryLock() {
 		return false
@@ -352,7 +350,7 @@
 	defer n.tenure.claiming.Unlock()
 	n.tenure.mu.Lock()
 	defer n.tenure.mu.Unlock()
-	return n.tenure.open == nil && n.tenure.watch.Promise(n.clock.Now(), term)
+	return n.owner.Load() == nil && n.tenure.open == nil && n.tenure.watch.Promise(n.clock.Now(), term)
 }
 
 // unregister removes the row of this instance.
--- a/internal/operation/medlarnode/register_test.go
+++ b/internal/operation/medlarnode/register_test.go
@@ -4,7 +4,11 @@
 	"testing"
 	"time"
 
+	"medlarwheel"
+	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
+	"medlarwheel/internal/state/medlartable"
+	"medlarwheel/internal/state/medlartenure"
 )
 
 // TestAuthorityNeedsEveryPromise guards against two owners: one that goes on without the table, and one that it has not
@@ -53,3 +57,39 @@
 		t.Error("established at once after a gap")
 	}
 }
+
+// TestPromisesThatCantBeKept guards against a promise of an instance that owns the cell itself, or may own it at any moment.
+// An owner that comes back from a partition would otherwise go on beside its successor.
+func TestPromisesThatCantBeKept(t *testing.T) {
+	node := func() *Node {
+		n := &Node{clock: medlarwheel.SystemClock{}, tenure: tenure{watch: medlartenure.NewWatch(medlartenure.DefaultConfig())}}
+		claim, err := n.tenure.watch.Claim(medlartenure.Term{Number: 2, Instance: "a", Address: "10.0.0.1:80", Process: "a-1"}, "c0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		row := claim.Put[0]
+		row.Version = 9
+		if err := n.tenure.watch.Observe(n.clock.Now(), []medlartable.Row{row}); err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	if n := node(); !n.promise(2) || n.promise(1) {
+		t.Error("no promise to the present owner, or one to an owner before it")
+	}
+	owning := node()
+	owning.owner.Store(&medlarowner.Owner{})
+	if owning.promise(2) {
+		t.Error("an instance that owns the cell has promised not to claim it")
+	}
+	claiming := node()
+	claiming.tenure.claiming.Lock()
+	if claiming.promise(2) {
+		t.Error("an instance whose claim is on its way has promised not to claim the cell")
+	}
+	unsure := node()
+	unsure.tenure.open = &openClaim{}
+	if unsure.promise(2) {
+		t.Error("an instance whose claim may still be carried out has promised not to claim the cell")
+	}
+}
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -278,6 +278,9 @@
 // Since returns when the cell was claimed.
 func (o *Owner) Since() time.Time { return o.claimedAt }
 
+// Term returns the number of the owner's claim.
+func (o *Owner) Term() uint64 { return o.term.Number }
+
 // RenewedAt returns when the last renewal that the table has stored was sent.
 func (o *Owner) RenewedAt() time.Time { return time.Unix(0, o.renewedNanos.Load()) }
 
