Renew the claim while the cell is loaded, and let strong instances go first

Instances whose reads had hung in the outage heard of the table up to 1.7 s after the others, so that an instance of a fifth of a core claimed the cell.

Ruled out: the load of the table (it answered in milliseconds), and a longer time of the owner for everybody (a cut would cost it again).

Change: a new owner renews its claim while it loads. The weakest instance waits 0.8 s longer than the strongest, not 0.4 s. An owner leaves the cell only when its orders take too long at five looks in a row.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -101,6 +101,8 @@
 	register register
 	// registerRead is when the register was last read. Only followInstances uses it.
 	registerRead time.Time
+	// slowLooks counts the looks in a row at which the owner's orders took too long.
+	slowLooks    int
 	registration registration
 	// restUntil is until when this instance leaves the cell to others, in nanoseconds of the Unix time.
 	restUntil atomic.Int64
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -163,6 +163,8 @@
 	// maxTurnaround is the mean turnaround of orders from which on an owner leaves the cell to another instance. It is a good
 	// part of the slack of a short submission.
 	maxTurnaround = 150 * time.Millisecond
+	// slowLooks is the number of looks in a row at which the turnaround is too long, so that a burst of starts does not count.
+	slowLooks = 5
 	// yieldRest is for how long an instance that has left the cell for its slowness leaves it to others.
 	yieldRest = 5 * time.Second
 )
@@ -171,8 +173,13 @@
 func (n *Node) yieldForSlowness(ctx context.Context, owner *medlarowner.Owner) {
 	turnaround := owner.Turnaround()
 	if turnaround < maxTurnaround {
+		n.slowLooks = 0
 		return
 	}
+	if n.slowLooks++; n.slowLooks < slowLooks {
+		return
+	}
+	n.slowLooks = 0
 	n.restUntil.Store(n.clock.Now().Add(yieldRest).UnixNano())
 	n.log.Warn().Str("event", "cell-yielded").Int64("turnaround-ms", turnaround.Milliseconds()).Msg("")
 	if err := owner.Release(ctx); err != nil {
@@ -221,8 +228,9 @@
 	return time.Duration((1-n.config.Site.Power/strongest)*float64(weakDelay)) + n.restDelay()
 }
 
-// weakDelay is how much longer than the strongest instance the weakest one waits before it claims a vacant cell.
-const weakDelay = 400 * time.Millisecond
+// weakDelay is how much longer than the strongest instance the weakest one waits before it claims a vacant cell. An instance
+// of a fifth of a core takes almost two seconds to load a large cell.
+const weakDelay = 800 * time.Millisecond
 
 // extendAuthority lets the owner go on while it can't renew its claim, if none of the instances that could claim the cell
 // does so meanwhile. If the table answers another instance and not this one, the owner hands the cell over.
@@ -236,9 +244,10 @@
 	peers := n.register.list.Live(n.register.readAt)
 	age := now.Sub(n.register.readAt)
 	n.register.mu.Unlock()
-	isServed := n.readsCell()
+	served := make(chan bool, 1)
+	go func() { served <- n.readsCell() }()
 	answers := n.askAll(ctx, peers, owner.Term())
-	if heir, found := bestHeir(answers); found && !isServed {
+	if heir, found := bestHeir(answers); !<-served && found {
 		n.handOver(ctx, owner, heir)
 		return
 	}
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -116,15 +116,20 @@
 	}
 	o.cell.Flushed(now, batch)
 	o.cell.Confirmed(now, sentAt)
-	// The longest renewal of late counts, so that one fast answer does not hide that the table is slow.
+	// The longest write of late counts, so that one fast answer does not hide that the table is slow.
 	o.renewTook = max(now.Sub(sentAt), time.Duration(renewTookDecay*float64(o.renewTook)))
 	if renewal.Timeout > 0 {
-		o.renewedAt = sentAt
-		o.renewedNanos.Store(sentAt.UnixNano())
+		o.noteRenewal(sentAt)
 		o.cell.Authorize(sentAt.Add(renewal.Timeout))
 	}
 }
 
+// noteRenewal notes a stored renewal.
+func (o *Owner) noteRenewal(sentAt time.Time) {
+	o.renewedAt = sentAt
+	o.renewedNanos.Store(sentAt.UnixNano())
+}
+
 // renewTookDecay is the part of the longest duration of a write that is remembered at the next one.
 const renewTookDecay = 0.8
 
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -14,8 +14,58 @@
 	"medlarwheel/internal/scheduling/medlarcell"
 	"medlarwheel/internal/state/medlarledger"
 	"medlarwheel/internal/state/medlartable"
+	"medlarwheel/internal/state/medlartenure"
 )
 
+// loadRenewing loads the cell and renews its claim meanwhile: on a weak instance, a cell with a thousand submissions takes
+// longer than the time of one renewal.
+func (o *Owner) loadRenewing(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	loaded := make(chan error, 1)
+	go func() { loaded <- o.load(ctx) }()
+	ticker := time.NewTicker(o.config.Tenure.RenewInterval)
+	defer ticker.Stop()
+	var authority time.Time
+	for {
+		select {
+		case err := <-loaded:
+			if err == nil {
+				o.cell.Authorize(authority)
+			}
+			return err
+		case <-ticker.C:
+			until, err := o.renew()
+			if err != nil {
+				return err
+			}
+			if until.After(authority) {
+				authority = until
+			}
+		}
+	}
+}
+
+// renew writes a renewal without records, and returns until when the owner may then give orders. The time is zero if the
+// outcome is not known yet.
+func (o *Owner) renew() (until time.Time, err error) {
+	renewal := medlartenure.Beat{Timeout: o.config.Tenure.TimeoutFor(o.renewTook)}
+	transaction, err := o.chain.Next(&medlarcell.Batch{}, nil, renewal)
+	if err != nil {
+		return until, err
+	}
+	sentAt := o.Clock.Now()
+	switch o.chain.Settle(o.writer.Transact(transaction)) {
+	case medlarledger.OutcomeSuperseded:
+		return until, ErrSuperseded
+	case medlarledger.OutcomeRetry:
+		return until, nil
+	default:
+		o.noteRenewal(sentAt)
+		return sentAt.Add(renewal.Timeout), nil
+	}
+}
+
 // load reads the records of the cell and the list of workers.
 func (o *Owner) load(ctx context.Context) error {
 	var submissions, progress, workers, fleet, learnt []medlartable.Row
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -166,7 +166,7 @@
 // Run works until the context ends or another instance owns the cell.
 func (o *Owner) Run(ctx context.Context) error {
 	defer close(o.done)
-	if err := o.load(ctx); err != nil {
+	if err := o.loadRenewing(ctx); err != nil {
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
