Read the list of workers four times a second at most

Change: after each change the owner waits 250 ms, in which further ones gather. New and draining workers are seen that much later.

--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -212,7 +212,8 @@
 
 // followSubmissions takes in newly accepted submissions and cancellations.
 func (o *Owner) followSubmissions(ctx context.Context) error {
-	return o.follow(ctx, medlarledger.TableSubmissions, o.readSubmissions, o.followFrom, func(rows []medlartable.Row, _ bool) {
+	submissions := followed{table: medlarledger.TableSubmissions, readAll: o.readSubmissions, from: o.followFrom}
+	return o.follow(ctx, submissions, func(rows []medlartable.Row, _ bool) {
 		entries, cancelled := o.decodeEntries(rows)
 		o.post(func(now time.Time) {
 			for i := range entries {
@@ -231,7 +232,10 @@
 	readAll := func(ctx context.Context) ([]medlartable.Row, medlarwheel.RowVersion, error) {
 		return o.readAll(ctx, o.Registry.Range)
 	}
-	return o.follow(ctx, o.Registry.Range.Table, readAll, o.workersFrom, func(rows []medlartable.Row, whole bool) {
+	workers := followed{
+		table: o.Registry.Range.Table, readAll: readAll, from: o.workersFrom, pause: o.config.WorkersPause,
+	}
+	return o.follow(ctx, workers, func(rows []medlartable.Row, whole bool) {
 		var gone []medlartable.Row
 		present := rows[:0:0]
 		for _, r := range rows {
@@ -263,26 +267,37 @@
 // takeFunc takes in changed rows in order, or all rows of a table.
 type takeFunc func(rows []medlartable.Row, whole bool)
 
+// followed is a table whose changes are followed.
+type followed struct {
+	table   string
+	readAll readFunc
+	from    medlarwheel.RowVersion
+	// pause is the time after each change in which further ones gather for the next read.
+	pause time.Duration
+}
+
 // follow calls take with the changes of a table in order, and with all its rows after its history was dropped.
-func (o *Owner) follow(ctx context.Context, table string, readAll readFunc, from medlarwheel.RowVersion, take takeFunc) error {
+func (o *Owner) follow(ctx context.Context, f followed, take takeFunc) error {
+	from := f.from
 	for ctx.Err() == nil {
-		page, err := o.Store.Follow(medlartable.Follow{Table: table, After: from, Wait: o.config.FollowWait})
+		page, err := o.Store.Follow(medlartable.Follow{Table: f.table, After: from, Wait: o.config.FollowWait})
 		switch {
 		case errors.Is(err, medlartable.ErrHistoryGone):
-			o.Log.Warn().Str("event", "table-history-gone").Str("table", table).Uint64("after", uint64(from)).Msg("")
-			rows, version, err := readAll(ctx)
+			o.Log.Warn().Str("event", "table-history-gone").Str("table", f.table).Uint64("after", uint64(from)).Msg("")
+			rows, version, err := f.readAll(ctx)
 			if err != nil {
 				return err
 			}
 			from = version
 			take(rows, true)
 		case err != nil:
-			o.Log.Warn().Str("event", "table-follow-failed").Str("table", table).Err(err).Msg("")
+			o.Log.Warn().Str("event", "table-follow-failed").Str("table", f.table).Err(err).Msg("")
 			sleep(ctx, o.config.FollowRetry)
 		default:
 			from = max(from, page.Version)
 			if len(page.Rows) > 0 {
 				take(page.Rows, false)
+				sleep(ctx, f.pause)
 			}
 		}
 	}
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -77,6 +77,9 @@
 	Hedge medlarhedge.Config
 	// FollowWait is how long the table may hold a read of changes. It bounds the time lost on a connection gone silent.
 	FollowWait time.Duration
+	// WorkersPause is the time after each change of the list of workers in which further ones gather. Every worker renews its
+	// registration, so that hundreds of them would lead to a read for each renewal.
+	WorkersPause time.Duration
 	// FollowRetry is the pause after a failed read of changes.
 	FollowRetry time.Duration
 }
@@ -89,6 +92,7 @@
 		LearntInterval: 2 * time.Second,
 		Hedge:          medlarhedge.DefaultConfig(),
 		FollowWait:     700 * time.Millisecond, FollowRetry: 100 * time.Millisecond,
+		WorkersPause: 250 * time.Millisecond,
 	}
 }
 
