Follow tables in one place, and drop what nothing uses

Three loops followed a table and read it anew after its history was gone, with two copies of sleep; one Follower in internal/state/medlartable now serves the owner's lists, the configuration and the claim of the cell. Removed: the setting EarlyStart, which nothing set, and time limits of questions to the owner that nothing read. Questions for promises use one connection for each instance instead of a new one each time.

TestFollowerReadsAnew covers errors, dropped history and the first read.

--- a/internal/operation/medlarnode/config.go
+++ b/internal/operation/medlarnode/config.go
@@ -13,34 +13,25 @@
 
 // followConfig keeps the operator's configuration up to date. A version never replaces a higher one.
 func (n *Node) followConfig(ctx context.Context) error {
-	var from medlarwheel.RowVersion
-	loaded := false
-	for ctx.Err() == nil {
-		var rows []medlartable.Row
-		var version medlarwheel.RowVersion
-		var err error
-		if loaded {
-			var page medlartable.Page
-			page, err = n.store.Follow(medlartable.Follow{Table: platform.ConfigRange().Table, After: from, Wait: n.config.FollowWait})
-			rows, version = page.Rows, page.Version
-		} else {
-			rows, version, err = medlartable.ReadAll(n.store, platform.ConfigRange())
-		}
-		n.health.Report(err == nil || errors.Is(err, medlartable.ErrHistoryGone))
-		if err != nil {
-			loaded = loaded && !errors.Is(err, medlartable.ErrHistoryGone)
+	f := medlartable.Follower{
+		Store: n.store, Table: platform.ConfigRange().Table, Retry: n.config.FollowRetry,
+		ReadAll: func() ([]medlartable.Row, medlarwheel.RowVersion, error) {
+			return medlartable.ReadAll(n.store, platform.ConfigRange())
+		},
+		Wait: func() time.Duration { return n.config.FollowWait },
+		Failed: func(err error) {
+			n.health.Report(errors.Is(err, medlartable.ErrHistoryGone))
 			n.log.Warn().Str("event", "config-read-failed").Err(err).Msg("")
-			sleep(ctx, n.config.FollowRetry)
-			continue
-		}
-		loaded, from = true, max(from, version)
+		},
+	}
+	return f.Run(ctx, func(rows []medlartable.Row, _ bool) {
+		n.health.Report(true)
 		for _, r := range rows {
 			if platform.IsConfig(r) && !r.Deleted {
 				n.applyConfig(r)
 			}
 		}
-	}
-	return ctx.Err()
+	})
 }
 
 func (n *Node) applyConfig(r medlartable.Row) {
@@ -57,15 +48,3 @@
 	n.meter.Gauge("config.version", int64(table.Version))
 	n.log.Info().Str("event", "config-in-force").Uint64("version", uint64(table.Version)).Int("routes", len(table.Routes)).Msg("")
 }
-
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/operation/medlarnode/entry.go
+++ b/internal/operation/medlarnode/entry.go
@@ -65,10 +65,8 @@
 }
 
 // State returns the state of a submission from the owner of the cell, or else from the table.
-func (n *Node) State(id medlarsubmission.ID, deadline time.Time) platform.Reply {
-	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(n.clock.Now())-answerMargin)
-	defer cancel()
-	if state, known := n.askState(ctx, id); known {
+func (n *Node) State(id medlarsubmission.ID) platform.Reply {
+	if state, known := n.askState(id); known {
 		return platform.Reply{Outcome: platform.OutcomeOK, State: state}
 	}
 	return n.stateFromTable(id)
@@ -113,7 +111,7 @@
 // Cancel stores the cancellation of a submission that exists.
 func (n *Node) Cancel(id medlarsubmission.ID, deadline time.Time) platform.Reply {
 	began := n.clock.Now()
-	state := n.State(id, deadline)
+	state := n.State(id)
 	if state.Outcome != platform.OutcomeOK || state.State.IsFinal() {
 		n.logReply("cancel", id, "", state, "state "+string(state.State), n.clock.Now().Sub(began))
 		return state
@@ -124,10 +122,8 @@
 }
 
 // Waiting returns the number of submissions of a route of which no task has started.
-func (n *Node) Waiting(route *medlarroute.Route, deadline time.Time) platform.Reply {
-	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(n.clock.Now())-answerMargin)
-	defer cancel()
-	waiting, err := n.askWaiting(ctx, route.Name)
+func (n *Node) Waiting(route *medlarroute.Route) platform.Reply {
+	waiting, err := n.askWaiting(route.Name)
 	if err != nil {
 		n.log.Warn().Str("event", "waiting-unknown").Str("route", route.Name).Err(err).Msg("")
 		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: time.Second}
--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -26,6 +26,7 @@
 	"medlarwheel/internal/operation/medlarmeter"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
+	"medlarwheel/internal/state/medlartable"
 	"medlarwheel/internal/state/medlartenure"
 	"medlarwheel/platform"
 )
@@ -82,13 +83,15 @@
 
 // Node is an instance.
 type Node struct {
-	config  Config
-	log     zerolog.Logger
-	meter   *medlarmeter.Meter
-	clock   medlarwheel.Clock
-	store   *platform.Store
-	health  *medlarintake.Health
-	intake  *medlarintake.Intake
+	config Config
+	log    zerolog.Logger
+	meter  *medlarmeter.Meter
+	clock  medlarwheel.Clock
+	store  *platform.Store
+	health *medlarintake.Health
+	intake *medlarintake.Intake
+	// others holds a client for each instance that was asked for a promise.
+	others  peerClients
 	peers   *peerClient
 	process string
 
@@ -188,7 +191,7 @@
 // probeTable asks the table while it does not answer, so that submissions are accepted again as soon as it does. The probes
 // do not wait for each other: one that was sent before the table came back may stay without an answer.
 func (n *Node) probeTable(ctx context.Context) error {
-	for sleep(ctx, n.config.ProbeInterval) {
+	for medlartable.Sleep(ctx, n.config.ProbeInterval) {
 		if !n.health.HasFailed() {
 			continue
 		}
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -85,6 +85,26 @@
 
 func newPeerClient(timeout time.Duration) *peerClient { return &peerClient{timeout: timeout} }
 
+// peerClients keeps a client for each address, so that questions in a row use one connection.
+type peerClients struct {
+	mu        sync.Mutex
+	byAddress map[string]*peerClient
+}
+
+func (p *peerClients) of(address string) *peerClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client := p.byAddress[address]
+	if client == nil {
+		client = newPeerClient(promiseTimeout)
+		if p.byAddress == nil {
+			p.byAddress = map[string]*peerClient{}
+		}
+		p.byAddress[address] = client
+	}
+	return client
+}
+
 func (p *peerClient) of(address string) *fasthttp.HostClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -211,7 +231,7 @@
 	return n.peers.ask(term.Address, path, q)
 }
 
-func (n *Node) askState(_ context.Context, id medlarsubmission.ID) (medlarsubmission.State, bool) {
+func (n *Node) askState(id medlarsubmission.ID) (medlarsubmission.State, bool) {
 	a, err := n.askOwner(peerPathState, peerQuestion{Submission: id})
 	if err != nil {
 		n.log.Warn().Str("event", "owner-not-asked").Str("id", string(id)).Err(err).Msg("")
@@ -220,7 +240,7 @@
 	return a.State, a.Known
 }
 
-func (n *Node) askWaiting(_ context.Context, route string) (int, error) {
+func (n *Node) askWaiting(route string) (int, error) {
 	a, err := n.askOwner(peerPathWaiting, peerQuestion{Route: route})
 	return a.Waiting, err
 }
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -39,7 +39,7 @@
 		} else {
 			n.registration.renewed(sentAt, n.clock.Now())
 		}
-		if !sleep(ctx, pause) {
+		if !medlartable.Sleep(ctx, pause) {
 			return ctx.Err()
 		}
 	}
@@ -77,7 +77,7 @@
 
 // followInstances follows the register while this instance owns the cell.
 func (n *Node) followInstances(ctx context.Context) error {
-	for sleep(ctx, extendInterval) {
+	for medlartable.Sleep(ctx, extendInterval) {
 		owner := n.owner.Load()
 		if owner == nil {
 			continue
@@ -306,7 +306,7 @@
 		}
 		asked++
 		go func() {
-			a, err := newPeerClient(promiseTimeout).ask(peer.Address, peerPathPromise, peerQuestion{Term: term})
+			a, err := n.others.of(peer.Address).ask(peer.Address, peerPathPromise, peerQuestion{Term: term})
 			results <- peerView{peer: peer, served: err == nil && a.Served, promise: err == nil && a.Promise}
 		}()
 	}
@@ -336,7 +336,7 @@
 // its renewals.
 func (n *Node) handOver(ctx context.Context, owner *medlarowner.Owner, heir medlarinstance.Instance) {
 	owner.Stop(ctx)
-	_, err := newPeerClient(promiseTimeout).ask(heir.Address, peerPathTakeOver, peerQuestion{Term: owner.Term()})
+	_, err := n.others.of(heir.Address).ask(heir.Address, peerPathTakeOver, peerQuestion{Term: owner.Term()})
 	n.log.Info().Str("event", "cell-handed-over").Uint64("term", owner.Term()).Str("to", string(heir.ID)).Err(err).Msg("")
 }
 
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -46,31 +46,20 @@
 
 // followOwner follows the claim of the cell, and claims it when its owner is gone.
 func (n *Node) followOwner(ctx context.Context) error {
-	var from medlarwheel.RowVersion
-	loaded := false
-	for ctx.Err() == nil {
-		var rows []medlartable.Row
-		var version medlarwheel.RowVersion
-		var err error
-		if loaded {
-			var page medlartable.Page
-			page, err = n.store.Follow(medlartable.Follow{Table: medlartenure.Table, After: from, Wait: n.ownerWait()})
-			rows, version = page.Rows, page.Version
-		} else {
-			rows, version, err = medlartable.ReadAll(n.store, medlartable.Range{Table: medlartenure.Table, Part: n.config.Owner.Part})
-		}
-		if err != nil {
-			loaded = loaded && !errors.Is(err, medlartable.ErrHistoryGone)
+	f := medlartable.Follower{
+		Store: n.store, Table: medlartenure.Table, Wait: n.ownerWait, Retry: n.config.FollowRetry,
+		ReadAll: func() ([]medlartable.Row, medlarwheel.RowVersion, error) {
+			return medlartable.ReadAll(n.store, medlartable.Range{Table: medlartenure.Table, Part: n.config.Owner.Part})
+		},
+		Failed: func(err error) {
 			n.log.Warn().Str("event", "owner-read-failed").Err(err).Msg("")
-			sleep(ctx, n.config.FollowRetry)
-			continue
-		}
+		},
+	}
+	return f.Run(ctx, func(rows []medlartable.Row, _ bool) {
 		n.health.Report(true)
-		loaded, from = true, max(from, version)
 		n.observeTenure(ctx, rows)
 		n.claimIfVacant(ctx)
-	}
-	return ctx.Err()
+	})
 }
 
 // ownerWait returns how long the table may hold a read of the claim, so that a missing renewal is noticed in time. Once the
@@ -124,7 +113,7 @@
 	if !n.isVacant() {
 		return
 	}
-	sleep(ctx, n.claimDelay()+rand.N(claimJitter))
+	medlartable.Sleep(ctx, n.claimDelay()+rand.N(claimJitter))
 	n.tenure.mu.Lock()
 	term := n.tenure.watch.Term()
 	n.tenure.mu.Unlock()
@@ -195,7 +184,7 @@
 func (n *Node) waitForClose(ctx context.Context, address string) {
 	conn, err := net.DialTimeout("tcp4", address, watchDialTimeout)
 	if err != nil {
-		sleep(ctx, watchPause)
+		medlartable.Sleep(ctx, watchPause)
 		return
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -34,8 +34,6 @@
 	StopRetry time.Duration
 	// KeepFinished is how long a finished submission stays known.
 	KeepFinished time.Duration
-	// EarlyStart is how much before its due time an occurrence may start.
-	EarlyStart time.Duration
 	// FailuresToSuspend is the number of failed runs in a row, of different submissions, that suspends a worker.
 	FailuresToSuspend int
 	// SuspendTime is how long a suspended worker gets no new tasks. It doubles with each suspension in a row.
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -134,8 +134,8 @@
 }
 
 // isOpen reports whether tasks of the step may run at the time.
-func (s *step) isOpen(now time.Time, early time.Duration) bool {
-	return s.blockers == 0 && !now.Add(early).Before(s.occurrence.due)
+func (s *step) isOpen(now time.Time) bool {
+	return s.blockers == 0 && !now.Before(s.occurrence.due)
 }
 
 func newJob(s medlarsubmission.Submission, inherited bool) *job {
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -81,7 +81,7 @@
 	if s.occurrence.job.inherited && !c.settled {
 		return false
 	}
-	return s.isOpen(now, c.config.EarlyStart)
+	return s.isOpen(now)
 }
 
 // compact drops steps without waiting tasks from the queue.
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -101,7 +101,7 @@
 			// A lost answer has taken its time already.
 			pause = 0
 		}
-		if !sleep(ctx, pause) {
+		if !medlartable.Sleep(ctx, pause) {
 			return
 		}
 	}
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"medlarwheel"
@@ -138,7 +137,7 @@
 			return rows, version, nil
 		}
 		o.Log.Warn().Str("event", "table-read-failed").Str("table", r.Table).Err(err).Msg("")
-		if !sleep(ctx, o.config.FollowRetry) {
+		if !medlartable.Sleep(ctx, o.config.FollowRetry) {
 			return nil, 0, ctx.Err()
 		}
 	}
@@ -212,8 +211,7 @@
 
 // followSubmissions takes in newly accepted submissions and cancellations.
 func (o *Owner) followSubmissions(ctx context.Context) error {
-	submissions := followed{table: medlarledger.TableSubmissions, readAll: o.readSubmissions, from: o.followFrom}
-	return o.follow(ctx, submissions, func(rows []medlartable.Row, _ bool) {
+	return o.follow(ctx, medlarledger.TableSubmissions, o.followFrom, 0, o.readSubmissions, func(rows []medlartable.Row, _ bool) {
 		entries, cancelled := o.decodeEntries(rows)
 		o.post(func(now time.Time) {
 			for i := range entries {
@@ -232,10 +230,7 @@
 	readAll := func(ctx context.Context) ([]medlartable.Row, medlarwheel.RowVersion, error) {
 		return o.readAll(ctx, o.Registry.Range)
 	}
-	workers := followed{
-		table: o.Registry.Range.Table, readAll: readAll, from: o.workersFrom, pause: o.config.WorkersPause,
-	}
-	return o.follow(ctx, workers, func(rows []medlartable.Row, whole bool) {
+	return o.follow(ctx, o.Registry.Range.Table, o.workersFrom, o.config.WorkersPause, readAll, func(rows []medlartable.Row, whole bool) {
 		var gone []medlartable.Row
 		present := rows[:0:0]
 		for _, r := range rows {
@@ -261,57 +256,22 @@
 	})
 }
 
-// readFunc reads all rows of a table, and the version from which their changes can be followed.
-type readFunc func(ctx context.Context) ([]medlartable.Row, medlarwheel.RowVersion, error)
-
-// takeFunc takes in changed rows in order, or all rows of a table.
-type takeFunc func(rows []medlartable.Row, whole bool)
-
-// followed is a table whose changes are followed.
-type followed struct {
-	table   string
-	readAll readFunc
-	from    medlarwheel.RowVersion
-	// pause is the time after each change in which further ones gather for the next read.
-	pause time.Duration
-}
-
-// follow calls take with the changes of a table in order, and with all its rows after its history was dropped.
-func (o *Owner) follow(ctx context.Context, f followed, take takeFunc) error {
-	from := f.from
-	for ctx.Err() == nil {
-		page, err := o.Store.Follow(medlartable.Follow{Table: f.table, After: from, Wait: o.config.FollowWait})
-		switch {
-		case errors.Is(err, medlartable.ErrHistoryGone):
-			o.Log.Warn().Str("event", "table-history-gone").Str("table", f.table).Uint64("after", uint64(from)).Msg("")
-			rows, version, err := f.readAll(ctx)
-			if err != nil {
-				return err
-			}
-			from = version
-			take(rows, true)
-		case err != nil:
-			o.Log.Warn().Str("event", "table-follow-failed").Str("table", f.table).Err(err).Msg("")
-			sleep(ctx, o.config.FollowRetry)
-		default:
-			from = max(from, page.Version)
-			if len(page.Rows) > 0 {
-				take(page.Rows, false)
-				sleep(ctx, f.pause)
-			}
-		}
+// follow follows a table that was read up to a version.
+func (o *Owner) follow(ctx context.Context, table string, from medlarwheel.RowVersion, pause time.Duration, readAll readFunc, take medlartable.Take) error {
+	f := medlartable.Follower{
+		Store: o.Store, Table: table, From: from, Pause: pause, Retry: o.config.FollowRetry,
+		ReadAll: func() ([]medlartable.Row, medlarwheel.RowVersion, error) { return readAll(ctx) },
+		Wait:    func() time.Duration { return o.config.FollowWait },
+		Failed: func(err error) {
+			o.Log.Warn().Str("event", "table-follow-failed").Str("table", table).Err(err).Msg("")
+		},
 	}
-	return ctx.Err()
+	return f.Run(ctx, func(rows []medlartable.Row, whole bool) {
+		if len(rows) > 0 || whole {
+			take(rows, whole)
+		}
+	})
 }
 
-// sleep waits and reports whether the context is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+// readFunc reads all rows of a table, and the version from which their changes can be followed.
+type readFunc func(ctx context.Context) ([]medlartable.Row, medlarwheel.RowVersion, error)
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -6,6 +6,7 @@
 
 	"medlarwheel"
 	"medlarwheel/internal/scheduling/medlarcell"
+	"medlarwheel/internal/state/medlartable"
 )
 
 // carryOut carries out the scheduler's commands, each on a goroutine of its own.
@@ -78,7 +79,7 @@
 }
 
 func (o *Owner) hold(ctx context.Context, agent Agent, c medlarcell.Command) {
-	if c.Delay > 0 && !sleep(ctx, c.Delay) {
+	if c.Delay > 0 && !medlartable.Sleep(ctx, c.Delay) {
 		return
 	}
 	sentAt := o.Clock.Now()
--- /dev/null
+++ b/internal/state/medlartable/follower.go
@@ -0,0 +1,77 @@
+package medlartable
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+)
+
+// FollowStore is a table whose changes can be followed.
+type FollowStore interface {
+	Follow(f Follow) (Page, error)
+}
+
+// Follower calls back with all rows of a table first, and then with its changes in order. It reads all rows anew when the
+// table has dropped its history.
+type Follower struct {
+	Store FollowStore
+	Table string
+	// ReadAll returns all rows, and the version from which their changes can be followed.
+	ReadAll func() ([]Row, medlarwheel.RowVersion, error)
+	// From is the version from which to follow. Zero means that all rows are read first.
+	From medlarwheel.RowVersion
+	// Wait returns how long the table may hold the next read of changes.
+	Wait func() time.Duration
+	// Pause is the time after each change in which further ones gather for the next read.
+	Pause time.Duration
+	// Retry is the pause after a failed read.
+	Retry time.Duration
+	// Failed is told about each failed read.
+	Failed func(err error)
+}
+
+// Take takes in the changes of one read, which may be none, or all rows of the table.
+type Take func(rows []Row, whole bool)
+
+// Run follows the table until the context ends.
+func (f *Follower) Run(ctx context.Context, take Take) error {
+	from, loaded := f.From, f.From > 0
+	for ctx.Err() == nil {
+		rows, version, err := f.read(from, loaded)
+		if err != nil {
+			loaded = loaded && !errors.Is(err, ErrHistoryGone)
+			f.Failed(err)
+			Sleep(ctx, f.Retry)
+			continue
+		}
+		take(rows, !loaded)
+		loaded, from = true, max(from, version)
+		if len(rows) > 0 {
+			Sleep(ctx, f.Pause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) read(from medlarwheel.RowVersion, loaded bool) ([]Row, medlarwheel.RowVersion, error) {
+	if !loaded {
+		return f.ReadAll()
+	}
+	page, err := f.Store.Follow(Follow{Table: f.Table, After: from, Wait: f.Wait()})
+	return page.Rows, page.Version, err
+}
+
+// Sleep waits and reports whether the context is still alive.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/state/medlartable/follower_test.go
@@ -0,0 +1,75 @@
+package medlartable
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+)
+
+// scriptedTable answers reads of changes from a script.
+type scriptedTable struct {
+	script []func() (Page, error)
+	after  []medlarwheel.RowVersion
+}
+
+func (s *scriptedTable) Follow(f Follow) (Page, error) {
+	s.after = append(s.after, f.After)
+	next := s.script[0]
+	s.script = s.script[1:]
+	return next()
+}
+
+// TestFollowerReadsAnew guards against changes that are missed after an error or after the table has dropped its history,
+// and against changes that are taken for the whole table.
+func TestFollowerReadsAnew(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	changed := func(version medlarwheel.RowVersion, keys ...string) func() (Page, error) {
+		return func() (Page, error) {
+			p := Page{Version: version}
+			for _, k := range keys {
+				p.Rows = append(p.Rows, Row{Key: k})
+			}
+			return p, nil
+		}
+	}
+	fails := func(err error) func() (Page, error) { return func() (Page, error) { return Page{}, err } }
+	table := &scriptedTable{script: []func() (Page, error){
+		changed(6, "a"), fails(errors.New("no answer")), changed(7, "b"), fails(ErrHistoryGone), changed(21, "c"),
+		func() (Page, error) { cancel(); return Page{Version: 21}, nil },
+	}}
+	reads, failures := 0, 0
+	f := Follower{
+		Store: table, Table: "t", Wait: func() time.Duration { return 0 }, Failed: func(error) { failures++ },
+		ReadAll: func() ([]Row, medlarwheel.RowVersion, error) {
+			reads++
+			return []Row{{Key: "all"}}, medlarwheel.RowVersion(5 + 15*(reads-1)), nil
+		},
+	}
+	var taken []string
+	err := f.Run(ctx, func(rows []Row, whole bool) {
+		for _, r := range rows {
+			if whole {
+				r.Key += " whole"
+			}
+			taken = append(taken, r.Key)
+		}
+	})
+	if !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+	if want := []string{"all whole", "a", "b", "all whole", "c"}; !slices.Equal(taken, want) {
+		t.Errorf("taken %v, want %v", taken, want)
+	}
+	if want := []medlarwheel.RowVersion{5, 6, 6, 7, 20, 21}; !slices.Equal(table.after, want) {
+		t.Errorf("followed after %v, want %v", table.after, want)
+	}
+	if failures != 2 {
+		t.Errorf("%d failures told", failures)
+	}
+}
