--- a/internal/scheduling/medlarcell/bench_test.go
+++ b/internal/scheduling/medlarcell/bench_test.go
@@ -46,6 +46,10 @@
 	}
 	c.Place(now)
 	c.TakeCommands()
+	for _, w := range c.workers {
+		// All starts are answered; a silent worker would not be looked at.
+		c.heard(now, w, 0)
+	}
 	return c, now
 }
 
