Keep the register out of the parts of the submissions

Found in the last read of the change: the register's four parts had the names of four parts of the submissions. On a table that is a hundred times slower, the renewals of 43 instances take two of the three transactions a second that such a part carries out, and its submissions would wait.

--- a/internal/state/medlarinstance/instance.go
+++ b/internal/state/medlarinstance/instance.go
@@ -55,10 +55,11 @@
 }
 
 // registerParts is the number of parts over which the rows are spread. A table that is a hundred times slower than usual
-// carries out some three transactions a second in each part, so that four serve the renewals of sixty instances.
+// carries out some three transactions a second in each part, so that four serve the renewals of sixty instances. They are
+// not among the parts of the submissions, which would wait for the renewals.
 const registerParts = 4
 
-func registerPart(cell string, n uint32) string { return fmt.Sprintf("%s-%d", cell, n) }
+func registerPart(cell string, n uint32) string { return fmt.Sprintf("%s-instances-%d", cell, n) }
 
 // key returns the row of an instance without its value.
 func key(cell string, id medlarwheel.InstanceID) medlartable.Row {
