--- a/internal/state/medlartable/follower.go
+++ b/internal/state/medlartable/follower.go
@@ -40,7 +40,10 @@
 func (f *Follower) Run(ctx context.Context, take Take) error {
 	from, loaded := f.From, f.From > 0
 	for ctx.Err() == nil {
-		rows, version, err := f.read(from, loaded)
+		rows, version, err := f.readUnless(ctx, from, loaded)
+		if ctx.Err() != nil {
+			break
+		}
 		if err != nil {
 			loaded = loaded && !errors.Is(err, ErrHistoryGone)
 			f.Failed(err)
@@ -56,6 +59,24 @@
 	return ctx.Err()
 }
 
+// readUnless reads unless the context ends first. The table may hold a read for most of the time that a stopping process has.
+func (f *Follower) readUnless(ctx context.Context, from medlarwheel.RowVersion, loaded bool) (rows []Row, version medlarwheel.RowVersion, err error) {
+	done := make(chan struct{})
+	var r []Row
+	var v medlarwheel.RowVersion
+	var failure error
+	go func() {
+		defer close(done)
+		r, v, failure = f.read(from, loaded)
+	}()
+	select {
+	case <-done:
+		return r, v, failure
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
 func (f *Follower) read(from medlarwheel.RowVersion, loaded bool) ([]Row, medlarwheel.RowVersion, error) {
 	if !loaded {
 		return f.ReadAll()
--- a/internal/state/medlartable/follower_test.go
+++ b/internal/state/medlartable/follower_test.go
@@ -73,3 +73,32 @@
 		t.Errorf("%d failures told", failures)
 	}
 }
+
+// holdingTable holds every read of changes until it is released.
+type holdingTable struct{ began, release chan struct{} }
+
+func (h holdingTable) Follow(Follow) (Page, error) {
+	close(h.began)
+	<-h.release
+	return Page{}, nil
+}
+
+// TestFollowerEndsWithItsContext guards against a stop that takes as long as the table holds a read.
+func TestFollowerEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	table := holdingTable{began: make(chan struct{}), release: make(chan struct{})}
+	defer close(table.release)
+	f := Follower{Store: table, From: 1, Wait: func() time.Duration { return time.Hour }, Failed: func(error) {}}
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx, func([]Row, bool) {}) }()
+	<-table.began
+	cancel()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the follower waits for the table")
+	}
+}
