Read spread tables, release cells and refuse rows in one place each

Found in a read of the whole change: - the ledger and the register of instances each hashed keys to parts and read all parts: both are now a medlartable.Spread, with the same names of parts; - the cell was given back in three places, and twice in one look when an owner was both slow and weaker than another (a second write that fails); there is one release, once; - the time of the last renewal was kept twice, a look at the register decoded its rows twice, and the answer to a removal was judged twice; - five loops decoded rows and logged those that can't be read: one does; - Sleep stands in medlarclock instead of the table's package; the follower passes its result through a channel instead of shared variables.

The package comment of medlarinstance still described the rule before promises bind.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -26,7 +26,6 @@
 	"medlarwheel/internal/operation/medlarmeter"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
-	"medlarwheel/internal/state/medlartable"
 	"medlarwheel/internal/state/medlartenure"
 	"medlarwheel/platform"
 )
@@ -102,8 +101,6 @@
 	loads    loadCache
 	tenure   tenure
 	register register
-	// registerRead is when the register was last read. Only followInstances uses it.
-	registerRead time.Time
 	// slowLooks counts the looks in a row at which the owner's orders took too long.
 	slowLooks    int
 	registration registration
@@ -173,9 +170,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.config.DrainTime)
 	defer cancel()
 	if owner := n.owner.Load(); owner != nil {
-		if err := owner.Release(ctx); err != nil {
-			n.log.Warn().Str("event", "release-failed").Err(err).Msg("")
-		}
+		n.release(ctx, owner)
 	}
 	n.unregister()
 	<-ctx.Done()
@@ -191,7 +186,7 @@
 // probeTable asks the table while it does not answer, so that submissions are accepted again as soon as it does. The probes
 // do not wait for each other: one that was sent before the table came back may stay without an answer.
 func (n *Node) probeTable(ctx context.Context) error {
-	for medlartable.Sleep(ctx, n.config.ProbeInterval) {
+	for medlarclock.Sleep(ctx, n.config.ProbeInterval) {
 		if !n.health.HasFailed() {
 			continue
 		}
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"medlarwheel"
+	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
 	"medlarwheel/internal/state/medlartable"
@@ -18,8 +19,8 @@
 type register struct {
 	mu   sync.Mutex
 	list *medlarinstance.Register
-	// readAt is when the list was last read.
-	readAt time.Time
+	// readAt is when the list was last read, and triedAt when the owner last tried to. Only followInstances uses triedAt.
+	readAt, triedAt time.Time
 }
 
 // renewRegistration keeps the row of this instance in the table, and removes it at a planned stop.
@@ -39,7 +40,7 @@
 		} else {
 			n.registration.renewed(sentAt, n.clock.Now())
 		}
-		if !medlartable.Sleep(ctx, pause) {
+		if !medlarclock.Sleep(ctx, pause) {
 			return ctx.Err()
 		}
 	}
@@ -55,7 +56,8 @@
 // heard of: the owner may go on without the table on the word of the instances that its register names.
 const minRegistered = registerTrust + time.Second
 
-// maxRegistrationAge is the age of the last renewal up to which every register names the instance.
+// maxRegistrationAge is the age of the last renewal up to which every register names the instance. It is below the lifetime
+// of a row in the register by more than the age that a register may have.
 const maxRegistrationAge = 9 * time.Second
 
 // renewed notes a renewal that was stored between two times.
@@ -77,7 +79,7 @@
 
 // followInstances follows the register while this instance owns the cell.
 func (n *Node) followInstances(ctx context.Context) error {
-	for medlartable.Sleep(ctx, extendInterval) {
+	for medlarclock.Sleep(ctx, extendInterval) {
 		owner := n.owner.Load()
 		if owner == nil {
 			continue
@@ -108,10 +110,10 @@
 // refreshRegister reads the register when it is old and the table answers.
 func (n *Node) refreshRegister() {
 	now := n.clock.Now()
-	if now.Sub(n.registerRead) < registerAge || now.Sub(n.health.LastOK()) > tableQuiet {
+	if now.Sub(n.register.triedAt) < registerAge || now.Sub(n.health.LastOK()) > tableQuiet {
 		return
 	}
-	n.registerRead = now
+	n.register.triedAt = now
 	rows, err := medlarinstance.Read(n.store, n.config.Owner.Part)
 	if err != nil {
 		n.log.Warn().Str("event", "register-read-failed").Err(err).Msg("")
@@ -155,8 +157,24 @@
 	if len(live) < 2 {
 		return
 	}
-	n.yieldForSlowness(ctx, owner)
-	n.yieldToStronger(ctx, owner, medlarinstance.Strongest(live))
+	strongest := medlarinstance.Strongest(live)
+	switch turnaround := owner.Turnaround(); {
+	case n.isSlow(turnaround):
+		n.restUntil.Store(now.Add(yieldRest).UnixNano())
+		n.log.Warn().Str("event", "cell-yielded").Int64("turnaround-ms", turnaround.Milliseconds()).Msg("")
+	case strongest >= yieldFactor*n.config.Site.Power:
+		n.log.Info().Str("event", "cell-yielded").Float64("power", n.config.Site.Power).Float64("strongest", strongest).Msg("")
+	default:
+		return
+	}
+	n.release(ctx, owner)
+}
+
+// release gives the cell back. Otherwise the others claim it once they miss its renewals.
+func (n *Node) release(ctx context.Context, owner *medlarowner.Owner) {
+	if err := owner.Release(ctx); err != nil {
+		n.log.Warn().Str("event", "release-failed").Err(err).Msg("")
+	}
 }
 
 const (
@@ -169,22 +187,14 @@
 	yieldRest = 5 * time.Second
 )
 
-// yieldForSlowness hands the cell over when this machine gives too little processor time to schedule it.
-func (n *Node) yieldForSlowness(ctx context.Context, owner *medlarowner.Owner) {
-	turnaround := owner.Turnaround()
+// isSlow reports whether this machine gives too little processor time to schedule the cell.
+func (n *Node) isSlow(turnaround time.Duration) bool {
 	if turnaround < maxTurnaround {
 		n.slowLooks = 0
-		return
-	}
-	if n.slowLooks++; n.slowLooks < slowLooks {
-		return
-	}
-	n.slowLooks = 0
-	n.restUntil.Store(n.clock.Now().Add(yieldRest).UnixNano())
-	n.log.Warn().Str("event", "cell-yielded").Int64("turnaround-ms", turnaround.Milliseconds()).Msg("")
-	if err := owner.Release(ctx); err != nil {
-		n.log.Warn().Str("event", "release-failed").Err(err).Msg("")
+		return false
 	}
+	n.slowLooks++
+	return n.slowLooks%slowLooks == 0
 }
 
 // restDelay is how much longer an instance waits before it claims a cell that it has left for its slowness. The claim of
@@ -196,17 +206,6 @@
 	return 0
 }
 
-// yieldToStronger hands the cell over when a much stronger instance is there.
-func (n *Node) yieldToStronger(ctx context.Context, owner *medlarowner.Owner, strongest float64) {
-	if strongest < yieldFactor*n.config.Site.Power {
-		return
-	}
-	n.log.Info().Str("event", "cell-yielded").Float64("power", n.config.Site.Power).Float64("strongest", strongest).Msg("")
-	if err := owner.Release(ctx); err != nil {
-		n.log.Warn().Str("event", "release-failed").Err(err).Msg("")
-	}
-}
-
 // claimDelay returns how long this instance waits before it claims a vacant cell: weak instances leave it to strong ones.
 func (n *Node) claimDelay() time.Duration {
 	readAt := n.clock.Now()
@@ -216,12 +215,9 @@
 		return claimJitter
 	}
 	n.setRegister(readAt, rows)
-	strongest := n.config.Site.Power
-	for _, r := range rows {
-		if i, err := medlarinstance.Decode(r); err == nil {
-			strongest = max(strongest, i.Power)
-		}
-	}
+	n.register.mu.Lock()
+	strongest := max(n.config.Site.Power, medlarinstance.Strongest(n.register.list.All()))
+	n.register.mu.Unlock()
 	if strongest <= 0 {
 		return n.restDelay()
 	}
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"medlarwheel"
+	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarledger"
 	"medlarwheel/internal/state/medlartable"
@@ -113,7 +114,7 @@
 	if !n.isVacant() {
 		return
 	}
-	medlartable.Sleep(ctx, n.claimDelay()+rand.N(claimJitter))
+	medlarclock.Sleep(ctx, n.claimDelay()+rand.N(claimJitter))
 	n.tenure.mu.Lock()
 	term := n.tenure.watch.Term()
 	n.tenure.mu.Unlock()
@@ -184,7 +185,7 @@
 func (n *Node) waitForClose(ctx context.Context, address string) {
 	conn, err := net.DialTimeout("tcp4", address, watchDialTimeout)
 	if err != nil {
-		medlartable.Sleep(ctx, watchPause)
+		medlarclock.Sleep(ctx, watchPause)
 		return
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
--- a/internal/scheduling/medlarowner/erase.go
+++ b/internal/scheduling/medlarowner/erase.go
@@ -1,7 +1,6 @@
 package medlarowner
 
 import (
-	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -78,14 +77,14 @@
 	return part
 }
 
-// settle takes in the result of a removal.
-func (e *eraser) settle(part string, erasures []medlarledger.Erasure, err error) {
+// settle takes in the result of a removal. It reports false if the removal has to be tried again.
+func (e *eraser) settle(part string, erasures []medlarledger.Erasure, err error) bool {
 	e.busy = false
 	var conflict *medlartable.ConflictError
 	isConflict := errors.As(err, &conflict)
 	if err != nil && !isConflict {
 		e.forgotten[part] = append(e.forgotten[part], erasures...)
-		return
+		return false
 	}
 	for _, erasure := range erasures {
 		if !isConflict {
@@ -101,10 +100,11 @@
 			e.forgotten[part] = append(e.forgotten[part], erasure)
 		}
 	}
+	return true
 }
 
 // eraseForgotten removes submissions of one part, one transaction at a time.
-func (o *Owner) eraseForgotten(ctx context.Context) {
+func (o *Owner) eraseForgotten() {
 	part := o.eraser.largest()
 	if part == "" || o.eraser.busy {
 		return
@@ -120,10 +120,10 @@
 	o.eraser.busy = true
 	go func() {
 		_, err := o.writer.Transact(medlarledger.Erase(o.config.Part, erasures))
-		var conflict *medlartable.ConflictError
-		if err != nil && !errors.As(err, &conflict) && ctx.Err() == nil {
-			o.Log.Warn().Str("event", "erase-failed").Str("part", part).Int("submissions", n).Err(err).Msg("")
-		}
-		o.post(func(time.Time) { o.eraser.settle(part, erasures, err) })
+		o.post(func(time.Time) {
+			if !o.eraser.settle(part, erasures, err) {
+				o.Log.Warn().Str("event", "erase-failed").Str("part", part).Int("submissions", n).Err(err).Msg("")
+			}
+		})
 	}()
 }
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -9,6 +9,7 @@
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/scheduling/medlarcell"
 	"medlarwheel/internal/state/medlarledger"
 	"medlarwheel/internal/state/medlartable"
@@ -24,13 +25,13 @@
 		o.wakeForFlush(wait)
 		return
 	}
-	renew := now.Sub(o.renewedAt) >= o.config.Tenure.RenewInterval || o.cell.IsDoubtful()
+	renew := now.Sub(o.RenewedAt()) >= o.config.Tenure.RenewInterval || o.cell.IsDoubtful()
 	limit := medlarledger.MaxRecords
 	var erased []medlarsubmission.ID
 	if renew {
 		erased = o.eraser.takeErased()
 		limit -= len(erased)
-		o.eraseForgotten(ctx)
+		o.eraseForgotten()
 	}
 	if !renew && !o.cell.HasFlush() {
 		if batch := o.cell.TakeFlush(0); !batch.IsEmpty() {
@@ -101,7 +102,7 @@
 			// A lost answer has taken its time already.
 			pause = 0
 		}
-		if !medlartable.Sleep(ctx, pause) {
+		if !medlarclock.Sleep(ctx, pause) {
 			return
 		}
 	}
@@ -124,11 +125,8 @@
 	}
 }
 
-// noteRenewal notes a stored renewal.
-func (o *Owner) noteRenewal(sentAt time.Time) {
-	o.renewedAt = sentAt
-	o.renewedNanos.Store(sentAt.UnixNano())
-}
+// noteRenewal notes when a stored renewal was sent.
+func (o *Owner) noteRenewal(sentAt time.Time) { o.renewedAt.Store(sentAt.UnixNano()) }
 
 // renewTookDecay is the part of the longest duration of a write that is remembered at the next one.
 const renewTookDecay = 0.8
@@ -138,7 +136,7 @@
 	if !o.Stop(ctx) {
 		return nil
 	}
-	return ReleaseTerm(o.Store, o.config.Part, o.term)
+	return o.releaseTerm()
 }
 
 // Stop ends the ownership. When it returns true, the owner gives no more orders.
@@ -156,18 +154,18 @@
 	return true
 }
 
-// ReleaseTerm marks a claim as released.
-func ReleaseTerm(store Store, part string, term medlartenure.Term) error {
-	present := term.Version
+// releaseTerm marks the claim as released.
+func (o *Owner) releaseTerm() error {
+	term := o.term
 	term.Released = true
 	value, err := json.Marshal(term)
 	if err != nil {
 		return errors.Wrap(err, "release of a claim")
 	}
-	row := medlartable.Row{Table: medlartenure.Table, Part: part, Key: medlartenure.KeyTerm}
+	row := medlartable.Row{Table: medlartenure.Table, Part: o.config.Part, Key: medlartenure.KeyTerm}
 	t := medlartable.Transaction{Require: []medlartable.Row{row}, Put: []medlartable.Row{row}}
-	t.Require[0].Version = present
+	t.Require[0].Version = term.Version
 	t.Put[0].Value = value
-	_, err = store.Transact(t)
+	_, err = o.Store.Transact(t)
 	return medlarwheel.AtStep("release cell", "", err)
 }
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -5,11 +5,13 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
+	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/scheduling/medlarcell"
 	"medlarwheel/internal/state/medlarledger"
 	"medlarwheel/internal/state/medlartable"
@@ -74,61 +76,45 @@
 		submissions, o.followFrom, err = o.readSubmissions(ctx)
 		return err
 	})
-	group.Go(func() (err error) {
-		progress, _, err = o.readAll(ctx, medlartable.Range{Table: medlarledger.TableProgress, Part: o.config.Part})
-		return err
-	})
 	group.Go(func() (err error) {
 		workers, o.workersFrom, err = o.readAll(ctx, o.Registry.Range)
 		return err
 	})
-	group.Go(func() (err error) {
-		fleet, _, err = o.readAll(ctx, medlarledger.FleetRange(o.config.Part))
-		return err
-	})
-	group.Go(func() (err error) {
-		learnt, _, err = o.readAll(ctx, medlarledger.LearntRange(o.config.Part))
-		return err
-	})
+	for _, own := range []struct {
+		rows  *[]medlartable.Row
+		which medlartable.Range
+	}{
+		{&progress, medlartable.Range{Table: medlarledger.TableProgress, Part: o.config.Part}},
+		{&fleet, medlarledger.FleetRange(o.config.Part)},
+		{&learnt, medlarledger.LearntRange(o.config.Part)},
+	} {
+		group.Go(func() (err error) {
+			*own.rows, _, err = o.readAll(ctx, own.which)
+			return err
+		})
+	}
 	if err := group.Wait(); err != nil {
 		return err
 	}
 	now := o.Clock.Now()
 	o.restore(now, submissions, progress)
 	o.cell.SetWorkers(now, o.decodeWorkers(workers))
-	o.cell.RestoreFleet(now, o.decodeFleet(fleet))
-	for _, r := range learnt {
-		if snapshot, err := medlarledger.DecodeLearnt(r); err != nil {
-			o.Log.Warn().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
-		} else {
-			o.cell.RestoreLearnt(snapshot)
-		}
+	o.cell.RestoreFleet(now, decodeRows(fleet, medlarledger.DecodeFleet, o.refuse(zerolog.ErrorLevel)))
+	for _, snapshot := range decodeRows(learnt, medlarledger.DecodeLearnt, o.refuse(zerolog.WarnLevel)) {
+		o.cell.RestoreLearnt(snapshot)
 	}
 	o.Log.Info().Str("event", "cell-loaded").Uint64("term", o.term.Number).Int("submission-rows", len(submissions)).
 		Int("workers", len(workers)).Dur("took", now.Sub(began)).Msg("")
 	return nil
 }
 
-// readSubmissions reads all parts that hold submissions, and returns the version from which all their changes can be followed.
+// readSubmissions reads all submissions, and returns the version from which their changes can be followed.
 func (o *Owner) readSubmissions(ctx context.Context) ([]medlartable.Row, medlarwheel.RowVersion, error) {
-	ranges := medlarledger.SubmissionRanges(o.config.Part)
-	parts := make([][]medlartable.Row, len(ranges))
-	versions := make([]medlarwheel.RowVersion, len(ranges))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxPartReads)
-	for i, r := range ranges {
-		group.Go(func() (err error) {
-			parts[i], versions[i], err = o.readAll(ctx, r)
-			return err
-		})
-	}
-	err := group.Wait()
-	return slices.Concat(parts...), slices.Min(versions), err
+	return medlarledger.Submissions(o.config.Part).ReadAll(func(r medlartable.Range) ([]medlartable.Row, medlarwheel.RowVersion, error) {
+		return o.readAll(ctx, r)
+	})
 }
 
-// maxPartReads bounds the reads at a time, below the number of connections to the table.
-const maxPartReads = 12
-
 // readAll repeats a read until it succeeds or the context ends.
 func (o *Owner) readAll(ctx context.Context, r medlartable.Range) ([]medlartable.Row, medlarwheel.RowVersion, error) {
 	for {
@@ -137,76 +123,70 @@
 			return rows, version, nil
 		}
 		o.Log.Warn().Str("event", "table-read-failed").Str("table", r.Table).Err(err).Msg("")
-		if !medlartable.Sleep(ctx, o.config.FollowRetry) {
+		if !medlarclock.Sleep(ctx, o.config.FollowRetry) {
 			return nil, 0, ctx.Err()
 		}
 	}
 }
 
 func (o *Owner) restore(now time.Time, submissions, progress []medlartable.Row) {
+	refuse := o.refuse(zerolog.ErrorLevel)
 	states := make(map[medlarsubmission.ID]medlarcell.Progress, len(progress))
 	for _, r := range progress {
-		p, err := medlarledger.DecodeProgress(r)
-		if err != nil {
-			o.Log.Error().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
-			continue
+		if p, err := medlarledger.DecodeProgress(r); err != nil {
+			refuse(r, err)
+		} else {
+			states[medlarsubmission.ID(r.Key)] = p
 		}
-		states[medlarsubmission.ID(r.Key)] = p
 	}
 	entries, cancelled := o.decodeEntries(submissions)
 	for i := range entries {
 		s := entries[i].Submission
 		o.eraser.versions[s.ID] = entries[i].Version
 		if err := o.cell.Restore(now, s, states[s.ID], cancelled[s.ID]); err != nil {
-			o.Log.Error().Str("event", "row-refused").Str("table", medlarledger.TableProgress).Str("id", string(s.ID)).Err(err).Msg("")
+			refuse(medlartable.Row{Table: medlarledger.TableProgress, Key: string(s.ID)}, err)
 		}
 	}
 	o.eraser.findOrphans(submissions, progress)
 }
 
-func (o *Owner) decodeEntries(rows []medlartable.Row) (accepted []medlarledger.Entry, cancelled map[medlarsubmission.ID]bool) {
-	cancelled = map[medlarsubmission.ID]bool{}
-	for _, r := range rows {
-		if r.Deleted {
-			continue
-		}
-		e, err := medlarledger.DecodeEntry(r)
-		switch {
-		case err != nil:
-			o.Log.Error().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
-		case e.Cancel:
-			cancelled[e.ID] = true
-		default:
-			accepted = append(accepted, e)
-		}
+// refuse returns a function that logs a row that can't be read.
+func (o *Owner) refuse(level zerolog.Level) func(r medlartable.Row, err error) {
+	return func(r medlartable.Row, err error) {
+		o.Log.WithLevel(level).Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
 	}
-	return accepted, cancelled
 }
 
-func (o *Owner) decodeWorkers(rows []medlartable.Row) []medlarorder.Worker {
-	var workers []medlarorder.Worker
+// decodeRows decodes the rows that can be read.
+func decodeRows[T any](rows []medlartable.Row, decode func(medlartable.Row) (T, error), refuse func(medlartable.Row, error)) []T {
+	values := make([]T, 0, len(rows))
 	for _, r := range rows {
-		w, err := o.Registry.Decode(r.Key, r.Value)
-		if err != nil {
-			o.Log.Warn().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
-			continue
+		if v, err := decode(r); err != nil {
+			refuse(r, err)
+		} else {
+			values = append(values, v)
 		}
-		workers = append(workers, w)
 	}
-	return workers
+	return values
 }
 
-func (o *Owner) decodeFleet(rows []medlartable.Row) []medlarorder.Worker {
-	var fleet []medlarorder.Worker
-	for _, r := range rows {
-		w, err := medlarledger.DecodeFleet(r)
-		if err != nil {
-			o.Log.Error().Str("event", "row-refused").Str("table", r.Table).Str("id", r.Key).Err(err).Msg("")
-			continue
+func (o *Owner) decodeEntries(rows []medlartable.Row) (accepted []medlarledger.Entry, cancelled map[medlarsubmission.ID]bool) {
+	cancelled = map[medlarsubmission.ID]bool{}
+	present := slices.DeleteFunc(slices.Clone(rows), func(r medlartable.Row) bool { return r.Deleted })
+	for _, e := range decodeRows(present, medlarledger.DecodeEntry, o.refuse(zerolog.ErrorLevel)) {
+		if e.Cancel {
+			cancelled[e.ID] = true
+		} else {
+			accepted = append(accepted, e)
 		}
-		fleet = append(fleet, w)
 	}
-	return fleet
+	return accepted, cancelled
+}
+
+// decodeWorkers reads registrations. Others may write such rows too, so that one that can't be read is no error here.
+func (o *Owner) decodeWorkers(rows []medlartable.Row) []medlarorder.Worker {
+	decode := func(r medlartable.Row) (medlarorder.Worker, error) { return o.Registry.Decode(r.Key, r.Value) }
+	return decodeRows(rows, decode, o.refuse(zerolog.WarnLevel))
 }
 
 // followSubmissions takes in newly accepted submissions and cancellations.
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"medlarwheel"
+	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/scheduling/medlarcell"
-	"medlarwheel/internal/state/medlartable"
 )
 
 // carryOut carries out the scheduler's commands, each on a goroutine of its own.
@@ -79,7 +79,7 @@
 }
 
 func (o *Owner) hold(ctx context.Context, agent Agent, c medlarcell.Command) {
-	if c.Delay > 0 && !medlartable.Sleep(ctx, c.Delay) {
+	if c.Delay > 0 && !medlarclock.Sleep(ctx, c.Delay) {
 		return
 	}
 	sentAt := o.Clock.Now()
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -131,10 +131,9 @@
 	flushWake bool
 	flushedAt time.Time
 	learntAt  time.Time
-	renewedAt time.Time
+	// renewedAt is when the last stored renewal was sent, in nanoseconds of the Unix time.
+	renewedAt atomic.Int64
 	renewTook time.Duration
-	// renewedNanos is renewedAt in nanoseconds of the Unix time, for other goroutines.
-	renewedNanos atomic.Int64
 	// turnaround tells whether this machine gives the owner its processor time.
 	turnaround turnaround
 	claimedAt  time.Time
@@ -156,13 +155,13 @@
 		config: c, Dependencies: d, term: term, cell: medlarcell.New(c.Cell),
 		chain:  medlarledger.NewChain(c.Part, term.Number, term.Version),
 		agents: map[medlarwheel.WorkerID]*agentEntry{}, events: make(chan func(time.Time), eventBuffer),
-		done: make(chan struct{}), renewedAt: claimedAt, claimedAt: claimedAt,
+		done: make(chan struct{}), claimedAt: claimedAt,
 		writer: medlarhedge.New(c.Hedge, d.Store, d.Clock, func(bool) {}), eraser: newEraser(),
 	}
 	o.cell.Begin(claimedAt, medlarcell.Tenure{
 		Fence: medlartenure.Fence(term.Version), Term: term.Number, Expired: before.Expired, Grace: before.Grace,
 	})
-	o.renewedNanos.Store(claimedAt.UnixNano())
+	o.noteRenewal(claimedAt)
 	o.cell.Authorize(claimedAt.Add(c.Tenure.OwnerTimeout))
 	return o
 }
@@ -286,7 +285,7 @@
 func (o *Owner) Term() uint64 { return o.term.Number }
 
 // RenewedAt returns when the last renewal that the table has stored was sent.
-func (o *Owner) RenewedAt() time.Time { return time.Unix(0, o.renewedNanos.Load()) }
+func (o *Owner) RenewedAt() time.Time { return time.Unix(0, o.renewedAt.Load()) }
 
 // Extend lets the owner give orders until the given time.
 func (o *Owner) Extend(until time.Time) {
--- a/internal/state/medlarinstance/instance.go
+++ b/internal/state/medlarinstance/instance.go
@@ -1,8 +1,8 @@
 // Package medlarinstance holds the register of instances in the platform's table, and the rule by which an owner that
 // can't reach the table may go on.
 //
-// Every instance renews a row of its own. While the table answers nobody, nobody can claim the cell; an owner that has
-// heard this from every registered instance may therefore go on giving orders for as long as a claim would take.
+// Every instance renews a row of its own. An owner that can't renew its claim may go on giving orders for as long as every
+// registered instance has promised not to claim the cell.
 //
 // # Usage
 //
@@ -14,13 +14,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"medlarwheel"
 	"medlarwheel/internal/state/medlartable"
@@ -59,14 +55,14 @@
 // not among the parts of the submissions, which would wait for the renewals.
 const registerParts = 4
 
-func registerPart(cell string, n uint32) string { return fmt.Sprintf("%s-instances-%d", cell, n) }
+// spread returns the table of the register of a cell.
+func spread(cell string) medlartable.Spread {
+	return medlartable.Spread{Table: Table, Prefix: cell + "-instances", Parts: registerParts}
+}
 
 // key returns the row of an instance without its value.
 func key(cell string, id medlarwheel.InstanceID) medlartable.Row {
-	h := fnv.New32a()
-	// A hash never fails to write.
-	_, _ = h.Write([]byte(id))
-	return medlartable.Row{Table: Table, Part: registerPart(cell, h.Sum32()%registerParts), Key: string(id)}
+	return medlartable.Row{Table: Table, Part: spread(cell).Part(string(id)), Key: string(id)}
 }
 
 // Row returns the row by which an instance registers.
@@ -84,17 +80,10 @@
 
 // Read returns the rows of all instances of a cell.
 func Read(reader medlartable.Reader, cell string) ([]medlartable.Row, error) {
-	parts := make([][]medlartable.Row, registerParts)
-	var group errgroup.Group
-	for n := range parts {
-		group.Go(func() (err error) {
-			r := medlartable.Range{Table: Table, Part: registerPart(cell, uint32(n))}
-			parts[n], _, err = medlartable.ReadAll(reader, r)
-			return err
-		})
-	}
-	err := group.Wait()
-	return slices.Concat(parts...), err
+	rows, _, err := spread(cell).ReadAll(func(r medlartable.Range) ([]medlartable.Row, medlarwheel.RowVersion, error) {
+		return medlartable.ReadAll(reader, r)
+	})
+	return rows, err
 }
 
 // Decode reads and checks a row.
@@ -158,6 +147,15 @@
 	return live
 }
 
+// All returns all instances in the register.
+func (g *Register) All() []Instance {
+	all := make([]Instance, 0, len(g.entries))
+	for _, e := range g.entries {
+		all = append(all, e.instance)
+	}
+	return all
+}
+
 // Strongest returns the highest power among the instances, or zero if there are none.
 func Strongest(instances []Instance) float64 {
 	power := 0.0
--- a/internal/state/medlarledger/ledger.go
+++ b/internal/state/medlarledger/ledger.go
@@ -18,8 +18,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
 
 	"github.com/pkg/errors"
 
@@ -55,23 +53,14 @@
 // submissions a second. Every change of owner reads all of them.
 const submissionParts = 32
 
-func submissionPart(cell string, n uint32) string { return fmt.Sprintf("%s-%d", cell, n) }
+// Submissions returns the table of the submissions and cancellations of a cell.
+func Submissions(cell string) medlartable.Spread {
+	return medlartable.Spread{Table: TableSubmissions, Prefix: cell, Parts: submissionParts}
+}
 
 // SubmissionPart returns the part that holds a submission and its cancellation.
 func SubmissionPart(cell string, id medlarsubmission.ID) string {
-	h := fnv.New32a()
-	// A hash never fails to write.
-	_, _ = h.Write([]byte(id))
-	return submissionPart(cell, h.Sum32()%submissionParts)
-}
-
-// SubmissionRanges selects all submissions and cancellations of a cell, a range for each part.
-func SubmissionRanges(cell string) []medlartable.Range {
-	ranges := make([]medlartable.Range, 0, submissionParts)
-	for n := range uint32(submissionParts) {
-		ranges = append(ranges, medlartable.Range{Table: TableSubmissions, Part: submissionPart(cell, n)})
-	}
-	return ranges
+	return Submissions(cell).Part(string(id))
 }
 
 // SubmissionRow returns the row of an accepted submission.
--- a/internal/state/medlarledger/ledger_test.go
+++ b/internal/state/medlarledger/ledger_test.go
@@ -165,7 +165,7 @@
 // TestSubmissionRangesCoverAll guards against submissions in a part that a new owner does not read.
 func TestSubmissionRangesCoverAll(t *testing.T) {
 	parts := map[string]bool{}
-	for _, r := range SubmissionRanges("c0") {
+	for _, r := range Submissions("c0").Ranges() {
 		parts[r.Part] = true
 	}
 	used := map[string]bool{}
--- a/internal/state/medlarpatience/patience.go
+++ b/internal/state/medlarpatience/patience.go
@@ -50,10 +50,6 @@
 func (p *Patience) Timeout() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.timeout()
-}
-
-func (p *Patience) timeout() time.Duration {
 	timeout := max(time.Duration(p.config.Factor*float64(p.usual)), p.backoff, p.config.Min)
 	return min(timeout, p.config.Max)
 }
--- a/internal/state/medlartable/follower.go
+++ b/internal/state/medlartable/follower.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"medlarwheel"
+	"medlarwheel/internal/operation/medlarclock"
 )
 
 // FollowStore is a table whose changes can be followed.
@@ -47,31 +48,33 @@
 		if err != nil {
 			loaded = loaded && !errors.Is(err, ErrHistoryGone)
 			f.Failed(err)
-			Sleep(ctx, f.Retry)
+			medlarclock.Sleep(ctx, f.Retry)
 			continue
 		}
 		take(rows, !loaded)
 		loaded, from = true, max(from, version)
 		if len(rows) > 0 {
-			Sleep(ctx, f.Pause)
+			medlarclock.Sleep(ctx, f.Pause)
 		}
 	}
 	return ctx.Err()
 }
 
 // readUnless reads unless the context ends first. The table may hold a read for most of the time that a stopping process has.
-func (f *Follower) readUnless(ctx context.Context, from medlarwheel.RowVersion, loaded bool) (rows []Row, version medlarwheel.RowVersion, err error) {
-	done := make(chan struct{})
-	var r []Row
-	var v medlarwheel.RowVersion
-	var failure error
+func (f *Follower) readUnless(ctx context.Context, from medlarwheel.RowVersion, loaded bool) ([]Row, medlarwheel.RowVersion, error) {
+	type result struct {
+		rows    []Row
+		version medlarwheel.RowVersion
+		err     error
+	}
+	done := make(chan result, 1)
 	go func() {
-		defer close(done)
-		r, v, failure = f.read(from, loaded)
+		rows, version, err := f.read(from, loaded)
+		done <- result{rows: rows, version: version, err: err}
 	}()
 	select {
-	case <-done:
-		return r, v, failure
+	case r := <-done:
+		return r.rows, r.version, r.err
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
 	}
@@ -84,15 +87,3 @@
 	page, err := f.Store.Follow(Follow{Table: f.Table, After: from, Wait: f.Wait()})
 	return page.Rows, page.Version, err
 }
-
-// Sleep waits and reports whether the context is still alive.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
