Count silent workers as unusable in one place

The silence of workers and data centres was checked beside isUsable where tasks are placed, and not where workers are priced. It is part of isUsable now, so that the room of silent workers no longer counts in prices either; everything else behaves as before. Each worker points to the silence of its data centre, which was looked up by name for every worker in every pass.

Also: one function for the share of a task on a worker, one constant for thousandths of a core, and Size.Plus and the result of Cancel, which nothing used, are gone. Size stays beside the root's Resources, because rows are stored with its names; its comment says so.

--- a/internal/acceptance/medlardoor/door.go
+++ b/internal/acceptance/medlardoor/door.go
@@ -74,15 +74,12 @@
 	return min(max(wait, c.MinRetryAfter), c.MaxRetryAfter)
 }
 
-// milli is the number of thousandths of a core in a core.
-const milli = 1000
-
 // lastingCores returns the cores that the tasks of a submission that last ask for.
 func lastingCores(s *medlarsubmission.Submission) float64 {
 	cores := 0.0
 	for i := range s.Steps {
 		if step := &s.Steps[i]; step.LongRunning && !step.Fills {
-			cores += float64(step.Count) * float64(step.Size.MilliCPU) / milli
+			cores += float64(step.Count) * float64(step.Size.MilliCPU) / medlarsubmission.MilliPerCore
 		}
 	}
 	return cores
--- a/internal/acceptance/medlarsubmission/submission.go
+++ b/internal/acceptance/medlarsubmission/submission.go
@@ -56,7 +56,11 @@
 // IsValid reports whether s is a known state.
 func (s State) IsValid() bool { return s == StateQueued || s == StateRunning || s.IsFinal() }
 
-// Size is the room that one task takes on a worker.
+// MilliPerCore is the number of thousandths of a core in a core.
+const MilliPerCore = 1000
+
+// Size is the room that one task takes on a worker. It is a type of its own beside medlarwheel.Resources, because rows of
+// submissions and workers are stored with its names.
 type Size struct {
 	// MilliCPU is in thousandths of a core.
 	MilliCPU int64 `json:"milli-cpu,omitempty"`
@@ -64,11 +68,6 @@
 	GPU      int64 `json:"gpu,omitempty"`
 }
 
-// Plus returns the sum of both sizes.
-func (s Size) Plus(o Size) Size {
-	return Size{MilliCPU: s.MilliCPU + o.MilliCPU, MemoryMB: s.MemoryMB + o.MemoryMB, GPU: s.GPU + o.GPU}
-}
-
 // Minus returns the difference of both sizes.
 func (s Size) Minus(o Size) Size {
 	return Size{MilliCPU: s.MilliCPU - o.MilliCPU, MemoryMB: s.MemoryMB - o.MemoryMB, GPU: s.GPU - o.GPU}
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -200,14 +200,13 @@
 // counted reports whether the job is in the number of waiting submissions.
 func (j *job) counted() bool { return !j.started && j.submission.Times == 0 }
 
-// Cancel stops all tasks of a submission for good. It reports whether the submission is known.
-func (c *Cell) Cancel(now time.Time, id medlarsubmission.ID) bool {
+// Cancel stops all tasks of a submission for good, if it is known.
+func (c *Cell) Cancel(now time.Time, id medlarsubmission.ID) {
 	j, known := c.jobs[id]
 	if known && !j.state.IsFinal() {
 		c.cancel(now, j)
 		c.note(Note{Kind: NoteCancelled, Submission: id, Route: j.submission.Route, Age: now.Sub(j.submission.AcceptedAt)})
 	}
-	return known
 }
 
 func (c *Cell) cancel(now time.Time, j *job) { c.finish(now, j, medlarsubmission.StateCancelled) }
@@ -270,6 +269,7 @@
 	w := c.workers[info.ID]
 	if w == nil {
 		w = newWorker(info, c.fence, c.settleAt)
+		w.centre = c.centres.of(info.DataCentre)
 		c.workers[info.ID] = w
 		c.sorted = nil
 		c.joined = append(c.joined, info.ID)
@@ -284,7 +284,7 @@
 		// An older registration than the worker's own report.
 		return
 	}
-	w.info = info
+	w.info, w.centre = info, c.centres.of(info.DataCentre)
 	if info.Life != w.life {
 		c.restarted(now, w, info.Life)
 	}
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -129,10 +129,8 @@
 // blame counts a failed run against the worker. Failures of different submissions in a row point to the worker; those of
 // one submission point to the submission.
 func (c *Cell) blame(now time.Time, w *worker, j *job) {
-	for _, id := range w.failedJobs {
-		if id == j.submission.ID {
-			return
-		}
+	if slices.Contains(w.failedJobs, j.submission.ID) {
+		return
 	}
 	w.failedJobs = append(w.failedJobs, j.submission.ID)
 	if len(w.failedJobs) < c.config.FailuresToSuspend {
--- a/internal/scheduling/medlarcell/interference.go
+++ b/internal/scheduling/medlarcell/interference.go
@@ -52,8 +52,11 @@
 func (r *run) image() medlarpressure.Image { return medlarpressure.Image(r.step.spec.Image) }
 
 // share returns the part of the worker's processors that a filling run asks for at full pace.
-func (r *run) share() float64 {
-	return float64(r.step.spec.Size.MilliCPU) / float64(max(1, r.worker.info.Capacity.MilliCPU))
+func (r *run) share() float64 { return r.step.shareOf(r.worker) }
+
+// shareOf returns the part of the worker's processors that a task of the step asks for.
+func (s *step) shareOf(w *worker) float64 {
+	return float64(s.spec.Size.MilliCPU) / float64(max(1, w.info.Capacity.MilliCPU))
 }
 
 // limit returns the level at which a serving run reaches its tail target.
@@ -272,7 +275,7 @@
 		c.updateRooms(w)
 	}
 	image := medlarpressure.Image(s.spec.Image)
-	share := float64(s.spec.Size.MilliCPU) / float64(max(1, w.info.Capacity.MilliCPU))
+	share := s.shareOf(w)
 	for i := range w.rooms {
 		rise := share * c.pressure.Pressure(image, w.rooms[i].image)
 		if rise > w.rooms[i].room-c.config.Interference.HopeMargins[s.rank.Hope] {
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -164,7 +164,7 @@
 }
 
 // milli is the number of thousandths of a core in a core.
-const milli = 1000
+const milli = medlarsubmission.MilliPerCore
 
 // chains returns the longest chain of estimated work from each step to the end.
 func chains(steps []medlarsubmission.Step) []time.Duration {
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -106,7 +106,7 @@
 	}
 	usable := make([]*worker, 0, len(c.sorted))
 	for _, w := range c.sorted {
-		if w.isUsable(now, &c.config) && !c.isSilent(now, w) {
+		if w.isUsable(now, &c.config) {
 			usable = append(usable, w)
 		}
 	}
--- a/internal/scheduling/medlarcell/silence.go
+++ b/internal/scheduling/medlarcell/silence.go
@@ -28,30 +28,30 @@
 // asked notes an order to a worker.
 func (c *Cell) asked(now time.Time, w *worker) {
 	w.silence.asked(now)
-	c.centreOf(w).asked(now)
+	w.centre.asked(now)
 }
 
 // heard notes an answer of a worker, with its clock if the answer has one.
 func (c *Cell) heard(now time.Time, w *worker, clock time.Duration) {
 	w.heard(now, clock)
 	w.silence.answered()
-	c.centreOf(w).answered()
-}
-
-func (c *Cell) centreOf(w *worker) *silence {
-	s := c.centres[w.info.DataCentre]
-	if s == nil {
-		s = &silence{}
-		c.centres[w.info.DataCentre] = s
-	}
-	return s
+	w.centre.answered()
 }
 
 // isSilent reports whether a worker, or all workers of its data centre, owe the answer to an order for so long that they
 // get no new tasks until one answers. A task that is sent into a partition is stuck there until its lease ends.
-func (c *Cell) isSilent(now time.Time, w *worker) bool {
-	return w.silence.isSilent(now, c.config.SilenceTimeout) || c.centreOf(w).isSilent(now, c.config.SilenceTimeout)
+func (w *worker) isSilent(now time.Time, c *Config) bool {
+	return w.silence.isSilent(now, c.SilenceTimeout) || w.centre.isSilent(now, c.SilenceTimeout)
 }
 
 // centres holds the silence of each data centre.
 type centres map[medlarwheel.DataCentreID]*silence
+
+func (m centres) of(id medlarwheel.DataCentreID) *silence {
+	s := m[id]
+	if s == nil {
+		s = &silence{}
+		m[id] = s
+	}
+	return s
+}
--- a/internal/scheduling/medlarcell/waiting.go
+++ b/internal/scheduling/medlarcell/waiting.go
@@ -36,7 +36,7 @@
 		switch {
 		case !w.registered || !w.reported || w.clockAt.IsZero():
 			away++
-		case now.Sub(w.contact) >= c.config.ContactTimeout || c.isSilent(now, w):
+		case now.Sub(w.contact) >= c.config.ContactTimeout || w.isSilent(now, &c.config):
 			silent++
 		case w.info.Draining:
 			draining++
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -22,6 +22,8 @@
 	// contact is when the worker last answered.
 	contact time.Time
 	silence silence
+	// centre is the silence of the worker's data centre.
+	centre *silence
 	// clock is the worker's clock at clockAt or earlier.
 	clock   time.Duration
 	clockAt time.Time
@@ -104,7 +106,7 @@
 // isUsable reports whether the worker may get new tasks.
 func (w *worker) isUsable(now time.Time, c *Config) bool {
 	return w.registered && w.recorded && w.reported && !w.fencedOff && !w.info.Draining && !now.Before(w.pausedTo) &&
-		now.Sub(w.contact) < c.ContactTimeout && !w.clockAt.IsZero()
+		now.Sub(w.contact) < c.ContactTimeout && !w.clockAt.IsZero() && !w.isSilent(now, c)
 }
 
 // add takes room for a run.
