Share the seeds of random tests and other repeated test code

Eight packages fixed the flags of rapid in a TestMain of their own, in three versions: internal/testing/medlarseed does, with the same values. A flag that the command line sets is kept; two versions overrode one of them.

--- a/internal/acceptance/medlarintake/intake_test.go
+++ b/internal/acceptance/medlarintake/intake_test.go
@@ -116,6 +116,15 @@
 	began chan string
 }
 
+// newGatedStore returns a store and the gate of its part p.
+func newGatedStore() (*gatedStore, chan struct{}) {
+	gate := make(chan struct{})
+	return &gatedStore{
+		scriptedStore: scriptedStore{rows: map[string]bool{}},
+		gates:         map[string]chan struct{}{"p": gate}, began: make(chan string, 4),
+	}, gate
+}
+
 func (g *gatedStore) TransactWithin(t medlartable.Transaction, timeout time.Duration) (medlartable.Commit, error) {
 	part := t.Put[0].Part
 	g.began <- part
@@ -127,11 +136,7 @@
 
 // TestWithdrawnRequestIsTrue guards against "not stored" for a request whose write is on its way when its time is over.
 func TestWithdrawnRequestIsTrue(t *testing.T) {
-	gate := make(chan struct{})
-	store := &gatedStore{
-		scriptedStore: scriptedStore{rows: map[string]bool{}},
-		gates:         map[string]chan struct{}{"p": gate}, began: make(chan string, 4),
-	}
+	store, gate := newGatedStore()
 	i := newIntake(store)
 	ctx, cancel := context.WithCancel(context.Background())
 	result := make(chan Result, 1)
@@ -162,11 +167,7 @@
 
 // TestPartsDoNotWaitForEachOther guards against submissions that wait for the slow write of another part.
 func TestPartsDoNotWaitForEachOther(t *testing.T) {
-	gate := make(chan struct{})
-	store := &gatedStore{
-		scriptedStore: scriptedStore{rows: map[string]bool{}},
-		gates:         map[string]chan struct{}{"p": gate}, began: make(chan string, 4),
-	}
+	store, gate := newGatedStore()
 	i := newIntake(store)
 	result := make(chan Result, 1)
 	go func() { result <- i.Add(context.Background(), row("k")) }()
--- a/medlaraccount/admission_test.go
+++ b/medlaraccount/admission_test.go
@@ -1,9 +1,7 @@
 package medlaraccount_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -11,19 +9,12 @@
 	"pgregory.net/rapid"
 
 	"medlarwheel"
+	"medlarwheel/internal/testing/medlarseed"
 	"medlarwheel/medlaraccount"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "11", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests unless the command line names one.
+func TestMain(m *testing.M) { medlarseed.Main(m, medlarseed.Flags{"rapid.seed": "11"}) }
 
 // ledger is the naive version: it keeps every request in a list and decides by scanning all of them.
 type ledger struct {
--- a/medlarburn/burn_test.go
+++ b/medlarburn/burn_test.go
@@ -17,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"medlarwheel"
+	"medlarwheel/internal/testing/medlarseed"
 )
 
 var (
@@ -24,16 +25,8 @@
 	epoch  = time.Date(2026, 8, 1, 12, 0, 0, 0, time.UTC)
 )
 
-// TestMain fixes the seed of the generated tests unless the command line names one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("20260801")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests unless the command line names one.
+func TestMain(m *testing.M) { medlarseed.Main(m, medlarseed.Flags{"rapid.seed": "20260801"}) }
 
 // silent is a test that only remembers its failure, so that a check can be shown to find a planted fault.
 type silent struct {
--- a/medlarjob/sim_test.go
+++ b/medlarjob/sim_test.go
@@ -1,28 +1,17 @@
 package medlarjob_test
 
 import (
-	"flag"
-	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"medlarwheel/internal/testing/medlarseed"
 )
 
-// TestMain fixes the seed of the random tests unless the command line names one, so that runs in CI repeat.
+// TestMain fixes the seed of the random tests unless the command line names one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20260304")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	if flag.Lookup("rapid.checks").Value.String() == "100" {
-		_ = flag.Set("rapid.checks", "10")
-		_ = flag.Set("rapid.steps", "100")
-	}
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
+	medlarseed.Main(m, medlarseed.Flags{"rapid.seed": "20260304", "rapid.checks": "10", "rapid.steps": "100"})
 }
 
 // Guards against commitments beyond a worker, two running attempts of one task, checkpoints that are resumed twice or
--- a/medlarlease/lease_test.go
+++ b/medlarlease/lease_test.go
@@ -1,9 +1,7 @@
 package medlarlease_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"reflect"
 	"slices"
 	"testing"
@@ -12,21 +10,14 @@
 	"pgregory.net/rapid"
 
 	"medlarwheel"
+	"medlarwheel/internal/testing/medlarseed"
 	"medlarwheel/medlarlease"
 )
 
 var start = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
 
-// TestMain fixes the seed of the random tests unless the command line names one, so that runs in CI repeat.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20260301")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests unless the command line names one.
+func TestMain(m *testing.M) { medlarseed.Main(m, medlarseed.Flags{"rapid.seed": "20260301"}) }
 
 // Guards against a holder and an observer that both count the lease as theirs, for any delay of the renewal and of the
 // reads.
--- a/medlarplacement/main_test.go
+++ b/medlarplacement/main_test.go
@@ -2,24 +2,15 @@
 
 import (
 	"flag"
-	"fmt"
-	"os"
 	"runtime"
 	"testing"
+
+	"medlarwheel/internal/testing/medlarseed"
 )
 
-// TestMain fixes the seed of the generated tests unless the command line names one.
+// TestMain fixes the seed of the random tests unless the command line names one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("20260801")
-	}
-	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("1000")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
+	medlarseed.Main(m, medlarseed.Flags{"rapid.seed": "20260801", "rapid.checks": "1000"})
 }
 
 // recorder is a test that records failure, so that a check can be shown to find a planted fault.
--- a/medlarquota/queue_test.go
+++ b/medlarquota/queue_test.go
@@ -3,10 +3,8 @@
 import (
 	"cmp"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -14,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"medlarwheel"
+	"medlarwheel/internal/testing/medlarseed"
 	"medlarwheel/medlarquota"
 )
 
@@ -22,16 +21,8 @@
 	capacity = medlarwheel.Resources{CPU: 1000, Memory: 4000, Accelerators: 8}
 )
 
-// TestMain fixes the seed of the random tests unless the command line names one, so that runs in CI repeat.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20260303")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests unless the command line names one.
+func TestMain(m *testing.M) { medlarseed.Main(m, medlarseed.Flags{"rapid.seed": "20260303"}) }
 
 // naive is the queue as its documentation states it: it looks at everything for every item.
 type naive struct {
--- a/medlarupstream/main_test.go
+++ b/medlarupstream/main_test.go
@@ -1,11 +1,10 @@
 package medlarupstream
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"time"
+
+	"medlarwheel/internal/testing/medlarseed"
 )
 
 var testStart = time.Unix(1_700_000_000, 0)
@@ -14,13 +13,5 @@
 
 const ms = time.Millisecond
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "11", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests unless the command line names one.
+func TestMain(m *testing.M) { medlarseed.Main(m, medlarseed.Flags{"rapid.seed": "11"}) }
--- a/medlarworker/record_test.go
+++ b/medlarworker/record_test.go
@@ -2,13 +2,12 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"medlarwheel"
+	"medlarwheel/internal/testing/medlarseed"
 	"medlarwheel/medlarlease"
 	"medlarwheel/medlarworker"
 )
@@ -41,16 +40,8 @@
 
 func cores(n medlarwheel.MilliCPU) medlarwheel.Resources { return medlarwheel.Resources{CPU: n} }
 
-// TestMain fixes the seed of the random tests unless the command line names one, so that runs in CI repeat.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20260302")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests unless the command line names one.
+func TestMain(m *testing.M) { medlarseed.Main(m, medlarseed.Flags{"rapid.seed": "20260302"}) }
 
 // Guards against commitments beyond the size, second commitments of a task, stale owners, and releases without proof.
 func TestCommitAndRelease(t *testing.T) {
