Look only at changed workers, and once per step, when tasks are placed

Cause: the owner of 890 workers was short of processor time. At 3,000 starts a second asked only 1,344 were made, because placement may take a fifth of the processor's time.

Change: the tasks of a step share one look at all workers (a heap of candidates; a start changes the score of one worker). Doubtful workers, unacknowledged ends and held renewals are kept in lists instead of being searched among all workers. A run that is being stopped now frees the level of the serving tasks beside it at once: TestNothingWaitsWithRoom found that tasks waited until something else changed on the worker.

--- a/internal/scheduling/medlarcell/answer.go
+++ b/internal/scheduling/medlarcell/answer.go
@@ -90,6 +90,9 @@
 		return
 	}
 	r.stopping = true
+	// A stopping run no longer counts in the levels of the serving tasks beside it.
+	r.worker.roomsStale = true
+	c.misses.changed(r.worker)
 	c.sendStop(now, r)
 }
 
--- a/internal/scheduling/medlarcell/bench_test.go
+++ b/internal/scheduling/medlarcell/bench_test.go
@@ -11,7 +11,7 @@
 )
 
 // loadedCell returns a cell whose workers are busy with serving and filling tasks, and a backlog of filling work.
-func loadedCell(b *testing.B, workers, backlog int) (*Cell, time.Time) {
+func loadedCell(b testing.TB, workers, backlog int) (*Cell, time.Time) {
 	b.Helper()
 	now := simEpoch
 	c := New(DefaultConfig())
@@ -19,7 +19,7 @@
 	c.Authorize(now.Add(time.Hour))
 	for i := range workers {
 		c.SetWorker(now, medlarorder.Worker{
-			ID: medlarwheel.WorkerID(fmt.Sprintf("w%04d", i)), Life: 1, Service: "svc", Address: "10.0.0.1:80",
+			ID: workerName(i), Life: 1, Service: "svc", Address: "10.0.0.1:80",
 			Capacity: medlarsubmission.Size{MilliCPU: 32000, MemoryMB: 128000},
 		})
 	}
@@ -53,6 +53,8 @@
 	return c, now
 }
 
+func workerName(n int) medlarwheel.WorkerID { return medlarwheel.WorkerID(fmt.Sprintf("w%04d", n)) }
+
 func benchLoad(n int, s medlarsubmission.Step, priority int) medlarsubmission.Submission {
 	return medlarsubmission.Submission{
 		ID: medlarsubmission.ID(fmt.Sprintf("%016x", n)), Route: "q", Service: "svc", AcceptedAt: simEpoch,
@@ -69,7 +71,7 @@
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now = now.Add(2 * time.Millisecond)
-				w := c.workers[medlarwheel.WorkerID(fmt.Sprintf("w%04d", i%workers))]
+				w := c.workers[workerName(i%workers)]
 				w.contact = now
 				w.roomsStale = true
 				for _, other := range c.workers {
--- /dev/null
+++ b/internal/scheduling/medlarcell/candidates.go
@@ -0,0 +1,119 @@
+package medlarcell
+
+import (
+	"container/heap"
+	"time"
+)
+
+// candidate is a worker that may run a task of a step.
+type candidate struct {
+	worker *worker
+	score  float64
+	// position is the worker's place among the usable ones. The first of equal candidates is taken.
+	position int
+}
+
+// candidates is a heap of the workers that may run a task of a step, the best one first. A start changes the score of its
+// own worker only, so that the tasks of a step share one look at all workers.
+type candidates []candidate
+
+func (h candidates) Len() int { return len(h) }
+
+func (h candidates) Less(i, k int) bool {
+	if h[i].score != h[k].score {
+		return h[i].score > h[k].score
+	}
+	return h[i].position < h[k].position
+}
+
+func (h candidates) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+
+// Push implements heap.Interface.
+func (h *candidates) Push(x any) { *h = append(*h, x.(candidate)) }
+
+// Pop implements heap.Interface.
+func (h *candidates) Pop() any {
+	last := len(*h) - 1
+	popped := (*h)[last]
+	*h = (*h)[:last]
+	return popped
+}
+
+// isParticular reports whether the task prefers or rules out workers that other tasks of its step do not.
+func (t *task) isParticular() bool { return t.avoid != "" || len(t.runs) > 0 }
+
+// placeStep starts waiting tasks of a step on the given workers until there is no room for the next one.
+func (c *Cell) placeStep(now time.Time, s *step, workers []*worker) {
+	isCurrent := false
+	for len(s.ready) > 0 {
+		index := s.ready[0]
+		t := &s.tasks[index]
+		if t.isParticular() {
+			w := c.choose(s, t, workers)
+			if w == nil {
+				return
+			}
+			c.start(now, w, s, index, 0)
+			isCurrent = false
+			continue
+		}
+		if isCurrent {
+			c.updateFirst(s, t)
+		} else {
+			c.gather(s, t, workers)
+			isCurrent = true
+		}
+		if len(c.open) == 0 {
+			return
+		}
+		c.start(now, c.open[0].worker, s, index, 0)
+	}
+}
+
+// gather collects the workers that may run a task.
+func (c *Cell) gather(s *step, t *task, workers []*worker) {
+	c.open = c.open[:0]
+	for i, w := range workers {
+		if score, ok := c.rate(s, t, w); ok {
+			c.open = append(c.open, candidate{worker: w, score: score, position: i})
+		}
+	}
+	heap.Init(&c.open)
+}
+
+// updateFirst rates the first candidate again after a task was started there.
+func (c *Cell) updateFirst(s *step, t *task) {
+	score, ok := c.rate(s, t, c.open[0].worker)
+	if !ok {
+		heap.Pop(&c.open)
+		return
+	}
+	c.open[0].score = score
+	heap.Fix(&c.open, 0)
+}
+
+// choose returns the best worker with room for a task, or nil.
+func (c *Cell) choose(s *step, t *task, workers []*worker) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range workers {
+		if score, ok := c.rate(s, t, w); ok && (best == nil || score > bestScore) {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// rate returns the score of a worker for a task, and whether the worker may run it at all.
+func (c *Cell) rate(s *step, t *task, w *worker) (score float64, ok bool) {
+	if !c.fits(s, t, w) {
+		return 0, false
+	}
+	harm := 0.0
+	if s.spec.Fills {
+		if harm, ok = c.harm(s, w); !ok {
+			return 0, false
+		}
+	}
+	return c.score(s, t, w) - harmPenalty*harm, true
+}
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -34,6 +34,9 @@
 	// queue holds the steps with tasks that wait for a worker, by rank, and fresh those that are not in it yet.
 	queue, fresh []*step
 	rankedAt     time.Time
+	// hasIdle is true if the queue may hold steps without waiting tasks.
+	hasIdle bool
+	misses  misses
 	// dirty lists the jobs whose records have changed, and finished those in a final state, oldest first.
 	dirty, finished []*job
 
@@ -43,6 +46,15 @@
 	// sorted lists the workers by id. It is nil after a change of the fleet.
 	sorted  []*worker
 	centres centres
+	// usableNow, changedSince and open are the workers that a pass of placement looks at. They are kept to reuse their
+	// memory. Workers with the present mark are in changedSince.
+	usableNow, changedSince []*worker
+	open                    candidates
+	mark                    uint64
+	// doubtful is the number of workers that have seen a higher token.
+	doubtful int
+	// unacked lists the workers with ends that they may not forget yet, and held those whose renewal waits for that.
+	unacked, held []*worker
 	// joined and left are the changes of the fleet that are not stored yet.
 	joined, left []medlarwheel.WorkerID
 
@@ -88,7 +100,7 @@
 func New(c Config) *Cell {
 	return &Cell{
 		config: c, jobs: map[medlarsubmission.ID]*job{}, workers: map[medlarwheel.WorkerID]*worker{}, centres: centres{}, waiting: map[string]int{},
-		meanWork: map[string]float64{}, meanSpeed: 1,
+		meanWork: map[string]float64{}, meanSpeed: 1, misses: newMisses(),
 		pressure: medlarpressure.New(c.Interference.Model),
 	}
 }
@@ -216,6 +228,7 @@
 	c.stopWaiting(j)
 	j.started = true
 	j.state, j.finishedAt = state, now
+	c.hasIdle = true
 	c.finished = append(c.finished, j)
 	c.markDirty(j)
 	j.eachRun(func(r *run) { c.stop(now, r) })
@@ -285,6 +298,7 @@
 		return
 	}
 	w.info, w.centre = info, c.centres.of(info.DataCentre)
+	c.misses.changed(w)
 	if info.Life != w.life {
 		c.restarted(now, w, info.Life)
 	}
@@ -334,6 +348,8 @@
 		}
 		if !w.registered && len(w.runs) == 0 && now.Sub(w.contact) > 2*c.config.Lease && now.After(w.leaseEnd) {
 			delete(c.workers, id)
+			c.clearDoubt(w)
+			w.holdDue = time.Time{}
 			c.sorted = nil
 			c.left = append(c.left, id)
 			c.commands = append(c.commands, Command{Kind: CommandForget, Worker: id})
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -68,6 +68,7 @@
 		}
 	}
 	s.complete(e.Task.Index)
+	c.hasIdle = true
 	c.markDirty(j)
 	if s.left == 0 {
 		for _, later := range s.occurrence.steps {
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -57,6 +57,8 @@
 	readySince time.Time
 	rank       medlarrank.Rank
 	perWorker  map[*worker]int
+	// miss is set once the step has been in the queue.
+	miss *miss
 }
 
 // task is one task of a step.
--- /dev/null
+++ b/internal/scheduling/medlarcell/misses_test.go
@@ -0,0 +1,119 @@
+package medlarcell
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
+)
+
+// checkNoRoom checks that no worker has room for a task that a pass of placement has left waiting.
+func checkNoRoom(t *testing.T, c *Cell, now time.Time) {
+	t.Helper()
+	usable := c.usable(now)
+	for i, s := range c.queue {
+		if i >= maxMisses {
+			return
+		}
+		if s.isIdle() || !c.isOpen(now, s) {
+			continue
+		}
+		if w := c.choose(s, &s.tasks[s.ready[0]], usable); w != nil {
+			t.Fatalf("%s waits with room on %s", s.name(s.ready[0]), w.info.ID)
+		}
+	}
+}
+
+// endSome lists ends of up to n filling runs on a worker.
+func endSome(c *Cell, now time.Time, w *worker, n int, ends *medlarorder.EndNumber) {
+	report := medlarorder.Report{Verdict: medlarorder.VerdictAccepted, Life: 1, Clock: time.Second + now.Sub(simEpoch)}
+	for r := range w.runs {
+		if !r.step.spec.Fills || n == 0 {
+			report.Running = append(report.Running, medlarorder.Running{Task: r.name(), Run: r.number, Percent: fullPace})
+			continue
+		}
+		n--
+		*ends++
+		report.Ended = append(report.Ended, medlarorder.Ended{Number: *ends, Task: r.name(), Run: r.number, Kind: medlarorder.EndDone})
+	}
+	c.Reported(now, w.info.ID, false, now, medlarorder.Hold{}, report, nil)
+}
+
+// TestNothingWaitsWithRoom guards against tasks that wait although a worker has room, because a pass of placement looks only
+// at workers that have changed: random ends, new submissions of other sizes and passes of time.
+func TestNothingWaitsWithRoom(t *testing.T) {
+	const workers, rounds = 40, 400
+	for seed := range uint64(5) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		c, now := loadedCell(t, workers, 3*workers)
+		var ends medlarorder.EndNumber
+		started := 0
+		for n := range rounds {
+			now = now.Add(time.Duration(rng.Int64N(int64(40 * time.Millisecond))))
+			for range rng.IntN(4) {
+				w := c.workers[workerName(rng.IntN(workers))]
+				endSome(c, now, w, rng.IntN(3), &ends)
+			}
+			if rng.IntN(3) == 0 {
+				c.Accept(now, benchLoad(2_000_000+n, medlarsubmission.Step{
+					Count: 1 + rng.IntN(20), Estimate: time.Second, Fills: rng.IntN(2) == 0, Image: "f1",
+					Size: medlarsubmission.Size{MilliCPU: int64(500 + rng.IntN(8000)), MemoryMB: 100}, MaxPerWorker: rng.IntN(2),
+				}, rng.IntN(3)))
+			}
+			for _, w := range c.workers {
+				c.heard(now, w, 0)
+			}
+			c.Place(now)
+			for _, command := range c.TakeCommands() {
+				if command.Kind == CommandStart {
+					started++
+					c.Started(now, command.Worker, command.Start, medlarorder.Answer{Verdict: medlarorder.VerdictAccepted}, nil)
+				}
+			}
+			checkNoRoom(t, c, now)
+		}
+		if started < rounds/2 {
+			t.Errorf("seed %d: only %d tasks have started in %d rounds", seed, started, rounds)
+		}
+	}
+}
+
+// placeNaively starts waiting tasks of a step and looks at all workers for each of them.
+func placeNaively(c *Cell, now time.Time, s *step, workers []*worker) {
+	for len(s.ready) > 0 {
+		index := s.ready[0]
+		w := c.choose(s, &s.tasks[index], workers)
+		if w == nil {
+			return
+		}
+		c.start(now, w, s, index, 0)
+	}
+}
+
+// TestStepSharesOneLook guards against a step whose tasks go to other workers than if all were looked at for each task.
+func TestStepSharesOneLook(t *testing.T) {
+	const workers = 20
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		spec := medlarsubmission.Step{
+			Count: 1 + rng.IntN(60), Estimate: time.Second, Fills: rng.IntN(2) == 0, Image: "f1", MaxPerWorker: rng.IntN(3),
+			Size: medlarsubmission.Size{MilliCPU: int64(500 + rng.IntN(8000)), MemoryMB: 100}, LongRunning: rng.IntN(4) == 0,
+		}
+		var placements [2][]medlarwheel.WorkerID
+		for i, place := range []func(*Cell, time.Time, *step, []*worker){(*Cell).placeStep, placeNaively} {
+			c, now := loadedCell(t, workers, workers/2)
+			c.Accept(now, benchLoad(3_000_000, spec, 0))
+			place(c, now, c.fresh[0], c.usable(now))
+			for _, command := range c.TakeCommands() {
+				placements[i] = append(placements[i], command.Worker)
+			}
+		}
+		if !slices.Equal(placements[0], placements[1]) {
+			t.Errorf("seed %d: %+v placed on %v, want %v", seed, spec, placements[0], placements[1])
+		}
+	}
+}
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -6,72 +6,47 @@
 	"strings"
 	"time"
 
-	"medlarwheel"
-	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 	"medlarwheel/internal/scheduling/medlarrank"
 )
 
-// Place starts waiting tasks on workers with room, in the order of the queue.
+// Place starts waiting tasks on workers with room, in the order of the queue. Steps that have found no room are tried again
+// only on workers that have changed since, so that a pass costs what the events before it have made possible.
 func (c *Cell) Place(now time.Time) {
 	if len(c.queue)+len(c.fresh) == 0 || now.After(c.authority) {
+		c.misses.forget()
 		return
 	}
 	c.order(now)
 	c.updatePrices(now)
-	usable := c.usable(now)
-	if len(usable) == 0 {
-		return
-	}
-	misses := 0
-	missed := map[shape]medlarsubmission.Size{}
+	c.misses.begin(now)
+	var usable []*worker
+	failed := 0
 	for _, s := range c.queue {
-		if misses >= maxMisses {
+		if failed >= maxMisses {
 			break
 		}
-		if !c.isOpen(now, s) || s.resembles(missed) {
+		isKnown := s.miss.covers(s, c.misses.sweep)
+		if isKnown && s.miss.seen == len(c.misses.changes) || s.isIdle() || !c.isOpen(now, s) {
 			continue
 		}
+		workers := usable
+		if isKnown && !s.spec.Gang {
+			workers = c.since(now, s.miss.seen)
+		} else if usable == nil {
+			usable = c.usable(now)
+			workers = usable
+		}
 		if s.spec.Gang {
-			c.placeGang(now, s, usable)
+			c.placeGang(now, s, workers)
 		} else {
-			c.placeStep(now, s, usable)
+			c.placeStep(now, s, workers)
 		}
 		if len(s.ready) > 0 {
-			misses++
-			s.remember(missed)
+			failed++
+			c.misses.record(s)
 		}
 	}
-	c.compact()
-}
-
-// shape is what steps have in common that fit the same workers, but for their size.
-type shape struct {
-	service  medlarwheel.ServiceName
-	image    string
-	fills    bool
-	requires string
-}
-
-func (s *step) shape() shape {
-	return shape{service: s.occurrence.job.submission.Service, image: s.spec.Image, fills: s.spec.Fills, requires: s.spec.Requires}
-}
-
-// resembles reports whether a step of the same shape that asks for no more has found no room in this pass.
-func (s *step) resembles(missed map[shape]medlarsubmission.Size) bool {
-	size, ok := missed[s.shape()]
-	return ok && size.Fits(s.spec.Size)
-}
-
-// remember notes that the step has found no room. Steps that bound their spread say nothing about others.
-func (s *step) remember(missed map[shape]medlarsubmission.Size) {
-	if s.spec.MaxPerWorker > 0 || s.spec.Gang {
-		return
-	}
-	key := s.shape()
-	if size, ok := missed[key]; !ok || s.spec.Size.Fits(size) {
-		missed[key] = s.spec.Size
-	}
 }
 
 // maxMisses bounds the steps without room that one pass looks at.
@@ -84,12 +59,19 @@
 	return s.isOpen(now)
 }
 
+// isIdle reports whether no task of the step waits for a worker.
+func (s *step) isIdle() bool { return len(s.ready) == 0 || s.occurrence.job.state.IsFinal() }
+
 // compact drops steps without waiting tasks from the queue.
-func (c *Cell) compact() { c.queue = dropIdle(c.queue) }
+func (c *Cell) compact() {
+	if c.hasIdle {
+		c.queue, c.hasIdle = dropIdle(c.queue), false
+	}
+}
 
 func dropIdle(steps []*step) []*step {
 	return slices.DeleteFunc(steps, func(s *step) bool {
-		if len(s.ready) > 0 && !s.occurrence.job.state.IsFinal() {
+		if !s.isIdle() {
 			return false
 		}
 		s.queued = false
@@ -104,24 +86,13 @@
 			return strings.Compare(string(a.info.ID), string(b.info.ID))
 		})
 	}
-	usable := make([]*worker, 0, len(c.sorted))
+	c.usableNow = c.usableNow[:0]
 	for _, w := range c.sorted {
 		if w.isUsable(now, &c.config) {
-			usable = append(usable, w)
-		}
-	}
-	return usable
-}
-
-func (c *Cell) placeStep(now time.Time, s *step, usable []*worker) {
-	for len(s.ready) > 0 {
-		index := s.ready[0]
-		w := c.choose(s, &s.tasks[index], usable)
-		if w == nil {
-			return
+			c.usableNow = append(c.usableNow, w)
 		}
-		c.start(now, w, s, index, 0)
 	}
+	return c.usableNow
 }
 
 // placeGang starts all tasks of a step or none.
@@ -174,28 +145,6 @@
 	c.commands = append(c.commands, Command{Kind: CommandStart, Worker: w.info.ID, Address: w.info.Address, Start: order})
 }
 
-// choose returns the best worker with room for a task, or nil.
-func (c *Cell) choose(s *step, t *task, usable []*worker) *worker {
-	var best *worker
-	var bestScore float64
-	for _, w := range usable {
-		if !c.fits(s, t, w) {
-			continue
-		}
-		harm := 0.0
-		if s.spec.Fills {
-			var ok bool
-			if harm, ok = c.harm(s, w); !ok {
-				continue
-			}
-		}
-		if score := c.score(s, t, w) - harmPenalty*harm; best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
 // fits reports whether the worker may and can run the task.
 func (c *Cell) fits(s *step, t *task, w *worker) bool {
 	spec := s.spec
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -78,11 +78,13 @@
 		// An end may belong to a record that is not in this batch.
 		return b
 	}
-	for _, w := range c.workers {
-		if w.processed > w.acked {
+	c.unacked = slices.DeleteFunc(c.unacked, func(w *worker) bool {
+		w.isUnacked = w.processed > w.acked
+		if w.isUnacked {
 			b.acks[w] = ack{life: w.life, end: w.processed}
 		}
-	}
+		return !w.isUnacked
+	})
 	return b
 }
 
@@ -96,6 +98,7 @@
 	for i := range b.Joined {
 		if w := c.workers[b.Joined[i].ID]; w != nil {
 			w.recorded = true
+			c.misses.changed(w)
 		}
 	}
 	for i, j := range b.jobs {
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -1,6 +1,7 @@
 package medlarcell
 
 import (
+	"slices"
 	"time"
 
 	"medlarwheel"
@@ -42,6 +43,7 @@
 		return
 	}
 	if err == nil && w.processed > w.acked {
+		c.held = append(c.held, w)
 		// A worker answers at once while it lists ends, so the next renewal waits until they are acknowledged.
 		w.holdDue = now.Add(c.config.AckWait)
 		return
@@ -51,11 +53,12 @@
 
 // holdAcked orders the renewals that have waited for ends to be acknowledged, or for long enough.
 func (c *Cell) holdAcked(now time.Time) {
-	for _, w := range c.workers {
+	c.held = slices.DeleteFunc(c.held, func(w *worker) bool {
 		if !w.holdDue.IsZero() && (w.processed == w.acked || !now.Before(w.holdDue)) {
 			c.hold(now, w, 0)
 		}
-	}
+		return w.holdDue.IsZero()
+	})
 }
 
 func (c *Cell) unanswered(now time.Time, w *worker) {
@@ -73,17 +76,19 @@
 		return
 	}
 	w.fencedOff, w.fencedAt = true, now
+	c.doubtful++
 	c.note(Note{Kind: NoteFenced, Worker: w.info.ID, Count: int(fence - c.fence)})
 }
 
 // IsDoubtful reports whether a worker has seen a higher token, so that the ownership is to be confirmed at once.
-func (c *Cell) IsDoubtful() bool {
-	for _, w := range c.workers {
-		if w.fencedOff {
-			return true
-		}
+func (c *Cell) IsDoubtful() bool { return c.doubtful > 0 }
+
+// clearDoubt notes that the ownership is confirmed towards a worker, or that the worker has gone.
+func (c *Cell) clearDoubt(w *worker) {
+	if w.fencedOff {
+		w.fencedOff = false
+		c.doubtful--
 	}
-	return false
 }
 
 // fenceJump is by how much the token of a worker is raised that has seen a higher one of the same owner.
@@ -91,11 +96,15 @@
 
 // Confirmed notes that this owner has written to the table, under the condition of its ownership, at sentAt.
 func (c *Cell) Confirmed(now, sentAt time.Time) {
+	if !c.IsDoubtful() {
+		return
+	}
 	for _, w := range c.workers {
 		if !w.fencedOff || !sentAt.After(w.fencedAt) {
 			continue
 		}
-		w.fencedOff = false
+		c.clearDoubt(w)
+		c.misses.changed(w)
 		w.fence += fenceJump
 		c.settleRest(now, w)
 	}
@@ -163,6 +172,10 @@
 			c.ended(now, w, e)
 		}
 	}
+	if w.processed > w.acked && !w.isUnacked {
+		w.isUnacked = true
+		c.unacked = append(c.unacked, w)
+	}
 	listed := make(map[*run]struct{}, len(report.Running))
 	for i := range report.Running {
 		if r := c.listed(now, w, &report.Running[i]); r != nil {
@@ -260,6 +273,7 @@
 	t := r.task()
 	t.waiting = false
 	r.step.removeReady(r.index)
+	c.hasIdle = true
 	t.runs = append(t.runs, r)
 	r.worker.add(r)
 }
@@ -294,6 +308,7 @@
 		}
 	}
 	r.worker.remove(r)
+	c.misses.changed(r.worker)
 }
 
 // lose gives up a run that can't be running any more, and puts its task back into the queue.
@@ -322,5 +337,8 @@
 		return
 	}
 	s.queued, s.readySince = true, now
+	if s.miss == nil {
+		s.miss = c.misses.of(s)
+	}
 	c.fresh = append(c.fresh, s)
 }
--- a/internal/scheduling/medlarcell/silence.go
+++ b/internal/scheduling/medlarcell/silence.go
@@ -36,6 +36,7 @@
 	w.heard(now, clock)
 	w.silence.answered()
 	w.centre.answered()
+	c.misses.changed(w)
 }
 
 // isSilent reports whether a worker, or all workers of its data centre, owe the answer to an order for so long that they
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -32,7 +32,11 @@
 	fence    medlarwheel.FencingToken
 	// processed is the last end that was taken in, and acked the last one that may be forgotten.
 	processed, acked medlarorder.EndNumber
-	runs             map[*run]struct{}
+	// isUnacked is true while the worker is in the cell's list of workers with ends that they may not forget yet.
+	isUnacked bool
+	// mark tells whether the worker is in a list of distinct workers.
+	mark uint64
+	runs map[*run]struct{}
 	// committed is the room taken, with the processors of tasks that don't fill.
 	committed medlarsubmission.Size
 	// filling is the sum of the processors that filling tasks ask for, in thousandths of a core.
--- a/medlarcommand/edge.go
+++ b/medlarcommand/edge.go
@@ -1,11 +1,14 @@
 package medlarcommand
 
 import (
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"runtime/pprof"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
@@ -16,11 +19,28 @@
 	"medlarwheel/platform"
 )
 
+// startProfile writes a processor profile to the file until the returned function is called.
+func startProfile(path string) (stop func(), err error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "processor profile")
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, errors.Wrap(err, "processor profile")
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		if err := file.Close(); err != nil {
+			fmt.Fprintln(os.Stderr, errors.Wrap(err, "processor profile"))
+		}
+	}, nil
+}
+
 // logTimeFormat has milliseconds, in which the steps of a submission can be told apart.
 const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
 
 func newEdgeCommand() *cobra.Command {
-	var path string
+	var path, profile string
 	var list bool
 	set := medlartuning.New()
 	command := &cobra.Command{
@@ -49,6 +69,13 @@
 			if err != nil {
 				return err
 			}
+			if profile != "" {
+				stopProfile, err := startProfile(profile)
+				if err != nil {
+					return err
+				}
+				defer stopProfile()
+			}
 			reloads := make(chan os.Signal, 1)
 			signal.Notify(reloads, syscall.SIGHUP)
 			defer signal.Stop(reloads)
@@ -59,6 +86,7 @@
 		},
 	}
 	set.Bind(command.Flags())
+	command.Flags().StringVar(&profile, "cpu-profile", "", "file to write a processor profile to, from the start until the stop")
 	command.Flags().BoolVar(&list, "list-settings", false, "check all settings, print them with unit, range and value, and exit")
 	command.Flags().StringVar(&path, "node-file", os.Getenv(platform.SiteVariable), "settings file of the platform (environment "+platform.SiteVariable+")")
 	return command
