Claim the cell in turn, and keep the owner of a slow table

Another owner gave the cell up in a burst because its orders took 160 ms, although its machine was as fast as ever.

Change: instances claim in turn (strong ones first, then those started last, then by lot for each term), one slot of two reads of the table apart; rows are followed meanwhile. A slow table counts as serving the owner if it has answered anything within 0.9 s. A loaded machine is told from a slowed one by the time of a fixed work. An owner lets its garbage grow to three times its live memory.

Tests: TestClaimsTakeTurns, TestSlowTableServesTheOwner, TestLoadIsNotSlowness, TestClaimSlot, TestOrderConnections, TestAcceptOutlastsWantOfResources.

--- /dev/null
+++ b/internal/operation/medlarnode/descriptors_test.go
@@ -0,0 +1,65 @@
+package medlarnode
+
+import (
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"medlarwheel/internal/operation/medlarclock"
+	"medlarwheel/internal/operation/medlarmeter"
+)
+
+// TestOrderConnections guards against an owner that runs out of descriptors with its connections to workers, and can then
+// neither renew its claim nor answer other instances.
+func TestOrderConnections(t *testing.T) {
+	const limit = 12
+	for _, c := range []struct{ descriptors, workers, want int }{
+		{descriptors: 4100, workers: 66, want: limit},
+		{descriptors: 8192, workers: 890, want: 5},
+		{descriptors: 4100, workers: 890, want: 1},
+		{descriptors: 4100, workers: 0, want: limit},
+		{descriptors: 0, workers: 890, want: limit},
+		{descriptors: 1000, workers: 890, want: 1},
+	} {
+		if got := orderConnections(c.descriptors, c.workers, limit); got != c.want {
+			t.Errorf("%d descriptors and %d workers: %d connections to each, want %d", c.descriptors, c.workers, got, c.want)
+		}
+	}
+}
+
+// failingListener fails with the errors in turn before it accepts.
+type failingListener struct {
+	net.Listener
+	failures []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.failures) == 0 {
+		return nil, nil
+	}
+	err := l.failures[0]
+	l.failures = l.failures[1:]
+	return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+}
+
+// TestAcceptOutlastsWantOfResources guards against an instance that ends because it has no free descriptor for a moment.
+func TestAcceptOutlastsWantOfResources(t *testing.T) {
+	clock, err := medlarclock.NewBoot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	wrap := func(failures ...error) *patientListener {
+		return &patientListener{
+			Listener: &failingListener{failures: failures}, name: "test", log: zerolog.Nop(), meter: medlarmeter.New(), clock: clock,
+		}
+	}
+	if _, err := wrap(syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED).Accept(); err != nil {
+		t.Errorf("passing failures ended the listener: %v", err)
+	}
+	if _, err := wrap(syscall.EMFILE, net.ErrClosed).Accept(); err == nil {
+		t.Error("a closed listener still accepts")
+	}
+}
--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -93,6 +93,7 @@
 	others  peerClients
 	peers   *peerClient
 	process string
+	started time.Time
 
 	routes   atomic.Pointer[medlarroute.Table]
 	term     atomic.Pointer[medlartenure.Term]
@@ -101,6 +102,7 @@
 	loads    loadCache
 	tenure   tenure
 	register register
+	speed    *speed
 	// slowLooks counts the looks in a row at which the owner's orders took too long.
 	slowLooks    int
 	registration registration
@@ -120,8 +122,10 @@
 			Address: c.Site.StoreAddress, Connections: c.StoreConnections, Timeout: c.StoreTimeout,
 		}),
 		health:   medlarintake.NewHealth(clock),
+		speed:    newSpeed(clock),
 		peers:    newPeerClient(c.PeerTimeout),
 		process:  fmt.Sprintf("%s-%d-%d", c.Site.Instance, os.Getpid(), clock.Now().UnixNano()),
+		started:  clock.Now(),
 		register: register{list: medlarinstance.NewRegister(c.Register)},
 		tenure:   tenure{watch: medlartenure.NewWatch(c.Owner.Tenure)},
 		loads:    loadCache{loads: map[medlarwheel.ServiceName]loadEntry{}},
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 func (n *Node) renewRegistration(ctx context.Context) error {
 	row, err := medlarinstance.Row(n.config.Owner.Part, medlarinstance.Instance{
 		ID: n.config.Site.Instance, Address: n.config.Site.Peer, Process: n.process, Power: n.config.Site.Power,
+		Started: n.started,
 	})
 	if err != nil {
 		return err
@@ -103,6 +105,9 @@
 	// renewalQuiet is the age of the last renewal from which on an owner asks the others. It leaves time for their answers
 	// before the owner's own time is over.
 	renewalQuiet = 750 * time.Millisecond
+	// servedAge is the age of the table's last answer up to which it serves this instance, however slowly. It is above the
+	// time that a slow table takes for an answer, and an owner that is not served gives up the cell before its own time ends.
+	servedAge = 900 * time.Millisecond
 	// tableQuiet is the age of the table's last answer from which on the register is not read.
 	tableQuiet = 900 * time.Millisecond
 )
@@ -159,7 +164,7 @@
 	}
 	strongest := medlarinstance.Strongest(live)
 	switch turnaround := owner.Turnaround(); {
-	case n.isSlow(turnaround):
+	case n.isSlow(turnaround) && n.speed.isSlowed():
 		n.restUntil.Store(now.Add(yieldRest).UnixNano())
 		n.log.Warn().Str("event", "cell-yielded").Int64("turnaround-ms", turnaround.Milliseconds()).Msg("")
 	case strongest >= yieldFactor*n.config.Site.Power:
@@ -187,7 +192,7 @@
 	yieldRest = 5 * time.Second
 )
 
-// isSlow reports whether this machine gives too little processor time to schedule the cell.
+// isSlow reports whether orders take too long, for want of processor time or because there are too many.
 func (n *Node) isSlow(turnaround time.Duration) bool {
 	if turnaround < maxTurnaround {
 		n.slowLooks = 0
@@ -197,36 +202,53 @@
 	return n.slowLooks%slowLooks == 0
 }
 
-// restDelay is how much longer an instance waits before it claims a cell that it has left for its slowness. The claim of
+// restDelay is the time in which another instance claims a vacant cell, weak ones included.
+const restDelay = 1600 * time.Millisecond
+
+// rest returns how much longer an instance waits before it claims a cell that it has left for its slowness. The claim of
 // another instance takes some hundred milliseconds at most.
-func (n *Node) restDelay() time.Duration {
+func (n *Node) rest() time.Duration {
 	if n.clock.Now().UnixNano() < n.restUntil.Load() {
-		return 2 * weakDelay
+		return restDelay
 	}
 	return 0
 }
 
-// claimDelay returns how long this instance waits before it claims a vacant cell: weak instances leave it to strong ones.
+// claimDelay returns how long this instance waits before it claims a vacant cell: until the claims of all instances that go
+// before it would have been seen.
 func (n *Node) claimDelay() time.Duration {
 	readAt := n.clock.Now()
 	rows, err := medlarinstance.Read(n.store, n.config.Owner.Part)
+	took := n.clock.Now().Sub(readAt)
 	if err != nil {
 		n.log.Warn().Str("event", "register-read-failed").Err(err).Msg("")
-		return claimJitter
+		return rand.N(maxClaimSlot)
 	}
 	n.setRegister(readAt, rows)
+	n.tenure.mu.Lock()
+	before := n.tenure.watch.Term()
+	n.tenure.mu.Unlock()
 	n.register.mu.Lock()
-	strongest := max(n.config.Site.Power, medlarinstance.Strongest(n.register.list.All()))
+	turn := medlarinstance.Turn(n.register.list.All(), n.config.Site.Instance, before.Process, before.Number)
 	n.register.mu.Unlock()
-	if strongest <= 0 {
-		return n.restDelay()
-	}
-	return time.Duration((1-n.config.Site.Power/strongest)*float64(weakDelay)) + n.restDelay()
+	return time.Duration(turn)*claimSlot(took) + n.rest()
 }
 
-// weakDelay is how much longer than the strongest instance the weakest one waits before it claims a vacant cell. An instance
-// of a fifth of a core takes almost two seconds to load a large cell.
-const weakDelay = 800 * time.Millisecond
+const (
+	// minClaimSlot is the time in which others see a claim while the table is fast.
+	minClaimSlot = 25 * time.Millisecond
+	// maxClaimSlot bounds the slot while the table is slow, so that a cell is not left alone for long when the first in turn
+	// has failed too.
+	maxClaimSlot = 250 * time.Millisecond
+	// slotFactor times the duration of a read is the time for a claim to be stored and seen.
+	slotFactor = 2
+)
+
+// claimSlot returns how long an instance leaves the cell to the one that goes before it. Claims that fail are not free: a
+// slow table takes a tenth of a second for each, and the renewals of the new owner wait behind them.
+func claimSlot(readTook time.Duration) time.Duration {
+	return min(max(slotFactor*readTook, minClaimSlot), maxClaimSlot)
+}
 
 // extendAuthority lets the owner go on while it can't renew its claim, if none of the instances that could claim the cell
 // does so meanwhile. If the table answers another instance and not this one, the owner hands the cell over.
@@ -241,7 +263,7 @@
 	age := now.Sub(n.register.readAt)
 	n.register.mu.Unlock()
 	served := make(chan bool, 1)
-	go func() { served <- n.readsCell() }()
+	go func() { served <- isServed(n.readsCell(), n.clock.Now().Sub(n.health.LastOK())) }()
 	answers := n.askAll(ctx, peers, owner.Term())
 	if heir, found := bestHeir(answers); !<-served && found {
 		n.handOver(ctx, owner, heir)
@@ -257,6 +279,12 @@
 		Int64("renewal-age-ms", quiet.Milliseconds()).Msg("")
 }
 
+// isServed reports whether the table serves this instance: it has answered a read in the time of a fast table, or any call a
+// moment ago. A slow table answers some reads in time and others not, which is no reason to change the owner.
+func isServed(readInTime bool, answerAge time.Duration) bool {
+	return readInTime || answerAge < servedAge
+}
+
 // registerTrust is the age of the register up to which it names every instance that may claim the cell from an owner that
 // was not heard of. Such an instance must have been registered for longer.
 const registerTrust = 8 * time.Second
@@ -343,7 +371,8 @@
 		n.tenure.watch.OwnerDied(present)
 	}
 	n.tenure.mu.Unlock()
-	n.claimIfVacant(context.Background())
+	// The owner has chosen this instance, so that it does not wait for its turn.
+	n.claimIfVacant(context.Background(), func() time.Duration { return 0 })
 }
 
 // promise promises the owner not to claim the cell for a while. An instance that owns the cell itself, or whose claim is on
--- a/internal/operation/medlarnode/register_test.go
+++ b/internal/operation/medlarnode/register_test.go
@@ -93,3 +93,75 @@
 		t.Error("an instance whose claim may still be carried out has promised not to claim the cell")
 	}
 }
+
+// TestSlowTableServesTheOwner guards against a change of owner because a slow table has answered another instance in time and
+// not the owner, and against an owner that stays although the table answers others only.
+func TestSlowTableServesTheOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		readInTime bool
+		age        time.Duration
+		want       bool
+	}{
+		"fast table":                 {readInTime: true, age: 10 * time.Millisecond, want: true},
+		"table forty times slower":   {age: 650 * time.Millisecond, want: true},
+		"table that refuses":         {age: time.Second},
+		"table that answers again":   {readInTime: true, age: 5 * time.Second, want: true},
+		"just before the time ends":  {age: servedAge},
+		"connection has gone silent": {age: 2 * time.Second},
+	} {
+		if got := isServed(c.readInTime, c.age); got != c.want {
+			t.Errorf("%s: served %v, want %v", name, got, c.want)
+		}
+	}
+	if servedAge >= medlartenure.DefaultConfig().OwnerTimeout {
+		t.Error("an owner that the table refuses keeps the cell until its time ends")
+	}
+}
+
+// TestClaimSlot guards against claims that queue in front of the renewals of a new owner on a slow table, and against a cell
+// that stays without an owner.
+func TestClaimSlot(t *testing.T) {
+	for _, c := range []struct{ read, want time.Duration }{
+		{read: 4 * time.Millisecond, want: minClaimSlot},
+		{read: 80 * time.Millisecond, want: 160 * time.Millisecond},
+		{read: time.Second, want: maxClaimSlot},
+	} {
+		if got := claimSlot(c.read); got != c.want {
+			t.Errorf("read of %v: slot of %v, want %v", c.read, got, c.want)
+		}
+	}
+}
+
+// stepClock advances by the next step with each look at it.
+type stepClock struct {
+	now   time.Time
+	steps []time.Duration
+	looks int
+}
+
+func (c *stepClock) Now() time.Time {
+	c.now = c.now.Add(c.steps[c.looks%len(c.steps)])
+	c.looks++
+	return c.now
+}
+
+// TestLoadIsNotSlowness guards against an owner that leaves the cell in a burst of work, which the next owner would do as
+// well, and against one that stays on a slowed machine.
+func TestLoadIsNotSlowness(t *testing.T) {
+	const usual = 30 * time.Microsecond
+	clock := &stepClock{steps: []time.Duration{0, usual}}
+	s := newSpeed(clock)
+	// Two of three tries are interrupted by other goroutines.
+	clock.steps, clock.looks = []time.Duration{0, 10 * time.Millisecond, 0, usual, 0, 20 * time.Millisecond}, 0
+	if s.isSlowed() {
+		t.Error("a loaded machine counts as slowed")
+	}
+	clock.steps, clock.looks = []time.Duration{0, 5 * usual}, 0
+	if !s.isSlowed() {
+		t.Error("a machine that works at a fifth of its speed does not count as slowed")
+	}
+	clock.steps, clock.looks = []time.Duration{0, usual}, 0
+	if s.isSlowed() {
+		t.Error("a machine that has its speed again still counts as slowed")
+	}
+}
--- a/internal/operation/medlarnode/serve.go
+++ b/internal/operation/medlarnode/serve.go
@@ -54,7 +54,8 @@
 		if err != nil {
 			return nil, medlarwheel.AtStep("listen for "+s.name, s.address, err)
 		}
-		servers = append(servers, &server{name: s.name, listener: listener, http: &fasthttp.Server{
+		patient := &patientListener{Listener: listener, name: s.name, log: n.log, meter: n.meter, clock: n.clock}
+		servers = append(servers, &server{name: s.name, listener: patient, http: &fasthttp.Server{
 			Handler: s.handler, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout,
 			IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true,
 			ReduceMemoryUsage: true, Logger: quietLogger{},
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
+	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,9 +20,6 @@
 	"medlarwheel/platform"
 )
 
-// claimJitter spreads the claims of several instances that see the owner die at the same moment.
-const claimJitter = 60 * time.Millisecond
-
 // watchDialTimeout bounds the connection by which an instance sees the owner's process end.
 const watchDialTimeout = time.Second
 
@@ -32,6 +30,8 @@
 type tenure struct {
 	mu    sync.Mutex
 	watch *medlartenure.Watch
+	// waiting is true while this instance waits for its turn to claim the cell.
+	waiting atomic.Bool
 	// claiming serialises the claims of this instance.
 	claiming sync.Mutex
 	// open is a claim whose answer was lost. It may be carried out later.
@@ -59,7 +59,10 @@
 	return f.Run(ctx, func(rows []medlartable.Row, _ bool) {
 		n.health.Report(true)
 		n.observeTenure(ctx, rows)
-		n.claimIfVacant(ctx)
+		if n.isVacant() {
+			// The rows are followed meanwhile, so that the claim of another instance is seen in time.
+			go n.claimIfVacant(ctx, n.claimDelay)
+		}
 	})
 }
 
@@ -107,14 +110,17 @@
 	n.own(ctx, term, open.claimedAt, open.before)
 }
 
-// claimIfVacant claims the cell if its owner is gone.
-func (n *Node) claimIfVacant(ctx context.Context) {
-	n.tenure.claiming.Lock()
-	defer n.tenure.claiming.Unlock()
-	if !n.isVacant() {
+// claimIfVacant claims the cell if its owner is gone and no other instance has claimed it within the delay.
+func (n *Node) claimIfVacant(ctx context.Context, delay func() time.Duration) {
+	if !n.isVacant() || !n.tenure.waiting.CompareAndSwap(false, true) {
+		return
+	}
+	defer n.tenure.waiting.Store(false)
+	if !medlarclock.Sleep(ctx, delay()) {
 		return
 	}
-	medlarclock.Sleep(ctx, n.claimDelay()+rand.N(claimJitter))
+	n.tenure.claiming.Lock()
+	defer n.tenure.claiming.Unlock()
 	n.tenure.mu.Lock()
 	term := n.tenure.watch.Term()
 	n.tenure.mu.Unlock()
@@ -164,7 +170,7 @@
 				n.tenure.watch.OwnerSuspected(t)
 			}
 			n.tenure.mu.Unlock()
-			n.claimIfVacant(ctx)
+			n.claimIfVacant(ctx, n.claimDelay)
 			return
 		}
 		n.waitForClose(ctx, t.Address)
@@ -257,20 +263,30 @@
 	return t.Version
 }
 
+// ownerGCPercent lets the garbage of an owner grow to three times its live memory, within the memory limit: collections took
+// about a tenth of the processor time of an owner with 890 workers. Other instances keep the default, and with it less memory.
+const (
+	ownerGCPercent   = 300
+	defaultGCPercent = 100
+)
+
 // own runs the scheduler in the background.
 func (n *Node) own(ctx context.Context, term medlartenure.Term, claimedAt time.Time, before medlartenure.Predecessor) {
 	owner := medlarowner.New(n.config.Owner, medlarowner.Dependencies{
 		Store:    n.store,
 		Registry: medlarowner.Registry{Range: platform.WorkerRange(), Decode: platform.DecodeWorker},
-		Connect: func(id medlarwheel.WorkerID, address string) medlarowner.Agent {
+		Connect: func(id medlarwheel.WorkerID, address string, workers int) medlarowner.Agent {
 			return platform.NewWorker(platform.WorkerConfig{
-				ID: id, Address: address, Connections: n.config.OrderConnections, Timeout: n.config.OrderTimeout,
+				ID: id, Address: address, Timeout: n.config.OrderTimeout,
+				Connections: orderConnections(n.config.Site.Descriptors, workers, n.config.OrderConnections),
 			})
 		},
 		Clock: n.clock, Log: n.log, Meter: n.meter,
 	}, term, claimedAt, before)
 	n.owner.Store(owner)
 	go func() {
+		debug.SetGCPercent(ownerGCPercent)
+		defer debug.SetGCPercent(defaultGCPercent)
 		err := owner.Run(ctx)
 		n.owner.Store(nil)
 		n.log.Info().Str("event", "ownership-ended").Uint64("term", term.Number).Err(err).Msg("")
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -246,6 +246,9 @@
 	return j.state, true
 }
 
+// WorkerCount returns the number of known workers.
+func (c *Cell) WorkerCount() int { return len(c.workers) }
+
 // Waiting returns the number of accepted submissions of a route of which no task has started.
 func (c *Cell) Waiting(route string) int { return c.waiting[route] }
 
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -42,7 +42,7 @@
 	if entry != nil {
 		entry.agent.Close()
 	}
-	entry = &agentEntry{agent: o.Connect(id, address), address: address}
+	entry = &agentEntry{agent: o.Connect(id, address, o.cell.WorkerCount()), address: address}
 	o.agents[id] = entry
 	return entry.agent
 }
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -100,8 +100,8 @@
 type Dependencies struct {
 	Store    Store
 	Registry Registry
-	// Connect returns the agent of a worker.
-	Connect func(id medlarwheel.WorkerID, address string) Agent
+	// Connect returns the agent of one of several workers.
+	Connect func(id medlarwheel.WorkerID, address string, workers int) Agent
 	Clock   medlarwheel.Clock
 	Log     zerolog.Logger
 	Meter   *medlarmeter.Meter
--- a/internal/state/medlarinstance/instance.go
+++ b/internal/state/medlarinstance/instance.go
@@ -13,9 +13,13 @@
 package medlarinstance
 
 import (
+	"cmp"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"medlarwheel"
@@ -48,6 +52,8 @@
 	Process string `json:"process"`
 	// Power is the processor power of the instance in cores.
 	Power float64 `json:"power"`
+	// Started is when the process has started, on the clock of its instance.
+	Started time.Time `json:"started"`
 }
 
 // registerParts is the number of parts over which the rows are spread. A table that is a hundred times slower than usual
@@ -156,6 +162,38 @@
 	return all
 }
 
+// startSpan is the difference of start times that counts: instances that were started together are equals.
+const startSpan = 10 * time.Second
+
+// Turn returns the place of an instance in the order in which instances claim a cell from the owner of a term, whose process
+// has ended. Strong instances go first, and then those that were started last: when all instances are restarted in turn, such
+// a one is not stopped again soon. The rest is a different order for each term, so that a failed instance is not the first
+// one each time.
+func Turn(instances []Instance, self medlarwheel.InstanceID, ownerProcess string, term uint64) int {
+	ordered := slices.DeleteFunc(slices.Clone(instances), func(i Instance) bool {
+		return i.Process == ownerProcess && i.ID != self
+	})
+	slices.SortFunc(ordered, func(a, b Instance) int {
+		return cmp.Or(
+			cmp.Compare(b.Power, a.Power),
+			b.Started.Truncate(startSpan).Compare(a.Started.Truncate(startSpan)),
+			cmp.Compare(a.lot(term), b.lot(term)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	for turn, i := range ordered {
+		if i.ID == self {
+			return turn
+		}
+	}
+	return len(ordered)
+}
+
+// lot returns a number that orders instances differently for each term.
+func (i *Instance) lot(term uint64) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%d %s", term, i.ID))
+}
+
 // Strongest returns the highest power among the instances, or zero if there are none.
 func Strongest(instances []Instance) float64 {
 	power := 0.0
--- a/internal/state/medlarinstance/instance_test.go
+++ b/internal/state/medlarinstance/instance_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
@@ -48,3 +49,43 @@
 		}
 	}
 }
+
+// TestClaimsTakeTurns guards against instances that claim a cell all at once, against a weak one that goes before a strong
+// one, and against a cell that moves to an instance which is about to be restarted.
+func TestClaimsTakeTurns(t *testing.T) {
+	const weak, strong, count = 0.2, 0.8, 20
+	start := time.Unix(1_700_000_000, 0)
+	var all []Instance
+	for n := range count {
+		i := Instance{ID: medlarwheel.InstanceID(fmt.Sprintf("edge-%d", n)), Process: fmt.Sprintf("p-%d", n), Power: weak, Started: start}
+		if n%5 == 0 {
+			i.Power = strong
+		}
+		all = append(all, i)
+	}
+	// One strong instance and one weak one were restarted meanwhile.
+	all[10].Started, all[11].Started = start.Add(time.Minute), start.Add(time.Minute)
+	first := map[medlarwheel.InstanceID]bool{}
+	for term := range uint64(20) {
+		seen := map[int]medlarwheel.InstanceID{}
+		for _, i := range all {
+			turn := Turn(all, i.ID, "p-10", term)
+			if i.ID != all[10].ID {
+				seen[turn] = i.ID
+			}
+			if isStrong := i.Power == strong; isStrong && turn >= count/5 || !isStrong && turn < count/5-1 {
+				t.Errorf("term %d: %s with power %v has turn %d", term, i.ID, i.Power, turn)
+			}
+		}
+		if len(seen) != count-1 {
+			t.Errorf("term %d: %d turns for %d instances", term, len(seen), count-1)
+		}
+		first[seen[0]] = true
+		if got := Turn(all, all[10].ID, "", term); got != 0 {
+			t.Errorf("term %d: the strong instance that was restarted has turn %d", term, got)
+		}
+	}
+	if len(first) < 2 {
+		t.Error("the same instance goes first in all terms")
+	}
+}
