Count fragments as no room for tasks that last

The door counted the fragments as room.

Change: the room for tasks that last is less what is left over on each worker when its free room is filled with short urgent tasks of the usual size.

Test: TestFragmentsAreNoRoom.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -67,8 +67,10 @@
 	// runTimes predicts the run times of tasks by route.
 	runTimes *medlarforecast.Model
 	// meanWork is the mean work of the submissions of each route in core-seconds.
-	meanWork   map[string]float64
-	loads      map[medlarwheel.ServiceName]*serviceLoad
+	meanWork map[string]float64
+	loads    map[medlarwheel.ServiceName]*serviceLoad
+	// shortSize is the usual size of short urgent tasks by service, in thousandths of a core.
+	shortSize  map[medlarwheel.ServiceName]float64
 	measuredAt time.Time
 	pressure   *medlarpressure.Model
 	refitAt    time.Time
@@ -103,7 +105,7 @@
 func New(c Config) *Cell {
 	return &Cell{
 		config: c, jobs: map[medlarsubmission.ID]*job{}, workers: map[medlarwheel.WorkerID]*worker{}, centres: centres{}, waiting: map[string]int{},
-		meanWork: map[string]float64{}, meanSpeed: 1, misses: newMisses(),
+		meanWork: map[string]float64{}, meanSpeed: 1, shortSize: map[medlarwheel.ServiceName]float64{}, misses: newMisses(),
 		runTimes: medlarforecast.New(c.RunTimes),
 		pressure: medlarpressure.New(c.Interference.Model),
 	}
@@ -191,6 +193,7 @@
 	j.useless = s.AcceptedAt.Add(time.Duration(c.config.LateFactor * float64(j.due.Sub(s.AcceptedAt))))
 	c.jobs[s.ID] = j
 	c.learnWork(j)
+	c.learnShortSize(&s)
 	if s.Times == 0 {
 		c.waiting[s.Route]++
 	}
--- a/internal/scheduling/medlarcell/load.go
+++ b/internal/scheduling/medlarcell/load.go
@@ -6,6 +6,7 @@
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlardoor"
+	"medlarwheel/internal/acceptance/medlarsubmission"
 )
 
 // LoadConfig configures what the cell reports to the door.
@@ -35,6 +36,8 @@
 	capacity, lasting, lastingWaiting, short float64
 	// peak is the lately highest use of short urgent work.
 	peak float64
+	// fragments is the part of the free processors that no short urgent task of the usual size finds room in.
+	fragments float64
 	// release is the rate at which tasks that last give room back, in cores a second.
 	release float64
 }
@@ -50,6 +53,7 @@
 	c.loads = map[medlarwheel.ServiceName]*serviceLoad{}
 	for _, w := range c.workers {
 		l := c.loadOf(w.info.Service)
+		l.fragments += float64(w.fragment(c.shortSize[w.info.Service])) / milli
 		l.lasting += float64(w.serving) / milli
 		l.short += float64(w.committed.MilliCPU-w.serving) / milli
 		if w.registered && w.reported && !w.info.Draining {
@@ -73,6 +77,36 @@
 	}
 }
 
+// shortSizeWeight is the weight of one submission in the usual size of short urgent tasks.
+const shortSizeWeight = 0.05
+
+// learnShortSize takes in the size of the tasks of a submission if they are short and urgent.
+func (c *Cell) learnShortSize(s *medlarsubmission.Submission) {
+	if s.Terms.Priority > 0 {
+		return
+	}
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		if step.LongRunning || step.Fills {
+			continue
+		}
+		size, cpu := c.shortSize[s.Service], float64(step.Size.MilliCPU)
+		if size == 0 {
+			size = cpu
+		}
+		c.shortSize[s.Service] = size + shortSizeWeight*(cpu-size)
+	}
+}
+
+// fragment returns the processors of a worker that are left over when its free room is filled with tasks of a size.
+func (w *worker) fragment(size float64) int64 {
+	free := w.free().MilliCPU
+	if size < 1 || free <= 0 || !w.registered || !w.reported || w.info.Draining {
+		return 0
+	}
+	return free % int64(size)
+}
+
 func (c *Cell) loadOf(name medlarwheel.ServiceName) *serviceLoad {
 	l := c.loads[name]
 	if l == nil {
@@ -102,6 +136,6 @@
 	}
 	reserve := max(c.config.Load.MinReserve*l.capacity, c.config.Load.Headroom*l.peak)
 	return medlardoor.Load{
-		At: now, LastingRoom: l.capacity - l.lasting - l.lastingWaiting - reserve, LastingRelease: l.release,
+		At: now, LastingRoom: l.capacity - l.lasting - l.lastingWaiting - l.fragments - reserve, LastingRelease: l.release,
 	}
 }
