Judge the first submission of an instance by the load, and move objectives with failed runs

Each instance refreshes the owner's report with a submission, and with 97 instances the next one comes seconds later, when the report is older than the 2 s up to which it decides.

Change: a submission whose verdict depends on the load waits for a new report if the last one is older than 250 ms (one question to the owner, 300 ms at most; without an answer it is accepted as before). A failed run moves the objective, unless the worker's last run has failed too. The load line names lasting work.

Tests: TestFirstSubmissionIsJudgedByTheLoad, TestFailedRunsMoveTheObjective.

--- a/internal/acceptance/medlardoor/door.go
+++ b/internal/acceptance/medlardoor/door.go
@@ -52,6 +52,9 @@
 	Age time.Duration
 }
 
+// DependsOnLoad reports whether the verdict on a submission depends on the load.
+func (c Config) DependsOnLoad(s *medlarsubmission.Submission) bool { return lastingCores(s) > 0 }
+
 // Admit decides on a submission.
 func (c Config) Admit(now time.Time, s *medlarsubmission.Submission, load Load) Verdict {
 	v := Verdict{Accept: true, Age: now.Sub(load.At)}
--- a/internal/operation/medlarnode/entry.go
+++ b/internal/operation/medlarnode/entry.go
@@ -38,7 +38,7 @@
 	if n.health.HasFailed() {
 		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, "table does not answer"
 	}
-	verdict := n.config.Door.Admit(n.clock.Now(), s, n.load(s.Service))
+	verdict := n.config.Door.Admit(n.clock.Now(), s, n.loadFor(s))
 	if !verdict.Accept {
 		n.meter.Count("door.refused")
 		return platform.Reply{Outcome: platform.OutcomeRefused, Overloaded: true, RetryAfter: verdict.RetryAfter},
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -257,9 +257,28 @@
 	asked    time.Time
 }
 
+// last returns the last report of a service.
+func (c *loadCache) last(service medlarwheel.ServiceName) medlardoor.Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loads[service].load
+}
+
 // loadRefresh is the age of a report from which on the next submission fetches a new one.
 const loadRefresh = 250 * time.Millisecond
 
+// loadFor returns the load by which a submission is judged. One whose verdict depends on the load waits for a new report if the
+// last one is old: with many instances, most submissions are the first of their instance for seconds.
+func (n *Node) loadFor(s *medlarsubmission.Submission) medlardoor.Load {
+	if !n.config.Door.DependsOnLoad(s) {
+		return n.load(s.Service)
+	}
+	if now := n.clock.Now(); now.Sub(n.loads.last(s.Service).At) >= loadRefresh {
+		n.fetchLoad(s.Service, now)
+	}
+	return n.loads.last(s.Service)
+}
+
 // load returns the last known load of a service, and fetches a new one in the background when it is old.
 func (n *Node) load(service medlarwheel.ServiceName) medlardoor.Load {
 	now := n.clock.Now()
--- /dev/null
+++ b/internal/operation/medlarnode/peer_test.go
@@ -0,0 +1,47 @@
+package medlarnode
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlardoor"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/state/medlartenure"
+)
+
+// TestFirstSubmissionIsJudgedByTheLoad guards against a door that accepts whatever comes, because the instance has not asked
+// the owner for its load since its last submission seconds ago.
+func TestFirstSubmissionIsJudgedByTheLoad(t *testing.T) {
+	listener := fasthttputil.NewInmemoryListener()
+	defer func() { _ = listener.Close() }()
+	var asked atomic.Int32
+	go func() {
+		_ = fasthttp.Serve(listener, func(ctx *fasthttp.RequestCtx) {
+			asked.Add(1)
+			ctx.SetBodyString(`{"known":true,"load":{"at":"2026-01-01T00:00:00Z","lasting-room":-5,"lasting-release":1}}`)
+		})
+	}()
+	n := &Node{
+		clock: medlarwheel.SystemClock{}, config: Config{Door: medlardoor.DefaultConfig()}, process: "b-1",
+		loads: loadCache{loads: map[medlarwheel.ServiceName]loadEntry{}},
+		peers: newPeerClient(time.Second),
+	}
+	n.term.Store(&medlartenure.Term{Number: 1, Instance: "a", Process: "a-1", Address: "10.0.0.1:80"})
+	n.peers.of("10.0.0.1:80").Dial = func(string) (net.Conn, error) { return listener.Dial() }
+	n.peers.of("10.0.0.1:80").DialTimeout = nil
+	lasting := &medlarsubmission.Submission{Service: "svc", Steps: []medlarsubmission.Step{
+		{Count: 1, Size: medlarsubmission.Size{MilliCPU: 1000}, LongRunning: true},
+	}}
+	if verdict := n.config.Door.Admit(n.clock.Now(), lasting, n.loadFor(lasting)); verdict.Accept {
+		t.Errorf("accepted without room: %+v", verdict)
+	}
+	if n.loadFor(lasting); asked.Load() != 1 {
+		t.Errorf("the owner was asked %d times within a moment", asked.Load())
+	}
+}
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -37,7 +37,7 @@
 	case medlarorder.EndDone:
 		c.done(now, w, r, s, e)
 	case medlarorder.EndFailed:
-		c.failed(now, w, s, e)
+		c.failed(now, w, r, s, e)
 	default:
 		c.markDirty(j)
 		c.requeue(now, s, e.Task.Index)
@@ -107,8 +107,11 @@
 }
 
 // failed counts a failed run, and fails the submission once the attempts are used up.
-func (c *Cell) failed(now time.Time, w *worker, s *step, e *medlarorder.Ended) {
+func (c *Cell) failed(now time.Time, w *worker, r *run, s *step, e *medlarorder.Ended) {
 	j, t := s.occurrence.job, &s.tasks[e.Task.Index]
+	if r != nil && len(w.failedJobs) == 0 {
+		c.extend(now, r)
+	}
 	c.blame(now, w, j)
 	t.avoid = w.info.ID
 	c.note(Note{Kind: NoteTaskFailed, Task: e.Task, Run: e.Run, Worker: w.info.ID, Count: len(t.failed) + 1})
@@ -128,6 +131,23 @@
 	c.requeue(now, s, e.Task.Index)
 }
 
+// extend moves the objective of a submission by a run that has failed: the chain of its work is that much longer. A worker
+// whose last run has failed too may be the cause itself.
+func (c *Cell) extend(now time.Time, r *run) {
+	j, t := r.job(), r.task()
+	if r.confirmedAt.IsZero() || r.step.spec.LongRunning || j.submission.Times > 0 {
+		return
+	}
+	t.failedFor += now.Sub(r.confirmedAt)
+	if t.failedFor <= j.failedFor {
+		return
+	}
+	longer := time.Duration(j.submission.Terms.Stretch * float64(t.failedFor-j.failedFor))
+	j.failedFor = t.failedFor
+	j.due = j.due.Add(longer)
+	j.useless = j.useless.Add(time.Duration(c.config.LateFactor * float64(longer)))
+}
+
 // blame counts a failed run against the worker. Failures of different submissions in a row point to the worker; those of
 // one submission point to the submission.
 func (c *Cell) blame(now time.Time, w *worker, j *job) {
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -22,6 +22,8 @@
 	due, useless time.Time
 	// chain is the longest chain of estimated work from each step to the end.
 	chain []time.Duration
+	// failedFor is the longest time that failed runs of one task have taken, by which the chain is longer than expected.
+	failedFor time.Duration
 	// work is the estimated work of all tasks in core-seconds.
 	work float64
 	// remaining is the part of work whose tasks are not done.
@@ -80,6 +82,8 @@
 	runs              []*run
 	// moves counts how often the task was moved away from a slow worker.
 	moves int
+	// failedFor is how long the failed runs of the task have taken.
+	failedFor time.Duration
 	// avoid is the worker on which the last run failed.
 	avoid medlarwheel.WorkerID
 }
--- a/internal/scheduling/medlarcell/waiting.go
+++ b/internal/scheduling/medlarcell/waiting.go
@@ -58,12 +58,15 @@
 
 // loadNote sums up the load of the cell.
 func (c *Cell) loadNote() Note {
-	var waiting, waitingFill, running, runningFill, slowed int64
+	var waiting, waitingLasting, waitingFill, running, lasting, runningFill, slowed int64
 	for _, s := range c.queue {
 		cores := int64(len(s.ready)) * s.spec.Size.MilliCPU / milli
-		if s.spec.Fills {
+		switch {
+		case s.spec.Fills:
 			waitingFill += cores
-		} else {
+		case s.spec.LongRunning:
+			waitingLasting += cores
+		default:
 			waiting += cores
 		}
 	}
@@ -76,13 +79,14 @@
 		usable++
 		capacity += w.info.Capacity.MilliCPU / milli
 		leftover += c.leftover(w) / milli
-		running += (w.committed.MilliCPU) / milli
+		running += w.committed.MilliCPU / milli
+		lasting += w.serving / milli
 		runningFill += w.filling / milli
 		for _, f := range w.fills() {
 			slowed += f.step.spec.Size.MilliCPU * int64(fullPace-f.pace) / fullPace / milli
 		}
 	}
 	return Note{Kind: NoteLoad, Count: usable, Reason: fmt.Sprintf(
-		"cores: capacity %d, committed %d, leftover %d, filling %d, slowed away %d, waiting %d, waiting to fill %d",
-		capacity, running, leftover, runningFill, slowed, waiting, waitingFill)}
+		"cores: capacity %d, committed %d, lasting %d, leftover %d, filling %d, slowed away %d, waiting %d, waiting to last %d, "+
+			"waiting to fill %d", capacity, running, lasting, leftover, runningFill, slowed, waiting, waitingLasting, waitingFill)}
 }
