Outlast malformed rows, panics and a want of memory, and test what other operators have met

Cause: other operators have told of processes that ended on one message.

Change: numbers from outside are checked as indices; the tasks of all times are bounded to 200,000; a handler that panics answers 504 and is logged.

--- a/internal/acceptance/medlarsubmission/submission.go
+++ b/internal/acceptance/medlarsubmission/submission.go
@@ -169,9 +169,17 @@
 		faults = append(faults, s.Steps[i].check(i)...)
 		total += min(s.Steps[i].Count, maxTasks)
 	}
-	return faults.Range("tasks", int64(total), 1, maxTasks)
+	faults = faults.Range("tasks", int64(total), 1, maxTasks)
+	if len(faults) > 0 {
+		return faults
+	}
+	return faults.Range("tasks of all times", int64(total)*int64(s.Occurrences()), 1, maxTasksOfAllTimes)
 }
 
+// maxTasksOfAllTimes bounds the memory that one submission takes in the scheduler, some hundred bytes for each task: an owner
+// that runs out of memory takes its successors with it, since they read the same submission.
+const maxTasksOfAllTimes = 200_000
+
 func (s *Step) check(index int) medlarwheel.Faults {
 	path := fmt.Sprintf("steps[%d].", index)
 	faults := medlarwheel.Faults{}.Range(path+"count", int64(s.Count), 1, maxTasks)
--- a/internal/operation/medlarnode/serve.go
+++ b/internal/operation/medlarnode/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -56,7 +57,7 @@
 		}
 		patient := &patientListener{Listener: listener, name: s.name, log: n.log, meter: n.meter, clock: n.clock}
 		servers = append(servers, &server{name: s.name, listener: patient, http: &fasthttp.Server{
-			Handler: s.handler, ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout,
+			Handler: n.guard(s.name, s.handler), ReadBufferSize: maxHeader, MaxRequestBodySize: maxBody, ReadTimeout: readTimeout,
 			IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true,
 			ReduceMemoryUsage: true, Logger: quietLogger{},
 		}})
@@ -64,6 +65,26 @@
 	return servers, nil
 }
 
+// guard answers a request whose handler panics with an error that leaves open whether it has had an effect, and keeps the
+// process: the library's server would end it.
+func (n *Node) guard(name string, handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			n.meter.Count("handler-panicked." + name)
+			n.log.Error().Str("event", "handler-panicked").Str("server", name).Bytes("path", ctx.Path()).
+				Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("")
+			ctx.Response.Reset()
+			ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
+			ctx.SetConnectionClose()
+		}()
+		handler(ctx)
+	}
+}
+
 // quietLogger drops the library's lines about connections that clients have broken.
 type quietLogger struct{}
 
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -220,16 +220,19 @@
 
 // taskOf returns the step and the task that a name stands for.
 func (j *job) taskOf(n medlarsubmission.TaskName) (*step, *task) {
-	if n.Occurrence >= len(j.occurrences) || n.Step >= len(j.occurrences[n.Occurrence].steps) {
+	if !isIndex(n.Occurrence, j.occurrences) || !isIndex(n.Step, j.occurrences[n.Occurrence].steps) {
 		return nil, nil
 	}
 	s := j.occurrences[n.Occurrence].steps[n.Step]
-	if n.Index >= len(s.tasks) {
+	if !isIndex(n.Index, s.tasks) {
 		return nil, nil
 	}
 	return s, &s.tasks[n.Index]
 }
 
+// isIndex reports whether a number from outside is an index of a list.
+func isIndex[T any](n int, list []T) bool { return n >= 0 && n < len(list) }
+
 // eachRun calls f for every run of the job. f may end runs.
 func (j *job) eachRun(f func(*run)) {
 	for _, o := range j.occurrences {
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -265,3 +265,28 @@
 		t.Fatal("the submission was not started although every worker has reported")
 	}
 }
+
+// TestNextOwnerUsesNoWorkerThatHasLeft guards against a worker that has left, or is leaving, and is in use again after a change
+// of owner: the list of the fleet still names it, and it still answers.
+func TestNextOwnerUsesNoWorkerThatHasLeft(t *testing.T) {
+	b := newBench(t, 0, Tenure{Fence: 2 << 12, Term: 2})
+	leaving := benchWorker(1)
+	leaving.Draining = true
+	b.cell.SetWorkers(b.now, []medlarorder.Worker{benchWorker(0), leaving})
+	b.cell.RestoreFleet(b.now, []medlarorder.Worker{benchWorker(0), benchWorker(1), benchWorker(2)})
+	b.flush()
+	b.look()
+	if len(b.holds) != 3 {
+		t.Fatalf("%d workers were asked for their lists, want all three", len(b.holds))
+	}
+	for _, h := range b.holds {
+		b.report(h, medlarorder.Report{})
+	}
+	step := benchStep()
+	step.Count, step.MaxPerWorker = 3, 1
+	b.cell.Accept(b.now, benchSubmission(step))
+	b.look()
+	if len(b.starts) != 1 || b.starts[0].Worker != "w0" {
+		t.Fatalf("tasks were started by %d orders, want one to w0, which alone stays", len(b.starts))
+	}
+}
