Let copies and old shapes hide no room, and name the connections of renewals once

Found on reading the change: a copy that may not run on the one free worker, where its task runs already, was remembered as a miss of its shape, so that other tasks waited for up to 250 ms (TestCopyHidesNoRoom failed before). The remembered shapes are bounded. platform.HoldConnections stood twice.

--- a/internal/operation/medlarnode/descriptors.go
+++ b/internal/operation/medlarnode/descriptors.go
@@ -10,22 +10,20 @@
 
 	"medlarwheel"
 	"medlarwheel/internal/operation/medlarmeter"
+	"medlarwheel/platform"
 )
 
 // reservedDescriptors are kept for files, clients, other instances and the table: an owner without them can't renew its
 // claim.
 const reservedDescriptors = 1500
 
-// holdConnections is the number of connections to a worker that its renewals use.
-const holdConnections = 2
-
 // orderConnections returns how many connections an owner may have to one worker for its orders, so that the connections to
 // all workers leave the reserve untouched.
 func orderConnections(descriptors, workers, limit int) int {
 	if descriptors <= 0 || workers <= 0 {
 		return limit
 	}
-	return min(limit, max(1, (descriptors-reservedDescriptors)/workers-holdConnections))
+	return min(limit, max(1, (descriptors-reservedDescriptors)/workers-platform.HoldConnections))
 }
 
 // acceptPause is the pause after a connection that can't be accepted for want of resources.
--- a/internal/scheduling/medlarcell/misses.go
+++ b/internal/scheduling/medlarcell/misses.go
@@ -31,6 +31,9 @@
 	seen int
 }
 
+// maxShapes bounds the shapes that are remembered, since new images come without end.
+const maxShapes = 1000
+
 // misses holds what is known about steps without room.
 type misses struct {
 	byShape map[shape]*miss
@@ -57,6 +60,10 @@
 // forget drops what is known.
 func (m *misses) forget() {
 	m.sweep++
+	if len(m.byShape) > maxShapes {
+		// Waiting steps keep theirs.
+		m.byShape = map[shape]*miss{}
+	}
 	m.changes = m.changes[:0]
 	m.lastPass, m.thisPass = 0, 0
 }
@@ -89,6 +96,10 @@
 
 // record notes that a step has found no room on any worker.
 func (m *misses) record(s *step) {
+	if len(s.tasks[s.ready[0]].runs) > 0 {
+		// A copy may not run where the first one does, which says nothing about other tasks.
+		return
+	}
 	known := s.miss
 	// A miss of a step that asks for less says more, as long as that step is still being tried.
 	isCurrent := known.sweep == m.sweep && known.seen >= m.lastPass
--- a/internal/scheduling/medlarcell/misses_test.go
+++ b/internal/scheduling/medlarcell/misses_test.go
@@ -82,6 +82,30 @@
 	}
 }
 
+// TestCopyHidesNoRoom guards against tasks that wait with room because a copy of another task found none: it may not run on
+// the one free worker, where the first run of its task is.
+func TestCopyHidesNoRoom(t *testing.T) {
+	b := newBench(t, 1, Tenure{Fence: 1 << 12, Term: 1})
+	b.report(b.holds[0], medlarorder.Report{})
+	spec := benchStep()
+	spec.Speculative = true
+	b.cell.Accept(b.now, benchSubmission(spec))
+	b.look()
+	first := b.cell.jobs["00000000000000aa"].occurrences[0].steps[0]
+	b.cell.Started(b.now, b.starts[0].Worker, b.starts[0].Start, medlarorder.Answer{Verdict: medlarorder.VerdictAccepted}, nil)
+	first.tasks[0].waiting = true
+	first.ready = append(first.ready, 0)
+	b.cell.enqueue(b.now, first)
+	b.look()
+	other := benchSubmission(benchStep())
+	other.ID = "00000000000000bb"
+	b.cell.Accept(b.now, other)
+	b.look()
+	if len(b.starts) != 1 || b.starts[0].Start.Task.Submission != other.ID {
+		t.Fatalf("%d tasks were started, want the one of the other submission", len(b.starts))
+	}
+}
+
 // placeNaively starts waiting tasks of a step and looks at all workers for each of them.
 func placeNaively(c *Cell, now time.Time, s *step, workers []*worker) {
 	for len(s.ready) > 0 {
