Grant long leases while the table is away for all

An owner goes on without the table on the promises of all others.

From 2 s after its last renewal on, such an owner now grants leases of 8 s, at most what the worker allows. Each instance that could claim the cell learns of them with the question for its promise. A successor that was not asked takes them for granted, unless the owner's process, by the boot clock of its machine, had ended within 2 s of its last renewal: then leases were short, so that a cell whose processes were all killed is served again as soon as before. The renewal and the release say how long such leases still last.

TestSimulatedOutages fails when a successor does not know of the leases.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -69,6 +69,8 @@
 func DefaultConfig(site platform.Site) Config {
 	owner := medlarowner.DefaultConfig()
 	owner.Cell.Lease = min(owner.Cell.Lease, site.MaxLease)
+	owner.Tenure.OutageLease = min(owner.Tenure.OutageLease, site.MaxLease)
+	owner.Cell.OutageLease = owner.Tenure.OutageLease
 	owner.Cell.KeepFinished = max(owner.Cell.KeepFinished, site.KeepFinished+10*time.Second)
 	return Config{
 		Site: site, Owner: owner, Door: medlardoor.DefaultConfig(), Register: medlarinstance.DefaultConfig(),
@@ -85,7 +87,7 @@
 	config Config
 	log    zerolog.Logger
 	meter  *medlarmeter.Meter
-	clock  medlarwheel.Clock
+	clock  clock
 	store  *platform.Store
 	health *medlarintake.Health
 	intake *medlarintake.Intake
@@ -110,6 +112,12 @@
 	restUntil atomic.Int64
 }
 
+// clock tells the time, also on the clock of this boot of the machine.
+type clock interface {
+	medlarwheel.Clock
+	Moment(now time.Time) medlarwheel.Moment
+}
+
 // New returns an instance that is not running yet.
 func New(c Config, log zerolog.Logger, meter *medlarmeter.Meter) (*Node, error) {
 	clock, err := medlarclock.NewBoot()
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -34,6 +34,8 @@
 	Term uint64 `json:"term,omitempty"`
 	// Service is the service whose load is asked for.
 	Service medlarwheel.ServiceName `json:"service,omitempty"`
+	// OutageLease is how long the leases are that the owner grants once everyone has promised.
+	OutageLease time.Duration `json:"outage-lease-ns,omitempty"`
 }
 
 // peerAnswer is the owner's answer.
@@ -42,8 +44,9 @@
 	State   medlarsubmission.State `json:"state,omitempty"`
 	Waiting int                    `json:"waiting,omitempty"`
 	Load    medlardoor.Load        `json:"load,omitzero"`
-	// Process names the answering process.
-	Process string `json:"process,omitempty"`
+	// Process names the answering process, and Started is when it started.
+	Process string             `json:"process,omitempty"`
+	Started medlarwheel.Moment `json:"started,omitzero"`
 	// Promise is true if the answering instance does not claim the cell within the owner's timeout.
 	Promise bool `json:"promise,omitempty"`
 	// Served is true if the table answers the answering instance.
@@ -185,11 +188,11 @@
 func (n *Node) answerPeer(path string, q peerQuestion) (peerAnswer, error) {
 	a := peerAnswer{}
 	if path == peerPathProcess {
-		a.Process = n.process
+		a.Process, a.Started = n.process, n.clock.Moment(n.started)
 		return a, nil
 	}
 	if path == peerPathPromise {
-		a.Promise = n.promise(q.Term)
+		a.Promise = n.promise(q.Term, q.OutageLease)
 		a.Served = n.readsCell()
 		return a, nil
 	}
--- a/internal/operation/medlarnode/peer_test.go
+++ b/internal/operation/medlarnode/peer_test.go
@@ -28,7 +28,7 @@
 		})
 	}()
 	n := &Node{
-		clock: medlarwheel.SystemClock{}, config: Config{Door: medlardoor.DefaultConfig()}, process: "b-1",
+		clock: bootClock(t), config: Config{Door: medlardoor.DefaultConfig()}, process: "b-1",
 		loads: loadCache{loads: map[medlarwheel.ServiceName]loadEntry{}},
 		peers: newPeerClient(time.Second),
 	}
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -79,6 +79,14 @@
 	return !g.since.IsZero() && now.Sub(g.since) >= minRegistered && now.Sub(g.last) <= maxRegistrationAge
 }
 
+// wasAsked reports whether an owner that goes on without the table has asked this instance, or its questions are so long
+// ago that the leases of that time have ended.
+func (g *registration) wasAsked(now time.Time, within time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.since.IsZero() && now.Sub(g.since) >= within && now.Sub(g.last) <= maxRegistrationAge
+}
+
 // followInstances follows the register while this instance owns the cell.
 func (n *Node) followInstances(ctx context.Context) error {
 	for medlarclock.Sleep(ctx, extendInterval) {
@@ -108,14 +116,12 @@
 	// servedAge is the age of the table's last answer up to which it serves this instance, however slowly. It is above the
 	// time that a slow table takes for an answer, and an owner that is not served gives up the cell before its own time ends.
 	servedAge = 900 * time.Millisecond
-	// tableQuiet is the age of the table's last answer from which on the register is not read.
-	tableQuiet = 900 * time.Millisecond
 )
 
 // refreshRegister reads the register when it is old and the table answers.
 func (n *Node) refreshRegister() {
 	now := n.clock.Now()
-	if now.Sub(n.register.triedAt) < registerAge || now.Sub(n.health.LastOK()) > tableQuiet {
+	if now.Sub(n.register.triedAt) < registerAge || now.Sub(n.health.LastOK()) > servedAge {
 		return
 	}
 	n.register.triedAt = now
@@ -153,7 +159,7 @@
 // yield hands the cell over when another instance serves it better.
 func (n *Node) yield(ctx context.Context, owner *medlarowner.Owner) {
 	now := n.clock.Now()
-	if now.Sub(n.health.LastOK()) > tableQuiet || now.Sub(owner.Since()) < yieldAfter {
+	if now.Sub(n.health.LastOK()) > servedAge || now.Sub(owner.Since()) < yieldAfter {
 		return
 	}
 	n.register.mu.Lock()
@@ -264,7 +270,11 @@
 	n.register.mu.Unlock()
 	served := make(chan bool, 1)
 	go func() { served <- isServed(n.readsCell(), n.clock.Now().Sub(n.health.LastOK())) }()
-	answers := n.askAll(ctx, peers, owner.Term())
+	var lease time.Duration
+	if now.Sub(owner.TriedAt()) >= n.config.Owner.Tenure.OutageAfter {
+		lease = n.config.Owner.Tenure.OutageLease
+	}
+	answers := n.askAll(ctx, peers, peerQuestion{Term: owner.Term(), OutageLease: lease})
 	if heir, found := bestHeir(answers); !<-served && found {
 		n.handOver(ctx, owner, heir)
 		return
@@ -274,9 +284,10 @@
 			Int64("register-age-ms", age.Milliseconds()).Int64("renewal-age-ms", quiet.Milliseconds()).Msg("")
 		return
 	}
-	owner.Extend(now.Add(n.config.Owner.Tenure.OwnerTimeout))
+	n.noteOutageLeases(now, lease)
+	owner.Extend(now.Add(n.config.Owner.Tenure.OwnerTimeout), lease > 0)
 	n.log.Info().Str("event", "authority-extended").Int("instances", len(peers)).
-		Int64("renewal-age-ms", quiet.Milliseconds()).Msg("")
+		Int64("renewal-age-ms", quiet.Milliseconds()).Int64("lease-ms", lease.Milliseconds()).Msg("")
 }
 
 // isServed reports whether the table serves this instance: it has answered a read in the time of a fast table, or any call a
@@ -321,7 +332,7 @@
 }
 
 // askAll asks all other instances at once for the promise not to claim the cell.
-func (n *Node) askAll(ctx context.Context, peers []medlarinstance.Instance, term uint64) []peerView {
+func (n *Node) askAll(ctx context.Context, peers []medlarinstance.Instance, q peerQuestion) []peerView {
 	results := make(chan peerView, len(peers))
 	asked := 0
 	for _, peer := range peers {
@@ -330,7 +341,7 @@
 		}
 		asked++
 		go func() {
-			a, err := n.others.of(peer.Address).ask(peer.Address, peerPathPromise, peerQuestion{Term: term})
+			a, err := n.others.of(peer.Address).ask(peer.Address, peerPathPromise, q)
 			results <- peerView{peer: peer, served: err == nil && a.Served, promise: err == nil && a.Promise}
 		}()
 	}
@@ -368,7 +379,7 @@
 func (n *Node) takeOver(term uint64) {
 	n.tenure.mu.Lock()
 	if present := n.tenure.watch.Term(); present.Number == term {
-		n.tenure.watch.OwnerDied(present)
+		n.tenure.watch.OwnerDied(present, medlarwheel.Moment{})
 	}
 	n.tenure.mu.Unlock()
 	// The owner has chosen this instance, so that it does not wait for its turn.
@@ -376,15 +387,24 @@
 }
 
 // promise promises the owner not to claim the cell for a while. An instance that owns the cell itself, or whose claim is on
-// its way or may still be carried out, can't promise that.
-func (n *Node) promise(term uint64) bool {
+// its way or may still be carried out, can't promise that. The lease is what the owner grants with everyone's promise.
+func (n *Node) promise(term uint64, lease time.Duration) bool {
 	if !n.tenure.claiming.TryLock() {
 		return false
 	}
 	defer n.tenure.claiming.Unlock()
+	now := n.clock.Now()
+	n.noteOutageLeases(now, lease)
+	n.tenure.mu.Lock()
+	defer n.tenure.mu.Unlock()
+	return n.owner.Load() == nil && n.tenure.open == nil && n.tenure.watch.Promise(now, term)
+}
+
+// noteOutageLeases remembers the leases of an outage, in case this instance claims the cell next.
+func (n *Node) noteOutageLeases(now time.Time, lease time.Duration) {
 	n.tenure.mu.Lock()
 	defer n.tenure.mu.Unlock()
-	return n.owner.Load() == nil && n.tenure.open == nil && n.tenure.watch.Promise(n.clock.Now(), term)
+	n.tenure.watch.OutageLeases(now, lease)
 }
 
 // unregister removes the row of this instance.
--- a/internal/operation/medlarnode/register_test.go
+++ b/internal/operation/medlarnode/register_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"medlarwheel"
+	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
 	"medlarwheel/internal/state/medlartable"
@@ -62,7 +62,7 @@
 // An owner that comes back from a partition would otherwise go on beside its successor.
 func TestPromisesThatCantBeKept(t *testing.T) {
 	node := func() *Node {
-		n := &Node{clock: medlarwheel.SystemClock{}, tenure: tenure{watch: medlartenure.NewWatch(medlartenure.DefaultConfig())}}
+		n := &Node{clock: bootClock(t), tenure: tenure{watch: medlartenure.NewWatch(medlartenure.DefaultConfig())}}
 		claim, err := n.tenure.watch.Claim(medlartenure.Term{Number: 2, Instance: "a", Address: "10.0.0.1:80", Process: "a-1"}, "c0")
 		if err != nil {
 			t.Fatal(err)
@@ -74,26 +74,61 @@
 		}
 		return n
 	}
-	if n := node(); !n.promise(2) || n.promise(1) {
+	if n := node(); !n.promise(2, 0) || n.promise(1, 0) {
 		t.Error("no promise to the present owner, or one to an owner before it")
 	}
 	owning := node()
 	owning.owner.Store(&medlarowner.Owner{})
-	if owning.promise(2) {
+	if owning.promise(2, 0) {
 		t.Error("an instance that owns the cell has promised not to claim it")
 	}
 	claiming := node()
 	claiming.tenure.claiming.Lock()
-	if claiming.promise(2) {
+	if claiming.promise(2, 0) {
 		t.Error("an instance whose claim is on its way has promised not to claim the cell")
 	}
 	unsure := node()
 	unsure.tenure.open = &openClaim{}
-	if unsure.promise(2) {
+	if unsure.promise(2, 0) {
 		t.Error("an instance whose claim may still be carried out has promised not to claim the cell")
 	}
 }
 
+// bootClock returns the clock of an instance.
+func bootClock(t *testing.T) *medlarclock.Boot {
+	t.Helper()
+	c, err := medlarclock.NewBoot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestPromiseKeepsTheLeases guards against a successor that starts tasks again while the leases of an outage last: the
+// question for the promise is where it learns of them, also if it can't promise.
+func TestPromiseKeepsTheLeases(t *testing.T) {
+	n := &Node{clock: bootClock(t), tenure: tenure{watch: medlartenure.NewWatch(medlartenure.DefaultConfig())}}
+	claim, err := n.tenure.watch.Claim(medlartenure.Term{Number: 2, Instance: "a", Address: "10.0.0.1:80", Process: "a-1"}, "c0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	claim.Put[0].Version = 9
+	if err := n.tenure.watch.Observe(n.clock.Now(), claim.Put[:1]); err != nil {
+		t.Fatal(err)
+	}
+	const lease = 8 * time.Second
+	if n.promise(1, lease) {
+		t.Error("a promise to an owner before the present one")
+	}
+	now := n.clock.Now()
+	if got := n.tenure.watch.Predecessor(now, true).OutageLeases; got < lease {
+		t.Errorf("leases of %v are known to the successor, want %v at least", got, lease)
+	}
+	if got := n.tenure.watch.Predecessor(now.Add(2*lease), true).OutageLeases; got != 0 {
+		t.Errorf("leases of %v are known after they have ended", got)
+	}
+}
+
 // TestSlowTableServesTheOwner guards against a change of owner because a slow table has answered another instance in time and
 // not the owner, and against an owner that stays although the table answers others only.
 func TestSlowTableServesTheOwner(t *testing.T) {
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -83,7 +83,7 @@
 	term := n.tenure.watch.Term()
 	if term.Instance == n.config.Site.Instance && term.Process != n.process {
 		// The claim is of an earlier process of this instance.
-		n.tenure.watch.OwnerDied(term)
+		n.tenure.watch.OwnerDied(term, n.clock.Moment(n.started))
 	}
 	n.tenure.mu.Unlock()
 	if err != nil {
@@ -136,7 +136,7 @@
 	if !n.tenure.watch.ShouldClaim(now) || n.stopping.Load() || n.owner.Load() != nil {
 		return false
 	}
-	return !n.tenure.watch.Predecessor().Expired || n.registration.isEstablished(now)
+	return !n.tenure.watch.Predecessor(now, false).Expired || n.registration.isEstablished(now)
 }
 
 // setTerm notes who owns the cell, and watches the process of a new owner.
@@ -160,12 +160,12 @@
 		if present := n.term.Load(); present == nil || present.Number != t.Number {
 			return
 		}
-		if ended, certain := n.processEnded(t); ended {
+		if ended, certain, by := n.processEnded(t); ended {
 			n.log.Warn().Str("event", "owner-process-ended").Uint64("term", t.Number).Str("instance", string(t.Instance)).
 				Bool("certain", certain).Msg("")
 			n.tenure.mu.Lock()
 			if certain {
-				n.tenure.watch.OwnerDied(t)
+				n.tenure.watch.OwnerDied(t, by)
 			} else {
 				n.tenure.watch.OwnerSuspected(t)
 			}
@@ -177,14 +177,14 @@
 	}
 }
 
-// processEnded reports whether the owner's process seems to have ended, and whether that is certain: a partition may refuse
-// connections too, but only another process answers with another name.
-func (n *Node) processEnded(t medlartenure.Term) (ended, certain bool) {
+// processEnded reports whether the owner's process seems to have ended, whether that is certain, and by when it had: a
+// partition may refuse connections too, but only another process answers with another name.
+func (n *Node) processEnded(t medlartenure.Term) (ended, certain bool, by medlarwheel.Moment) {
 	a, err := n.peers.ask(t.Address, peerPathProcess, peerQuestion{})
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED), false
+		return errors.Is(err, syscall.ECONNREFUSED), false, medlarwheel.Moment{}
 	}
-	return a.Process != t.Process, a.Process != t.Process
+	return a.Process != t.Process, a.Process != t.Process, a.Started
 }
 
 // waitForClose returns when a connection to the address is closed, or can't be opened after a pause.
@@ -211,15 +211,16 @@
 		n.log.Error().Str("event", "claim-failed").Err(err).Msg("")
 		return
 	}
+	claimedAt := n.clock.Now()
+	asked := n.registration.wasAsked(claimedAt, n.config.Owner.Tenure.AskedWithin(registerTrust))
 	n.tenure.mu.Lock()
-	before := n.tenure.watch.Predecessor()
+	before := n.tenure.watch.Predecessor(claimedAt, asked)
 	t, err := n.tenure.watch.Claim(next, n.config.Owner.Part, link)
 	n.tenure.mu.Unlock()
 	if err != nil {
 		n.log.Error().Str("event", "claim-failed").Err(err).Msg("")
 		return
 	}
-	claimedAt := n.clock.Now()
 	commit, err := n.store.Transact(t)
 	var conflict *medlartable.ConflictError
 	if errors.As(err, &conflict) {
@@ -239,7 +240,8 @@
 		return
 	}
 	next.Version = commit.Version
-	n.log.Info().Str("event", "cell-claimed").Uint64("term", next.Number).Str("from", string(present.Instance)).Msg("")
+	n.log.Info().Str("event", "cell-claimed").Uint64("term", next.Number).Str("from", string(present.Instance)).
+		Bool("asked", asked).Int64("outage-leases-ms", before.OutageLeases.Milliseconds()).Msg("")
 	n.tenure.mu.Lock()
 	n.tenure.watch.Claimed(next)
 	n.tenure.mu.Unlock()
@@ -281,7 +283,7 @@
 				Connections: orderConnections(n.config.Site.Descriptors, workers, n.config.OrderConnections),
 			})
 		},
-		Clock: n.clock, Log: n.log, Meter: n.meter,
+		Clock: n.clock, Moment: n.clock.Moment, Log: n.log, Meter: n.meter,
 	}, term, claimedAt, before)
 	n.owner.Store(owner)
 	go func() {
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -22,6 +22,8 @@
 	// settleAt is when a task that no worker knows may be started even if some workers have not reported.
 	settleAt time.Time
 	settled  bool
+	// lengthened is until when OutageLease may be granted, and outageLeases when every such lease has ended.
+	lengthened, outageLeases time.Time
 	// graceEnd is until when the owner before may still start tasks, of new submissions too.
 	graceEnd time.Time
 	// authority is until when this owner may order, unless it renews its ownership.
@@ -96,6 +98,8 @@
 	Expired bool
 	// Grace is how long after the claim the owner before may still give orders.
 	Grace time.Duration
+	// OutageLeases is how long after the claim leases may last that were granted while the table was away.
+	OutageLeases time.Duration
 }
 
 // runsPerTerm is the number of run numbers that one owner may use for a task.
@@ -117,7 +121,8 @@
 	c.firstRun = medlarorder.RunNumber((t.Term-1)*runsPerTerm + 1)
 	c.tickedAt = now
 	c.graceEnd = now.Add(t.Grace)
-	c.settleAt = now.Add(t.Grace + c.inheritedLease(t.Expired))
+	c.settleAt = now.Add(t.Grace + max(c.inheritedLease(t.Expired), c.surely(t.OutageLeases)))
+	c.outageLeases = now.Add(t.OutageLeases)
 }
 
 // Authorize sets until when this owner may order workers.
@@ -130,9 +135,24 @@
 // Authority returns until when this owner may order workers.
 func (c *Cell) Authority() time.Time { return c.authority }
 
+// Lengthen lets the owner grant OutageLease until the given time. Every instance that could claim the cell must know it.
+func (c *Cell) Lengthen(until time.Time) {
+	c.lengthened = until
+	if end := until.Add(c.config.OutageLease); end.After(c.outageLeases) {
+		c.outageLeases = end
+	}
+}
+
+// OutageLeases returns how much longer leases from an outage of the table may last.
+func (c *Cell) OutageLeases(now time.Time) time.Duration { return max(0, c.outageLeases.Sub(now)) }
+
 // leaseOf returns the end of the lease that the owner may grant now, on the worker's clock.
 func (c *Cell) leaseOf(now time.Time, w *worker) time.Duration {
-	return w.until(now, min(c.config.Lease, c.authority.Add(c.config.LeaseTail).Sub(now)))
+	lease := min(c.config.Lease, c.authority.Add(c.config.LeaseTail).Sub(now))
+	if now.Before(c.lengthened) {
+		lease = max(lease, c.config.OutageLease)
+	}
+	return w.until(now, lease)
 }
 
 // inheritedLease bounds how long a lease of an earlier owner may last after its successor's claim. An owner whose authority
@@ -142,6 +162,11 @@
 	if expired {
 		lease = min(lease, c.config.LeaseTail)
 	}
+	return c.surely(lease)
+}
+
+// surely returns the time after which a lease has ended by the slowest clock.
+func (c *Cell) surely(lease time.Duration) time.Duration {
 	return time.Duration(float64(lease)*(1+2*c.config.ClockDrift)) + c.config.LeaseMargin
 }
 
--- a/internal/scheduling/medlarcell/silence_test.go
+++ b/internal/scheduling/medlarcell/silence_test.go
@@ -64,3 +64,66 @@
 		t.Errorf("tasks started after the north has answered: %v", started)
 	}
 }
+
+// TestOutageLeaseOutlivesACut guards against tasks that all end because their data centre is cut off while the table is away:
+// the owner's authority ends with the cut, and leases of the usual length soon after.
+func TestOutageLeaseOutlivesACut(t *testing.T) {
+	const outageLease, cut = 8 * time.Second, 6 * time.Second
+	for _, lengthened := range []bool{false, true} {
+		b := newBench(t, 1, Tenure{Fence: 1 << 12, Term: 1})
+		b.cell.config.OutageLease = outageLease
+		b.report(b.holds[0], medlarorder.Report{})
+		b.cell.Accept(b.now, benchSubmission(benchStep()))
+		b.look()
+		start, renewal := b.starts[0].Start, b.holds[0]
+		b.cell.Started(b.now, "w0", start, medlarorder.Answer{Verdict: medlarorder.VerdictAccepted}, nil)
+		if lengthened {
+			b.cell.Lengthen(b.now.Add(time.Second))
+		}
+		b.wait(50 * time.Millisecond)
+		b.report(renewal, medlarorder.Report{Running: []medlarorder.Running{{Task: start.Task, Run: 1}}})
+		b.look()
+		granted := b.holds[0].Hold.Until - b.now.Sub(simEpoch) - time.Second
+		b.wait(cut)
+		runs := len(b.cell.workers["w0"].runs) == 1
+		if runs != lengthened {
+			t.Errorf("leases lengthened %v: the task counts as running %v after a cut of %v", lengthened, runs, cut)
+		}
+		if lengthened && granted < outageLease-100*time.Millisecond {
+			t.Errorf("the worker may run for %v, want %v", granted, outageLease)
+		}
+		b.wait(outageLease - cut + time.Second)
+		if len(b.cell.workers["w0"].runs) > 0 {
+			t.Error("a task counts as running after every lease must have ended")
+		}
+	}
+}
+
+// TestSuccessorWaitsForOutageLeases guards against a second start of a task that still runs, in a data centre out of reach,
+// under a lease that the owner before has granted while the table was away.
+func TestSuccessorWaitsForOutageLeases(t *testing.T) {
+	const left = 7 * time.Second
+	b := newBench(t, 0, Tenure{Fence: 2 << 12, Term: 2, Expired: true, OutageLeases: left})
+	if err := b.cell.Restore(b.now, benchSubmission(benchStep()), Progress{}, false); err != nil {
+		t.Fatal(err)
+	}
+	b.cell.SetWorker(b.now, benchWorker(0))
+	b.cell.RestoreFleet(b.now, []medlarorder.Worker{benchWorker(0), benchWorker(1)})
+	b.flush()
+	b.look()
+	for ; b.now.Sub(simEpoch) < left; b.wait(100 * time.Millisecond) {
+		for _, h := range b.holds {
+			if h.Worker == "w0" {
+				b.report(h, medlarorder.Report{})
+			}
+		}
+		b.cell.Tick(b.now)
+		b.look()
+		if len(b.starts) > 0 {
+			t.Fatalf("started %v after the claim, while a lease of %v may last", b.now.Sub(simEpoch), left)
+		}
+	}
+	if got := b.cell.OutageLeases(simEpoch); got != left {
+		t.Errorf("the next owner would learn of leases of %v, want %v", got, left)
+	}
+}
--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -64,6 +64,8 @@
 	flushing bool
 	// cutOff is true while the owner can't reach the table.
 	cutOff bool
+	// outageLeases is until when leases may last that an owner has granted without the table.
+	outageLeases time.Duration
 	// What the workers have done, for the checks.
 	doneTasks map[medlarsubmission.TaskName]bool
 	ackedDone map[medlarsubmission.TaskName]bool
@@ -106,6 +108,9 @@
 // simAuthority is for how long an owner may give orders after it was cut off from the table.
 const simAuthority = 1200 * time.Millisecond
 
+// simOutageLease is the lease that an owner without the table grants.
+const simOutageLease = 8 * time.Second
+
 // cutOwner cuts the owner off from the table. It goes on giving orders until another one claims the cell.
 func (w *simWorld) cutOwner() {
 	w.cutOff = true
@@ -124,9 +129,12 @@
 	w.term++
 	w.flushing = false
 	config := DefaultConfig()
+	config.OutageLease = simOutageLease
 	cell := New(config)
 	w.cell = cell
-	cell.Begin(w.time(), Tenure{Fence: medlarwheel.FencingToken(w.term << 12), Term: w.term, Expired: expired})
+	cell.Begin(w.time(), Tenure{
+		Fence: medlarwheel.FencingToken(w.term << 12), Term: w.term, Expired: expired, OutageLeases: max(0, w.outageLeases-w.now),
+	})
 	cell.Authorize(w.time().Add(simAuthority))
 	for _, s := range w.accepted {
 		if err := cell.Restore(w.time(), s, w.progress[s.ID], w.cancelled[s.ID]); err != nil {
@@ -443,3 +451,45 @@
 		})
 	}
 }
+
+// outage keeps the owner from the table, then cuts off some of the workers, and lets another owner claim the cell once the
+// authority of the first one has ended.
+func (w *simWorld) outage() {
+	w.cutOwner()
+	w.cell.Lengthen(w.time().Add(simAuthority))
+	w.outageLeases = w.now + simAuthority + simOutageLease
+	w.after(simAuthority*3/4, func() {
+		for i := range 3 {
+			worker := w.workers[medlarwheel.WorkerID(fmt.Sprintf("w%d", i))]
+			worker.cut = true
+			w.after(simOutageLease*3/4, func() {
+				worker.cut = false
+				w.cell.SetWorker(w.time(), worker.info)
+				w.turn()
+			})
+		}
+	})
+}
+
+// TestSimulatedOutages guards against tasks that run twice because the successor of an owner without the table does not know
+// how long its leases are, in a cut that follows an outage.
+func TestSimulatedOutages(t *testing.T) {
+	for seed := range 20 {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			w := newSimWorld(t, uint64(seed))
+			w.events = nil
+			for _, worker := range w.workers {
+				worker.longest = simOutageLease
+			}
+			w.after(0, func() { w.claim(false) })
+			for n := range 10 {
+				w.after(time.Duration(w.rng.Int64N(int64(simLength))), func() { w.submit(n) })
+			}
+			w.after(time.Second+time.Duration(w.rng.Int64N(int64(simLength/2))), w.outage)
+			w.run(2 * simLength)
+			w.faults = false
+			w.run(2*simLength + simSettle)
+			w.checkFinished()
+		})
+	}
+}
--- a/internal/scheduling/medlarcell/sim_worker_test.go
+++ b/internal/scheduling/medlarcell/sim_worker_test.go
@@ -32,10 +32,12 @@
 	stopped map[medlarsubmission.TaskName]medlarorder.RunNumber
 	born    time.Duration
 	speed   float64
+	// longest bounds the run time of a task.
+	longest time.Duration
 }
 
 func newSimWorker(index int, capacity int64) *simWorker {
-	w := &simWorker{info: medlarorder.Worker{
+	w := &simWorker{longest: time.Second, info: medlarorder.Worker{
 		ID: medlarwheel.WorkerID(fmt.Sprintf("w%d", index)), Service: "svc", Address: fmt.Sprintf("10.0.0.%d:80", index),
 		Rack: medlarwheel.RackID(fmt.Sprintf("r%d", index/4)), Capacity: medlarsubmission.Size{MilliCPU: capacity, MemoryMB: 1 << 20},
 	}}
@@ -106,10 +108,10 @@
 		answer.Verdict = medlarorder.VerdictNoRoom
 	default:
 		w.lease = max(w.lease, s.Until)
+		fails := rng.Float64() < simFailShare
 		w.runs[s.Task] = &simRun{
-			number: s.Run, endsAt: now + 200*time.Millisecond + rand.N(time.Second), fails: rng.Float64() < simFailShare,
+			number: s.Run, endsAt: now + 200*time.Millisecond + time.Duration(rng.Int64N(int64(w.longest))), fails: fails,
 		}
-		w.runs[s.Task].endsAt = now + 200*time.Millisecond + time.Duration(rng.Int64N(int64(time.Second)))
 	}
 	return answer
 }
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -44,7 +44,7 @@
 	var renewal medlartenure.Beat
 	if renew {
 		// A renewal never shortens the time that an earlier one has claimed.
-		renewal.Timeout = max(o.config.Tenure.TimeoutFor(o.renewTook), o.cell.Authority().Sub(now))
+		renewal = o.renewal(now, max(o.config.Tenure.TimeoutFor(o.renewTook), o.cell.Authority().Sub(now)))
 	}
 	transaction, err := o.chain.Next(batch, erased, renewal)
 	if err != nil {
@@ -60,6 +60,14 @@
 	go o.store(ctx, transaction, batch, renewal)
 }
 
+// renewal returns a renewal that is sent now for the first time.
+func (o *Owner) renewal(now time.Time, timeout time.Duration) medlartenure.Beat {
+	o.triedAt.Store(now.UnixNano())
+	return medlartenure.Beat{
+		Timeout: timeout, Term: o.term.Number, At: o.Moment(now), OutageLeases: o.cell.OutageLeases(now),
+	}
+}
+
 // maxLearntBytes is the size of a row on the platform, less its encoding.
 const maxLearntBytes = 40 << 10
 
@@ -142,7 +150,12 @@
 // Stop ends the ownership. When it returns true, the owner gives no more orders.
 func (o *Owner) Stop(ctx context.Context) bool {
 	stopped := make(chan struct{})
-	if !o.post(func(time.Time) { o.releasing = true; o.superseded = true; close(stopped) }) {
+	stop := func(now time.Time) {
+		o.releasing, o.superseded = true, true
+		o.term.OutageLeases = o.cell.OutageLeases(now)
+		close(stopped)
+	}
+	if !o.post(stop) {
 		return false
 	}
 	select {
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -103,8 +103,10 @@
 	// Connect returns the agent of one of several workers.
 	Connect func(id medlarwheel.WorkerID, address string, workers int) Agent
 	Clock   medlarwheel.Clock
-	Log     zerolog.Logger
-	Meter   *medlarmeter.Meter
+	// Moment returns a time of Clock on the clock of this boot of the machine.
+	Moment func(now time.Time) medlarwheel.Moment
+	Log    zerolog.Logger
+	Meter  *medlarmeter.Meter
 }
 
 // eventBuffer is the number of events that may wait for the control goroutine.
@@ -133,6 +135,8 @@
 	learntAt  time.Time
 	// renewedAt is when the last stored renewal was sent, in nanoseconds of the Unix time.
 	renewedAt atomic.Int64
+	// triedAt is when the last renewal was first sent, stored or not, in nanoseconds of the Unix time.
+	triedAt   atomic.Int64
 	renewTook time.Duration
 	// turnaround tells whether this machine gives the owner its processor time.
 	turnaround turnaround
@@ -160,7 +164,9 @@
 	}
 	o.cell.Begin(claimedAt, medlarcell.Tenure{
 		Fence: medlartenure.Fence(term.Version), Term: term.Number, Expired: before.Expired, Grace: before.Grace,
+		OutageLeases: before.OutageLeases,
 	})
+	o.triedAt.Store(claimedAt.UnixNano())
 	o.noteRenewal(claimedAt)
 	o.cell.Authorize(claimedAt.Add(c.Tenure.OwnerTimeout))
 	return o
@@ -287,9 +293,17 @@
 // RenewedAt returns when the last renewal that the table has stored was sent.
 func (o *Owner) RenewedAt() time.Time { return time.Unix(0, o.renewedAt.Load()) }
 
-// Extend lets the owner give orders until the given time.
-func (o *Owner) Extend(until time.Time) {
-	o.post(func(time.Time) { o.cell.Authorize(until) })
+// TriedAt returns when the last renewal was first sent. The table may have stored it, also if its answer was lost.
+func (o *Owner) TriedAt() time.Time { return time.Unix(0, o.triedAt.Load()) }
+
+// Extend lets the owner give orders until the given time, and grant the leases of an outage if it is one.
+func (o *Owner) Extend(until time.Time, outage bool) {
+	o.post(func(time.Time) {
+		o.cell.Authorize(until)
+		if outage {
+			o.cell.Lengthen(until)
+		}
+	})
 }
 
 // Load returns the load of a service.
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -42,6 +42,12 @@
 	SuspectTimeout time.Duration
 	// MaxGap is the longest time between two answers of the table that counts as observed.
 	MaxGap time.Duration
+	// OutageLease is how long workers keep running without hearing from an owner that goes on while the table is away for
+	// all. A data centre that is cut off during the outage ends the owner's authority, and with short leases all that runs.
+	OutageLease time.Duration
+	// OutageAfter is the age of an owner's last renewal from which on it grants OutageLease. It is above the time in which
+	// a killed process is started again, so that such a process knows from the last renewal that leases were short.
+	OutageAfter time.Duration
 }
 
 // DefaultConfig returns the configuration for a table that answers within some tens of milliseconds.
@@ -49,7 +55,7 @@
 	return Config{
 		RenewInterval: 400 * time.Millisecond, OwnerTimeout: 1200 * time.Millisecond, MaxOwnerTimeout: 3 * time.Second,
 		SlowFactor: 3, ClaimMargin: 300 * time.Millisecond, SuspectTimeout: 900 * time.Millisecond,
-		MaxGap: 1000 * time.Millisecond,
+		MaxGap: 1000 * time.Millisecond, OutageLease: 8 * time.Second, OutageAfter: 2 * time.Second,
 	}
 }
 
@@ -77,6 +83,8 @@
 	Process string `json:"process"`
 	// Released is true once the owner has given the cell back.
 	Released bool `json:"released,omitempty"`
+	// OutageLeases is how much longer leases from an outage of the table may last, at the release.
+	OutageLeases time.Duration `json:"outage-leases-ns,omitempty"`
 	// Version is the version of the row.
 	Version medlarwheel.RowVersion `json:"-"`
 }
@@ -98,6 +106,12 @@
 type Beat struct {
 	// Timeout is for how long after it the owner may give orders.
 	Timeout time.Duration `json:"timeout-ns"`
+	// Term is the number of the owner's claim.
+	Term uint64 `json:"term,omitempty"`
+	// At is when the renewal was first sent, on the owner's machine.
+	At medlarwheel.Moment `json:"at,omitzero"`
+	// OutageLeases is how much longer leases from an outage of the table may last, at the renewal.
+	OutageLeases time.Duration `json:"outage-leases-ns,omitempty"`
 }
 
 // BeatRow returns the row of a renewal.
@@ -115,6 +129,9 @@
 	if b.Timeout <= 0 {
 		return b, errors.Errorf("renewal of an owner with a timeout of %v", b.Timeout)
 	}
+	if b.OutageLeases < 0 {
+		return b, errors.Errorf("renewal of an owner with leases of %v", b.OutageLeases)
+	}
 	return b, nil
 }
 
@@ -142,6 +159,11 @@
 	read bool
 	// ownerDead is true when the owner's process is known to have ended, and ownerSuspected when it only seems so.
 	ownerDead, ownerSuspected bool
+	// renewal is the last renewal, and deadBy a time at which the owner's process had ended.
+	renewal Beat
+	deadBy  medlarwheel.Moment
+	// outageLeases is until when leases may last that owners have announced when they asked for promises.
+	outageLeases time.Time
 }
 
 // NewWatch returns a watch that knows no owner.
@@ -181,10 +203,10 @@
 		b, err := DecodeBeat(r)
 		if err != nil {
 			// The owner may have asked for all the time there is.
-			w.timeout = w.config.MaxOwnerTimeout
+			w.timeout, w.renewal = w.config.MaxOwnerTimeout, Beat{}
 			return err
 		}
-		w.timeout = b.Timeout
+		w.timeout, w.renewal = b.Timeout, b
 	}
 	return nil
 }
@@ -192,6 +214,7 @@
 // take takes in a newer claim.
 func (w *Watch) take(t Term) {
 	w.term, w.timeout, w.quiet, w.ownerDead, w.ownerSuspected = t, w.config.OwnerTimeout, 0, false, false
+	w.deadBy = medlarwheel.Moment{}
 }
 
 // Claimed notes the claim of this instance itself.
@@ -201,10 +224,10 @@
 	}
 }
 
-// OwnerDied notes that the process with the claim has ended.
-func (w *Watch) OwnerDied(t Term) {
+// OwnerDied notes that the process with the claim has ended, at the latest at a time on its machine, if that is known.
+func (w *Watch) OwnerDied(t Term, by medlarwheel.Moment) {
 	if t.Number == w.term.Number && t.Process == w.term.Process {
-		w.ownerDead = true
+		w.ownerDead, w.deadBy = true, by
 	}
 }
 
@@ -216,16 +239,57 @@
 	}
 }
 
-// Predecessor returns what is known at a claim about the owner before.
-func (w *Watch) Predecessor() Predecessor {
+// Predecessor returns what is known at a claim about the owner before. asked tells that every owner that has gone on without
+// the table of late has asked this process for promises.
+func (w *Watch) Predecessor(now time.Time, asked bool) Predecessor {
+	leases := w.outageLeasesAt(now, asked)
 	switch {
 	case w.term.Number == 0 || w.ownerDead || w.term.Released:
-		return Predecessor{}
+		return Predecessor{OutageLeases: leases}
 	case w.quiet < w.claimTimeout():
-		return Predecessor{Expired: true, Grace: w.timeout}
+		return Predecessor{Expired: true, Grace: w.timeout, OutageLeases: leases}
 	default:
-		return Predecessor{Expired: true}
+		return Predecessor{Expired: true, OutageLeases: leases}
+	}
+}
+
+// outageLeasesAt returns how much longer leases from an outage of the table may last.
+func (w *Watch) outageLeasesAt(now time.Time, asked bool) time.Duration {
+	announced := max(0, w.outageLeases.Sub(now))
+	switch {
+	case w.term.Number == 0:
+		return 0
+	case w.term.Released:
+		return max(w.term.OutageLeases, announced)
+	case asked:
+		return announced
+	case w.endedSoon():
+		return max(w.renewal.OutageLeases, announced)
+	default:
+		return w.config.OutageLease
+	}
+}
+
+// endedSoon reports whether the owner's process had ended before it could go on without the table after its last renewal.
+func (w *Watch) endedSoon() bool {
+	after, ok := w.deadBy.Sub(w.renewal.At)
+	return ok && w.ownerDead && w.renewal.Term == w.term.Number && after < w.config.OutageAfter
+}
+
+// OutageLeases notes that an owner grants leases that last for longer, until its authority ends, which it has from now.
+func (w *Watch) OutageLeases(now time.Time, lease time.Duration) {
+	if lease <= 0 {
+		return
 	}
+	if end := now.Add(w.config.OwnerTimeout + w.config.ClaimMargin + lease); end.After(w.outageLeases) {
+		w.outageLeases = end
+	}
+}
+
+// AskedWithin returns for how long a process must have been in the register to know from the questions of owners which
+// leases may be in force. trust is the age of the register up to which an owner goes by it.
+func (c *Config) AskedWithin(trust time.Duration) time.Duration {
+	return trust + c.OwnerTimeout + c.ClaimMargin + c.OutageLease
 }
 
 // Predecessor is what is known about the owner before at the time of a claim.
@@ -235,6 +299,8 @@
 	Expired bool
 	// Grace is for how long after the claim it may still give orders.
 	Grace time.Duration
+	// OutageLeases is for how long after the claim leases may last that were granted while the table was away.
+	OutageLeases time.Duration
 }
 
 func (w *Watch) claimTimeout() time.Duration { return w.timeout + w.config.ClaimMargin }
