Let owners tell how long leases last, not clocks of machines

A successor judged by the boot clock of the owner's machine whether its leases were short. A successor that was not asked now takes leases for long in every case.

An owner that hands the cell over, or releases it, says how long such leases may last. That also holds when its own loop has ended before.

--- a/internal/operation/medlarclock/clock.go
+++ b/internal/operation/medlarclock/clock.go
@@ -10,25 +10,16 @@
 package medlarclock
 
 import (
-	"os"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
-
-	"medlarwheel"
 )
 
-// bootIDFile holds a name that the kernel draws at each boot.
-const bootIDFile = "/proc/sys/kernel/random/boot_id"
-
 // Boot is a clock that is set to the time of day once and then follows the time since boot.
 type Boot struct {
 	base time.Time
 	boot time.Duration
-	// id names the boot. It is empty where the system does not tell it.
-	id string
 }
 
 // NewBoot returns a clock that is set to the present time of day.
@@ -38,19 +29,7 @@
 		return nil, err
 	}
 	// Round strips the monotonic reading, which does not count suspensions.
-	b := &Boot{base: time.Now().Round(0), boot: boot}
-	if id, err := os.ReadFile(bootIDFile); err == nil {
-		b.id = strings.TrimSpace(string(id))
-	}
-	return b, nil
-}
-
-// Moment returns a time of Now on the clock of this boot.
-func (b *Boot) Moment(now time.Time) medlarwheel.Moment {
-	if b.id == "" {
-		return medlarwheel.Moment{}
-	}
-	return medlarwheel.Moment{Boot: b.id, Since: b.boot + now.Sub(b.base)}
+	return &Boot{base: time.Now().Round(0), boot: boot}, nil
 }
 
 // Now returns the present time.
--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -87,7 +87,7 @@
 	config Config
 	log    zerolog.Logger
 	meter  *medlarmeter.Meter
-	clock  clock
+	clock  medlarwheel.Clock
 	store  *platform.Store
 	health *medlarintake.Health
 	intake *medlarintake.Intake
@@ -112,12 +112,6 @@
 	restUntil atomic.Int64
 }
 
-// clock tells the time, also on the clock of this boot of the machine.
-type clock interface {
-	medlarwheel.Clock
-	Moment(now time.Time) medlarwheel.Moment
-}
-
 // New returns an instance that is not running yet.
 func New(c Config, log zerolog.Logger, meter *medlarmeter.Meter) (*Node, error) {
 	clock, err := medlarclock.NewBoot()
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -34,7 +34,8 @@
 	Term uint64 `json:"term,omitempty"`
 	// Service is the service whose load is asked for.
 	Service medlarwheel.ServiceName `json:"service,omitempty"`
-	// OutageLease is how long the leases are that the owner grants once everyone has promised.
+	// OutageLease is how long the leases are that the owner grants once everyone has promised, or how much longer such
+	// leases may last when it hands the cell over.
 	OutageLease time.Duration `json:"outage-lease-ns,omitempty"`
 }
 
@@ -44,9 +45,8 @@
 	State   medlarsubmission.State `json:"state,omitempty"`
 	Waiting int                    `json:"waiting,omitempty"`
 	Load    medlardoor.Load        `json:"load,omitzero"`
-	// Process names the answering process, and Started is when it started.
-	Process string             `json:"process,omitempty"`
-	Started medlarwheel.Moment `json:"started,omitzero"`
+	// Process names the answering process.
+	Process string `json:"process,omitempty"`
 	// Promise is true if the answering instance does not claim the cell within the owner's timeout.
 	Promise bool `json:"promise,omitempty"`
 	// Served is true if the table answers the answering instance.
@@ -188,7 +188,7 @@
 func (n *Node) answerPeer(path string, q peerQuestion) (peerAnswer, error) {
 	a := peerAnswer{}
 	if path == peerPathProcess {
-		a.Process, a.Started = n.process, n.clock.Moment(n.started)
+		a.Process = n.process
 		return a, nil
 	}
 	if path == peerPathPromise {
@@ -197,7 +197,7 @@
 		return a, nil
 	}
 	if path == peerPathTakeOver {
-		go n.takeOver(q.Term)
+		go n.takeOver(q.Term, q.OutageLease)
 		return a, nil
 	}
 	owner := n.owner.Load()
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -271,7 +271,7 @@
 	served := make(chan bool, 1)
 	go func() { served <- isServed(n.readsCell(), n.clock.Now().Sub(n.health.LastOK())) }()
 	var lease time.Duration
-	if now.Sub(owner.TriedAt()) >= n.config.Owner.Tenure.OutageAfter {
+	if quiet >= n.config.Owner.Tenure.OutageAfter {
 		lease = n.config.Owner.Tenure.OutageLease
 	}
 	answers := n.askAll(ctx, peers, peerQuestion{Term: owner.Term(), OutageLease: lease})
@@ -371,16 +371,16 @@
 // its renewals.
 func (n *Node) handOver(ctx context.Context, owner *medlarowner.Owner, heir medlarinstance.Instance) {
 	owner.Stop(ctx)
-	_, err := n.others.of(heir.Address).ask(heir.Address, peerPathTakeOver, peerQuestion{Term: owner.Term()})
+	_, err := n.others.of(heir.Address).ask(heir.Address, peerPathTakeOver, peerQuestion{
+		Term: owner.Term(), OutageLease: owner.OutageLeases(),
+	})
 	n.log.Info().Str("event", "cell-handed-over").Uint64("term", owner.Term()).Str("to", string(heir.ID)).Err(err).Msg("")
 }
 
 // takeOver claims the cell from an owner that has said that it gives no more orders.
-func (n *Node) takeOver(term uint64) {
+func (n *Node) takeOver(term uint64, leases time.Duration) {
 	n.tenure.mu.Lock()
-	if present := n.tenure.watch.Term(); present.Number == term {
-		n.tenure.watch.OwnerDied(present, medlarwheel.Moment{})
-	}
+	n.tenure.watch.OwnerStopped(n.clock.Now(), term, leases)
 	n.tenure.mu.Unlock()
 	// The owner has chosen this instance, so that it does not wait for its turn.
 	n.claimIfVacant(context.Background(), func() time.Duration { return 0 })
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -83,7 +83,7 @@
 	term := n.tenure.watch.Term()
 	if term.Instance == n.config.Site.Instance && term.Process != n.process {
 		// The claim is of an earlier process of this instance.
-		n.tenure.watch.OwnerDied(term, n.clock.Moment(n.started))
+		n.tenure.watch.OwnerDied(term)
 	}
 	n.tenure.mu.Unlock()
 	if err != nil {
@@ -160,12 +160,12 @@
 		if present := n.term.Load(); present == nil || present.Number != t.Number {
 			return
 		}
-		if ended, certain, by := n.processEnded(t); ended {
+		if ended, certain := n.processEnded(t); ended {
 			n.log.Warn().Str("event", "owner-process-ended").Uint64("term", t.Number).Str("instance", string(t.Instance)).
 				Bool("certain", certain).Msg("")
 			n.tenure.mu.Lock()
 			if certain {
-				n.tenure.watch.OwnerDied(t, by)
+				n.tenure.watch.OwnerDied(t)
 			} else {
 				n.tenure.watch.OwnerSuspected(t)
 			}
@@ -177,14 +177,14 @@
 	}
 }
 
-// processEnded reports whether the owner's process seems to have ended, whether that is certain, and by when it had: a
-// partition may refuse connections too, but only another process answers with another name.
-func (n *Node) processEnded(t medlartenure.Term) (ended, certain bool, by medlarwheel.Moment) {
+// processEnded reports whether the owner's process seems to have ended, and whether that is certain: a partition may refuse
+// connections too, but only another process answers with another name.
+func (n *Node) processEnded(t medlartenure.Term) (ended, certain bool) {
 	a, err := n.peers.ask(t.Address, peerPathProcess, peerQuestion{})
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED), false, medlarwheel.Moment{}
+		return errors.Is(err, syscall.ECONNREFUSED), false
 	}
-	return a.Process != t.Process, a.Process != t.Process, a.Started
+	return a.Process != t.Process, a.Process != t.Process
 }
 
 // waitForClose returns when a connection to the address is closed, or can't be opened after a pause.
@@ -283,7 +283,7 @@
 				Connections: orderConnections(n.config.Site.Descriptors, workers, n.config.OrderConnections),
 			})
 		},
-		Clock: n.clock, Moment: n.clock.Moment, Log: n.log, Meter: n.meter,
+		Clock: n.clock, Log: n.log, Meter: n.meter,
 	}, term, claimedAt, before)
 	n.owner.Store(owner)
 	go func() {
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -143,8 +143,9 @@
 	}
 }
 
-// OutageLeases returns how much longer leases from an outage of the table may last.
-func (c *Cell) OutageLeases(now time.Time) time.Duration { return max(0, c.outageLeases.Sub(now)) }
+// OutageLeasesEnd returns when all leases have ended, on this clock, that this owner or one before it has granted without
+// the table.
+func (c *Cell) OutageLeasesEnd() time.Time { return c.outageLeases }
 
 // leaseOf returns the end of the lease that the owner may grant now, on the worker's clock.
 func (c *Cell) leaseOf(now time.Time, w *worker) time.Duration {
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -44,7 +44,7 @@
 	var renewal medlartenure.Beat
 	if renew {
 		// A renewal never shortens the time that an earlier one has claimed.
-		renewal = o.renewal(now, max(o.config.Tenure.TimeoutFor(o.renewTook), o.cell.Authority().Sub(now)))
+		renewal.Timeout = max(o.config.Tenure.TimeoutFor(o.renewTook), o.cell.Authority().Sub(now))
 	}
 	transaction, err := o.chain.Next(batch, erased, renewal)
 	if err != nil {
@@ -60,14 +60,6 @@
 	go o.store(ctx, transaction, batch, renewal)
 }
 
-// renewal returns a renewal that is sent now for the first time.
-func (o *Owner) renewal(now time.Time, timeout time.Duration) medlartenure.Beat {
-	o.triedAt.Store(now.UnixNano())
-	return medlartenure.Beat{
-		Timeout: timeout, Term: o.term.Number, At: o.Moment(now), OutageLeases: o.cell.OutageLeases(now),
-	}
-}
-
 // maxLearntBytes is the size of a row on the platform, less its encoding.
 const maxLearntBytes = 40 << 10
 
@@ -150,12 +142,7 @@
 // Stop ends the ownership. When it returns true, the owner gives no more orders.
 func (o *Owner) Stop(ctx context.Context) bool {
 	stopped := make(chan struct{})
-	stop := func(now time.Time) {
-		o.releasing, o.superseded = true, true
-		o.term.OutageLeases = o.cell.OutageLeases(now)
-		close(stopped)
-	}
-	if !o.post(stop) {
+	if !o.post(func(time.Time) { o.releasing = true; o.superseded = true; close(stopped) }) {
 		return false
 	}
 	select {
@@ -170,7 +157,7 @@
 // releaseTerm marks the claim as released.
 func (o *Owner) releaseTerm() error {
 	term := o.term
-	term.Released = true
+	term.Released, term.OutageLeases = true, o.OutageLeases()
 	value, err := json.Marshal(term)
 	if err != nil {
 		return errors.Wrap(err, "release of a claim")
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -15,6 +15,7 @@
 	"medlarwheel/internal/scheduling/medlarcell"
 	"medlarwheel/internal/state/medlarledger"
 	"medlarwheel/internal/state/medlartable"
+	"medlarwheel/internal/state/medlartenure"
 )
 
 // loadRenewing loads the cell and renews its claim meanwhile: on a weak instance, a cell with a thousand submissions takes
@@ -49,12 +50,12 @@
 // renew writes a renewal without records, and returns until when the owner may then give orders. The time is zero if the
 // outcome is not known yet.
 func (o *Owner) renew() (until time.Time, err error) {
-	sentAt := o.Clock.Now()
-	renewal := o.renewal(sentAt, o.config.Tenure.TimeoutFor(o.renewTook))
+	renewal := medlartenure.Beat{Timeout: o.config.Tenure.TimeoutFor(o.renewTook)}
 	transaction, err := o.chain.Next(&medlarcell.Batch{}, nil, renewal)
 	if err != nil {
 		return until, err
 	}
+	sentAt := o.Clock.Now()
 	switch o.chain.Settle(o.writer.Transact(transaction)) {
 	case medlarledger.OutcomeSuperseded:
 		return until, ErrSuperseded
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -103,10 +103,8 @@
 	// Connect returns the agent of one of several workers.
 	Connect func(id medlarwheel.WorkerID, address string, workers int) Agent
 	Clock   medlarwheel.Clock
-	// Moment returns a time of Clock on the clock of this boot of the machine.
-	Moment func(now time.Time) medlarwheel.Moment
-	Log    zerolog.Logger
-	Meter  *medlarmeter.Meter
+	Log     zerolog.Logger
+	Meter   *medlarmeter.Meter
 }
 
 // eventBuffer is the number of events that may wait for the control goroutine.
@@ -135,9 +133,9 @@
 	learntAt  time.Time
 	// renewedAt is when the last stored renewal was sent, in nanoseconds of the Unix time.
 	renewedAt atomic.Int64
-	// triedAt is when the last renewal was first sent, stored or not, in nanoseconds of the Unix time.
-	triedAt   atomic.Int64
-	renewTook time.Duration
+	// outageLeases is when the leases that were granted without the table have ended, in nanoseconds of the Unix time.
+	outageLeases atomic.Int64
+	renewTook    time.Duration
 	// turnaround tells whether this machine gives the owner its processor time.
 	turnaround turnaround
 	claimedAt  time.Time
@@ -166,7 +164,7 @@
 		Fence: medlartenure.Fence(term.Version), Term: term.Number, Expired: before.Expired, Grace: before.Grace,
 		OutageLeases: before.OutageLeases,
 	})
-	o.triedAt.Store(claimedAt.UnixNano())
+	o.noteOutageLeases()
 	o.noteRenewal(claimedAt)
 	o.cell.Authorize(claimedAt.Add(c.Tenure.OwnerTimeout))
 	return o
@@ -293,19 +291,24 @@
 // RenewedAt returns when the last renewal that the table has stored was sent.
 func (o *Owner) RenewedAt() time.Time { return time.Unix(0, o.renewedAt.Load()) }
 
-// TriedAt returns when the last renewal was first sent. The table may have stored it, also if its answer was lost.
-func (o *Owner) TriedAt() time.Time { return time.Unix(0, o.triedAt.Load()) }
-
 // Extend lets the owner give orders until the given time, and grant the leases of an outage if it is one.
 func (o *Owner) Extend(until time.Time, outage bool) {
 	o.post(func(time.Time) {
 		o.cell.Authorize(until)
 		if outage {
 			o.cell.Lengthen(until)
+			o.noteOutageLeases()
 		}
 	})
 }
 
+// OutageLeases returns how much longer leases may last that this owner, or one before it, has granted without the table.
+func (o *Owner) OutageLeases() time.Duration {
+	return max(0, time.Unix(0, o.outageLeases.Load()).Sub(o.Clock.Now()))
+}
+
+func (o *Owner) noteOutageLeases() { o.outageLeases.Store(o.cell.OutageLeasesEnd().UnixNano()) }
+
 // Load returns the load of a service.
 func (o *Owner) Load(ctx context.Context, service medlarwheel.ServiceName) (load medlardoor.Load, err error) {
 	err = o.ask(ctx, func() { load = o.cell.Load(o.Clock.Now(), service) })
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -45,8 +45,8 @@
 	// OutageLease is how long workers keep running without hearing from an owner that goes on while the table is away for
 	// all. A data centre that is cut off during the outage ends the owner's authority, and with short leases all that runs.
 	OutageLease time.Duration
-	// OutageAfter is the age of an owner's last renewal from which on it grants OutageLease. It is above the time in which
-	// a killed process is started again, so that such a process knows from the last renewal that leases were short.
+	// OutageAfter is the age of an owner's last renewal from which on it grants OutageLease, so that a slow table or one lost
+	// answer does not lengthen the wait for workers that crash.
 	OutageAfter time.Duration
 }
 
@@ -106,12 +106,6 @@
 type Beat struct {
 	// Timeout is for how long after it the owner may give orders.
 	Timeout time.Duration `json:"timeout-ns"`
-	// Term is the number of the owner's claim.
-	Term uint64 `json:"term,omitempty"`
-	// At is when the renewal was first sent, on the owner's machine.
-	At medlarwheel.Moment `json:"at,omitzero"`
-	// OutageLeases is how much longer leases from an outage of the table may last, at the renewal.
-	OutageLeases time.Duration `json:"outage-leases-ns,omitempty"`
 }
 
 // BeatRow returns the row of a renewal.
@@ -129,9 +123,6 @@
 	if b.Timeout <= 0 {
 		return b, errors.Errorf("renewal of an owner with a timeout of %v", b.Timeout)
 	}
-	if b.OutageLeases < 0 {
-		return b, errors.Errorf("renewal of an owner with leases of %v", b.OutageLeases)
-	}
 	return b, nil
 }
 
@@ -159,9 +150,8 @@
 	read bool
 	// ownerDead is true when the owner's process is known to have ended, and ownerSuspected when it only seems so.
 	ownerDead, ownerSuspected bool
-	// renewal is the last renewal, and deadBy a time at which the owner's process had ended.
-	renewal Beat
-	deadBy  medlarwheel.Moment
+	// told is true when the owner before has said how long its leases last, and gives no more orders.
+	told bool
 	// outageLeases is until when leases may last that owners have announced when they asked for promises.
 	outageLeases time.Time
 }
@@ -203,10 +193,10 @@
 		b, err := DecodeBeat(r)
 		if err != nil {
 			// The owner may have asked for all the time there is.
-			w.timeout, w.renewal = w.config.MaxOwnerTimeout, Beat{}
+			w.timeout = w.config.MaxOwnerTimeout
 			return err
 		}
-		w.timeout, w.renewal = b.Timeout, b
+		w.timeout = b.Timeout
 	}
 	return nil
 }
@@ -214,7 +204,7 @@
 // take takes in a newer claim.
 func (w *Watch) take(t Term) {
 	w.term, w.timeout, w.quiet, w.ownerDead, w.ownerSuspected = t, w.config.OwnerTimeout, 0, false, false
-	w.deadBy = medlarwheel.Moment{}
+	w.told = false
 }
 
 // Claimed notes the claim of this instance itself.
@@ -224,11 +214,21 @@
 	}
 }
 
-// OwnerDied notes that the process with the claim has ended, at the latest at a time on its machine, if that is known.
-func (w *Watch) OwnerDied(t Term, by medlarwheel.Moment) {
+// OwnerDied notes that the process with the claim has ended.
+func (w *Watch) OwnerDied(t Term) {
 	if t.Number == w.term.Number && t.Process == w.term.Process {
-		w.ownerDead, w.deadBy = true, by
+		w.ownerDead = true
+	}
+}
+
+// OwnerStopped notes that the owner with the claim gives no more orders, and how much longer its leases from an outage of the
+// table may last.
+func (w *Watch) OwnerStopped(now time.Time, number uint64, leases time.Duration) {
+	if number != w.term.Number {
+		return
 	}
+	w.ownerDead, w.told = true, true
+	w.noteLeases(now.Add(leases))
 }
 
 // OwnerSuspected notes that the owner's address refuses connections. Its process has ended, or something between refuses
@@ -261,27 +261,23 @@
 		return 0
 	case w.term.Released:
 		return max(w.term.OutageLeases, announced)
-	case asked:
+	case asked || w.told:
 		return announced
-	case w.endedSoon():
-		return max(w.renewal.OutageLeases, announced)
 	default:
 		return w.config.OutageLease
 	}
 }
 
-// endedSoon reports whether the owner's process had ended before it could go on without the table after its last renewal.
-func (w *Watch) endedSoon() bool {
-	after, ok := w.deadBy.Sub(w.renewal.At)
-	return ok && w.ownerDead && w.renewal.Term == w.term.Number && after < w.config.OutageAfter
-}
-
 // OutageLeases notes that an owner grants leases that last for longer, until its authority ends, which it has from now.
 func (w *Watch) OutageLeases(now time.Time, lease time.Duration) {
 	if lease <= 0 {
 		return
 	}
-	if end := now.Add(w.config.OwnerTimeout + w.config.ClaimMargin + lease); end.After(w.outageLeases) {
+	w.noteLeases(now.Add(w.config.OwnerTimeout + w.config.ClaimMargin + lease))
+}
+
+func (w *Watch) noteLeases(end time.Time) {
+	if end.After(w.outageLeases) {
 		w.outageLeases = end
 	}
 }
