Let a panic end one loop or one ownership, not the process

A panic of the owner's control goroutine, its followers or its orders now ends the ownership, and the instance leaves the cell to others for 5 s; a panic in a loop of the instance lets the loop begin again after a second, with its locks given back. The tests crashed the test process before.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -23,6 +23,7 @@
 	"medlarwheel/internal/acceptance/medlarintake"
 	"medlarwheel/internal/acceptance/medlarroute"
 	"medlarwheel/internal/operation/medlarclock"
+	"medlarwheel/internal/operation/medlarguard"
 	"medlarwheel/internal/operation/medlarmeter"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
@@ -147,11 +148,11 @@
 	working, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	group, working := errgroup.WithContext(working)
-	group.Go(func() error { return n.followConfig(working) })
-	group.Go(func() error { return n.followOwner(working) })
-	group.Go(func() error { return n.followInstances(working) })
-	group.Go(func() error { return n.probeTable(working) })
-	group.Go(func() error { return n.renewRegistration(working) })
+	group.Go(func() error { return n.keepRunning(working, "follow-config", n.followConfig) })
+	group.Go(func() error { return n.keepRunning(working, "follow-owner", n.followOwner) })
+	group.Go(func() error { return n.keepRunning(working, "follow-instances", n.followInstances) })
+	group.Go(func() error { return n.keepRunning(working, "probe-table", n.probeTable) })
+	group.Go(func() error { return n.keepRunning(working, "registration", n.renewRegistration) })
 	for _, s := range servers {
 		group.Go(s.serve)
 	}
@@ -169,6 +170,20 @@
 	return err
 }
 
+// panicPause is the pause before a loop that has panicked runs again.
+const panicPause = time.Second
+
+// keepRunning runs a loop of the instance, and again after a panic: what one row or message does to a loop must not end the
+// answers to clients.
+func (n *Node) keepRunning(ctx context.Context, part string, loop func(context.Context) error) error {
+	for {
+		err := medlarguard.Run(n.log, n.meter, part, func() error { return loop(ctx) })
+		if !medlarguard.IsPanic(err) || !medlarclock.Sleep(ctx, panicPause) {
+			return err
+		}
+	}
+}
+
 // stop hands the cell over, waits until the balancer sends no new connections, and closes the servers.
 func (n *Node) stop(servers []*server) {
 	n.stopping.Store(true)
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -231,9 +231,8 @@
 		return rand.N(maxClaimSlot)
 	}
 	n.setRegister(readAt, rows)
-	n.tenure.mu.Lock()
-	before := n.tenure.watch.Term()
-	n.tenure.mu.Unlock()
+	var before medlartenure.Term
+	n.withWatch(func(w *medlartenure.Watch) { before = w.Term() })
 	n.register.mu.Lock()
 	turn := medlarinstance.Turn(n.register.list.All(), n.config.Site.Instance, before.Process, before.Number)
 	n.register.mu.Unlock()
@@ -379,9 +378,7 @@
 
 // takeOver claims the cell from an owner that has said that it gives no more orders.
 func (n *Node) takeOver(term uint64, leases time.Duration) {
-	n.tenure.mu.Lock()
-	n.tenure.watch.OwnerStopped(n.clock.Now(), term, leases)
-	n.tenure.mu.Unlock()
+	n.withWatch(func(w *medlartenure.Watch) { w.OwnerStopped(n.clock.Now(), term, leases) })
 	// The owner has chosen this instance, so that it does not wait for its turn.
 	n.claimIfVacant(context.Background(), func() time.Duration { return 0 })
 }
@@ -402,9 +399,7 @@
 
 // noteOutageLeases remembers the leases of an outage, in case this instance claims the cell next.
 func (n *Node) noteOutageLeases(now time.Time, lease time.Duration) {
-	n.tenure.mu.Lock()
-	defer n.tenure.mu.Unlock()
-	n.tenure.watch.OutageLeases(now, lease)
+	n.withWatch(func(w *medlartenure.Watch) { w.OutageLeases(now, lease) })
 }
 
 // unregister removes the row of this instance.
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -13,6 +13,7 @@
 
 	"medlarwheel"
 	"medlarwheel/internal/operation/medlarclock"
+	"medlarwheel/internal/operation/medlarguard"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarledger"
 	"medlarwheel/internal/state/medlartable"
@@ -45,6 +46,13 @@
 	before    medlartenure.Predecessor
 }
 
+// withWatch uses the watch. The lock is given back also after a panic, so that a loop which runs again does not wait for it.
+func (n *Node) withWatch(use func(w *medlartenure.Watch)) {
+	n.tenure.mu.Lock()
+	defer n.tenure.mu.Unlock()
+	use(n.tenure.watch)
+}
+
 // followOwner follows the claim of the cell, and claims it when its owner is gone.
 func (n *Node) followOwner(ctx context.Context) error {
 	f := medlartable.Follower{
@@ -78,14 +86,16 @@
 }
 
 func (n *Node) observeTenure(ctx context.Context, rows []medlartable.Row) {
-	n.tenure.mu.Lock()
-	err := n.tenure.watch.Observe(n.clock.Now(), rows)
-	term := n.tenure.watch.Term()
-	if term.Instance == n.config.Site.Instance && term.Process != n.process {
-		// The claim is of an earlier process of this instance.
-		n.tenure.watch.OwnerDied(term)
-	}
-	n.tenure.mu.Unlock()
+	var err error
+	var term medlartenure.Term
+	n.withWatch(func(w *medlartenure.Watch) {
+		err = w.Observe(n.clock.Now(), rows)
+		term = w.Term()
+		if term.Instance == n.config.Site.Instance && term.Process != n.process {
+			// The claim is of an earlier process of this instance.
+			w.OwnerDied(term)
+		}
+	})
 	if err != nil {
 		n.log.Error().Str("event", "row-refused").Str("table", medlartenure.Table).Err(err).Msg("")
 	}
@@ -121,9 +131,8 @@
 	}
 	n.tenure.claiming.Lock()
 	defer n.tenure.claiming.Unlock()
-	n.tenure.mu.Lock()
-	term := n.tenure.watch.Term()
-	n.tenure.mu.Unlock()
+	var term medlartenure.Term
+	n.withWatch(func(w *medlartenure.Watch) { term = w.Term() })
 	if n.isVacant() {
 		n.claim(ctx, term)
 	}
@@ -163,13 +172,13 @@
 		if ended, certain := n.processEnded(t); ended {
 			n.log.Warn().Str("event", "owner-process-ended").Uint64("term", t.Number).Str("instance", string(t.Instance)).
 				Bool("certain", certain).Msg("")
-			n.tenure.mu.Lock()
-			if certain {
-				n.tenure.watch.OwnerDied(t)
-			} else {
-				n.tenure.watch.OwnerSuspected(t)
-			}
-			n.tenure.mu.Unlock()
+			n.withWatch(func(w *medlartenure.Watch) {
+				if certain {
+					w.OwnerDied(t)
+				} else {
+					w.OwnerSuspected(t)
+				}
+			})
 			n.claimIfVacant(ctx, n.claimDelay)
 			return
 		}
@@ -213,10 +222,12 @@
 	}
 	claimedAt := n.clock.Now()
 	asked := n.registration.wasAsked(claimedAt, n.config.Owner.Tenure.AskedWithin(registerTrust))
-	n.tenure.mu.Lock()
-	before := n.tenure.watch.Predecessor(claimedAt, asked)
-	t, err := n.tenure.watch.Claim(next, n.config.Owner.Part, link)
-	n.tenure.mu.Unlock()
+	var before medlartenure.Predecessor
+	var t medlartable.Transaction
+	n.withWatch(func(w *medlartenure.Watch) {
+		before = w.Predecessor(claimedAt, asked)
+		t, err = w.Claim(next, n.config.Owner.Part, link)
+	})
 	if err != nil {
 		n.log.Error().Str("event", "claim-failed").Err(err).Msg("")
 		return
@@ -242,9 +253,7 @@
 	next.Version = commit.Version
 	n.log.Info().Str("event", "cell-claimed").Uint64("term", next.Number).Str("from", string(present.Instance)).
 		Bool("asked", asked).Int64("outage-leases-ms", before.OutageLeases.Milliseconds()).Msg("")
-	n.tenure.mu.Lock()
-	n.tenure.watch.Claimed(next)
-	n.tenure.mu.Unlock()
+	n.withWatch(func(w *medlartenure.Watch) { w.Claimed(next) })
 	n.setTerm(ctx, next)
 	n.own(ctx, next, claimedAt, before)
 }
@@ -291,6 +300,10 @@
 		defer debug.SetGCPercent(defaultGCPercent)
 		err := owner.Run(ctx)
 		n.owner.Store(nil)
+		if medlarguard.IsPanic(err) {
+			// The next owner reads the same records. Where the fault lies in this process, another one gets on.
+			n.restUntil.Store(n.clock.Now().Add(yieldRest).UnixNano())
+		}
 		n.log.Info().Str("event", "ownership-ended").Uint64("term", term.Number).Err(err).Msg("")
 	}()
 }
--- a/internal/scheduling/medlarowner/erase.go
+++ b/internal/scheduling/medlarowner/erase.go
@@ -118,12 +118,12 @@
 		o.eraser.forgotten[part] = waiting[n:]
 	}
 	o.eraser.busy = true
-	go func() {
+	o.background("erase", func() {
 		_, err := o.writer.Transact(medlarledger.Erase(o.config.Part, erasures))
 		o.post(func(time.Time) {
 			if !o.eraser.settle(part, erasures, err) {
 				o.Log.Warn().Str("event", "erase-failed").Str("part", part).Int("submissions", n).Err(err).Msg("")
 			}
 		})
-	}()
+	})
 }
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -57,7 +57,7 @@
 		o.addLearnt(&transaction)
 	}
 	o.flushing, o.flushedAt = true, now
-	go o.store(ctx, transaction, batch, renewal)
+	o.background("flush", func() { o.store(ctx, transaction, batch, renewal) })
 }
 
 // maxLearntBytes is the size of a row on the platform, less its encoding.
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	loaded := make(chan error, 1)
-	go func() { loaded <- o.load(ctx) }()
+	go func() { loaded <- o.contained("load", func() error { return o.load(ctx) }) }()
 	ticker := time.NewTicker(o.config.Tenure.RenewInterval)
 	defer ticker.Stop()
 	var authority time.Time
@@ -72,11 +72,11 @@
 	var submissions, progress, workers, fleet, learnt []medlartable.Row
 	began := o.Clock.Now()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() (err error) {
+	o.join(group, "load-submissions", func() (err error) {
 		submissions, o.followFrom, err = o.readSubmissions(ctx)
 		return err
 	})
-	group.Go(func() (err error) {
+	o.join(group, "load-workers", func() (err error) {
 		workers, o.workersFrom, err = o.readAll(ctx, o.Registry.Range)
 		return err
 	})
@@ -88,7 +88,7 @@
 		{&fleet, medlarledger.FleetRange(o.config.Part)},
 		{&learnt, medlarledger.LearntRange(o.config.Part)},
 	} {
-		group.Go(func() (err error) {
+		o.join(group, "load-records", func() (err error) {
 			*own.rows, _, err = o.readAll(ctx, own.which)
 			return err
 		})
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -20,16 +20,16 @@
 			o.disconnect(command.Worker)
 			continue
 		}
-		agent := o.agentOf(command.Worker, command.Address)
+		agent, now := o.agentOf(command.Worker, command.Address), o.Clock.Now()
 		switch command.Kind {
 		case medlarcell.CommandStart:
-			go o.start(agent, command, o.Clock.Now())
+			o.background("order-start", func() { o.start(agent, command, now) })
 		case medlarcell.CommandStop:
-			go o.stop(agent, command)
+			o.background("order-stop", func() { o.stop(agent, command) })
 		case medlarcell.CommandPace:
-			go o.pace(agent, command)
+			o.background("order-pace", func() { o.pace(agent, command) })
 		case medlarcell.CommandHold:
-			go o.hold(ctx, agent, command)
+			o.background("order-hold", func() { o.hold(ctx, agent, command) })
 		}
 	}
 }
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -120,6 +120,8 @@
 	agents map[medlarwheel.WorkerID]*agentEntry
 	events chan func(now time.Time)
 	done   chan struct{}
+	// failed holds the panic of a call beside the control goroutine.
+	failed chan error
 
 	// placedAt is when the last pass of placement ended, and placeTook how long it took.
 	placedAt  time.Time
@@ -157,7 +159,7 @@
 		config: c, Dependencies: d, term: term, cell: medlarcell.New(c.Cell),
 		chain:  medlarledger.NewChain(c.Part, term.Number, term.Version),
 		agents: map[medlarwheel.WorkerID]*agentEntry{}, events: make(chan func(time.Time), eventBuffer),
-		done: make(chan struct{}), claimedAt: claimedAt,
+		done: make(chan struct{}), failed: make(chan error, 1), claimedAt: claimedAt,
 		writer: medlarhedge.New(c.Hedge, d.Store, d.Clock, func(bool) {}), eraser: newEraser(),
 	}
 	o.cell.Begin(claimedAt, medlarcell.Tenure{
@@ -177,9 +179,9 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return o.followSubmissions(ctx) })
-	group.Go(func() error { return o.followWorkers(ctx) })
-	group.Go(func() error { return o.control(ctx) })
+	o.join(group, "follow-submissions", func() error { return o.followSubmissions(ctx) })
+	o.join(group, "follow-workers", func() error { return o.followWorkers(ctx) })
+	o.join(group, "control", func() error { return o.control(ctx) })
 	err := group.Wait()
 	for _, a := range o.agents {
 		a.agent.Close()
@@ -195,6 +197,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case err := <-o.failed:
+			return err
 		case event := <-o.events:
 			event(o.Clock.Now())
 			o.drain()
--- a/internal/state/medlarhedge/hedge.go
+++ b/internal/state/medlarhedge/hedge.go
@@ -54,6 +54,9 @@
 	return &Writer{config: c, store: store, clock: clock, patience: medlarpatience.New(c.Patience), observe: observe}
 }
 
+// errPanicked means that a copy of a transaction has ended in a fault of the program.
+var errPanicked = errors.New("the write has panicked")
+
 type answer struct {
 	commit medlartable.Commit
 	err    error
@@ -73,7 +76,17 @@
 	send := func() {
 		sent++
 		pending++
-		go func() { answers <- w.send(t) }()
+		go func() {
+			// Whatever panics here has come after the request was sent, so that its effect is not known.
+			a := answer{err: errPanicked}
+			defer func() {
+				if cause := recover(); cause != nil {
+					a.err = errors.Wrapf(errPanicked, "%v", cause)
+				}
+				answers <- a
+			}()
+			a = w.send(t)
+		}()
 	}
 	send()
 	timer := time.NewTimer(w.patience.Timeout())
--- a/internal/state/medlarhedge/hedge_test.go
+++ b/internal/state/medlarhedge/hedge_test.go
@@ -18,8 +18,9 @@
 
 // reply is what a store answers to one copy.
 type reply struct {
-	after time.Duration
-	err   error
+	after  time.Duration
+	err    error
+	panics bool
 }
 
 // scriptedStore answers the copies of a transaction in order.
@@ -39,6 +40,9 @@
 		return medlartable.Commit{}, errLost
 	}
 	time.Sleep(r.after)
+	if r.panics {
+		panic("an answer that nobody expected")
+	}
 	return medlartable.Commit{Version: 1}, r.err
 }
 
@@ -61,6 +65,8 @@
 		"refused":                         {replies: []reply{{err: errRefused}}, want: errRefused, noEffect: true},
 		"conflict":                        {replies: []reply{{err: conflict}}, want: conflict},
 		"lost, then answered":             {replies: []reply{{err: errLost}, {}}},
+		"panics twice":                    {replies: []reply{{panics: true}}, want: errPanicked},
+		"panics, then answered":           {replies: []reply{{panics: true}, {}}},
 		"lost twice":                      {replies: []reply{{err: errLost}}, want: errLost},
 		"lost, then refused":              {replies: []reply{{err: errLost}, {err: errRefused}}, want: errLost},
 		"late, while the copy is refused": {replies: []reply{{after: 100 * time.Millisecond}, {err: errRefused}}},
--- a/internal/state/medlartable/follower.go
+++ b/internal/state/medlartable/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -80,14 +81,25 @@
 		rows    []Row
 		version medlarwheel.RowVersion
 		err     error
+		// panicked is the cause of a panic of the read, which is raised again where the caller can catch it.
+		panicked error
 	}
 	done := make(chan result, 1)
 	go func() {
-		rows, version, err := f.read(from, loaded)
-		done <- result{rows: rows, version: version, err: err}
+		var r result
+		defer func() {
+			if cause := recover(); cause != nil {
+				r.panicked = errors.Errorf("read of %s: %v\n%s", f.Table, cause, debug.Stack())
+			}
+			done <- r
+		}()
+		r.rows, r.version, r.err = f.read(from, loaded)
 	}()
 	select {
 	case r := <-done:
+		if r.panicked != nil {
+			panic(r.panicked)
+		}
 		return r.rows, r.version, r.err
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
