--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -1,6 +1,7 @@
 package medlarcell
 
 import (
+	"fmt"
 	"time"
 
 	"medlarwheel"
@@ -22,6 +23,9 @@
 	// settleAt is when a task that no worker knows may be started even if some workers have not reported.
 	settleAt time.Time
 	settled  bool
+	// begunAt is when the tenure began, and adopted the tasks that have been taken over until it was settled.
+	begunAt time.Time
+	adopted int
 	// lengthened is until when OutageLease may be granted, and outageLeases when every such lease has ended.
 	lengthened, outageLeases time.Time
 	// graceEnd is until when the owner before may still start tasks, of new submissions too.
@@ -119,7 +123,7 @@
 func (c *Cell) Begin(now time.Time, t Tenure) {
 	c.fence = t.Fence
 	c.firstRun = medlarorder.RunNumber((t.Term-1)*runsPerTerm + 1)
-	c.tickedAt = now
+	c.tickedAt, c.begunAt = now, now
 	c.graceEnd = now.Add(t.Grace)
 	c.settleAt = now.Add(t.Grace + max(c.inheritedLease(t.Expired), c.surely(t.OutageLeases)))
 	c.outageLeases = now.Add(t.OutageLeases)
@@ -322,7 +326,9 @@
 		c.workers[info.ID] = w
 		c.sorted = nil
 		c.joined = append(c.joined, info.ID)
-		c.note(Note{Kind: NoteWorkerJoined, Worker: info.ID})
+		if c.settled {
+			c.note(Note{Kind: NoteWorkerJoined, Worker: info.ID})
+		}
 	}
 	if info.Draining && !w.info.Draining {
 		c.note(Note{Kind: NoteWorkerDraining, Worker: info.ID, Age: info.Remaining})
@@ -371,10 +377,7 @@
 
 // Tick does what is due: leases that have ended, stops to send again, finished submissions to forget.
 func (c *Cell) Tick(now time.Time) {
-	if !c.settled && c.isSettled(now) {
-		c.settled = true
-		c.note(Note{Kind: NoteSettled, Count: len(c.workers)})
-	}
+	c.trySettle(now)
 	for id, w := range c.workers {
 		if len(w.runs) > 0 && now.After(w.leaseEnd) {
 			c.note(Note{Kind: NoteLeaseEnded, Worker: id, Count: len(w.runs), Age: now.Sub(w.contact)})
@@ -406,6 +409,25 @@
 	c.forget(now)
 }
 
+// trySettle notes once that the cell has settled. Until then workers and tasks that are taken over are counted: a line for each
+// would drown the other lines of a change of owner.
+func (c *Cell) trySettle(now time.Time) {
+	if c.settled || !c.isSettled(now) {
+		return
+	}
+	c.settled = true
+	silent := 0
+	for _, w := range c.workers {
+		if !w.reported {
+			silent++
+		}
+	}
+	c.note(Note{
+		Kind: NoteSettled, Count: len(c.workers), Age: now.Sub(c.begunAt),
+		Reason: fmt.Sprintf("tasks adopted: %d, workers without an answer: %d", c.adopted, silent),
+	})
+}
+
 // isSettled reports whether every task that no worker has reported is known not to run.
 func (c *Cell) isSettled(now time.Time) bool {
 	if !now.Before(c.settleAt) {
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -62,7 +62,6 @@
 	NoteTaskFailed      NoteKind = "task-failed"
 	NoteTaskLost        NoteKind = "task-lost"
 	NoteTaskAdopted     NoteKind = "task-adopted"
-	NoteTasksAdopted    NoteKind = "tasks-adopted"
 	NoteStartUncertain  NoteKind = "start-uncertain"
 	NoteStartRejected   NoteKind = "start-rejected"
 	NoteStrayStopped    NoteKind = "stray-run-stopped"
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -188,13 +188,8 @@
 		}
 	}
 	w.reported = true
-	if first && len(w.runs) > 0 {
-		// One line for each task would drown the other lines of a change of owner.
-		c.note(Note{Kind: NoteTasksAdopted, Worker: w.info.ID, Count: len(w.runs)})
-	}
-	if first && !c.settled && c.isSettled(now) {
-		c.settled = true
-		c.note(Note{Kind: NoteSettled, Count: len(c.workers)})
+	if first {
+		c.trySettle(now)
 	}
 	c.observe(now, w)
 	c.checkProgress(now, w)
@@ -265,8 +260,10 @@
 	t.lastRun = max(t.lastRun, l.Run)
 	r := &run{step: s, index: l.Task.Index, number: l.Run, worker: w, sentAt: now, pace: fullPace}
 	c.begin(r)
-	if w.reported {
+	if c.settled {
 		c.note(Note{Kind: NoteTaskAdopted, Task: l.Task, Run: l.Run, Worker: w.info.ID})
+	} else {
+		c.adopted++
 	}
 	return r
 }
