--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -188,9 +188,8 @@
 		}
 	}
 	w.reported = true
-	if first && !c.settled && c.isSettled(now) {
-		c.settled = true
-		c.note(Note{Kind: NoteSettled, Count: len(c.workers)})
+	if first {
+		c.trySettle(now)
 	}
 	c.observe(now, w)
 	c.checkProgress(now, w)
@@ -261,7 +260,11 @@
 	t.lastRun = max(t.lastRun, l.Run)
 	r := &run{step: s, index: l.Task.Index, number: l.Run, worker: w, sentAt: now, pace: fullPace}
 	c.begin(r)
-	c.note(Note{Kind: NoteTaskAdopted, Task: l.Task, Run: l.Run, Worker: w.info.ID})
+	if c.settled {
+		c.note(Note{Kind: NoteTaskAdopted, Task: l.Task, Run: l.Run, Worker: w.info.ID})
+	} else {
+		c.adopted++
+	}
 	return r
 }
 
