Bound the lines of each kind of decision, and name other instances apart

Lines of one kind could take all of the 500 lines that an instance may log in a second; each kind now has 100, and what is left out is counted by kind.

owner-changed, owner-process-ended and authority-not-extended wrote a second field named instance, which hid the instance that wrote the line: explain gave these lines to the wrong one. The fields are owner and refuser now.

--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -279,7 +279,7 @@
 		return
 	}
 	if refuser, ok := canExtend(answers, age); !ok {
-		n.log.Warn().Str("event", "authority-not-extended").Str("instance", string(refuser)).Int("instances", len(answers)).
+		n.log.Warn().Str("event", "authority-not-extended").Str("refuser", string(refuser)).Int("instances", len(answers)).
 			Int64("register-age-ms", age.Milliseconds()).Int64("renewal-age-ms", quiet.Milliseconds()).Msg("")
 		return
 	}
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -155,7 +155,7 @@
 		return
 	}
 	n.term.Store(&t)
-	n.log.Info().Str("event", "owner-changed").Uint64("term", t.Number).Str("instance", string(t.Instance)).
+	n.log.Info().Str("event", "owner-changed").Uint64("term", t.Number).Str("owner", string(t.Instance)).
 		Bool("released", t.Released).Msg("")
 	if t.Instance != n.config.Site.Instance && !t.Released {
 		go n.watchProcess(ctx, t)
@@ -170,7 +170,7 @@
 			return
 		}
 		if ended, certain := n.processEnded(t); ended {
-			n.log.Warn().Str("event", "owner-process-ended").Uint64("term", t.Number).Str("instance", string(t.Instance)).
+			n.log.Warn().Str("event", "owner-process-ended").Uint64("term", t.Number).Str("owner", string(t.Instance)).
 				Bool("certain", certain).Msg("")
 			n.withWatch(func(w *medlartenure.Watch) {
 				if certain {
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -91,6 +91,13 @@
 func (o *Owner) logNotes() {
 	for _, n := range o.cell.TakeNotes() {
 		o.Meter.Count("cell." + string(n.Kind))
+		ok, left := o.notes.admits(o.Clock.Now(), n.Kind)
+		for kind, count := range left {
+			o.Log.Warn().Str("event", "notes-left-out").Str("kind", string(kind)).Int("count", count).Msg("")
+		}
+		if !ok {
+			continue
+		}
 		line := o.Log.Info().Str("event", string(n.Kind))
 		if n.Submission != "" {
 			line = line.Str("id", string(n.Submission)).Str("route", n.Route)
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -144,6 +144,7 @@
 	// followFrom and workersFrom are the versions up to which submissions and workers are loaded.
 	followFrom, workersFrom medlarwheel.RowVersion
 	eraser                  eraser
+	notes                   noteLimit
 	releasing               bool
 	superseded              bool
 }
