--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -67,7 +67,7 @@
 
 	// What is learnt and measured.
 
-	// meanSpeed is the mean speed of all runs against their estimates, and speeds the number of comparisons in it.
+	// meanSpeed is the mean speed of all runs against their predicted run times, and speeds the number of comparisons in it.
 	meanSpeed float64
 	speeds    int
 	// runTimes predicts the run times of tasks by route.
--- a/internal/scheduling/medlarforecast/forecast.go
+++ b/internal/scheduling/medlarforecast/forecast.go
@@ -107,7 +107,7 @@
 	meanX, meanY := l.Estimate/l.Count, l.Took/l.Count
 	meanY = (l.Count*meanY + m.config.PriorCount*meanX) / (l.Count + m.config.PriorCount)
 	squares := max(0, l.Estimate2-l.Count*meanX*meanX)
-	products := l.Product - l.Count*meanX*l.Took/l.Count
+	products := l.Product - meanX*l.Took
 	slope := min(max(0, (products+m.config.PriorSpread)/(squares+m.config.PriorSpread)), 1)
 	return time.Duration(math.Exp(meanY+slope*(math.Log(estimate.Seconds())-meanX)) * float64(time.Second))
 }
