--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -45,6 +45,8 @@
 	// OutageLease is how long workers keep running without hearing from an owner that goes on while the table is away for
 	// all. A data centre that is cut off during the outage ends the owner's authority, and with short leases all that runs.
 	OutageLease time.Duration
+	// MaxLease is the longest lease that workers grant, whatever an owner asks for.
+	MaxLease time.Duration
 	// OutageAfter is the age of an owner's last renewal from which on it grants OutageLease, so that a slow table or one lost
 	// answer does not lengthen the wait for workers that crash.
 	OutageAfter time.Duration
@@ -55,7 +57,7 @@
 	return Config{
 		RenewInterval: 400 * time.Millisecond, OwnerTimeout: 1200 * time.Millisecond, MaxOwnerTimeout: 3 * time.Second,
 		SlowFactor: 3, ClaimMargin: 300 * time.Millisecond, SuspectTimeout: 900 * time.Millisecond,
-		MaxGap: 1000 * time.Millisecond, OutageLease: 8 * time.Second, OutageAfter: 2 * time.Second,
+		MaxGap: 1000 * time.Millisecond, OutageLease: 8 * time.Second, MaxLease: 10 * time.Second, OutageAfter: 2 * time.Second,
 	}
 }
 
@@ -253,8 +255,13 @@
 	}
 }
 
-// outageLeasesAt returns how much longer leases from an outage of the table may last.
+// outageLeasesAt returns how much longer leases from an outage of the table may last. What others say of them is bounded by what
+// workers grant, so that one wrong message or row does not keep a cell waiting.
 func (w *Watch) outageLeasesAt(now time.Time, asked bool) time.Duration {
+	return min(w.saidLeasesAt(now, asked), w.config.OwnerTimeout+w.config.ClaimMargin+w.config.MaxLease)
+}
+
+func (w *Watch) saidLeasesAt(now time.Time, asked bool) time.Duration {
 	announced := max(0, w.outageLeases.Sub(now))
 	switch {
 	case w.term.Number == 0:
--- a/internal/state/medlartenure/tenure_test.go
+++ b/internal/state/medlartenure/tenure_test.go
@@ -225,9 +225,10 @@
 	c := DefaultConfig()
 	const announced = 6 * time.Second
 	for name, tc := range map[string]struct {
-		asked, announced, released, stopped bool
-		want                                time.Duration
+		asked, announced, released, stopped, absurd bool
+		want                                        time.Duration
 	}{
+		"a message that is wrong":   {asked: true, absurd: true, want: c.OwnerTimeout + c.ClaimMargin + c.MaxLease},
 		"asked, no outage":          {asked: true},
 		"asked in an outage":        {asked: true, announced: true, want: announced + c.OwnerTimeout + c.ClaimMargin},
 		"released":                  {released: true, want: time.Second},
@@ -248,6 +249,9 @@
 			if tc.announced {
 				w.OutageLeases(start, announced)
 			}
+			if tc.absurd {
+				w.OutageLeases(start, 24*time.Hour)
+			}
 			w.OwnerStopped(start, w.Term().Number-1, time.Second)
 			if tc.stopped {
 				w.OwnerStopped(start, w.Term().Number, 2*time.Second)
