--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -31,6 +31,20 @@
 	return b
 }
 
+// newInheritingBench returns a cell that has taken over a submission and two workers, of which only the first is registered.
+func newInheritingBench(t *testing.T, tenure Tenure) *bench {
+	t.Helper()
+	b := newBench(t, 0, tenure)
+	if err := b.cell.Restore(b.now, benchSubmission(benchStep()), Progress{}, false); err != nil {
+		t.Fatal(err)
+	}
+	b.cell.SetWorker(b.now, benchWorker(0))
+	b.cell.RestoreFleet(b.now, []medlarorder.Worker{benchWorker(0), benchWorker(1)})
+	b.flush()
+	b.look()
+	return b
+}
+
 func benchWorker(i int) medlarorder.Worker {
 	return medlarorder.Worker{
 		ID: medlarwheel.WorkerID(fmt.Sprintf("w%d", i)), Life: 1, Service: "svc", Address: fmt.Sprintf("10.0.0.%d:80", i+1),
@@ -198,14 +212,7 @@
 }
 
 func testUnregisteredWorker(t *testing.T, grace time.Duration) {
-	b := newBench(t, 0, Tenure{Fence: 2 << 12, Term: 2, Grace: grace})
-	if err := b.cell.Restore(b.now, benchSubmission(benchStep()), Progress{}, false); err != nil {
-		t.Fatal(err)
-	}
-	b.cell.SetWorker(b.now, benchWorker(0))
-	b.cell.RestoreFleet(b.now, []medlarorder.Worker{benchWorker(0), benchWorker(1)})
-	b.flush()
-	b.look()
+	b := newInheritingBench(t, Tenure{Fence: 2 << 12, Term: 2, Grace: grace})
 	for _, h := range b.holds {
 		if h.Worker == "w0" {
 			b.report(h, medlarorder.Report{})
--- a/internal/scheduling/medlarcell/silence_test.go
+++ b/internal/scheduling/medlarcell/silence_test.go
@@ -103,14 +103,7 @@
 // under a lease that the owner before has granted while the table was away.
 func TestSuccessorWaitsForOutageLeases(t *testing.T) {
 	const left = 7 * time.Second
-	b := newBench(t, 0, Tenure{Fence: 2 << 12, Term: 2, Expired: true, OutageLeases: left})
-	if err := b.cell.Restore(b.now, benchSubmission(benchStep()), Progress{}, false); err != nil {
-		t.Fatal(err)
-	}
-	b.cell.SetWorker(b.now, benchWorker(0))
-	b.cell.RestoreFleet(b.now, []medlarorder.Worker{benchWorker(0), benchWorker(1)})
-	b.flush()
-	b.look()
+	b := newInheritingBench(t, Tenure{Fence: 2 << 12, Term: 2, Expired: true, OutageLeases: left})
 	for ; b.now.Sub(simEpoch) < left; b.wait(100 * time.Millisecond) {
 		for _, h := range b.holds {
 			if h.Worker == "w0" {
