Share the descriptors of an owner among the workers that there are now

The bound on connections to a worker was taken once, at its first order. The bound follows the number of workers now. TestConnectionsShrinkAsWorkersJoin failed first: 432 connections where 100 fit.

--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -286,12 +286,14 @@
 	owner := medlarowner.New(n.config.Owner, medlarowner.Dependencies{
 		Store:    n.store,
 		Registry: medlarowner.Registry{Range: platform.WorkerRange(), Decode: platform.DecodeWorker},
-		Connect: func(id medlarwheel.WorkerID, address string, workers int) medlarowner.Agent {
+		Connect: func(id medlarwheel.WorkerID, address string, connections int) medlarowner.Agent {
 			return platform.NewWorker(platform.WorkerConfig{
-				ID: id, Address: address, Timeout: n.config.OrderTimeout,
-				Connections: orderConnections(n.config.Site.Descriptors, workers, n.config.OrderConnections),
+				ID: id, Address: address, Timeout: n.config.OrderTimeout, Connections: connections,
 			})
 		},
+		Connections: func(workers int) int {
+			return orderConnections(n.config.Site.Descriptors, workers, n.config.OrderConnections)
+		},
 		Clock: n.clock, Log: n.log, Meter: n.meter,
 	}, term, claimedAt, before)
 	n.owner.Store(owner)
--- a/internal/scheduling/medlarowner/contain_test.go
+++ b/internal/scheduling/medlarowner/contain_test.go
@@ -22,7 +22,9 @@
 
 func testOwner(store Store) *Owner {
 	clock := medlarwheel.SystemClock{}
-	return New(DefaultConfig(), Dependencies{Store: store, Clock: clock, Log: zerolog.Nop(), Meter: medlarmeter.New()},
+	return New(DefaultConfig(), Dependencies{
+		Store: store, Clock: clock, Log: zerolog.Nop(), Meter: medlarmeter.New(), Connections: func(int) int { return 1 },
+	},
 		medlartenure.Term{Number: 2, Version: 9}, clock.Now(), medlartenure.Predecessor{})
 }
 
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -11,6 +11,7 @@
 
 // carryOut carries out the scheduler's commands, each on a goroutine of its own.
 func (o *Owner) carryOut(ctx context.Context) {
+	o.boundConnections()
 	for _, command := range o.cell.TakeCommands() {
 		if command.Kind == medlarcell.CommandErase {
 			o.eraser.forget(o.config.Part, command.Submission)
@@ -34,6 +35,19 @@
 	}
 }
 
+// boundConnections shares the descriptors of the instance among the workers that there are now. Workers join one after another:
+// with the bound of their first order, the first ones would keep the share that was right for a small fleet.
+func (o *Owner) boundConnections() {
+	n := o.Connections(o.cell.WorkerCount())
+	if n == o.connections {
+		return
+	}
+	o.connections = n
+	for _, entry := range o.agents {
+		entry.agent.SetConnections(n)
+	}
+}
+
 func (o *Owner) agentOf(id medlarwheel.WorkerID, address string) Agent {
 	entry := o.agents[id]
 	if entry != nil && entry.address == address {
@@ -42,7 +56,7 @@
 	if entry != nil {
 		entry.agent.Close()
 	}
-	entry = &agentEntry{agent: o.Connect(id, address, o.cell.WorkerCount()), address: address}
+	entry = &agentEntry{agent: o.Connect(id, address, o.connections), address: address}
 	o.agents[id] = entry
 	return entry.agent
 }
--- /dev/null
+++ b/internal/scheduling/medlarowner/orders_test.go
@@ -0,0 +1,54 @@
+package medlarowner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"medlarwheel"
+	"medlarwheel/internal/execution/medlarorder"
+	"medlarwheel/internal/operation/medlarmeter"
+	"medlarwheel/internal/state/medlartenure"
+)
+
+// idleAgent answers nothing and notes its bound.
+type idleAgent struct {
+	Agent
+	connections int
+}
+
+func (a *idleAgent) SetConnections(n int)                              { a.connections = n }
+func (a *idleAgent) Hold(medlarorder.Hold) (medlarorder.Report, error) { select {} }
+
+// TestConnectionsShrinkAsWorkersJoin guards against an owner that runs out of descriptors, because the workers that joined
+// first keep as many connections as a small fleet may have.
+func TestConnectionsShrinkAsWorkersJoin(t *testing.T) {
+	agents := map[medlarwheel.WorkerID]*idleAgent{}
+	clock := medlarwheel.SystemClock{}
+	o := New(DefaultConfig(), Dependencies{
+		Store: &slowStore{}, Clock: clock, Log: zerolog.Nop(), Meter: medlarmeter.New(),
+		Connect: func(id medlarwheel.WorkerID, _ string, connections int) Agent {
+			agents[id] = &idleAgent{connections: connections}
+			return agents[id]
+		},
+		Connections: func(workers int) int { return max(1, 100/max(1, workers)) },
+	}, medlartenure.Term{Number: 2, Version: 9}, clock.Now(), medlartenure.Predecessor{})
+	for n := range 50 {
+		o.cell.SetWorker(clock.Now(), medlarorder.Worker{
+			ID: medlarwheel.WorkerID(fmt.Sprint("w", n)), Life: 1, Service: "svc", Address: fmt.Sprintf("10.0.0.%d:80", n+1),
+		})
+		o.carryOut(context.Background())
+	}
+	sum := 0
+	for id, a := range agents {
+		if a.connections != 2 {
+			t.Errorf("%s may have %d connections among 50 workers, want 2", id, a.connections)
+		}
+		sum += a.connections
+	}
+	if len(agents) != 50 || sum > 100 {
+		t.Errorf("%d agents with %d connections, want 100 for 50", len(agents), sum)
+	}
+}
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -48,6 +48,8 @@
 	Stop(s medlarorder.Stop) (medlarorder.Answer, error)
 	Pace(p medlarorder.Pace) (medlarorder.Answer, error)
 	Hold(h medlarorder.Hold) (medlarorder.Report, error)
+	// SetConnections bounds the open connections for orders.
+	SetConnections(n int)
 	Close()
 }
 
@@ -100,11 +102,13 @@
 type Dependencies struct {
 	Store    Store
 	Registry Registry
-	// Connect returns the agent of one of several workers.
-	Connect func(id medlarwheel.WorkerID, address string, workers int) Agent
-	Clock   medlarwheel.Clock
-	Log     zerolog.Logger
-	Meter   *medlarmeter.Meter
+	// Connect returns the agent of a worker, with a bound on its connections for orders.
+	Connect func(id medlarwheel.WorkerID, address string, connections int) Agent
+	// Connections returns the bound for each of a number of workers.
+	Connections func(workers int) int
+	Clock       medlarwheel.Clock
+	Log         zerolog.Logger
+	Meter       *medlarmeter.Meter
 }
 
 // eventBuffer is the number of events that may wait for the control goroutine.
@@ -118,8 +122,10 @@
 	cell   *medlarcell.Cell
 	chain  *medlarledger.Chain
 	agents map[medlarwheel.WorkerID]*agentEntry
-	events chan func(now time.Time)
-	done   chan struct{}
+	// connections is the present bound on the connections for orders to each worker.
+	connections int
+	events      chan func(now time.Time)
+	done        chan struct{}
 	// failed holds the panic of a call beside the control goroutine.
 	failed chan error
 
