Catch panics in one place

They use medlarguard.Run now, which keeps the first stack when a panic is raised again on another goroutine. Events and counters keep their names.

--- a/internal/operation/medlarguard/guard.go
+++ b/internal/operation/medlarguard/guard.go
@@ -2,11 +2,12 @@
 //
 // # Usage
 //
-//	err := medlarguard.Run(log, meter, "control", func() error { ... })
+//	err := medlarguard.RunLogged(log, meter, "control", func() error { ... })
 //	if medlarguard.IsPanic(err) { ... }
 package medlarguard
 
 import (
+	"fmt"
 	"runtime/debug"
 
 	"github.com/pkg/errors"
@@ -15,29 +16,46 @@
 	"medlarwheel/internal/operation/medlarmeter"
 )
 
-// panicError is the panic of a piece of work.
-type panicError struct {
-	part  string
-	cause any
+// Panic is the panic of a piece of work. It may be raised again on a goroutine that can handle it.
+type Panic struct {
+	// Part names the work.
+	Part  string
+	Cause any
+	// Stack is the stack at the first place where the panic was caught.
+	Stack []byte
 }
 
 // Error names the work and the cause.
-func (e *panicError) Error() string { return errors.Errorf("%s panicked: %v", e.part, e.cause).Error() }
+func (p *Panic) Error() string { return fmt.Sprintf("%s panicked: %v", p.Part, p.Cause) }
 
-// IsPanic reports whether an error is a panic that Run has caught.
+// IsPanic reports whether an error is a panic that was caught here.
 func IsPanic(err error) bool {
-	var p *panicError
+	var p *Panic
 	return errors.As(err, &p)
 }
 
-// Run runs a piece of work. It logs and counts a panic, with its stack, and returns it as an error.
-func Run(log zerolog.Logger, meter *medlarmeter.Meter, part string, work func() error) (err error) {
+// Run runs a piece of work and returns its panic as an error.
+func Run(part string, work func() error) (err error) {
 	defer func() {
-		if cause := recover(); cause != nil {
-			meter.Count("panicked." + part)
-			log.Error().Str("event", "panicked").Str("part", part).Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("")
-			err = &panicError{part: part, cause: cause}
+		switch cause := recover().(type) {
+		case nil:
+		case *Panic:
+			err = &Panic{Part: part, Cause: cause.Cause, Stack: cause.Stack}
+		default:
+			err = &Panic{Part: part, Cause: cause, Stack: debug.Stack()}
 		}
 	}()
 	return work()
 }
+
+// RunLogged runs a piece of work. It logs and counts its panic before it returns it. One that a part of the work has returned
+// as its error is logged by then.
+func RunLogged(log zerolog.Logger, meter *medlarmeter.Meter, part string, work func() error) error {
+	err := Run(part, work)
+	var p *Panic
+	if errors.As(err, &p) && p.Part == part {
+		meter.Count("panicked." + part)
+		log.Error().Str("event", "panicked").Str("part", part).Interface("cause", p.Cause).Bytes("stack", p.Stack).Msg("")
+	}
+	return err
+}
--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -178,7 +178,7 @@
 // answers to clients.
 func (n *Node) keepRunning(ctx context.Context, part string, loop func(context.Context) error) error {
 	for {
-		err := medlarguard.Run(n.log, n.meter, part, func() error { return loop(ctx) })
+		err := medlarguard.RunLogged(n.log, n.meter, part, func() error { return loop(ctx) })
 		if !medlarguard.IsPanic(err) || !medlarclock.Sleep(ctx, panicPause) {
 			return err
 		}
--- a/internal/operation/medlarnode/serve.go
+++ b/internal/operation/medlarnode/serve.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"net"
-	"runtime/debug"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"medlarwheel"
+	"medlarwheel/internal/operation/medlarguard"
 	"medlarwheel/platform"
 )
 
@@ -69,19 +70,16 @@
 // process: the library's server would end it.
 func (n *Node) guard(name string, handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		defer func() {
-			cause := recover()
-			if cause == nil {
-				return
-			}
-			n.meter.Count("handler-panicked." + name)
-			n.log.Error().Str("event", "handler-panicked").Str("server", name).Bytes("path", ctx.Path()).
-				Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("")
-			ctx.Response.Reset()
-			ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
-			ctx.SetConnectionClose()
-		}()
-		handler(ctx)
+		var p *medlarguard.Panic
+		if !errors.As(medlarguard.Run(name, func() error { handler(ctx); return nil }), &p) {
+			return
+		}
+		n.meter.Count("handler-panicked." + name)
+		n.log.Error().Str("event", "handler-panicked").Str("server", name).Bytes("path", ctx.Path()).
+			Interface("cause", p.Cause).Bytes("stack", p.Stack).Msg("")
+		ctx.Response.Reset()
+		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
+		ctx.SetConnectionClose()
 	}
 }
 
--- a/internal/state/medlarhedge/hedge.go
+++ b/internal/state/medlarhedge/hedge.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"medlarwheel"
+	"medlarwheel/internal/operation/medlarguard"
 	"medlarwheel/internal/state/medlarpatience"
 	"medlarwheel/internal/state/medlartable"
 )
@@ -77,15 +78,12 @@
 		sent++
 		pending++
 		go func() {
-			// Whatever panics here has come after the request was sent, so that its effect is not known.
-			a := answer{err: errPanicked}
-			defer func() {
-				if cause := recover(); cause != nil {
-					a.err = errors.Wrapf(errPanicked, "%v", cause)
-				}
-				answers <- a
-			}()
-			a = w.send(t)
+			var a answer
+			// Whatever panics may do so after the request was sent, so that its effect is not known.
+			if err := medlarguard.Run("write", func() error { a = w.send(t); return nil }); err != nil {
+				a.err = errors.WithMessage(errPanicked, err.Error())
+			}
+			answers <- a
 		}()
 	}
 	send()
--- a/internal/state/medlartable/follower.go
+++ b/internal/state/medlartable/follower.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"medlarwheel"
 	"medlarwheel/internal/operation/medlarclock"
+	"medlarwheel/internal/operation/medlarguard"
 )
 
 // FollowStore is a table whose changes can be followed.
@@ -81,24 +81,21 @@
 		rows    []Row
 		version medlarwheel.RowVersion
 		err     error
-		// panicked is the cause of a panic of the read, which is raised again where the caller can catch it.
-		panicked error
 	}
 	done := make(chan result, 1)
 	go func() {
 		var r result
-		defer func() {
-			if cause := recover(); cause != nil {
-				r.panicked = errors.Errorf("read of %s: %v\n%s", f.Table, cause, debug.Stack())
-			}
-			done <- r
-		}()
-		r.rows, r.version, r.err = f.read(from, loaded)
+		r.err = medlarguard.Run("read of "+f.Table, func() (err error) {
+			r.rows, r.version, err = f.read(from, loaded)
+			return err
+		})
+		done <- r
 	}()
 	select {
 	case r := <-done:
-		if r.panicked != nil {
-			panic(r.panicked)
+		if medlarguard.IsPanic(r.err) {
+			// Raised again where the caller can catch it.
+			panic(r.err)
 		}
 		return r.rows, r.version, r.err
 	case <-ctx.Done():
