Keep the lease of an outage in one setting, and ask the register in one way

The cell had a second copy of the setting, zero by default, which a caller had to fill in; the owner says the lease when it lengthens leases now. Two methods told how long an instance has been in the register, with different bounds; one takes the bound. A question between instances used one field for the length of a lease and for what is left of it.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -72,7 +72,6 @@
 	owner.Cell.Lease = min(owner.Cell.Lease, site.MaxLease)
 	owner.Tenure.MaxLease = site.MaxLease
 	owner.Tenure.OutageLease = min(owner.Tenure.OutageLease, site.MaxLease)
-	owner.Cell.OutageLease = owner.Tenure.OutageLease
 	owner.Cell.KeepFinished = max(owner.Cell.KeepFinished, site.KeepFinished+10*time.Second)
 	return Config{
 		Site: site, Owner: owner, Door: medlardoor.DefaultConfig(), Register: medlarinstance.DefaultConfig(),
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -34,9 +34,10 @@
 	Term uint64 `json:"term,omitempty"`
 	// Service is the service whose load is asked for.
 	Service medlarwheel.ServiceName `json:"service,omitempty"`
-	// OutageLease is how long the leases are that the owner grants once everyone has promised, or how much longer such
-	// leases may last when it hands the cell over.
+	// OutageLease is how long the leases are that the owner grants once everyone has promised.
 	OutageLease time.Duration `json:"outage-lease-ns,omitempty"`
+	// LeasesLeft is how much longer such leases may last at a hand-over.
+	LeasesLeft time.Duration `json:"leases-left-ns,omitempty"`
 }
 
 // peerAnswer is the owner's answer.
@@ -197,7 +198,7 @@
 		return a, nil
 	}
 	if path == peerPathTakeOver {
-		go n.takeOver(q.Term, q.OutageLease)
+		go n.takeOver(q.Term, q.LeasesLeft)
 		return a, nil
 	}
 	owner := n.owner.Load()
--- a/internal/operation/medlarnode/register.go
+++ b/internal/operation/medlarnode/register.go
@@ -72,19 +72,12 @@
 	g.last = sentAt
 }
 
-// isEstablished reports whether the owner's register names this instance.
-func (g *registration) isEstablished(now time.Time) bool {
+// lasts reports whether the instance has been in the register for a time without a gap. After minRegistered every owner's
+// register names it.
+func (g *registration) lasts(now time.Time, atLeast time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.since.IsZero() && now.Sub(g.since) >= minRegistered && now.Sub(g.last) <= maxRegistrationAge
-}
-
-// wasAsked reports whether an owner that goes on without the table has asked this instance, or its questions are so long
-// ago that the leases of that time have ended.
-func (g *registration) wasAsked(now time.Time, within time.Duration) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !g.since.IsZero() && now.Sub(g.since) >= within && now.Sub(g.last) <= maxRegistrationAge
+	return !g.since.IsZero() && now.Sub(g.since) >= atLeast && now.Sub(g.last) <= maxRegistrationAge
 }
 
 // followInstances follows the register while this instance owns the cell.
@@ -283,8 +276,8 @@
 			Int64("register-age-ms", age.Milliseconds()).Int64("renewal-age-ms", quiet.Milliseconds()).Msg("")
 		return
 	}
-	n.noteOutageLeases(now, lease)
-	owner.Extend(now.Add(n.config.Owner.Tenure.OwnerTimeout), lease > 0)
+	n.noteOutageLease(now, lease)
+	owner.Extend(now.Add(n.config.Owner.Tenure.OwnerTimeout), lease)
 	n.log.Info().Str("event", "authority-extended").Int("instances", len(peers)).
 		Int64("renewal-age-ms", quiet.Milliseconds()).Int64("lease-ms", lease.Milliseconds()).Msg("")
 }
@@ -371,7 +364,7 @@
 func (n *Node) handOver(ctx context.Context, owner *medlarowner.Owner, heir medlarinstance.Instance) {
 	owner.Stop(ctx)
 	_, err := n.others.of(heir.Address).ask(heir.Address, peerPathTakeOver, peerQuestion{
-		Term: owner.Term(), OutageLease: owner.OutageLeases(),
+		Term: owner.Term(), LeasesLeft: owner.OutageLeases(),
 	})
 	n.log.Info().Str("event", "cell-handed-over").Uint64("term", owner.Term()).Str("to", string(heir.ID)).Err(err).Msg("")
 }
@@ -391,15 +384,15 @@
 	}
 	defer n.tenure.claiming.Unlock()
 	now := n.clock.Now()
-	n.noteOutageLeases(now, lease)
+	n.noteOutageLease(now, lease)
 	n.tenure.mu.Lock()
 	defer n.tenure.mu.Unlock()
 	return n.owner.Load() == nil && n.tenure.open == nil && n.tenure.watch.Promise(now, term)
 }
 
-// noteOutageLeases remembers the leases of an outage, in case this instance claims the cell next.
-func (n *Node) noteOutageLeases(now time.Time, lease time.Duration) {
-	n.withWatch(func(w *medlartenure.Watch) { w.OutageLeases(now, lease) })
+// noteOutageLease remembers the leases of an outage, in case this instance claims the cell next.
+func (n *Node) noteOutageLease(now time.Time, lease time.Duration) {
+	n.withWatch(func(w *medlartenure.Watch) { w.OutageLease(now, lease) })
 }
 
 // unregister removes the row of this instance.
--- a/internal/operation/medlarnode/register_test.go
+++ b/internal/operation/medlarnode/register_test.go
@@ -37,23 +37,23 @@
 func TestNewInstanceDoesNotClaim(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	var g registration
-	if g.isEstablished(start) {
+	if g.lasts(start, minRegistered) {
 		t.Error("established without a registration")
 	}
 	renew := func(at time.Duration) { g.renewed(start.Add(at), start.Add(at)) }
 	renew(0)
 	renew(5 * time.Second)
-	if g.isEstablished(start.Add(registerTrust)) {
+	if g.lasts(start.Add(registerTrust), minRegistered) {
 		t.Error("established while an owner may have read the register before")
 	}
-	if !g.isEstablished(start.Add(minRegistered)) {
+	if !g.lasts(start.Add(minRegistered), minRegistered) {
 		t.Error("not established after the time that an owner trusts its register")
 	}
-	if g.isEstablished(start.Add(15 * time.Second)) {
+	if g.lasts(start.Add(15*time.Second), minRegistered) {
 		t.Error("established 10 s after the last renewal")
 	}
 	renew(20 * time.Second)
-	if g.isEstablished(start.Add(21 * time.Second)) {
+	if g.lasts(start.Add(21*time.Second), minRegistered) {
 		t.Error("established at once after a gap")
 	}
 }
--- a/internal/operation/medlarnode/tenure.go
+++ b/internal/operation/medlarnode/tenure.go
@@ -145,7 +145,7 @@
 	if !n.tenure.watch.ShouldClaim(now) || n.stopping.Load() || n.owner.Load() != nil {
 		return false
 	}
-	return !n.tenure.watch.Predecessor(now, false).Expired || n.registration.isEstablished(now)
+	return !n.tenure.watch.Predecessor(now, false).Expired || n.registration.lasts(now, minRegistered)
 }
 
 // setTerm notes who owns the cell, and watches the process of a new owner.
@@ -221,7 +221,7 @@
 		return
 	}
 	claimedAt := n.clock.Now()
-	asked := n.registration.wasAsked(claimedAt, n.config.Owner.Tenure.AskedWithin(registerTrust))
+	asked := n.registration.lasts(claimedAt, n.config.Owner.Tenure.AskedWithin(registerTrust))
 	var before medlartenure.Predecessor
 	var t medlartable.Transaction
 	n.withWatch(func(w *medlartenure.Watch) {
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -26,7 +26,8 @@
 	// begunAt is when the tenure began, and adopted the tasks that have been taken over until it was settled.
 	begunAt time.Time
 	adopted int
-	// lengthened is until when OutageLease may be granted, and outageLeases when every such lease has ended.
+	// outageLease is the lease that may be granted until lengthened, and outageLeases when every such lease has ended.
+	outageLease              time.Duration
 	lengthened, outageLeases time.Time
 	// graceEnd is until when the owner before may still start tasks, of new submissions too.
 	graceEnd time.Time
@@ -139,10 +140,11 @@
 // Authority returns until when this owner may order workers.
 func (c *Cell) Authority() time.Time { return c.authority }
 
-// Lengthen lets the owner grant OutageLease until the given time. Every instance that could claim the cell must know it.
-func (c *Cell) Lengthen(until time.Time) {
-	c.lengthened = until
-	if end := until.Add(c.config.OutageLease); end.After(c.outageLeases) {
+// Lengthen lets the owner grant a longer lease until the given time, while the table is away. Every instance that could claim
+// the cell must know it.
+func (c *Cell) Lengthen(until time.Time, lease time.Duration) {
+	c.lengthened, c.outageLease = until, lease
+	if end := until.Add(lease); end.After(c.outageLeases) {
 		c.outageLeases = end
 	}
 }
@@ -155,7 +157,7 @@
 func (c *Cell) leaseOf(now time.Time, w *worker) time.Duration {
 	lease := min(c.config.Lease, c.authority.Add(c.config.LeaseTail).Sub(now))
 	if now.Before(c.lengthened) {
-		lease = max(lease, c.config.OutageLease)
+		lease = max(lease, c.outageLease)
 	}
 	return w.until(now, lease)
 }
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -15,8 +15,6 @@
 	// LeaseTail bounds a lease beyond the time until when the owner may give orders. It leaves a new owner time to claim the
 	// cell and to renew the leases before they end.
 	LeaseTail time.Duration
-	// OutageLease is how long a worker keeps running without hearing from an owner that goes on while the table is away.
-	OutageLease time.Duration
 	// HoldWait is how long a worker may wait for an end before it answers a renewal. It bounds the age of the figures of
 	// running tasks.
 	HoldWait time.Duration
--- a/internal/scheduling/medlarcell/observe.go
+++ b/internal/scheduling/medlarcell/observe.go
@@ -42,7 +42,7 @@
 	c.observeRate(now, r.worker, expected.Seconds()/took.Seconds())
 }
 
-// observeRate takes in the speed of one run against its estimate. Rates are relative to the mean of all workers, since
+// observeRate takes in the speed of one run against its expected run time. Rates are relative to the mean of all workers, since
 // the estimates of a whole route may be off.
 func (c *Cell) observeRate(now time.Time, w *worker, speed float64) {
 	config := &c.config.Progress
--- a/internal/scheduling/medlarcell/silence_test.go
+++ b/internal/scheduling/medlarcell/silence_test.go
@@ -71,14 +71,13 @@
 	const outageLease, cut = 8 * time.Second, 6 * time.Second
 	for _, lengthened := range []bool{false, true} {
 		b := newBench(t, 1, Tenure{Fence: 1 << 12, Term: 1})
-		b.cell.config.OutageLease = outageLease
 		b.report(b.holds[0], medlarorder.Report{})
 		b.cell.Accept(b.now, benchSubmission(benchStep()))
 		b.look()
 		start, renewal := b.starts[0].Start, b.holds[0]
 		b.cell.Started(b.now, "w0", start, medlarorder.Answer{Verdict: medlarorder.VerdictAccepted}, nil)
 		if lengthened {
-			b.cell.Lengthen(b.now.Add(time.Second))
+			b.cell.Lengthen(b.now.Add(time.Second), outageLease)
 		}
 		b.wait(50 * time.Millisecond)
 		b.report(renewal, medlarorder.Report{Running: []medlarorder.Running{{Task: start.Task, Run: 1}}})
--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -129,7 +129,6 @@
 	w.term++
 	w.flushing = false
 	config := DefaultConfig()
-	config.OutageLease = simOutageLease
 	cell := New(config)
 	w.cell = cell
 	cell.Begin(w.time(), Tenure{
@@ -456,7 +455,7 @@
 // authority of the first one has ended.
 func (w *simWorld) outage() {
 	w.cutOwner()
-	w.cell.Lengthen(w.time().Add(simAuthority))
+	w.cell.Lengthen(w.time().Add(simAuthority), simOutageLease)
 	w.outageLeases = w.now + simAuthority + simOutageLease
 	w.after(simAuthority*3/4, func() {
 		for i := range 3 {
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -302,12 +302,12 @@
 // RenewedAt returns when the last renewal that the table has stored was sent.
 func (o *Owner) RenewedAt() time.Time { return time.Unix(0, o.renewedAt.Load()) }
 
-// Extend lets the owner give orders until the given time, and grant the leases of an outage if it is one.
-func (o *Owner) Extend(until time.Time, outage bool) {
+// Extend lets the owner give orders until the given time, and grant leases of at least the given length until then.
+func (o *Owner) Extend(until time.Time, lease time.Duration) {
 	o.post(func(time.Time) {
 		o.cell.Authorize(until)
-		if outage {
-			o.cell.Lengthen(until)
+		if lease > 0 {
+			o.cell.Lengthen(until, lease)
 			o.noteOutageLeases()
 		}
 	})
--- a/internal/state/medlartenure/tenure.go
+++ b/internal/state/medlartenure/tenure.go
@@ -275,8 +275,9 @@
 	}
 }
 
-// OutageLeases notes that an owner grants leases that last for longer, until its authority ends, which it has from now.
-func (w *Watch) OutageLeases(now time.Time, lease time.Duration) {
+// OutageLease notes the lease that an owner grants without the table, until its authority ends, which it has from now on. Zero
+// means that it grants none.
+func (w *Watch) OutageLease(now time.Time, lease time.Duration) {
 	if lease <= 0 {
 		return
 	}
--- a/internal/state/medlartenure/tenure_test.go
+++ b/internal/state/medlartenure/tenure_test.go
@@ -247,10 +247,10 @@
 				}
 			}
 			if tc.announced {
-				w.OutageLeases(start, announced)
+				w.OutageLease(start, announced)
 			}
 			if tc.absurd {
-				w.OutageLeases(start, 24*time.Hour)
+				w.OutageLease(start, 24*time.Hour)
 			}
 			w.OwnerStopped(start, w.Term().Number-1, time.Second)
 			if tc.stopped {
