--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -1,7 +1,6 @@
 package medlarcell
 
 import (
-	"fmt"
 	"time"
 
 	"medlarwheel"
@@ -93,23 +92,6 @@
 	tickedAt     time.Time
 }
 
-// Tenure identifies one ownership of the cell.
-type Tenure struct {
-	// Fence is above the tokens of all earlier owners and leaves room below the next for raises.
-	Fence medlarwheel.FencingToken
-	// Term counts the owners of the cell from 1.
-	Term uint64
-	// Expired is true if the authority of the owner before has ended by the claim, or ends with the grace.
-	Expired bool
-	// Grace is how long after the claim the owner before may still give orders.
-	Grace time.Duration
-	// OutageLeases is how long after the claim leases may last that were granted while the table was away.
-	OutageLeases time.Duration
-}
-
-// runsPerTerm is the number of run numbers that one owner may use for a task.
-const runsPerTerm = 1000
-
 // New returns a cell without work.
 func New(c Config) *Cell {
 	return &Cell{
@@ -120,63 +102,6 @@
 	}
 }
 
-// Begin starts a tenure. Workers that an earlier owner may have ordered report before tasks that they may run are started.
-func (c *Cell) Begin(now time.Time, t Tenure) {
-	c.fence = t.Fence
-	c.firstRun = medlarorder.RunNumber((t.Term-1)*runsPerTerm + 1)
-	c.tickedAt, c.begunAt = now, now
-	c.graceEnd = now.Add(t.Grace)
-	c.settleAt = now.Add(t.Grace + max(c.inheritedLease(t.Expired), c.surely(t.OutageLeases)))
-	c.outageLeases = now.Add(t.OutageLeases)
-}
-
-// Authorize sets until when this owner may order workers.
-func (c *Cell) Authorize(until time.Time) {
-	if until.After(c.authority) {
-		c.authority = until
-	}
-}
-
-// Authority returns until when this owner may order workers.
-func (c *Cell) Authority() time.Time { return c.authority }
-
-// Lengthen lets the owner grant a longer lease until the given time, while the table is away. Every instance that could claim
-// the cell must know it.
-func (c *Cell) Lengthen(until time.Time, lease time.Duration) {
-	c.lengthened, c.outageLease = until, lease
-	if end := until.Add(lease); end.After(c.outageLeases) {
-		c.outageLeases = end
-	}
-}
-
-// OutageLeasesEnd returns when all leases have ended, on this clock, that this owner or one before it has granted without
-// the table.
-func (c *Cell) OutageLeasesEnd() time.Time { return c.outageLeases }
-
-// leaseOf returns the end of the lease that the owner may grant now, on the worker's clock.
-func (c *Cell) leaseOf(now time.Time, w *worker) time.Duration {
-	lease := min(c.config.Lease, c.authority.Add(c.config.LeaseTail).Sub(now))
-	if now.Before(c.lengthened) {
-		lease = max(lease, c.outageLease)
-	}
-	return w.until(now, lease)
-}
-
-// inheritedLease bounds how long a lease of an earlier owner may last after its successor's claim. An owner whose authority
-// had ended has granted none beyond the tail; one that has released the cell or died before may have granted a whole one.
-func (c *Cell) inheritedLease(expired bool) time.Duration {
-	lease := c.config.Lease
-	if expired {
-		lease = min(lease, c.config.LeaseTail)
-	}
-	return c.surely(lease)
-}
-
-// surely returns the time after which a lease has ended by the slowest clock.
-func (c *Cell) surely(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease)*(1+2*c.config.ClockDrift)) + c.config.LeaseMargin
-}
-
 // Restore takes in a submission that was accepted before this tenure, with its progress.
 func (c *Cell) Restore(now time.Time, s medlarsubmission.Submission, p Progress, cancelled bool) error {
 	if _, known := c.jobs[s.ID]; known {
@@ -411,38 +336,6 @@
 	c.forget(now)
 }
 
-// trySettle notes once that the cell has settled. Until then workers and tasks that are taken over are counted: a line for each
-// would drown the other lines of a change of owner.
-func (c *Cell) trySettle(now time.Time) {
-	if c.settled || !c.isSettled(now) {
-		return
-	}
-	c.settled = true
-	silent := 0
-	for _, w := range c.workers {
-		if !w.reported {
-			silent++
-		}
-	}
-	c.note(Note{
-		Kind: NoteSettled, Count: len(c.workers), Age: now.Sub(c.begunAt),
-		Reason: fmt.Sprintf("tasks adopted: %d, workers without an answer: %d", c.adopted, silent),
-	})
-}
-
-// isSettled reports whether every task that no worker has reported is known not to run.
-func (c *Cell) isSettled(now time.Time) bool {
-	if !now.Before(c.settleAt) {
-		return true
-	}
-	for _, w := range c.workers {
-		if !w.reported {
-			return false
-		}
-	}
-	return len(c.workers) > 0
-}
-
 func (c *Cell) forget(now time.Time) {
 	kept := 0
 	for kept < len(c.finished) && now.Sub(c.finished[kept].finishedAt) > c.config.KeepFinished {
