Grant leases that outlast a partition of a data centre

With leases of 3 s all its tasks ended, a third of the fleet, although the others had no room for them: lasting tasks were away for the rest of the partition, and filling work ran twice. Ruled out: 6 s (shape 15 of docs/platform.md), which ends just when such a partition heals. TestOutageLeaseCoversNetworkPartition sets the usual lease to 3 s: its subject is a partition longer than that lease, and it checks what it did before. TestLeaseCoversNetworkPartition fails with leases of 3 s.

--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -20,7 +20,11 @@
 }
 
 func newScriptedCell(t *testing.T, workers int, ownership Ownership) *scriptedCell {
-	sc := &scriptedCell{T: t, cell: New(DefaultConfig()), now: simEpoch}
+	return newConfiguredCell(t, DefaultConfig(), workers, ownership)
+}
+
+func newConfiguredCell(t *testing.T, config Config, workers int, ownership Ownership) *scriptedCell {
+	sc := &scriptedCell{T: t, cell: New(config), now: simEpoch}
 	sc.cell.Begin(sc.now, ownership)
 	sc.cell.Authorize(sc.now.Add(time.Hour))
 	for i := range workers {
--- a/internal/scheduling/medlarcell/responsiveness_test.go
+++ b/internal/scheduling/medlarcell/responsiveness_test.go
@@ -66,11 +66,14 @@
 }
 
 // TestOutageLeaseCoversNetworkPartition guards against tasks that all end because their data centre is partitioned while
-// the table is unavailable. The owner's authority ends with the partition, and leases of the usual length soon after.
+// the table is unavailable. The owner's authority ends with the partition, and leases of the usual length soon after. The
+// usual lease is set to less than the partition.
 func TestOutageLeaseCoversNetworkPartition(t *testing.T) {
 	const outageLease, partition = 8 * time.Second, 6 * time.Second
 	for _, extended := range []bool{false, true} {
-		sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+		config := DefaultConfig()
+		config.Lease, config.LeaseTail = 3*time.Second, 2200*time.Millisecond
+		sc := newConfiguredCell(t, config, 1, Ownership{Fence: 1 << 12, Term: 1})
 		sc.report(sc.renewals[0], medlarorder.Report{})
 		sc.cell.Accept(sc.now, testSubmission(testStep()))
 		sc.dispatch()
@@ -98,6 +101,40 @@
 	}
 }
 
+// TestLeaseCoversNetworkPartition guards against tasks that all end because their data centre is partitioned from the owner
+// for six seconds. The others rarely have room for them, so that they wait for the end of the partition anyway and lose
+// their work besides.
+func TestLeaseCoversNetworkPartition(t *testing.T) {
+	const partition, authority = 6 * time.Second, 1200 * time.Millisecond
+	sc := newScriptedCell(t, 2, Ownership{Fence: 1 << 12, Term: 1})
+	sc.cell.authorityEnd = sc.now.Add(authority)
+	for _, renewal := range sc.renewals {
+		sc.report(renewal, medlarorder.Report{})
+	}
+	sc.cell.Accept(sc.now, testSubmission(testStep()))
+	sc.dispatch()
+	start := sc.starts[0]
+	sc.cell.HandleStartResponse(sc.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
+	for end := sc.now.Add(partition); sc.now.Before(end); {
+		sc.cell.Authorize(sc.now.Add(authority))
+		for _, renewal := range sc.renewals {
+			if renewal.Worker == start.Worker {
+				sc.cell.HandleRenewResponse(sc.now, renewal.Worker, renewal.OutOfBand, sc.now, renewal.Renew, medlarorder.Report{}, errSimNoResponse)
+			} else {
+				sc.report(renewal, medlarorder.Report{})
+			}
+		}
+		sc.advance(100 * time.Millisecond)
+		sc.dispatch()
+		if len(sc.starts) > 0 {
+			t.Fatalf("a task was started elsewhere %v after its worker was partitioned", sc.now.Sub(simEpoch))
+		}
+	}
+	if leaseEnd := start.Start.LeaseEnd - time.Second; leaseEnd < partition {
+		t.Errorf("the task was started with a lease of %v, want at least %v", leaseEnd, partition)
+	}
+}
+
 // TestSuccessorWaitsForOutageLeasesToEnd guards against a second start of a task that still runs in an unreachable data
 // centre, under a lease that the previous owner granted while the table was unavailable.
 func TestSuccessorWaitsForOutageLeasesToEnd(t *testing.T) {
