--- a/internal/scheduling/medlarcell/candidates.go
+++ b/internal/scheduling/medlarcell/candidates.go
@@ -109,11 +109,11 @@
 	if !c.isFeasible(s, t, w) {
 		return 0, false
 	}
-	interference := 0.0
+	var effect interferenceEffect
 	if s.spec.BestEffort {
-		if interference, ok = c.interferenceOf(s, w); !ok {
+		if effect, ok = c.interferenceOf(s, w); !ok {
 			return 0, false
 		}
 	}
-	return c.score(s, t, w) - interferencePenalty*interference, true
+	return c.score(s, t, w) - interferencePenalty*effect.rise - riskPenalty*effect.harm*milli/float64(max(1, w.info.Capacity.MilliCPU)), true
 }
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -45,6 +45,8 @@
 	// inserted.
 	queue, unranked []*step
 	rankedAt        time.Time
+	// passStartedAt is when the latest placement pass started.
+	passStartedAt time.Time
 	// needsCompaction is true if the queue may hold steps without waiting tasks.
 	needsCompaction bool
 	failureCache    placementFailureCache
@@ -86,6 +88,8 @@
 	loadMeasuredAt    time.Time
 	interferenceModel *medlarinterference.Model
 	modelFittedAt     time.Time
+	// loadDeviations is the distribution of the deviations of serving runs from the load of their step.
+	loadDeviations *medlarinterference.Deviations
 	// scarcity is the waiting work of each best-effort image divided by the free capacity of the workers that are
 	// compatible with it.
 	scarcity           map[medlarinterference.Image]float64
@@ -106,6 +110,7 @@
 		meanWork: map[string]float64{}, meanSpeed: 1, shortTaskSize: map[medlarwheel.ServiceName]float64{}, failureCache: newPlacementFailureCache(),
 		runTimes:          medlarforecast.New(c.RunTimes),
 		interferenceModel: medlarinterference.New(c.Interference.Model),
+		loadDeviations:    medlarinterference.NewDeviations(c.Interference.PriorDeviation),
 	}
 }
 
--- /dev/null
+++ b/internal/scheduling/medlarcell/headroom.go
@@ -0,0 +1,77 @@
+package medlarcell
+
+import "medlarwheel/internal/scheduling/medlarinterference"
+
+// servingHeadroom is how far the utilisation of the serving runs of one image on a worker may rise.
+type servingHeadroom struct {
+	image medlarinterference.Image
+	// runs holds the headroom of each run and the harm of pushing it over its target. smallest is the smallest headroom.
+	runs     []runHeadroom
+	smallest float64
+}
+
+// runHeadroom is the headroom of one serving run, and what is lost while it exceeds its target.
+type runHeadroom struct{ headroom, harm float64 }
+
+// updateHeadrooms computes how far one more best-effort task may raise the utilisation of the serving runs on a worker.
+func (c *Cell) updateHeadrooms(w *worker) {
+	w.headrooms, w.headroomsStale = w.headrooms[:0], false
+	if w.longRunningCPU == 0 {
+		return
+	}
+	bestEffort := w.bestEffortRuns()
+	for r := range w.runs {
+		if r.isServing() {
+			w.addHeadroom(r.image(), runHeadroom{headroom: c.headroomOf(r, bestEffort), harm: c.harmOf(r)})
+		}
+	}
+}
+
+func (c *Cell) headroomOf(r *run, bestEffort []*run) float64 {
+	headroom := c.limit(r) - c.config.Interference.PlaceMargin - c.expectedUtilisation(c.passStartedAt, r)
+	for _, b := range bestEffort {
+		headroom -= b.cpuShare() * c.interferenceModel.Coefficient(b.image(), r.image())
+	}
+	return headroom
+}
+
+func (w *worker) addHeadroom(image medlarinterference.Image, run runHeadroom) {
+	for i := range w.headrooms {
+		if h := &w.headrooms[i]; h.image == image {
+			h.runs = append(h.runs, run)
+			h.smallest = min(h.smallest, run.headroom)
+			return
+		}
+	}
+	w.headrooms = append(w.headrooms, servingHeadroom{image: image, runs: []runHeadroom{run}, smallest: run.headroom})
+}
+
+// interferenceOf returns the effect that a best-effort task of the step would have on the serving runs of a worker, and
+// whether all of them would stay below their targets at their expected load.
+func (c *Cell) interferenceOf(s *step, w *worker) (effect interferenceEffect, ok bool) {
+	if w.headroomsStale {
+		c.updateHeadrooms(w)
+	}
+	image := medlarinterference.Image(s.spec.Image)
+	share := s.cpuShareOn(w)
+	for i := range w.headrooms {
+		h := &w.headrooms[i]
+		rise := share * c.interferenceModel.Coefficient(image, h.image)
+		if rise > h.smallest {
+			return interferenceEffect{}, false
+		}
+		effect.rise += rise * float64(len(h.runs))
+		for _, r := range h.runs {
+			effect.harm += r.harm * (c.loadDeviations.Exceeding(r.headroom-rise) - c.loadDeviations.Exceeding(r.headroom))
+		}
+	}
+	return effect, effect.harm <= c.config.Interference.MaxHarm[s.rank.Timeliness]*float64(s.spec.Size.MilliCPU)/milli
+}
+
+// interferenceEffect is the effect of a best-effort task on the serving runs of a worker.
+type interferenceEffect struct {
+	// rise is the rise of the utilisations of the runs in total.
+	rise float64
+	// harm is the expected harm to runs that exceed their targets because of the task, in cores of best-effort work.
+	harm float64
+}
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -60,6 +60,8 @@
 	readySince     time.Time
 	rank           medlarrank.Rank
 	tasksPerWorker map[*worker]int
+	// load is the utilisation of the serving tasks of the step without interference. They share the load evenly.
+	load medlarinterference.Trend
 	// predictedRunTime is the predicted mean run time of the tasks. The fields after it count the completed runs and
 	// hold the sum and the maximum of their run times at full pace.
 	predictedRunTime time.Duration
@@ -127,11 +129,8 @@
 	// fullPaceRunTime is the run time up to runTimeUpdatedAt, scaled to full pace.
 	fullPaceRunTime  time.Duration
 	runTimeUpdatedAt time.Time
-	// baselineUtilisation is the utilisation that a serving run has without interference. overTargetSince is when it
-	// exceeded its tail target.
-	baselineUtilisation float64
-	baselineTrend       float64
-	hasBaseline         bool
+	// hasLoad is true once a serving run has reported its tail latency. overTargetSince is when it exceeded its target.
+	hasLoad bool
 	// observedUtilisation is the utilisation at utilisationObservedAt, including the interference of observedShares.
 	observedUtilisation   float64
 	utilisationObservedAt time.Time
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -17,6 +17,7 @@
 		c.failureCache.reset()
 		return
 	}
+	c.passStartedAt = now
 	c.updateQueue(now)
 	c.updateOpportunityCosts(now)
 	c.failureCache.beginPass(now)
@@ -182,6 +183,7 @@
 	slownessPenalty     = 3.0
 	bestEffortPenalty   = 0.5
 	interferencePenalty = 2.0
+	riskPenalty         = 1.0
 	sameImageBonus      = 1.0
 	sameSubmissionBonus = 1.0
 	freeCapacityPenalty = 0.2
