Store submissions through the owner where the table turns an instance away

Cause: in an outage of the table for some of the instances, each of them refused every submission for up to 9 s with a time to come back of 2 s, which is later than the objective of short work. The owner of the cell, which the same instances ask for the state of submissions, could write all the while. Ruled out: passing the request on to any instance of the registry, since an instance that does not own the cell keeps no copy of it; and a longer time to come back, since clients wait for 3 s in all. Change: an instance whose last call to the table failed sends the row to the owner, which stores it in its group commit. Refused is said only if the owner has not received the row or says that it was not stored; a lost answer gives 504. The time to come back while the table is away is 1 s.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -96,12 +96,12 @@
 	store       *platform.Store
 	health      *medlargroupcommit.TableHealth
 	groupCommit *medlargroupcommit.Writer
-	// promiseClients holds a client for each instance that was asked for a promise. ownerClient sends requests to the
-	// owner.
-	promiseClients peerClients
-	ownerClient    *peerClient
-	process        string
-	started        time.Time
+	// promiseClients holds a client for each instance that was asked for a promise. ownerClient sends queries to the
+	// owner, and forwardClient the rows that it is asked to store.
+	promiseClients             peerClients
+	ownerClient, forwardClient *peerClient
+	process                    string
+	started                    time.Time
 
 	routes      atomic.Pointer[medlarroute.Table]
 	term        atomic.Pointer[medlarownership.Term]
@@ -131,7 +131,7 @@
 		}),
 		health:      medlargroupcommit.NewTableHealth(clock),
 		cpuProbe:    newCPUProbe(clock),
-		ownerClient: newPeerClient(c.PeerTimeout),
+		ownerClient: newPeerClient(c.PeerTimeout), forwardClient: newPeerClient(forwardTimeout),
 		process:     fmt.Sprintf("%s-%d-%d", c.Settings.Instance, os.Getpid(), clock.Now().UnixNano()),
 		started:     clock.Now(),
 		registry:    registryState{instances: medlarinstance.NewRegistry(c.Registry)},
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -24,6 +24,8 @@
 	peerPathPromise     = "/peer/promise"
 	// peerPathTakeOver asks an instance to claim the cell because its owner has stopped giving orders.
 	peerPathTakeOver = "/peer/take-over"
+	// peerPathStore asks an instance to store a row for one that the table does not respond to.
+	peerPathStore = "/peer/store"
 )
 
 // peerRequest is a request to another instance.
@@ -38,6 +40,9 @@
 	OutageLease time.Duration `json:"outage-lease-ns,omitempty"`
 	// LeasesLeft is how much longer such leases may last at a handover.
 	LeasesLeft time.Duration `json:"leases-left-ns,omitempty"`
+	// Row is a row to be stored, and Remaining the time in which its result is of use.
+	Row       *peerRow      `json:"row,omitempty"`
+	Remaining time.Duration `json:"remaining-ns,omitempty"`
 }
 
 // peerResponse is the response of another instance.
@@ -52,6 +57,8 @@
 	Promise bool `json:"promise,omitempty"`
 	// TableReachable is true if the responding instance can read the claim from the table.
 	TableReachable bool `json:"served,omitempty"`
+	// Stored is the result of storing a row.
+	Stored peerStoreResult `json:"stored,omitempty"`
 }
 
 // Check returns all faults of the response.
@@ -65,6 +72,16 @@
 // errNoOwner means that no owner of the cell is known, or that the called instance is not the owner.
 var errNoOwner = errors.New("no owner of the cell is known")
 
+// errPeerNotConnected means that no connection to another instance could be made, and errPeerDialTimeout that the attempt
+// timed out.
+var (
+	errPeerNotConnected = errors.New("cannot connect to the instance")
+	errPeerDialTimeout  = errors.New("the instance does not answer the attempt to connect")
+)
+
+// peerDialTimeout bounds the time to connect to another instance. Data centres are milliseconds apart.
+const peerDialTimeout = 300 * time.Millisecond
+
 // peerConnections limits the connections to one instance.
 const peerConnections = 32
 
@@ -118,7 +135,14 @@
 			Addr: address, MaxConns: peerConnections, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
 			MaxIdleConnDuration: peerIdleLifetime,
 			DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
-				return net.DialTimeout("tcp4", address, min(timeout, p.timeout))
+				conn, err := net.DialTimeout("tcp4", address, min(timeout, p.timeout, peerDialTimeout))
+				if netErr := net.Error(nil); errors.As(err, &netErr) && netErr.Timeout() {
+					return nil, errPeerDialTimeout
+				}
+				if err != nil {
+					return nil, errors.Wrap(errPeerNotConnected, err.Error())
+				}
+				return conn, nil
 			},
 		}
 	}
@@ -137,6 +161,8 @@
 	p.backoffUntil = time.Now().Add(peerBackoff)
 }
 
+// call makes a request to the instance at the address. If medlarwheel.HasNoEffect holds for the error, the instance has not
+// carried out the request.
 func (p *peerClient) call(address, path string, request peerRequest) (peerResponse, error) {
 	var response peerResponse
 	httpRequest, httpResponse := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -151,17 +177,22 @@
 	httpRequest.SetBody(body)
 	client := p.hostClient(address)
 	if p.isBackingOff() {
-		return response, medlarwheel.WithOperation("call peer "+path, address, errPeerUnresponsive)
+		return response, medlarwheel.WithoutEffect(medlarwheel.WithOperation("call peer "+path, address, errPeerUnresponsive))
 	}
 	if err := client.DoTimeout(httpRequest, httpResponse, p.timeout); err != nil {
-		if errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, fasthttp.ErrDialTimeout) {
+		if errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, errPeerDialTimeout) {
 			p.startBackoff()
 		}
-		return response, medlarwheel.WithOperation("call peer "+path, address, err)
+		err = medlarwheel.WithOperation("call peer "+path, address, err)
+		if errors.Is(err, errPeerNotConnected) || errors.Is(err, errPeerDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+			return response, medlarwheel.WithoutEffect(err)
+		}
+		return response, err
 	}
 	if httpResponse.StatusCode() != fasthttp.StatusOK {
-		return response, medlarwheel.WithOperation("call peer "+path, address,
-			errors.Errorf("status %d, want %d", httpResponse.StatusCode(), fasthttp.StatusOK))
+		// An instance responds with an error only to a request that it has not carried out.
+		return response, medlarwheel.WithoutEffect(medlarwheel.WithOperation("call peer "+path, address,
+			errors.Errorf("status %d, want %d", httpResponse.StatusCode(), fasthttp.StatusOK)))
 	}
 	response, err = medlarwheel.Decode[peerResponse](httpResponse.Body())
 	return response, medlarwheel.WithOperation("call peer "+path, address, err)
@@ -202,6 +233,10 @@
 		go n.takeOver(request.Term, request.LeasesLeft)
 		return response, nil
 	}
+	if path == peerPathStore {
+		response.Stored = n.storeForPeer(request)
+		return response, nil
+	}
 	owner := n.owner.Load()
 	if owner == nil {
 		return response, errNoOwner
--- a/internal/operation/medlarnode/submissions.go
+++ b/internal/operation/medlarnode/submissions.go
@@ -1,7 +1,6 @@
 package medlarnode
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -13,9 +12,9 @@
 	"medlarwheel/platform"
 )
 
-// storeRetryAfter is the retry delay given to a client that is refused because the table does not respond. Outages last
-// seconds.
-const storeRetryAfter = 2 * time.Second
+// storeRetryAfter is the retry delay given to a client that is refused because the table does not respond. Most outages affect
+// one instance, and a retry reaches another one.
+const storeRetryAfter = time.Second
 
 // replyMargin is the part of a client's deadline that is kept for sending the reply.
 const replyMargin = 50 * time.Millisecond
@@ -36,9 +35,6 @@
 }
 
 func (n *Node) submit(s *medlarsubmission.Submission, deadline time.Time) (platform.Reply, string) {
-	if n.health.HasFailed() {
-		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, "table does not answer"
-	}
 	decision := n.config.Admission.Admit(n.clock.Now(), s, n.admissionLoad(s))
 	if !decision.Accept {
 		n.meter.Count("door.refused")
@@ -53,15 +49,18 @@
 }
 
 func (n *Node) storeRow(row medlartable.Row, deadline time.Time) (platform.Reply, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(n.clock.Now())-replyMargin)
-	defer cancel()
-	switch n.groupCommit.Insert(ctx, row) {
+	result, forwarded := n.insert(row, deadline)
+	by := ""
+	if forwarded {
+		by = " through the owner, the table does not answer here"
+	}
+	switch result {
 	case medlargroupcommit.ResultStored:
-		return platform.Reply{Outcome: platform.OutcomeOK}, "stored"
+		return platform.Reply{Outcome: platform.OutcomeOK}, "stored" + by
 	case medlargroupcommit.ResultRefused:
-		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, "not stored"
+		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, "not stored" + by
 	default:
-		return platform.Reply{Outcome: platform.OutcomeUnknown}, "no answer from the table"
+		return platform.Reply{Outcome: platform.OutcomeUnknown}, "no answer from the table" + by
 	}
 }
 
