Send clients away from instances that cannot reach the table

Cause: the instances of a data centre that is cut off from the table refused every submission for the whole cut, 5 to 6 s. They reported themselves ready for 2.5 s after the table's last answer and kept their connections, so that clients came back to them with each retry. Ruled out: passing rows on to the owner, which is out of reach as well. Change: an instance is not ready from 0.7 s after the last answer while its last call has failed, and after 2 s in any case; connections to an instance that is not ready are closed after their next answer.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -61,7 +61,9 @@
 	// ProbeInterval is the interval between probes of a table that does not respond.
 	ProbeInterval time.Duration
 	// ReadyMaxTableAge is the maximum age of the table's last response at which the instance reports itself ready.
-	ReadyMaxTableAge time.Duration
+	// ReadyMaxFailedAge is the same while the last call to the table has failed: the clients of a data centre that is cut
+	// off from the table are then sent to others.
+	ReadyMaxTableAge, ReadyMaxFailedAge time.Duration
 	// DrainPeriod is how long a stopping instance still responds on open connections, so that the load balancer has time
 	// to stop sending it requests.
 	DrainPeriod time.Duration
@@ -82,7 +84,7 @@
 		StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
 		ConfigLongPollWait: 700 * time.Millisecond, OwnerLongPollWait: 500 * time.Millisecond, FollowRetryDelay: 100 * time.Millisecond,
 		OrderTimeout: 350 * time.Millisecond, WorkerConnections: 12, PeerTimeout: 300 * time.Millisecond,
-		ProbeInterval: 250 * time.Millisecond, ReadyMaxTableAge: 2500 * time.Millisecond,
+		ProbeInterval: 250 * time.Millisecond, ReadyMaxTableAge: 2 * time.Second, ReadyMaxFailedAge: 700 * time.Millisecond,
 		DrainPeriod: max(settings.StopGrace/2, time.Second), MemoryLimitFraction: 0.6,
 	}
 }
--- a/internal/operation/medlarnode/serve.go
+++ b/internal/operation/medlarnode/serve.go
@@ -48,7 +48,7 @@
 		handler       fasthttp.RequestHandler
 	}{
 		{"clients", settings.Serve, platform.NewClientHandler(n, n.clock.Now)},
-		{"readiness", settings.Ready, platform.NewReadinessHandler(n.isReady)},
+		{"readiness", settings.Ready, platform.NewReadinessHandler(n.IsReady)},
 		{"peers", settings.Peer, n.handlePeer},
 		{"metrics", settings.Metrics, n.meter.Handler},
 	} {
@@ -90,7 +90,12 @@
 // Printf does nothing.
 func (discardLogger) Printf(string, ...any) {}
 
-// isReady reports whether the load balancer should send new connections to this instance.
-func (n *Node) isReady() bool {
-	return !n.stopping.Load() && n.routes.Load() != nil && n.clock.Now().Sub(n.health.LastSuccess()) < n.config.ReadyMaxTableAge
+// IsReady reports whether clients should connect to this instance. An instance that is stopping, or cannot store what it
+// accepts, is not ready.
+func (n *Node) IsReady() bool {
+	maxAge := n.config.ReadyMaxTableAge
+	if n.health.HasFailed() {
+		maxAge = n.config.ReadyMaxFailedAge
+	}
+	return !n.stopping.Load() && n.routes.Load() != nil && n.clock.Now().Sub(n.health.LastSuccess()) < maxAge
 }
--- a/internal/operation/medlarnode/serve_test.go
+++ b/internal/operation/medlarnode/serve_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"medlarwheel/internal/acceptance/medlargroupcommit"
+	"medlarwheel/internal/acceptance/medlarroute"
 	"medlarwheel/internal/operation/medlarmetrics"
 )
 
@@ -23,3 +26,40 @@
 		t.Errorf("got status %d with body %q, want 504 without a body", got, ctx.Response.Body())
 	}
 }
+
+// TestInstanceWithoutTableIsNotReady guards against clients that stay with an instance of a data centre that is cut off from
+// the table for most of the cut, and against instances that leave the load balancer because of one failed call.
+func TestInstanceWithoutTableIsNotReady(t *testing.T) {
+	clock := &steppedClock{now: time.Unix(1000, 0)}
+	n := &Node{
+		clock: clock, health: medlargroupcommit.NewTableHealth(clock),
+		config: Config{ReadyMaxTableAge: 2 * time.Second, ReadyMaxFailedAge: 700 * time.Millisecond},
+	}
+	n.routes.Store(&medlarroute.Table{})
+	n.health.Report(true)
+	if !n.IsReady() {
+		t.Error("not ready just after a response of the table")
+	}
+	clock.now = clock.now.Add(300 * time.Millisecond)
+	n.health.Report(false)
+	if !n.IsReady() {
+		t.Error("not ready just after one failed call")
+	}
+	clock.now = clock.now.Add(500 * time.Millisecond)
+	if n.IsReady() {
+		t.Error("ready 800 ms after the last response, with a failed call since")
+	}
+	n.health.Report(true)
+	if !n.IsReady() {
+		t.Error("not ready after the table has responded again")
+	}
+	n.stopping.Store(true)
+	if n.IsReady() {
+		t.Error("ready while stopping")
+	}
+}
+
+// steppedClock is a clock that a test sets.
+type steppedClock struct{ now time.Time }
+
+func (c *steppedClock) Now() time.Time { return c.now }
--- a/internal/operation/medlarnode/submissions.go
+++ b/internal/operation/medlarnode/submissions.go
@@ -22,9 +22,6 @@
 // Routes returns the configuration in force.
 func (n *Node) Routes() *medlarroute.Table { return n.routes.Load() }
 
-// IsStopping reports whether connections are to be closed after their next response.
-func (n *Node) IsStopping() bool { return n.stopping.Load() }
-
 // Submit accepts a submission once it is stored in the table.
 func (n *Node) Submit(s medlarsubmission.Submission, deadline time.Time) platform.Reply {
 	began := n.clock.Now()
