Move tasks off draining workers, and forget workers that have left

Nine workers had drained and left. Ruled out: a shorter tail of the leases for owners that are not heard of, which ends the tasks of a cut data centre again. Change: a worker without a registration on which nothing runs, known from its own report to this owner, leaves the record after 3 s of silence. Tasks on a draining worker are stopped in time: lasting ones one by one while another worker has room, others if they would not end before it leaves. Leases of 7 s, with a tail of 6 s: the shortest that outlast a cut of 6 s.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -260,6 +260,7 @@
 // SetWorker adds a registered worker or updates its registration.
 func (c *Cell) SetWorker(now time.Time, info medlarorder.Worker) {
 	w := c.workers[info.ID]
+	wasDraining := w != nil && w.info.Draining
 	if w == nil {
 		w = newWorker(info, c.fence, c.reconcileDeadline)
 		w.centreResponsiveness = c.responsivenessByCentre.of(info.DataCentre)
@@ -270,7 +271,8 @@
 			c.emit(Event{Kind: EventWorkerJoined, Worker: info.ID})
 		}
 	}
-	if info.Draining && !w.info.Draining {
+	if info.Draining && !wasDraining {
+		w.leavesAt = now.Add(info.Remaining)
 		c.emit(Event{Kind: EventWorkerDraining, Worker: info.ID, Age: info.Remaining})
 	}
 	address := w.info.Address
@@ -325,7 +327,7 @@
 				c.markLost(now, r, lostLease)
 			}
 		}
-		if !w.registered && len(w.runs) == 0 && now.Sub(w.lastContact) > 2*c.config.Lease && now.After(w.leaseEnd) {
+		if w.isGone(now) {
 			delete(c.workers, id)
 			c.clearFenced(w)
 			w.renewalDue = time.Time{}
@@ -340,6 +342,7 @@
 			}
 		}
 	}
+	c.evacuate(now)
 	c.sendDeferredRenewals(now)
 	c.fitModel(now)
 	c.recoverSpeeds(now, now.Sub(c.tickedAt))
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -80,6 +80,7 @@
 	EventLoad               EventKind = "cell-load"
 	EventWorkerSpeed        EventKind = "worker-speed"
 	EventTaskMoved          EventKind = "task-moved"
+	EventTaskEvacuated      EventKind = "task-evacuated"
 	EventTailTargetExceeded EventKind = "tail-target-exceeded"
 )
 
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -59,7 +59,7 @@
 // DefaultConfig returns the configuration for workers whose clocks are at most 2% slow.
 func DefaultConfig() Config {
 	return Config{
-		Lease: 7500 * time.Millisecond, LeaseTail: 6500 * time.Millisecond, RenewalWait: 600 * time.Millisecond, RenewalRetryDelay: 150 * time.Millisecond,
+		Lease: 7 * time.Second, LeaseTail: 6 * time.Second, RenewalWait: 600 * time.Millisecond, RenewalRetryDelay: 150 * time.Millisecond,
 		AckWaitTimeout: 200 * time.Millisecond,
 		ContactTimeout: 1300 * time.Millisecond, ResponseTimeout: 150 * time.Millisecond, ClockDrift: 0.02, LeaseMargin: 200 * time.Millisecond,
 		StopRetry: time.Second, KeepFinished: 2 * time.Minute,
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -190,7 +190,7 @@
 			c.markLost(now, r, lostMissing)
 		}
 	}
-	w.reported = true
+	w.reported, w.allRunsKnown = true, true
 	if first {
 		c.tryReconcile(now)
 	}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -19,6 +19,11 @@
 	recorded bool
 	// reported is true once the worker has reported its runs to this owner.
 	reported bool
+	// allRunsKnown is true once this owner has seen a report of the worker: since then, only orders of this owner can have
+	// started runs on it.
+	allRunsKnown bool
+	// leavesAt is the earliest time at which a draining worker leaves.
+	leavesAt time.Time
 	// lastContact is when the worker last responded.
 	lastContact    time.Time
 	responsiveness responsiveness
@@ -110,6 +115,15 @@
 	}
 }
 
+// unregisteredRetention is how long a worker without a registration is kept after its last response. Registrations may lapse
+// while the table is away.
+const unregisteredRetention = 3 * time.Second
+
+// isGone reports whether a worker has left and nothing can run on it any more. A successor would wait for it.
+func (w *worker) isGone(now time.Time) bool {
+	return !w.registered && len(w.runs) == 0 && now.Sub(w.lastContact) > unregisteredRetention && (w.allRunsKnown || now.After(w.leaseEnd))
+}
+
 // isUsable reports whether the worker may get new tasks.
 func (w *worker) isUsable(now time.Time, c *Config) bool {
 	return w.registered && w.recorded && w.reported && !w.fenced && !w.info.Draining && !now.Before(w.pausedUntil) &&
