State the leases of an owner in its claim

Cause: read in the code while the leases were lengthened. A successor waits for as long as its own settings say, so that after a change of the settings or of the build it could start a task again that still runs under a longer lease of the owner before. Ruled out: a note for operators alone, since the second half of a rolling change has the same fault. Change: a claim states the longest lease and tail that its owner or one before it grants; a successor takes the longer ones, at most what workers accept. Comments and names of the placement and pacing of filling work after a first reading. Tests: TestSuccessorWaitsForLongerLeasesOfPredecessor, TestPredecessorReportsItsLeases; both fail without it.

--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -220,6 +220,7 @@
 func (n *Node) claimCell(ctx context.Context, current medlarownership.Term) {
 	next := medlarownership.Term{
 		Number: current.Number + 1, Instance: n.config.Settings.Instance, Address: n.config.Settings.Peer, Process: n.process,
+		Lease: max(n.config.Owner.Cell.Lease, current.Lease), LeaseTail: max(n.config.Owner.Cell.LeaseTail, current.LeaseTail),
 	}
 	chainRow, err := medlarcellstore.FirstChainRow(n.config.Owner.Part, next.Number)
 	if err != nil {
--- a/internal/operation/medlartuning/tuning.go
+++ b/internal/operation/medlartuning/tuning.go
@@ -73,6 +73,8 @@
 	return []Setting{
 		durationSetting("lease", "how long a worker keeps its tasks running without a renewal by its owner", 1000, 60000,
 			func(c *Config) *time.Duration { return &c.Node.Owner.Cell.Lease }),
+		durationSetting("lease-tail", "how far a lease may extend beyond the time for which the owner may give orders", 500, 60000,
+			func(c *Config) *time.Duration { return &c.Node.Owner.Cell.LeaseTail }),
 		durationSetting("hold-wait", "how long a worker may wait for a task to end before it responds to a renewal", 100, 2000,
 			func(c *Config) *time.Duration { return &c.Node.Owner.Cell.RenewalWait }),
 		durationSetting("order-timeout", "timeout of one order to a worker", 50, 5000,
--- a/internal/scheduling/medlarcell/candidates.go
+++ b/internal/scheduling/medlarcell/candidates.go
@@ -115,5 +115,5 @@
 			return 0, false
 		}
 	}
-	return c.score(s, t, w) - interferencePenalty*effect.rise - riskPenalty*effect.harm*milli/float64(max(1, w.info.Capacity.MilliCPU)), true
+	return c.score(s, t, w) - interferencePenalty*effect.rise - harmPenalty*effect.harm*milli/float64(max(1, w.info.Capacity.MilliCPU)), true
 }
--- a/internal/scheduling/medlarcell/headroom.go
+++ b/internal/scheduling/medlarcell/headroom.go
@@ -2,6 +2,9 @@
 
 import "medlarwheel/internal/scheduling/medlarinterference"
 
+// Headrooms decide where best-effort work is placed. They answer two loads: with little work, each task is placed where
+// peaks of the serving tasks do no harm; in a burst, work is placed as long as it is worth more than the harm.
+
 // servingHeadroom is how far the utilisation of the serving runs of one image on a worker may rise.
 type servingHeadroom struct {
 	image medlarinterference.Image
@@ -27,6 +30,8 @@
 	}
 }
 
+// headroomOf returns how far the utilisation of a serving run may rise above that which it is expected to have beside the
+// best-effort runs on its worker.
 func (c *Cell) headroomOf(r *run, bestEffort []*run) float64 {
 	headroom := c.limit(r) - c.config.Interference.PlaceMargin - c.expectedUtilisation(c.passStartedAt, r)
 	for _, b := range bestEffort {
@@ -35,6 +40,7 @@
 	return headroom
 }
 
+// addHeadroom adds a run to those of its image.
 func (w *worker) addHeadroom(image medlarinterference.Image, run runHeadroom) {
 	for i := range w.headrooms {
 		if h := &w.headrooms[i]; h.image == image {
--- a/internal/scheduling/medlarcell/ownership.go
+++ b/internal/scheduling/medlarcell/ownership.go
@@ -19,6 +19,9 @@
 	Expired bool
 	// Grace is how long after the claim the previous owner may still send orders.
 	Grace time.Duration
+	// PreviousLease and PreviousLeaseTail are the Lease and LeaseTail of earlier owners, whose settings may differ from
+	// those of this one.
+	PreviousLease, PreviousLeaseTail time.Duration
 	// OutageLeaseRemaining is how long after the claim a lease may last that was granted while the table was
 	// unavailable.
 	OutageLeaseRemaining time.Duration
@@ -34,7 +37,7 @@
 	c.firstRun = medlarorder.RunNumber((ownership.Term-1)*runNumbersPerTerm + 1)
 	c.tickedAt, c.termStartedAt = now, now
 	c.graceEnd = now.Add(ownership.Grace)
-	c.reconcileDeadline = now.Add(ownership.Grace + max(c.inheritedLeaseBound(ownership.Expired), c.leaseDurationBound(ownership.OutageLeaseRemaining)))
+	c.reconcileDeadline = now.Add(ownership.Grace + max(c.inheritedLeaseBound(&ownership), c.leaseDurationBound(ownership.OutageLeaseRemaining)))
 	c.outageLeasesEnd = now.Add(ownership.OutageLeaseRemaining)
 }
 
@@ -73,10 +76,10 @@
 // inheritedLeaseBound returns how long a lease of an earlier owner may last after the claim of its successor. An owner
 // whose authority had expired has granted none beyond LeaseTail; one that released the cell or crashed before may have
 // granted a full lease.
-func (c *Cell) inheritedLeaseBound(expired bool) time.Duration {
-	lease := c.config.Lease
-	if expired {
-		lease = min(lease, c.config.LeaseTail)
+func (c *Cell) inheritedLeaseBound(o *Ownership) time.Duration {
+	lease := max(c.config.Lease, o.PreviousLease)
+	if o.Expired {
+		lease = min(lease, max(c.config.LeaseTail, o.PreviousLeaseTail))
 	}
 	return c.leaseDurationBound(lease)
 }
--- a/internal/scheduling/medlarcell/pace.go
+++ b/internal/scheduling/medlarcell/pace.go
@@ -9,6 +9,9 @@
 	"medlarwheel/internal/execution/medlarorder"
 )
 
+// The paces answer a load at which best-effort work fills most workers while the load of the serving tasks beside it rises:
+// the work was placed beside them when they had headroom.
+
 // pacedRun is a best-effort run whose pace is being chosen.
 type pacedRun struct {
 	run *run
@@ -53,6 +56,8 @@
 	return false
 }
 
+// pacedAndProtected returns the best-effort runs on a worker and the serving runs beside them, with the interference at full
+// pace.
 func (c *Cell) pacedAndProtected(now time.Time, w *worker, bestEffort []*run) ([]pacedRun, []protectedRun) {
 	var protected []protectedRun
 	paced := make([]pacedRun, len(bestEffort))
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -183,7 +183,7 @@
 	slownessPenalty     = 3.0
 	bestEffortPenalty   = 0.5
 	interferencePenalty = 2.0
-	riskPenalty         = 1.0
+	harmPenalty         = 1.0
 	sameImageBonus      = 1.0
 	sameSubmissionBonus = 1.0
 	freeCapacityPenalty = 0.2
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -230,7 +230,7 @@
 		t.Fatal("a task was started although it may run on a worker whose registration has expired")
 	}
 	pending := sc.renewals
-	sc.advance(grace + sc.cell.inheritedLeaseBound(false) - 200*time.Millisecond)
+	sc.advance(grace + sc.cell.inheritedLeaseBound(&Ownership{}) - 200*time.Millisecond)
 	sc.dispatch()
 	if len(sc.starts) > 0 {
 		t.Fatal("a task was started before all leases must have ended")
--- a/internal/scheduling/medlarcell/responsiveness_test.go
+++ b/internal/scheduling/medlarcell/responsiveness_test.go
@@ -135,6 +135,30 @@
 	}
 }
 
+// TestSuccessorWaitsForLongerLeasesOfPredecessor guards against a second start of a task during a rolling change of the lease
+// settings: the previous owner has granted longer leases than this one would.
+func TestSuccessorWaitsForLongerLeasesOfPredecessor(t *testing.T) {
+	const previous, tail = 12 * time.Second, 11 * time.Second
+	for _, expired := range []bool{true, false} {
+		sc := newInheritingCell(t, Ownership{Fence: 2 << 12, Term: 2, Expired: expired, PreviousLease: previous, PreviousLeaseTail: tail})
+		want := previous
+		if expired {
+			want = tail
+		}
+		for ; sc.now.Sub(simEpoch) < want; sc.advance(100 * time.Millisecond) {
+			for _, renewal := range sc.renewals {
+				if renewal.Worker == "w0" {
+					sc.report(renewal, medlarorder.Report{})
+				}
+			}
+			sc.dispatch()
+			if len(sc.starts) > 0 {
+				t.Fatalf("expired %v: a task was started %v after the claim, while a lease may last for %v", expired, sc.now.Sub(simEpoch), want)
+			}
+		}
+	}
+}
+
 // TestSuccessorWaitsForOutageLeasesToEnd guards against a second start of a task that still runs in an unreachable data
 // centre, under a lease that the previous owner granted while the table was unavailable.
 func TestSuccessorWaitsForOutageLeasesToEnd(t *testing.T) {
--- a/internal/scheduling/medlarinterference/deviation.go
+++ b/internal/scheduling/medlarinterference/deviation.go
@@ -24,7 +24,7 @@
 	stale     bool
 }
 
-// NewDeviations returns a distribution whose prior is exponential with the given mean.
+// NewDeviations returns a distribution whose prior is exponential with the given mean, in utilisation.
 func NewDeviations(priorMean float64) *Deviations {
 	d := &Deviations{stale: true, total: deviationPriorCount}
 	for i := range d.counts {
@@ -59,6 +59,7 @@
 	return d.exceeding[min(int(deviation/deviationBucket), deviationBuckets)]
 }
 
+// refresh recomputes the cached shares.
 func (d *Deviations) refresh() {
 	sum := 0.0
 	for i := deviationBuckets - 1; i >= 0; i-- {
--- a/internal/scheduling/medlarinterference/model.go
+++ b/internal/scheduling/medlarinterference/model.go
@@ -13,6 +13,10 @@
 // Without the model, a burst of best-effort work would be placed beside the serving tasks that it slows most as readily
 // as beside those that it hardly affects.
 //
+// The load of a serving task without interference has two parts. All tasks of a step share a slow wave, which a Trend
+// follows. Besides, each task has short peaks of its own, which are over before anything can be done about them;
+// Deviations holds how often they reach which height, and so the risk that a task with a given headroom exceeds its target.
+//
 // # Usage
 //
 //	model := medlarinterference.New(medlarinterference.DefaultConfig())
@@ -20,6 +24,11 @@
 //	model.Observe("web", after-before, []medlarinterference.ImageShare{{Image: "etl", Share: 0.1}})
 //	model.Refit()
 //	utilisation := after + model.Coefficient("etl", "web")*0.1
+//
+//	var load medlarinterference.Trend
+//	load.Observe(&trendConfig, now, after)
+//	deviations.Observe(after - load.At(&trendConfig, now))
+//	risk := deviations.Exceeding(model.UtilisationLimit("web", target) - load.At(&trendConfig, now.Add(time.Second)))
 package medlarinterference
 
 import "time"
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -177,7 +177,7 @@
 	}
 	o.cell.Begin(claimedAt, medlarcell.Ownership{
 		Fence: medlarownership.FirstFencingToken(term.Version), Term: term.Number, Expired: predecessor.Expired, Grace: predecessor.Grace,
-		OutageLeaseRemaining: predecessor.OutageLeases,
+		PreviousLease: predecessor.Lease, PreviousLeaseTail: predecessor.LeaseTail, OutageLeaseRemaining: predecessor.OutageLeases,
 	})
 	o.recordOutageLeases()
 	o.recordRenewal(claimedAt)
--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -91,6 +91,11 @@
 	Released bool `json:"released,omitempty"`
 	// OutageLeases is the time after the release for which leases granted during a table outage may remain valid.
 	OutageLeases time.Duration `json:"outage-leases-ns,omitempty"`
+	// Lease is the longest lease that this owner or one before it has granted, and LeaseTail the longest time that one may
+	// last beyond the end of its owner's authority. Instances with other settings, or of another build, take them into
+	// account. They are zero in claims of builds that grant 3 s and 2.2 s.
+	Lease     time.Duration `json:"lease-ns,omitempty"`
+	LeaseTail time.Duration `json:"lease-tail-ns,omitempty"`
 	// Version is the version of the row.
 	Version medlarwheel.RowVersion `json:"-"`
 }
@@ -254,15 +259,19 @@
 // Predecessor returns what is known about the previous owner at the time of a claim. receivedRequests means that this
 // process has received the promise requests of every owner that has recently continued without the table.
 func (m *Monitor) Predecessor(now time.Time, receivedRequests bool) Predecessor {
-	leases := m.outageLeasesAt(now, receivedRequests)
-	switch {
-	case m.term.Number == 0 || m.ownerDead || m.term.Released:
-		return Predecessor{OutageLeases: leases}
-	case m.sinceRenewal < m.claimTimeout():
-		return Predecessor{Expired: true, Grace: m.ownerTimeout, OutageLeases: leases}
-	default:
-		return Predecessor{Expired: true, OutageLeases: leases}
+	// No worker accepts a longer lease than MaxLease, whatever the row says.
+	p := Predecessor{
+		Lease: min(m.term.Lease, m.config.MaxLease), LeaseTail: min(m.term.LeaseTail, m.config.MaxLease),
+		OutageLeases: m.outageLeasesAt(now, receivedRequests),
+	}
+	if m.term.Number == 0 || m.ownerDead || m.term.Released {
+		return p
+	}
+	p.Expired = true
+	if m.sinceRenewal < m.claimTimeout() {
+		p.Grace = m.ownerTimeout
 	}
+	return p
 }
 
 // outageLeasesAt returns for how long outage leases may remain valid. The reported time is limited to what workers accept, so
@@ -313,6 +322,8 @@
 	Expired bool
 	// Grace is how long after the claim the previous owner may still send orders.
 	Grace time.Duration
+	// Lease and LeaseTail are those of the claim before.
+	Lease, LeaseTail time.Duration
 	// OutageLeases is how long after the claim leases granted during a table outage may remain valid.
 	OutageLeases time.Duration
 }
--- a/internal/state/medlarownership/ownership_test.go
+++ b/internal/state/medlarownership/ownership_test.go
@@ -264,3 +264,13 @@
 		})
 	}
 }
+
+// TestPredecessorReportsItsLeases guards against a successor that counts with its own, shorter leases after a change of the
+// settings or of the build.
+func TestPredecessorReportsItsLeases(t *testing.T) {
+	m := newTestMonitor(t)
+	m.RecordClaim(Term{Number: 9, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Lease: 9 * time.Second, LeaseTail: time.Hour, Version: 900})
+	if got := m.Predecessor(start, true); got.Lease != 9*time.Second || got.LeaseTail != DefaultConfig().MaxLease {
+		t.Errorf("predecessor is %+v, want leases of 9s with a tail of the longest lease that workers accept", got)
+	}
+}
