Keep the cause of a refused connection between instances

Errors of a dial were wrapped by their text, so that watchProcess no longer recognised a refused connection, and a cell whose owner's process had ended was claimed only after the owner's time. Also, a status 504, which a handler sends after a panic, counted as a request without effect. Change: the error keeps its cause; only 400 and 503 count as without effect. The evacuation looks at the queue once. Tests: TestRefusedConnectionIsRecognised, TestPanicOfPeerMayHaveHadAnEffect; both fail without the change.

--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -140,7 +141,7 @@
 					return nil, errPeerDialTimeout
 				}
 				if err != nil {
-					return nil, errors.Wrap(errPeerNotConnected, err.Error())
+					return nil, fmt.Errorf("%w: %w", errPeerNotConnected, err)
 				}
 				return conn, nil
 			},
@@ -190,14 +191,22 @@
 		return response, err
 	}
 	if httpResponse.StatusCode() != fasthttp.StatusOK {
-		// An instance responds with an error only to a request that it has not carried out.
-		return response, medlarwheel.WithoutEffect(medlarwheel.WithOperation("call peer "+path, address,
-			errors.Errorf("status %d, want %d", httpResponse.StatusCode(), fasthttp.StatusOK)))
+		return response, statusError(path, address, httpResponse.StatusCode())
 	}
 	response, err = medlarwheel.Decode[peerResponse](httpResponse.Body())
 	return response, medlarwheel.WithOperation("call peer "+path, address, err)
 }
 
+// statusError returns the error for a response with an unexpected status. handlePeer sends the first two statuses if it has not
+// carried out the request; a handler that panics may have done so.
+func statusError(path, address string, status int) error {
+	err := medlarwheel.WithOperation("call peer "+path, address, errors.Errorf("status %d, want %d", status, fasthttp.StatusOK))
+	if status == fasthttp.StatusBadRequest || status == fasthttp.StatusServiceUnavailable {
+		return medlarwheel.WithoutEffect(err)
+	}
+	return err
+}
+
 // handlePeer serves the requests of other instances.
 func (n *Node) handlePeer(ctx *fasthttp.RequestCtx) {
 	var request peerRequest
--- a/internal/operation/medlarnode/peer_test.go
+++ b/internal/operation/medlarnode/peer_test.go
@@ -1,8 +1,10 @@
 package medlarnode
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -45,3 +47,29 @@
 		t.Errorf("the owner was asked %d times within the refresh age, want once", requests.Load())
 	}
 }
+
+// TestRefusedConnectionIsRecognised guards against a slow change of owner, because the refused connection to the address of an
+// ended process is not told from other faults, and against "unknown" for a request that was never sent.
+func TestRefusedConnectionIsRecognised(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, err = newPeerClient(time.Second).call(address, peerPathProcess, peerRequest{})
+	if !errors.Is(err, syscall.ECONNREFUSED) || !medlarwheel.HasNoEffect(err) {
+		t.Errorf("got error %v, want a refused connection without effect", err)
+	}
+}
+
+// TestPanicOfPeerMayHaveHadAnEffect guards against "not stored" for a row whose handler panicked after storing it.
+func TestPanicOfPeerMayHaveHadAnEffect(t *testing.T) {
+	for status, want := range map[int]bool{400: true, 503: true, 500: false, 504: false} {
+		if got := medlarwheel.HasNoEffect(statusError(peerPathStore, "10.0.0.1:80", status)); got != want {
+			t.Errorf("status %d: without effect %v, want %v", status, got, want)
+		}
+	}
+}
--- a/internal/scheduling/medlarcell/evacuation.go
+++ b/internal/scheduling/medlarcell/evacuation.go
@@ -10,14 +10,16 @@
 // Without it they would wait until the lease of the worker must have ended.
 func (c *Cell) evacuate(now time.Time) {
 	var usable []*worker
+	areLongRunningWaiting := false
 	for _, w := range c.workers {
 		if !w.info.Draining || !w.registered || !w.reported || len(w.runs) == 0 {
 			continue
 		}
 		if usable == nil {
-			usable = c.listUsableWorkers(now)
+			usable, areLongRunningWaiting = c.listUsableWorkers(now), c.isLongRunningWaiting()
 		}
-		movedLongRunning := c.isLongRunningWaiting()
+		// One long-running task of each worker at a time, so that few compete for the same free capacity.
+		stopped := areLongRunningWaiting
 		for r := range w.runs {
 			switch {
 			case r.stopping || r.phase != runConfirmed || r.step.spec.Gang:
@@ -25,9 +27,8 @@
 				if now.After(w.leavesAt.Add(-evacuationLead)) && now.Add(r.expectedRemaining()).After(w.leavesAt) {
 					c.stopForEvacuation(now, r)
 				}
-			case !movedLongRunning && c.bestWorker(r.step, r.task(), usable) != nil:
-				// One at a time, so that tasks do not compete for the same free capacity.
-				movedLongRunning = true
+			case !stopped && c.bestWorker(r.step, r.task(), usable) != nil:
+				stopped = true
 				c.stopForEvacuation(now, r)
 			}
 		}
