--- a/internal/scheduling/medlarcell/headroom.go
+++ b/internal/scheduling/medlarcell/headroom.go
@@ -1,6 +1,9 @@
 package medlarcell
 
-import "medlarwheel/internal/scheduling/medlarinterference"
+import (
+	"medlarwheel/internal/scheduling/medlarinterference"
+	"medlarwheel/internal/scheduling/medlarrank"
+)
 
 // Headrooms decide where best-effort work is placed. They answer two loads: with little work, each task is placed where
 // peaks of the serving tasks do no harm; in a burst, work is placed as long as it is worth more than the harm.
@@ -71,7 +74,16 @@
 			effect.harm += r.harm * (c.loadDeviations.Exceeding(r.headroom-rise) - c.loadDeviations.Exceeding(r.headroom))
 		}
 	}
-	return effect, effect.harm <= c.config.Interference.MaxHarm[s.rank.Timeliness]*float64(s.spec.Size.MilliCPU)/milli
+	return effect, effect.harm <= c.maxHarm(s)*float64(s.spec.Size.MilliCPU)/milli
+}
+
+// maxHarm returns the expected harm that a task of the step may do, as a share of its own CPU.
+func (c *Cell) maxHarm(s *step) float64 {
+	config := &c.config.Interference
+	if c.passStartedAt.Sub(s.readySince) > config.MaxDeferral {
+		return config.MaxHarm[medlarrank.TimelinessInTime]
+	}
+	return config.MaxHarm[s.rank.Timeliness]
 }
 
 // interferenceEffect is the effect of a best-effort task on the serving runs of a worker.
--- a/internal/scheduling/medlarcell/interference.go
+++ b/internal/scheduling/medlarcell/interference.go
@@ -15,6 +15,9 @@
 	// MaxHarm is the expected harm that a best-effort task may do to serving tasks, as a share of its own CPU, by the
 	// timeliness of the work to be placed: late work must not make other work late.
 	MaxHarm [3]float64
+	// MaxDeferral is how long a step with late work waits for a place where it does less harm than other work may do.
+	// Without a bound it could wait for ever beside loaded serving tasks.
+	MaxDeferral time.Duration
 	// LoadTrend configures the estimate of the load that the serving tasks of a step share.
 	LoadTrend medlarinterference.TrendConfig
 	// PriorDeviation is the expected deviation of a serving task above that load, before any report.
@@ -42,7 +45,8 @@
 // DefaultInterferenceConfig returns the configuration for workers that average metrics over half a second.
 func DefaultInterferenceConfig() InterferenceConfig {
 	return InterferenceConfig{
-		MaxHarm: [3]float64{0.6, 0.3, 0.1}, LoadTrend: medlarinterference.DefaultTrendConfig(), PriorDeviation: 0.03,
+		MaxHarm: [3]float64{0.6, 0.3, 0.1}, MaxDeferral: 8 * time.Second,
+		LoadTrend: medlarinterference.DefaultTrendConfig(), PriorDeviation: 0.03,
 		Horizon: 2 * time.Second, DefaultBaselineUtilisation: 0.5, MinSampleSpan: 300 * time.Millisecond,
 		MaxSampleSpan: 2 * time.Second, HarmFactor: 1.3,
 		HaltAfter: 1500 * time.Millisecond, RaiseInterval: 300 * time.Millisecond,
