Use one type for the result of storing a row, and mark dial errors where they arise

The peer protocol had its own copy of medlargroupcommit.Result with a translation each way; the type is now a string that instances send to each other, and an unknown value is a fault of the response. A dial error of the peer client is marked as without effect by the dial itself, in place of two sentinel errors that call compared. An owner that responds without a result is logged with that reason and its address. A test uses the clock that the package had already.

--- a/internal/acceptance/medlargroupcommit/writer.go
+++ b/internal/acceptance/medlargroupcommit/writer.go
@@ -22,19 +22,24 @@
 	"medlarwheel/internal/state/medlartable"
 )
 
-// Result is the result of inserting a row.
-type Result int
+// Result is the result of inserting a row, as instances send it to each other.
+type Result string
 
 // The results of inserting a row.
 const (
 	// ResultStored means that the row is stored, by this or an earlier request.
-	ResultStored Result = iota
+	ResultStored Result = "stored"
 	// ResultRefused means that the row was not stored and never will be.
-	ResultRefused
+	ResultRefused Result = "refused"
 	// ResultUnknown means that the row may be stored, now or later.
-	ResultUnknown
+	ResultUnknown Result = "unknown"
 )
 
+// IsValid reports whether r is one of the results.
+func (r Result) IsValid() bool {
+	return r == ResultStored || r == ResultRefused || r == ResultUnknown
+}
+
 // Store is the platform's table.
 type Store = medlarhedge.Store
 
--- a/internal/acceptance/medlargroupcommit/writer_test.go
+++ b/internal/acceptance/medlargroupcommit/writer_test.go
@@ -80,7 +80,7 @@
 		t.Run(name, func(t *testing.T) {
 			store := &scriptedStore{rows: map[string]bool{"k": c.exists}, script: c.script, applyLost: c.applyLost}
 			if got := newTestWriter(store).Insert(context.Background(), row("k")); got != c.want {
-				t.Errorf("Insert: got result %d, want %d", got, c.want)
+				t.Errorf("Insert: got result %s, want %s", got, c.want)
 			}
 			if store.rows["k"] != c.stored {
 				t.Errorf("row stored: got %v, want %v", store.rows["k"], c.stored)
@@ -101,7 +101,7 @@
 	w.writeBatch(requests)
 	for _, r := range requests {
 		if got := <-r.result; got != ResultStored {
-			t.Errorf("row %s: got result %d, want ResultStored", r.row.Key, got)
+			t.Errorf("row %s: got result %s, want ResultStored", r.row.Key, got)
 		}
 	}
 	if !store.rows["a"] || !store.rows["b"] || store.calls != 2 {
@@ -145,15 +145,15 @@
 	go func() { result <- w.Insert(ctx, row("k")) }()
 	<-store.began
 	if got := w.Insert(canceled(), row("waiting")); got != ResultRefused {
-		t.Errorf("a request that no transaction includes: got result %d, want ResultRefused", got)
+		t.Errorf("a request that no transaction includes: got result %s, want ResultRefused", got)
 	}
 	cancel()
 	if got := <-result; got != ResultUnknown {
-		t.Errorf("a request in a transaction in progress: got result %d, want ResultUnknown", got)
+		t.Errorf("a request in a transaction in progress: got result %s, want ResultUnknown", got)
 	}
 	close(gate)
 	if got := w.Insert(context.Background(), row("after")); got != ResultStored {
-		t.Errorf("the next request: got result %d, want ResultStored", got)
+		t.Errorf("the next request: got result %s, want ResultStored", got)
 	}
 	if store.rows["waiting"] {
 		t.Error("the row of a refused request was stored")
@@ -175,10 +175,10 @@
 	go func() { result <- w.Insert(context.Background(), row("k")) }()
 	<-store.began
 	if got := w.Insert(context.Background(), medlartable.Row{Table: "t", Part: "q", Key: "other"}); got != ResultStored {
-		t.Errorf("a row of another part: got result %d, want ResultStored", got)
+		t.Errorf("a row of another part: got result %s, want ResultStored", got)
 	}
 	close(gate)
 	if got := <-result; got != ResultStored {
-		t.Errorf("the row of the blocked part: got result %d, want ResultStored", got)
+		t.Errorf("the row of the blocked part: got result %s, want ResultStored", got)
 	}
 }
--- a/internal/operation/medlarnode/forward.go
+++ b/internal/operation/medlarnode/forward.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlargroupcommit"
 	"medlarwheel/internal/state/medlarcellstore"
@@ -21,26 +23,8 @@
 	Value []byte `json:"value"`
 }
 
-// peerStoreResult is the result of storing a row for another instance.
-type peerStoreResult string
-
-// The results of storing a row for another instance. Any other value means that the result is unknown.
-const (
-	peerStored  peerStoreResult = "stored"
-	peerRefused peerStoreResult = "refused"
-	peerUnknown peerStoreResult = "unknown"
-)
-
-func (r peerStoreResult) result() medlargroupcommit.Result {
-	switch r {
-	case peerStored:
-		return medlargroupcommit.ResultStored
-	case peerRefused:
-		return medlargroupcommit.ResultRefused
-	default:
-		return medlargroupcommit.ResultUnknown
-	}
-}
+// errNoStoreResult means that the owner has responded without a result.
+var errNoStoreResult = errors.New("response holds no result of storing the row")
 
 // insert stores a row of the table of submissions. If the table does not respond to this instance, the owner of the cell is
 // asked to store the row: an outage often affects only some of the instances.
@@ -68,8 +52,11 @@
 	response, err := n.forwardClient.call(term.Address, peerPathStore, peerRequest{
 		Row: &peerRow{Part: row.Part, Key: row.Key, Value: row.Value}, Remaining: min(remaining, forwardTimeout),
 	})
+	if err == nil && response.Stored != "" {
+		return response.Stored
+	}
 	if err == nil {
-		return response.Stored.result()
+		err = medlarwheel.WithOperation("call peer "+peerPathStore, term.Address, errNoStoreResult)
 	}
 	n.log.Warn().Str("event", "store-not-forwarded").Str("key", row.Key).Str("owner", string(term.Instance)).Err(err).
 		Msg("cannot store the row through the owner of the cell")
@@ -80,20 +67,13 @@
 }
 
 // storeForPeer stores a row for an instance that the table does not respond to.
-func (n *Node) storeForPeer(request peerRequest) peerStoreResult {
+func (n *Node) storeForPeer(request peerRequest) medlargroupcommit.Result {
 	if request.Row == nil || n.health.HasFailed() || n.stopping.Load() {
-		return peerRefused
+		return medlargroupcommit.ResultRefused
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), request.Remaining)
 	defer cancel()
-	switch n.groupCommit.Insert(ctx, medlartable.Row{
+	return n.groupCommit.Insert(ctx, medlartable.Row{
 		Table: medlarcellstore.TableSubmissions, Part: request.Row.Part, Key: request.Row.Key, Value: request.Row.Value,
-	}) {
-	case medlargroupcommit.ResultStored:
-		return peerStored
-	case medlargroupcommit.ResultRefused:
-		return peerRefused
-	default:
-		return peerUnknown
-	}
+	})
 }
--- a/internal/operation/medlarnode/forward_test.go
+++ b/internal/operation/medlarnode/forward_test.go
@@ -3,14 +3,15 @@
 import (
 	"encoding/json"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
+	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlargroupcommit"
 	"medlarwheel/internal/operation/medlarmetrics"
 	"medlarwheel/internal/state/medlarownership"
@@ -79,7 +80,7 @@
 	}
 	unreachable := newForwardingNode(t, nil)
 	unreachable.forwardClient.hostClient("10.0.0.1:80").Dial = func(string) (net.Conn, error) {
-		return nil, errors.Wrap(errPeerNotConnected, "connection refused")
+		return nil, medlarwheel.WithoutEffect(syscall.ECONNREFUSED)
 	}
 	if result, _ := unreachable.insert(row, unreachable.clock.Now().Add(2*time.Second)); result != medlargroupcommit.ResultRefused {
 		t.Errorf("owner unreachable: got result %v, want refused", result)
@@ -94,11 +95,11 @@
 // client has left, while the table responds to no instance.
 func TestInstanceWithoutTableStoresNothingForOthers(t *testing.T) {
 	n := newForwardingNode(t, nil)
-	if got := n.storeForPeer(peerRequest{Row: &peerRow{Key: "00000000000000aa"}, Remaining: time.Second}); got != peerRefused {
-		t.Errorf("got %q, want %q", got, peerRefused)
+	if got := n.storeForPeer(peerRequest{Row: &peerRow{Key: "00000000000000aa"}, Remaining: time.Second}); got != medlargroupcommit.ResultRefused {
+		t.Errorf("got %q, want %q", got, medlargroupcommit.ResultRefused)
 	}
 	n.health.Report(true)
-	if got := n.storeForPeer(peerRequest{Remaining: time.Second}); got != peerRefused {
-		t.Errorf("request without a row: got %q, want %q", got, peerRefused)
+	if got := n.storeForPeer(peerRequest{Remaining: time.Second}); got != medlargroupcommit.ResultRefused {
+		t.Errorf("request without a row: got %q, want %q", got, medlargroupcommit.ResultRefused)
 	}
 }
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlaradmission"
+	"medlarwheel/internal/acceptance/medlargroupcommit"
 	"medlarwheel/internal/acceptance/medlarsubmission"
 )
 
@@ -59,27 +59,24 @@
 	// TableReachable is true if the responding instance can read the claim from the table.
 	TableReachable bool `json:"served,omitempty"`
 	// Stored is the result of storing a row.
-	Stored peerStoreResult `json:"stored,omitempty"`
+	Stored medlargroupcommit.Result `json:"stored,omitempty"`
 }
 
 // Check returns all faults of the response.
 func (r *peerResponse) Check() medlarwheel.Faults {
+	var faults medlarwheel.Faults
 	if r.Known && r.State != "" && !r.State.IsValid() {
-		return medlarwheel.Faults{}.Add("state", r.State, "a state of a submission")
+		faults = faults.Add("state", r.State, "a state of a submission")
 	}
-	return nil
+	if r.Stored != "" && !r.Stored.IsValid() {
+		faults = faults.Add("stored", r.Stored, "a result of storing a row")
+	}
+	return faults
 }
 
 // errNoOwner means that no owner of the cell is known, or that the called instance is not the owner.
 var errNoOwner = errors.New("no owner of the cell is known")
 
-// errPeerNotConnected means that no connection to another instance could be made, and errPeerDialTimeout that the attempt
-// timed out.
-var (
-	errPeerNotConnected = errors.New("cannot connect to the instance")
-	errPeerDialTimeout  = errors.New("the instance does not answer the attempt to connect")
-)
-
 // peerDialTimeout bounds the time to connect to another instance. Data centres are milliseconds apart.
 const peerDialTimeout = 300 * time.Millisecond
 
@@ -137,13 +134,7 @@
 			MaxIdleConnDuration: peerIdleLifetime,
 			DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
 				conn, err := net.DialTimeout("tcp4", address, min(timeout, p.timeout, peerDialTimeout))
-				if netErr := net.Error(nil); errors.As(err, &netErr) && netErr.Timeout() {
-					return nil, errPeerDialTimeout
-				}
-				if err != nil {
-					return nil, fmt.Errorf("%w: %w", errPeerNotConnected, err)
-				}
-				return conn, nil
+				return conn, medlarwheel.WithoutEffect(err)
 			},
 		}
 	}
@@ -181,14 +172,13 @@
 		return response, medlarwheel.WithoutEffect(medlarwheel.WithOperation("call peer "+path, address, errPeerUnresponsive))
 	}
 	if err := client.DoTimeout(httpRequest, httpResponse, p.timeout); err != nil {
-		if errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, errPeerDialTimeout) {
+		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
 			p.startBackoff()
 		}
-		err = medlarwheel.WithOperation("call peer "+path, address, err)
-		if errors.Is(err, errPeerNotConnected) || errors.Is(err, errPeerDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) {
-			return response, medlarwheel.WithoutEffect(err)
+		if errors.Is(err, fasthttp.ErrNoFreeConns) {
+			err = medlarwheel.WithoutEffect(err)
 		}
-		return response, err
+		return response, medlarwheel.WithOperation("call peer "+path, address, err)
 	}
 	if httpResponse.StatusCode() != fasthttp.StatusOK {
 		return response, statusError(path, address, httpResponse.StatusCode())
@@ -197,7 +187,7 @@
 	return response, medlarwheel.WithOperation("call peer "+path, address, err)
 }
 
-// statusError returns the error for a response with an unexpected status. handlePeer sends the first two statuses if it has not
+// statusError returns the error for a response with an unexpected status. handlePeer responds with 400 or 503 if it has not
 // carried out the request; a handler that panics may have done so.
 func statusError(path, address string, status int) error {
 	err := medlarwheel.WithOperation("call peer "+path, address, errors.Errorf("status %d, want %d", status, fasthttp.StatusOK))
--- a/internal/operation/medlarnode/serve_test.go
+++ b/internal/operation/medlarnode/serve_test.go
@@ -30,7 +30,7 @@
 // TestInstanceWithoutTableIsNotReady guards against clients that stay with an instance of a data centre that is cut off from
 // the table for most of the cut, and against instances that leave the load balancer because of one failed call.
 func TestInstanceWithoutTableIsNotReady(t *testing.T) {
-	clock := &steppedClock{now: time.Unix(1000, 0)}
+	clock := &stepClock{now: time.Unix(1000, 0), steps: []time.Duration{0}}
 	n := &Node{
 		clock: clock, health: medlargroupcommit.NewTableHealth(clock),
 		config: Config{ReadyMaxTableAge: 2 * time.Second, ReadyMaxFailedAge: 700 * time.Millisecond},
@@ -58,8 +58,3 @@
 		t.Error("ready while stopping")
 	}
 }
-
-// steppedClock is a clock that a test sets.
-type steppedClock struct{ now time.Time }
-
-func (c *steppedClock) Now() time.Time { return c.now }
--- a/internal/operation/medlarnode/submissions.go
+++ b/internal/operation/medlarnode/submissions.go
@@ -12,8 +12,8 @@
 	"medlarwheel/platform"
 )
 
-// storeRetryAfter is the retry delay given to a client that is refused because the table does not respond. Most outages affect
-// one instance, and a retry reaches another one.
+// storeRetryAfter is the retry delay given to a client that is refused because the table does not respond. Many outages affect
+// some instances only and a retry reaches another one; clients wait for a few seconds in all.
 const storeRetryAfter = time.Second
 
 // replyMargin is the part of a client's deadline that is kept for sending the reply.
