Price the effect on serving tasks in one place

The cost of interference was a struct that its only caller turned into a part of the score; interferenceCost returns that part. The rise of utilisation by a run stood in two places and is riseOf now. The load test had a map that nothing read, and two tests shared the code for a renewal without a response. Comments of the leases, the harm factor and the time to come back have their reasons again. No behaviour changes; the tests keep their assertions.

--- a/internal/scheduling/medlarcell/candidates.go
+++ b/internal/scheduling/medlarcell/candidates.go
@@ -109,11 +109,11 @@
 	if !c.isFeasible(s, t, w) {
 		return 0, false
 	}
-	var effect interferenceEffect
+	cost := 0.0
 	if s.spec.BestEffort {
-		if effect, ok = c.interferenceOf(s, w); !ok {
+		if cost, ok = c.interferenceCost(s, w); !ok {
 			return 0, false
 		}
 	}
-	return c.score(s, t, w) - interferencePenalty*effect.rise - harmPenalty*effect.harm*milli/float64(max(1, w.info.Capacity.MilliCPU)), true
+	return c.score(s, t, w) - cost, true
 }
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -10,10 +10,11 @@
 // Config configures a cell.
 type Config struct {
 	// Lease is how long a worker keeps running tasks without hearing from its owner. A longer lease survives a change of
-	// owner; a shorter one frees the tasks of an unreachable worker sooner.
+	// owner; a shorter one frees the tasks of an unreachable worker sooner. The default outlasts a partition of a data
+	// centre for six seconds, during which the others have no room for its tasks.
 	Lease time.Duration
 	// LeaseTail bounds how far a lease may extend beyond the end of the owner's authority. It leaves a new owner time to
-	// claim the cell and to renew the leases before they end.
+	// claim the cell and to renew the leases before they end. A successor waits as long for workers that do not respond.
 	LeaseTail time.Duration
 	// RenewalWait is how long a worker may wait for a run to end before it responds to a renewal. It bounds the age of
 	// the metrics of running tasks.
--- a/internal/scheduling/medlarcell/headroom.go
+++ b/internal/scheduling/medlarcell/headroom.go
@@ -38,7 +38,7 @@
 func (c *Cell) headroomOf(r *run, bestEffort []*run) float64 {
 	headroom := c.limit(r) - c.config.Interference.PlaceMargin - c.expectedUtilisation(c.passStartedAt, r)
 	for _, b := range bestEffort {
-		headroom -= b.cpuShare() * c.interferenceModel.Coefficient(b.image(), r.image())
+		headroom -= c.riseOf(b, r)
 	}
 	return headroom
 }
@@ -55,26 +55,30 @@
 	w.headrooms = append(w.headrooms, servingHeadroom{image: image, runs: []runHeadroom{run}, smallest: run.headroom})
 }
 
-// interferenceOf returns the effect that a best-effort task of the step would have on the serving runs of a worker, and
-// whether all of them would stay below their targets at their expected load.
-func (c *Cell) interferenceOf(s *step, w *worker) (effect interferenceEffect, ok bool) {
+// interferenceCost returns the cost of the effect that a best-effort task of the step would have on the serving runs of a
+// worker, as a part of a score, and whether all of them would stay below their targets at their expected load.
+func (c *Cell) interferenceCost(s *step, w *worker) (cost float64, ok bool) {
 	if w.headroomsStale {
 		c.updateHeadrooms(w)
 	}
 	image := medlarinterference.Image(s.spec.Image)
 	share := s.cpuShareOn(w)
+	// totalRise is the rise of the utilisations of all runs, and harm what is lost by those that exceed their targets because
+	// of the task, in cores of best-effort work.
+	totalRise, harm := 0.0, 0.0
 	for i := range w.headrooms {
 		h := &w.headrooms[i]
 		rise := share * c.interferenceModel.Coefficient(image, h.image)
 		if rise > h.smallest {
-			return interferenceEffect{}, false
+			return 0, false
 		}
-		effect.rise += rise * float64(len(h.runs))
+		totalRise += rise * float64(len(h.runs))
 		for _, r := range h.runs {
-			effect.harm += r.harm * (c.loadDeviations.Exceeding(r.headroom-rise) - c.loadDeviations.Exceeding(r.headroom))
+			harm += r.harm * (c.loadDeviations.Exceeding(r.headroom-rise) - c.loadDeviations.Exceeding(r.headroom))
 		}
 	}
-	return effect, effect.harm <= c.maxHarm(s)*float64(s.spec.Size.MilliCPU)/milli
+	harmShare := harm * milli / float64(max(1, w.info.Capacity.MilliCPU))
+	return interferencePenalty*totalRise + harmPenalty*harmShare, harm <= c.maxHarm(s)*float64(s.spec.Size.MilliCPU)/milli
 }
 
 // maxHarm returns the expected harm that a task of the step may do, as a share of its own CPU.
@@ -85,11 +89,3 @@
 	}
 	return config.MaxHarm[s.rank.Timeliness]
 }
-
-// interferenceEffect is the effect of a best-effort task on the serving runs of a worker.
-type interferenceEffect struct {
-	// rise is the rise of the utilisations of the runs in total.
-	rise float64
-	// harm is the expected harm to runs that exceed their targets because of the task, in cores of best-effort work.
-	harm float64
-}
--- a/internal/scheduling/medlarcell/interference.go
+++ b/internal/scheduling/medlarcell/interference.go
@@ -30,7 +30,8 @@
 	// MinSampleSpan and MaxSampleSpan bound the time between two reports that are compared.
 	MinSampleSpan, MaxSampleSpan time.Duration
 	// HarmFactor times the CPU of a serving task is the best-effort CPU that is worth as much as keeping that task below
-	// its tail target.
+	// its tail target. A serving task over its target because of the work beside it costs four times what it earns, and
+	// a core of best-effort work is worth about three of its cores.
 	HarmFactor float64
 	// HaltAfter is how long a serving task may exceed its tail target before the best-effort tasks beside it are halted,
 	// regardless of the model.
@@ -66,6 +67,11 @@
 	return float64(s.spec.Size.MilliCPU) / float64(max(1, w.info.Capacity.MilliCPU))
 }
 
+// riseOf returns by how much a best-effort run raises the utilisation of a serving run on its worker at full pace.
+func (c *Cell) riseOf(bestEffort, serving *run) float64 {
+	return bestEffort.cpuShare() * c.interferenceModel.Coefficient(bestEffort.image(), serving.image())
+}
+
 // limit returns the utilisation at which a serving run reaches its tail target.
 func (c *Cell) limit(r *run) float64 {
 	return c.interferenceModel.UtilisationLimit(r.image(), r.step.spec.TailLatencyTarget)
--- a/internal/scheduling/medlarcell/interference_load_test.go
+++ b/internal/scheduling/medlarcell/interference_load_test.go
@@ -53,7 +53,6 @@
 	lastEnd  []medlarorder.EndNumber
 	renewals []*Command
 	asked    []time.Time
-	accepted map[medlarsubmission.ID]time.Time
 	// served is the time of all serving tasks, and harmed the part of it over the target because of best-effort tasks.
 	served, harmed time.Duration
 }
@@ -188,7 +187,7 @@
 
 func newLoadFleet(t *testing.T, seed uint64) *loadFleet {
 	f := &loadFleet{
-		T: t, rng: rand.New(rand.NewPCG(seed, 1)), cell: New(DefaultConfig()), now: simEpoch, accepted: map[medlarsubmission.ID]time.Time{},
+		T: t, rng: rand.New(rand.NewPCG(seed, 1)), cell: New(DefaultConfig()), now: simEpoch,
 		ended: make([][]medlarorder.Ended, loadWorkers), lastEnd: make([]medlarorder.EndNumber, loadWorkers),
 		renewals: make([]*Command, loadWorkers), asked: make([]time.Time, loadWorkers),
 	}
@@ -212,7 +211,6 @@
 func (f *loadFleet) accept(id string, priority int, steps ...medlarsubmission.Step) {
 	s := testSubmission(steps...)
 	s.ID, s.AcceptedAt, s.Route, s.Policy.Priority = medlarsubmission.ID(id), f.now, fmt.Sprintf("q%d", priority), priority
-	f.accepted[s.ID] = f.now
 	f.cell.Accept(f.now, s)
 }
 
--- a/internal/scheduling/medlarcell/pace.go
+++ b/internal/scheduling/medlarcell/pace.go
@@ -71,7 +71,7 @@
 		}
 		p := protectedRun{headroom: c.limit(r) - config.PaceMargin - r.step.load.At(&config.LoadTrend, now), harm: c.harmOf(r)}
 		for i, b := range bestEffort {
-			rise := b.cpuShare() * c.interferenceModel.Coefficient(b.image(), r.image())
+			rise := c.riseOf(b, r)
 			paced[i].rises = append(paced[i].rises, rise)
 			p.interference += rise
 		}
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -94,6 +94,11 @@
 	sc.cell.HandleRenewResponse(sc.now, renewal.Worker, renewal.OutOfBand, sc.now.Add(-time.Millisecond), renewal.Renew, r, nil)
 }
 
+// loseResponse lets a renewal fail without a response.
+func (sc *scriptedCell) loseResponse(renewal Command) {
+	sc.cell.HandleRenewResponse(sc.now, renewal.Worker, renewal.OutOfBand, sc.now, renewal.Renew, medlarorder.Report{}, errSimNoResponse)
+}
+
 // advance lets time pass, with a tick every 50 ms.
 func (sc *scriptedCell) advance(d time.Duration) {
 	for end := sc.now.Add(d); sc.now.Before(end); {
@@ -154,7 +159,7 @@
 			case step == 0:
 				sc.report(renewal, medlarorder.Report{Running: running})
 			default:
-				sc.cell.HandleRenewResponse(sc.now, renewal.Worker, renewal.OutOfBand, sc.now, renewal.Renew, medlarorder.Report{}, errSimNoResponse)
+				sc.loseResponse(renewal)
 			}
 		}
 		sc.advance(100 * time.Millisecond)
--- a/internal/scheduling/medlarcell/responsiveness_test.go
+++ b/internal/scheduling/medlarcell/responsiveness_test.go
@@ -119,7 +119,7 @@
 		sc.cell.Authorize(sc.now.Add(authority))
 		for _, renewal := range sc.renewals {
 			if renewal.Worker == start.Worker {
-				sc.cell.HandleRenewResponse(sc.now, renewal.Worker, renewal.OutOfBand, sc.now, renewal.Renew, medlarorder.Report{}, errSimNoResponse)
+				sc.loseResponse(renewal)
 			} else {
 				sc.report(renewal, medlarorder.Report{})
 			}
