Log and count the start of every owner

An instance that ran two owners of one term could only be told from one that ran one by two cell-claimed lines. The event owner-started and the counter owner.started show each owner that an instance runs. No decision changes.

--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -308,6 +308,8 @@
 		Clock: n.clock, Log: n.log, Meter: n.meter,
 	}, term, claimedAt, predecessor)
 	n.owner.Store(owner)
+	n.meter.Count("owner.started")
+	n.log.Info().Str("event", "owner-started").Uint64("term", term.Number).Str("process", term.Process).Msg("")
 	go func() {
 		debug.SetGCPercent(ownerGCPercent)
 		defer debug.SetGCPercent(defaultGCPercent)
