Repeat a renewal whose response was lost before the next batch

Cause: while it loads the cell, the owner made a new renewal at each tick, also when the outcome of the last one was unknown. The chain tells batches apart by position only, so the conflict of the next one at that position looked like its own earlier attempt.

Change: the same renewal is sent until its outcome is known, also after the cell is loaded, and counts from its first attempt. The chain refuses a batch while the outcome of the previous one is unknown.

--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -18,8 +18,16 @@
 	"medlarwheel/internal/state/medlartable"
 )
 
+// unconfirmedRenewal is a renewal whose outcome is not known yet.
+type unconfirmedRenewal struct {
+	transaction medlartable.Transaction
+	timeout     time.Duration
+	// sentAt is when it was first sent.
+	sentAt time.Time
+}
+
 // loadWhileRenewing loads the cell and meanwhile renews the claim: on a slow instance, loading a cell with a thousand
-// submissions takes longer than one renewal lasts.
+// submissions takes longer than one renewal lasts. The outcome of every renewal is known when it returns.
 func (o *Owner) loadWhileRenewing(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -28,42 +36,56 @@
 	ticker := time.NewTicker(o.config.Ownership.RenewInterval)
 	defer ticker.Stop()
 	var authority time.Time
-	for {
-		select {
-		case err := <-loaded:
-			if err == nil {
-				o.cell.Authorize(authority)
+	var renewal *unconfirmedRenewal
+	var err error
+	for isLoaded := false; !isLoaded || renewal != nil; {
+		if isLoaded {
+			if !medlarclock.Sleep(ctx, o.config.FlushRetry) {
+				return ctx.Err()
 			}
-			return err
-		case <-ticker.C:
-			until, err := o.renewClaim()
-			if err != nil {
-				return err
-			}
-			if until.After(authority) {
-				authority = until
+		} else {
+			select {
+			case err := <-loaded:
+				if err != nil {
+					return err
+				}
+				isLoaded = true
+				continue
+			case <-ticker.C:
 			}
 		}
+		var until time.Time
+		if renewal, until, err = o.renewClaim(renewal); err != nil {
+			return err
+		}
+		if until.After(authority) {
+			authority = until
+		}
 	}
+	o.cell.Authorize(authority)
+	return nil
 }
 
-// renewClaim writes a renewal without records, and returns the time until which the owner may then send orders. It is
-// zero if the outcome is not known yet.
-func (o *Owner) renewClaim() (until time.Time, err error) {
-	renewal := medlarownership.Renewal{Timeout: o.config.Ownership.TimeoutFor(o.writeDuration)}
-	transaction, err := o.chain.Next(&medlarcell.Batch{}, nil, renewal)
-	if err != nil {
-		return until, err
+// renewClaim writes a renewal without records, and returns the time until which the owner may then send orders. While its
+// outcome is unknown, the renewal is returned and has to be sent again: the chain tells batches apart by their position
+// only, so another batch in its place could be taken for it.
+func (o *Owner) renewClaim(r *unconfirmedRenewal) (unconfirmed *unconfirmedRenewal, until time.Time, err error) {
+	if r == nil {
+		r = &unconfirmedRenewal{timeout: o.config.Ownership.TimeoutFor(o.writeDuration), sentAt: o.Clock.Now()}
+		r.transaction, err = o.chain.Next(&medlarcell.Batch{}, nil, medlarownership.Renewal{Timeout: r.timeout})
+		if err != nil {
+			return nil, until, err
+		}
 	}
-	sentAt := o.Clock.Now()
-	switch o.chain.Resolve(o.writer.Transact(transaction)) {
+	switch o.chain.Resolve(o.writer.Transact(r.transaction)) {
 	case medlarcellstore.OutcomeSuperseded:
-		return until, ErrSuperseded
+		return nil, until, ErrSuperseded
 	case medlarcellstore.OutcomeRetry:
-		return until, nil
+		return r, until, nil
 	default:
-		o.recordRenewal(sentAt)
-		return sentAt.Add(renewal.Timeout), nil
+		// The first attempt may be the one that took effect.
+		o.recordRenewal(r.sentAt)
+		return nil, r.sentAt.Add(r.timeout), nil
 	}
 }
 
--- a/internal/state/medlarcellstore/cellstore.go
+++ b/internal/state/medlarcellstore/cellstore.go
@@ -193,8 +193,14 @@
 	term    uint64
 	next    uint64
 	version medlarwheel.RowVersion
+	// unresolved is true while the outcome of the last batch is unknown.
+	unresolved bool
 }
 
+// errUnresolvedBatch means that a batch was requested before the outcome of the previous one was known. Both would have the
+// same position in the chain, so that the table could not tell which of them it holds.
+var errUnresolvedBatch = errors.New("outcome of the previous batch is unknown")
+
 // NewChain returns the chain of an owner whose claim has written the first chain row at the given version.
 func NewChain(part string, term uint64, version medlarwheel.RowVersion) *Chain {
 	return &Chain{part: part, term: term, version: version}
@@ -209,8 +215,11 @@
 
 // Next returns the transaction of the next batch. It also removes the progress of erased submissions, whose own rows must
 // have been removed before: the next owner would restart a submission that has no progress. The same batch may be sent again
-// until Resolve has determined its outcome. A renewal with a zero timeout is omitted.
+// until Resolve has determined its outcome, and the next batch is refused until then. A renewal with a zero timeout is omitted.
 func (c *Chain) Next(batch *medlarcell.Batch, erased []medlarsubmission.ID, renewal medlarownership.Renewal) (medlartable.Transaction, error) {
+	if c.unresolved {
+		return medlartable.Transaction{}, errors.WithMessagef(errUnresolvedBatch, "batch %d of cell %s", c.next+1, c.part)
+	}
 	value, err := json.Marshal(chainValue{Term: c.term, Next: c.next + 1})
 	if err != nil {
 		return medlartable.Transaction{}, errors.Wrapf(err, "encode the chain row of cell %s for term %d", c.part, c.term)
@@ -246,6 +255,7 @@
 	for _, id := range erased {
 		t.Remove = append(t.Remove, medlartable.Row{Table: TableProgress, Part: c.part, Key: string(id)})
 	}
+	c.unresolved = true
 	return t, nil
 }
 
@@ -286,6 +296,6 @@
 }
 
 func (c *Chain) advance(version medlarwheel.RowVersion) {
-	c.version = version
+	c.version, c.unresolved = version, false
 	c.next++
 }
--- a/internal/state/medlarcellstore/cellstore_test.go
+++ b/internal/state/medlarcellstore/cellstore_test.go
@@ -82,6 +82,9 @@
 	if got := c.Resolve(medlartable.Commit{}, errors.New("no response")); got != OutcomeRetry {
 		t.Fatalf("outcome after a lost response: got %d, want OutcomeRetry", got)
 	}
+	if _, err := c.Next(&medlarcell.Batch{}, nil, medlarownership.Renewal{}); err == nil {
+		t.Fatal("got another batch while the outcome of the previous one is unknown, want an error")
+	}
 	if got := c.Resolve(m.transact(tx)); got != OutcomeStored {
 		t.Fatalf("outcome of the repeated batch: got %d, want OutcomeStored", got)
 	}
