Reject registrations whose texts would not fit in the list of workers

What callers saw: with one entry among those of the runners that has a label of 40 KB, no submission is ever completed.

Cause: the owner copies every registration into its list of workers, with the same batch as its renewal and its records. JSON may escape one byte as six, so that an entry of 40 KB becomes a row of 240 KB, and the table takes at most 64 KB. It refuses the batch, the owner sends it again every 0.1 s, its claim ends without a renewal, and the next owner does the same.

Change: a worker's texts have at most 200 bytes of UTF-8, as keys of the table have, and at most 16 labels. The check belongs to the type, so that it holds for registrations and for stored workers. TestCheckedWorkerFitsInARow shows that the largest accepted worker takes at most 40 KB as a row.

--- a/internal/execution/medlarorder/order.go
+++ b/internal/execution/medlarorder/order.go
@@ -14,7 +14,9 @@
 package medlarorder
 
 import (
+	"fmt"
 	"time"
+	"unicode/utf8"
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
@@ -46,15 +48,43 @@
 	Remaining time.Duration `json:"-"`
 }
 
+// Limits of a registration, which any writer of the table may have written. A worker that is within them fits in a row of the
+// table in the owner's list of workers, where JSON may escape each byte as six. One row too large would be refused together with
+// all records of its batch, and the owner could store nothing any more.
+const (
+	maxTextBytes = 200
+	maxLabels    = 16
+)
+
 // Check reports every fault in w.
 func (w *Worker) Check() medlarwheel.Faults {
-	faults := medlarwheel.CheckAddress("address", w.Address)
+	faults := checkText(nil, "address", w.Address)
+	if len(faults) == 0 {
+		faults = medlarwheel.CheckAddress("address", w.Address)
+	}
 	if w.ID == "" {
 		faults = faults.Add("id", "", "the name of a worker")
 	}
+	faults = checkText(faults, "id", string(w.ID))
+	faults = checkText(faults, "service", string(w.Service))
+	faults = checkText(faults, "data-centre", string(w.DataCentre))
+	if len(w.Labels) > maxLabels {
+		return faults.Add("labels", fmt.Sprintf("%d labels", len(w.Labels)), fmt.Sprintf("at most %d", maxLabels))
+	}
+	for _, label := range w.Labels {
+		faults = checkText(faults, "labels", label)
+	}
 	return faults
 }
 
+// checkText returns faults, with an additional one if a text is too long or can't be stored unchanged.
+func checkText(faults medlarwheel.Faults, path, text string) medlarwheel.Faults {
+	if len(text) <= maxTextBytes && utf8.ValidString(text) {
+		return faults
+	}
+	return faults.Add(path, fmt.Sprintf("a text of %d bytes", len(text)), fmt.Sprintf("UTF-8 of at most %d bytes", maxTextBytes))
+}
+
 // HasLabel reports whether the worker carries the label.
 func (w *Worker) HasLabel(label string) bool {
 	for _, l := range w.Labels {
