Reject registrations with an address to which no order can be sent

What could be seen: an entry with port 0, an IPv6 address, 0.0.0.0 or a multicast address was taken for a worker. The owner calls it every 0.15 s for as long as the entry exists, and each new owner waits for its report, up to the end of the longest lease, before it starts inherited tasks again. Ports above 65535, negative ports and names were rejected before.

Cause: the check was that of the settings of an instance, where port 0 and IPv6 are valid. Connections to workers use IPv4 only.

Change: a worker's address is an IPv4 number of one machine with a port from 1 to 65535. The error quotes at most 60 characters.

Evidence: TestCheckRejectsUnusableAddresses accepted seven of its 27 unusable addresses without the change: 10.0.0.1:0, [::1]:80, [::ffff:10.0.0.1]:80, [fe80::1%eth0]:80, 0.0.0.0:80, 224.0.0.1:80 and 255.255.255.255:80.

--- a/internal/execution/medlarorder/order.go
+++ b/internal/execution/medlarorder/order.go
@@ -15,6 +15,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 	"unicode/utf8"
 
@@ -58,10 +59,7 @@
 
 // Check reports every fault in w.
 func (w *Worker) Check() medlarwheel.Faults {
-	faults := checkText(nil, "address", w.Address)
-	if len(faults) == 0 {
-		faults = medlarwheel.CheckAddress("address", w.Address)
-	}
+	faults := checkAddress(w.Address)
 	if w.ID == "" {
 		faults = faults.Add("id", "", "the name of a worker")
 	}
@@ -77,6 +75,14 @@
 	return faults
 }
 
+// checkAddress reports a fault unless the address is one to which orders can be sent, which excludes IPv6.
+func checkAddress(address string) medlarwheel.Faults {
+	if a, err := netip.ParseAddrPort(address); err == nil && a.Addr().Is4() && a.Port() > 0 && (a.Addr().IsGlobalUnicast() || a.Addr().IsLoopback()) {
+		return nil
+	}
+	return medlarwheel.Faults{}.Add("address", fmt.Sprintf("%.60q", address), "an IPv4 number of one machine and a port from 1 to 65535")
+}
+
 // checkText returns faults, with an additional one if a text is too long or can't be stored unchanged.
 func checkText(faults medlarwheel.Faults, path, text string) medlarwheel.Faults {
 	if len(text) <= maxTextBytes && utf8.ValidString(text) {
--- a/internal/execution/medlarorder/order_test.go
+++ b/internal/execution/medlarorder/order_test.go
@@ -34,3 +34,24 @@
 		}
 	}
 }
+
+// TestCheckRejectsUnusableAddresses guards against calls to an address of another writer that no worker can have.
+func TestCheckRejectsUnusableAddresses(t *testing.T) {
+	for _, address := range []string{"10.128.0.9:8080", "127.0.0.1:1", "192.168.0.1:65535"} {
+		w := Worker{ID: "i", Address: address}
+		if err := w.Check().Err(); err != nil {
+			t.Errorf("address %s: %v", address, err)
+		}
+	}
+	for _, address := range []string{
+		"", ":80", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999999", "10.0.0.1:99999999999999999999",
+		"10.0.0.1:-1", "10.0.0.1:+80", "10.0.0.1:http", "10.0.0.1:80 ", "10.0.0.1:80/x", "10.0.0.1:80\r\nHost: x", "10.0.0:80",
+		"10.0.0.256:80", "010.0.0.1:80", "host:80", "host", "[::1]:80", "::1", "[::ffff:10.0.0.1]:80", "[fe80::1%eth0]:80", "0.0.0.0:80",
+		"224.0.0.1:80", "255.255.255.255:80", strings.Repeat("1", 60_000) + ":80",
+	} {
+		w := Worker{ID: "i", Address: address}
+		if err := w.Check().Err(); err == nil || len(err.Error()) > 300 {
+			t.Errorf("address %.40q: got error %.300v, want a short one", address, err)
+		}
+	}
+}
