End the registration of a worker whose entry has become unreadable

What could be seen: when another writer replaces a worker's entry with one that can't be read, the owner goes on starting tasks on the worker, until a new owner reads the whole list and does not. The protocol says that such an entry names no runner to use.

Cause: rows that can't be decoded were left out, from a read of the whole list (where a worker that is left out loses its registration) as well as from a read of its changes (where it keeps the last one).

Change: an unreadable row among the changes ends the registration, as a removed row does. Runs on the worker go on and are reported, its lease is renewed, and the next readable entry, which a worker writes every second or so, registers it again. Changes are applied in their order; before, a row that was removed and written again within one read counted as removed.

Evidence: TestUnreadableEntryEndsRegistration without the change:

load_test.go:134: after version 6: 3 workers, unregistered ""; want 3 and "a" load_test.go:134: after version 7: 3 workers, unregistered ""; want 3 and "cc"

It also shows what held before: the other rows of the same read are applied, and the follower goes on from the next version.

--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -217,31 +217,49 @@
 		return o.readAll(ctx, o.Registry.Range)
 	}
 	return o.follow(ctx, o.Registry.Range.Table, o.workersVersion, o.config.WorkersPause, readAll, func(rows []medlartable.Row, whole bool) {
-		var deleted []medlartable.Row
-		present := rows[:0:0]
-		for _, r := range rows {
-			if r.Deleted {
-				deleted = append(deleted, r)
-			} else {
-				present = append(present, r)
-			}
+		if whole {
+			workers := o.decodeWorkers(rows)
+			o.postToControl(func(now time.Time) { o.cell.SetWorkers(now, workers) })
+			return
 		}
-		workers := o.decodeWorkers(present)
+		changes := o.decodeWorkerChanges(rows)
 		o.postToControl(func(now time.Time) {
-			if whole {
-				o.cell.SetWorkers(now, workers)
-				return
-			}
-			for _, w := range workers {
-				o.cell.SetWorker(now, w)
-			}
-			for _, r := range deleted {
-				o.cell.Unregister(now, medlarwheel.WorkerID(r.Key))
+			for _, c := range changes {
+				if c.registered {
+					o.cell.SetWorker(now, c.worker)
+				} else {
+					o.cell.Unregister(now, c.worker.ID)
+				}
 			}
 		})
 	})
 }
 
+// workerChange is a change of one registration.
+type workerChange struct {
+	worker     medlarorder.Worker
+	registered bool
+}
+
+// decodeWorkerChanges decodes changed rows of the list of workers. A registration that has become unreadable counts as removed, as
+// it does when the whole list is read.
+func (o *Owner) decodeWorkerChanges(rows []medlartable.Row) []workerChange {
+	logUnreadable := o.unreadableRowLogger(zerolog.WarnLevel)
+	changes := make([]workerChange, 0, len(rows))
+	for _, r := range rows {
+		c := workerChange{worker: medlarorder.Worker{ID: medlarwheel.WorkerID(r.Key)}}
+		if !r.Deleted {
+			if worker, err := o.Registry.Decode(r.Key, r.Value); err != nil {
+				logUnreadable(r, err)
+			} else {
+				c = workerChange{worker: worker, registered: true}
+			}
+		}
+		changes = append(changes, c)
+	}
+	return changes
+}
+
 // follow follows the changes of a table from the version up to which it was read.
 func (o *Owner) follow(ctx context.Context, table string, from medlarwheel.RowVersion, pause time.Duration, readAll readFunc, handle medlartable.Handler) error {
 	f := medlartable.Follower{
--- a/internal/scheduling/medlarowner/load_test.go
+++ b/internal/scheduling/medlarowner/load_test.go
@@ -10,7 +10,9 @@
 	"github.com/rs/zerolog"
 
 	"medlarwheel"
+	"medlarwheel/internal/execution/medlarorder"
 	"medlarwheel/internal/operation/medlarmetrics"
+	"medlarwheel/internal/scheduling/medlarcell"
 	"medlarwheel/internal/state/medlarownership"
 	"medlarwheel/internal/state/medlartable"
 )
@@ -78,3 +80,59 @@
 		t.Errorf("loading after another claim: got error %v, want %v", err, ErrSuperseded)
 	}
 }
+
+// changingStore returns one page of changes per read and records from which version it is read.
+type changingStore struct {
+	slowStore
+	pages chan medlartable.Page
+	after chan medlarwheel.RowVersion
+}
+
+func (s *changingStore) Follow(f medlartable.FollowRequest) (medlartable.Page, error) {
+	s.after <- f.After
+	return <-s.pages, nil
+}
+
+// TestUnreadableEntryEndsRegistration guards against tasks for a worker whose entry another writer has made unreadable, and against
+// a follower that stops at such an entry or skips the other changes.
+func TestUnreadableEntryEndsRegistration(t *testing.T) {
+	store := &changingStore{pages: make(chan medlartable.Page), after: make(chan medlarwheel.RowVersion)}
+	o := testOwner(store)
+	o.config.WorkersPause, o.workersVersion = 0, 5
+	o.Registry.Decode = func(id string, data []byte) (medlarorder.Worker, error) {
+		if len(data) == 0 {
+			return medlarorder.Worker{}, errors.New("unreadable")
+		}
+		return medlarorder.Worker{ID: medlarwheel.WorkerID(id)}, nil
+	}
+	row := func(id, value string) medlartable.Row { return medlartable.Row{Key: id, Value: []byte(value)} }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = o.followWorkers(ctx) }()
+	for _, change := range []struct {
+		after        medlarwheel.RowVersion
+		rows         []medlartable.Row
+		workers      int
+		unregistered string
+	}{
+		{after: 5, rows: []medlartable.Row{row("a", "{}"), row("b", ""), row("c", "{}")}, workers: 2},
+		{after: 6, rows: []medlartable.Row{row("a", ""), row("d", "{}")}, workers: 3, unregistered: "a"},
+		{after: 7, rows: []medlartable.Row{row("a", "{}"), row("c", ""), row("c", "{}"), row("c", "")}, workers: 3, unregistered: "cc"},
+	} {
+		if after := <-store.after; after != change.after {
+			t.Fatalf("changes read from version %d, want %d", after, change.after)
+		}
+		store.pages <- medlartable.Page{Rows: change.rows, Version: change.after + 1}
+		(<-o.controlFuncs)(o.Clock.Now())
+		unregistered := ""
+		for _, e := range o.cell.TakeEvents() {
+			if e.Kind == medlarcell.EventWorkerUnregistered {
+				unregistered += string(e.Worker)
+			}
+		}
+		if o.cell.WorkerCount() != change.workers || unregistered != change.unregistered {
+			t.Errorf("after version %d: %d workers, unregistered %q; want %d and %q", change.after, o.cell.WorkerCount(), unregistered,
+				change.workers, change.unregistered)
+		}
+	}
+}
