--- a/internal/state/medlarcellstore/cellstore_test.go
+++ b/internal/state/medlarcellstore/cellstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -183,3 +184,25 @@
 		t.Errorf("submissions use %d of %d parts", len(used), len(parts))
 	}
 }
+
+// TestDecodersRejectOddRows guards against a row of another writer that ends the process of every new owner.
+func TestDecodersRejectOddRows(t *testing.T) {
+	const maxErrorBytes = 1 << 10
+	decoders := map[string]func(medlartable.Row) error{
+		"submission": func(r medlartable.Row) error { _, err := DecodeEntry(r); return err },
+		"progress":   func(r medlartable.Row) error { _, err := DecodeProgress(r); return err },
+		"worker":     func(r medlartable.Row) error { _, err := DecodeWorker(r); return err },
+		"models":     func(r medlartable.Row) error { _, err := DecodeModelSnapshot(r); return err },
+	}
+	for name, decode := range decoders {
+		for _, value := range []string{
+			"", "\x00\xff", "[]", "7", `{"x":` + strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000) + "}",
+			`{"x":` + strings.Repeat("[", 1_000_000) + strings.Repeat("]", 1_000_000) + "}", strings.Repeat(`{"x":`, 1_000_000),
+			`{"state":1e400,"id":1e400,"version":1e400,"pressures":1e400}`, "n" + strings.Repeat("\x01", 60_000),
+		} {
+			if err := decode(medlartable.Row{Key: "00000000000000aa", Value: []byte(value)}); err == nil || len(err.Error()) > maxErrorBytes {
+				t.Errorf("%s %.40q: got error %.200v, want a short one", name, value, err)
+			}
+		}
+	}
+}
