--- a/internal/execution/medlarorder/order.go
+++ b/internal/execution/medlarorder/order.go
@@ -14,7 +14,10 @@
 package medlarorder
 
 import (
+	"fmt"
+	"net/netip"
 	"time"
+	"unicode/utf8"
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
@@ -46,15 +49,48 @@
 	Remaining time.Duration `json:"-"`
 }
 
+// Limits of a registration, which any writer of the table may have written. A worker that is within them fits in a row of the
+// table in the owner's list of workers, where JSON may escape each byte as six. One row too large would be refused together with
+// all records of its batch, and the owner could store nothing any more.
+const (
+	maxTextBytes = 200
+	maxLabels    = 16
+)
+
 // Check reports every fault in w.
 func (w *Worker) Check() medlarwheel.Faults {
-	faults := medlarwheel.CheckAddress("address", w.Address)
+	faults := checkAddress(w.Address)
 	if w.ID == "" {
 		faults = faults.Add("id", "", "the name of a worker")
 	}
+	faults = checkText(faults, "id", string(w.ID))
+	faults = checkText(faults, "service", string(w.Service))
+	faults = checkText(faults, "data-centre", string(w.DataCentre))
+	if len(w.Labels) > maxLabels {
+		return faults.Add("labels", fmt.Sprintf("%d labels", len(w.Labels)), fmt.Sprintf("at most %d", maxLabels))
+	}
+	for _, label := range w.Labels {
+		faults = checkText(faults, "labels", label)
+	}
 	return faults
 }
 
+// checkAddress reports a fault unless the address is one to which orders can be sent, which excludes IPv6.
+func checkAddress(address string) medlarwheel.Faults {
+	if a, err := netip.ParseAddrPort(address); err == nil && a.Addr().Is4() && a.Port() > 0 && (a.Addr().IsGlobalUnicast() || a.Addr().IsLoopback()) {
+		return nil
+	}
+	return medlarwheel.Faults{}.Add("address", fmt.Sprintf("%.60q", address), "an IPv4 number of one machine and a port from 1 to 65535")
+}
+
+// checkText returns faults, with an additional one if a text is too long or can't be stored unchanged.
+func checkText(faults medlarwheel.Faults, path, text string) medlarwheel.Faults {
+	if len(text) <= maxTextBytes && utf8.ValidString(text) {
+		return faults
+	}
+	return faults.Add(path, fmt.Sprintf("a text of %d bytes", len(text)), fmt.Sprintf("UTF-8 of at most %d bytes", maxTextBytes))
+}
+
 // HasLabel reports whether the worker carries the label.
 func (w *Worker) HasLabel(label string) bool {
 	for _, l := range w.Labels {
