Pause a worker that rejects a start as superseded

Seen by the soak: after a task was started again on a worker that still stopped an earlier run of it, the owner sent some 220 starts of that task within 50 ms, each rejected as 'old', with 16 run numbers skipped each time.

Cause: the rejected start was queued again at once, and the worker stayed the best one for it. Evidence: TestSupersededStartIsNotRepeatedAtOnce failed before: got 20 starts of one task in 200 ms, one for each pass of the test.

Change: the worker gets no new tasks for UnhealthyPause (200 ms), as after a rejection for lack of capacity.

--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -43,8 +43,8 @@
 	FailuresToSuspend int
 	// SuspendDuration is how long a suspended worker gets no new tasks. It doubles with each consecutive suspension.
 	SuspendDuration time.Duration
-	// UnhealthyPause is how long a worker gets no new tasks after it has rejected an order as unhealthy or for lack of
-	// capacity.
+	// UnhealthyPause is how long a worker gets no new tasks after it has rejected an order as unhealthy, as superseded or
+	// for lack of capacity.
 	UnhealthyPause time.Duration
 	// LongRunningCPUShare is the share of its declared CPU that a long-running task is assumed to use. The rest is
 	// available to best-effort tasks.
--- a/internal/scheduling/medlarcell/responses.go
+++ b/internal/scheduling/medlarcell/responses.go
@@ -38,6 +38,8 @@
 		w.reported = false
 	case medlarorder.VerdictSuperseded:
 		r.task().lastRun += runNumberSkip
+		// A run of the task that is still being stopped there rejects every start until it has ended.
+		w.pausedUntil = now.Add(c.config.UnhealthyPause)
 	}
 	c.handleRejectedStart(now, r, string(response.Verdict))
 }
--- a/internal/scheduling/medlarcell/restart_test.go
+++ b/internal/scheduling/medlarcell/restart_test.go
@@ -93,3 +93,24 @@
 		}
 	}
 }
+
+// TestSupersededStartIsNotRepeatedAtOnce guards against hundreds of starts of one task while a worker stops an earlier run of it.
+func TestSupersededStartIsNotRepeatedAtOnce(t *testing.T) {
+	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	sc.report(sc.renewals[0], medlarorder.Report{})
+	sc.cell.Accept(sc.now, testSubmission(testStep()))
+	sc.dispatch()
+	first, starts := sc.starts[0], 0
+	for range 20 {
+		for _, s := range sc.starts {
+			starts++
+			superseded := medlarorder.Response{Verdict: medlarorder.VerdictSuperseded, Clock: sc.now.Sub(simEpoch) + time.Second}
+			sc.cell.HandleStartResponse(sc.now, first.Worker, s.Start, superseded, nil)
+		}
+		sc.now = sc.now.Add(10 * time.Millisecond)
+		sc.dispatch()
+	}
+	if starts > 2 {
+		t.Errorf("got %d starts of one task in 200 ms, want at most 2", starts)
+	}
+}
