Extend no lease of a worker that another one has replaced at its address

Callers would wait without end for the tasks of a worker whose address has passed to another one (LOST): each renewal was rejected as meant for another incarnation, yet counted as one that may have extended the lease, so that the lease never ended for the owner.

Change: after such a rejection the worker is asked for a report without a lease until it responds, and its runs end with their lease.

--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -34,6 +34,10 @@
 	case report.Verdict == medlarorder.VerdictFenced:
 		c.handleFenced(now, w, renewal.Fence)
 		delay = c.config.RenewalRetryDelay
+	case report.Verdict == medlarorder.VerdictOtherIncarnation:
+		// A lease is never extended for a worker that no longer exists at the address, so that its runs end with it.
+		w.incarnationUncertain, w.reported = true, false
+		delay = c.config.RenewalRetryDelay
 	case report.Verdict != medlarorder.VerdictAccepted:
 		delay = c.config.RenewalRetryDelay
 	default:
--- a/internal/scheduling/medlarcell/restart_test.go
+++ b/internal/scheduling/medlarcell/restart_test.go
@@ -114,3 +114,32 @@
 		t.Errorf("got %d starts of one task in 200 ms, want at most 2", starts)
 	}
 }
+
+// TestTaskOfReplacedWorkerRunsAgain guards against a task that waits for ever because another worker responds at the address of
+// the one that ran it, and its lease seems to be extended with every renewal.
+func TestTaskOfReplacedWorkerRunsAgain(t *testing.T) {
+	sc, start, renewal := startOnRestartingWorker(t)
+	sc.report(renewal, medlarorder.Report{Running: []medlarorder.Running{{Task: start.Start.Task, Run: 1}}})
+	for _, r := range sc.renewals {
+		if r.Worker != start.Worker {
+			sc.report(r, medlarorder.Report{})
+		}
+	}
+	restartedAfter := time.Duration(0)
+	for began := sc.now; restartedAfter == 0 && sc.now.Sub(began) < 2*DefaultConfig().MaxLease; sc.advance(100 * time.Millisecond) {
+		sc.dispatch()
+		if len(sc.starts) > 0 {
+			restartedAfter = sc.now.Sub(began)
+		}
+		for _, r := range sc.renewals {
+			report := medlarorder.Report{}
+			if r.Worker == start.Worker {
+				report.Verdict = medlarorder.VerdictOtherIncarnation
+			}
+			sc.report(r, report)
+		}
+	}
+	if lease := DefaultConfig().Lease; restartedAfter < lease {
+		t.Errorf("task started elsewhere after %v, want after the lease of %v", restartedAfter, lease)
+	}
+}
