Take a run for missing only if a report is complete

More than 500 ends wait when an outage of the table delays their acknowledgement for long.

TestFullReportProvesNoRunMissing failed before: the task was started again.

Change: a report with 500 ended runs proves no run missing. The next one follows as soon as they are acknowledged.

--- a/internal/execution/medlarorder/order.go
+++ b/internal/execution/medlarorder/order.go
@@ -203,6 +203,10 @@
 	Checkpoint string `json:"Saved"`
 }
 
+// MaxReportedEnds is the number of ended runs up to which a report is complete. A worker with more of them reports the first
+// ones, and the others once these are acknowledged.
+const MaxReportedEnds = 499
+
 // Report is the response of a worker to Renew: its verdict, and its running and ended runs.
 type Report struct {
 	Verdict     Verdict
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -190,9 +190,11 @@
 			listed[r] = struct{}{}
 		}
 	}
-	for r := range w.runs {
-		if _, ok := listed[r]; !ok && r.isProvenMissing(sentAt, renewal.Fence) {
-			c.markLost(now, r, lostMissing)
+	if len(report.Ended) <= medlarorder.MaxReportedEnds {
+		for r := range w.runs {
+			if _, ok := listed[r]; !ok && r.isProvenMissing(sentAt, renewal.Fence) {
+				c.markLost(now, r, lostMissing)
+			}
 		}
 	}
 	w.reported, w.allRunsKnown = true, true
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -309,3 +309,31 @@
 		t.Fatalf("%d tasks were started, want one, on w0, the only worker that is neither draining nor unregistered", len(sc.starts))
 	}
 }
+
+// TestFullReportProvesNoRunMissing guards against a second run of a task whose end does not fit in the report. A worker reports
+// 500 ended runs at a time, and more wait while an outage of the table delays the acknowledgements.
+func TestFullReportProvesNoRunMissing(t *testing.T) {
+	const endsPerReport = 500
+	sc := newScriptedCell(t, 2, Ownership{Fence: 1 << 12, Term: 1})
+	for _, renewal := range sc.renewals {
+		sc.report(renewal, medlarorder.Report{})
+	}
+	sc.cell.Accept(sc.now, testSubmission(testStep()))
+	sc.dispatch()
+	start := sc.starts[0]
+	sc.cell.HandleStartResponse(sc.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
+	sc.now = sc.now.Add(10 * time.Millisecond)
+	var full medlarorder.Report
+	for n := range endsPerReport {
+		full.Ended = append(full.Ended, medlarorder.Ended{Number: medlarorder.EndNumber(n + 1), Run: 1, Kind: medlarorder.EndDone})
+	}
+	for _, renewal := range sc.renewals {
+		if renewal.Worker == start.Worker {
+			sc.report(renewal, full)
+		}
+	}
+	sc.dispatch()
+	if len(sc.starts) > 0 {
+		t.Error("a task was started again although its end may be among those that the report left out")
+	}
+}
