Give no listen address to two processes of a test run

Cause, in the test's set-up: freeAddress closes its listener, and the operating system may assign the same port to the next call. If entry-4 and an instance before it get the same client address, one of the two exits with "address already in use". The readiness probes of both still succeed, since the other one answers them, but the group of dc-2 never has two voters.

Evidence: the failed run printed no logs, because logs are only reported after a complete start, so its addresses are not known.

Change: an address is returned once per run. Bounds and checks are unchanged.

--- a/medlarproof/process_test.go
+++ b/medlarproof/process_test.go
@@ -130,15 +130,42 @@
 	return strings.Join(all[max(0, len(all)-n):], "\n")
 }
 
-// freeAddress returns a loopback address with a port that was free at the time of the call.
+// addressPool selects loopback addresses for processes to listen on. It never returns an address twice: the operating system
+// may assign the port of a closed listener again at once, and of two processes with the same address one exits.
+type addressPool struct {
+	mu   sync.Mutex
+	used map[string]struct{}
+}
+
+// addresses selects the addresses of this run.
+var addresses addressPool
+
+// freeAddress returns a loopback address with a port that was free at the time of the call and is not returned again.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	return addresses.next(t)
+}
+
+func (a *addressPool) next(t testing.TB) string {
+	t.Helper()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.used == nil {
+		a.used = map[string]struct{}{}
+	}
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Listeners on used addresses stay open until the search ends, so that each attempt gets another port.
+		defer func() { _ = listener.Close() }()
+		address := listener.Addr().String()
+		if _, used := a.used[address]; !used {
+			a.used[address] = struct{}{}
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 // pollInterval is the interval between checks of a condition in another process.
