Report an instance that exits while a test system starts

Cause, in the test's set-up: the start waits only for readiness and votes, which another process can answer at the same address, and the cleanup that prints the logs was registered after the start. The processes of a failed start also ran until the end of the test run.

Change: the start checks at each poll that no entry instance has exited, and names the one that has, with its exit error and last log lines. The logs are reported, and the processes stopped, after a failed start as well. The waits and their bounds are unchanged.

--- a/medlarproof/path_test.go
+++ b/medlarproof/path_test.go
@@ -27,7 +27,8 @@
 // instances and runners together. The overhead of an instance is the difference between calls through it and direct calls.
 func BenchmarkPath(b *testing.B) {
 	for b.Loop() {
-		s := startSystem(b, "")
+		s := &system{}
+		s.start(b)
 		s.benchProxyOverhead(b)
 		s.benchFlood(b)
 		s.stop()
--- a/medlarproof/process_test.go
+++ b/medlarproof/process_test.go
@@ -94,6 +94,16 @@
 	<-p.exited
 }
 
+// hasExited reports whether the process has exited.
+func (p *process) hasExited() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 // logBuffer holds the output of a process. It is safe for concurrent use.
 type logBuffer struct {
 	mu   sync.Mutex
--- a/medlarproof/system_test.go
+++ b/medlarproof/system_test.go
@@ -60,49 +60,93 @@
 // sharedSystem returns the shared system and starts it on the first call.
 func sharedSystem(t testing.TB) *system {
 	t.Helper()
-	if shared == nil {
-		shared = startSystem(t, "")
+	if shared != nil {
+		shared.reportLogs(t)
+		return shared
 	}
-	shared.reportLogs(t)
-	return shared
+	s := &system{}
+	t.Cleanup(func() {
+		if shared != s {
+			s.stop()
+		}
+	})
+	s.reportLogs(t)
+	s.start(t)
+	shared = s
+	return s
 }
 
 // newSystem starts a system that is stopped at the end of the test. The instance named relayed, if any, reaches the platform
 // through a relay.
 func newSystem(t testing.TB, relayed medlarwheel.InstanceID) *system {
 	t.Helper()
-	s := startSystem(t, relayed)
+	s := &system{relayedInstance: relayed}
 	t.Cleanup(s.stop)
 	s.reportLogs(t)
+	s.start(t)
 	return s
 }
 
-func startSystem(t testing.TB, relayed medlarwheel.InstanceID) *system {
+// start starts the processes of the system and waits until every instance is ready and votes.
+func (s *system) start(t testing.TB) {
+	t.Helper()
+	s.startPlatform(t)
+	s.addEntries(t)
+	s.startEntries(t)
+}
+
+// startPlatform starts the platform, and the relay if an instance is relayed.
+func (s *system) startPlatform(t testing.TB) {
 	t.Helper()
-	s := &system{platformAddress: freeAddress(t), relayedInstance: relayed}
+	s.platformAddress = freeAddress(t)
 	s.add(startProcess(t, "platform", "medlarstandin", "platform", "--listen", s.platformAddress))
 	await(t, 5*time.Second, "response of the platform", func() bool {
 		var counters struct{}
 		return medlarprocess.GetJSON(s.platformAddress, "/v1/counters", readTimeout, &counters) == nil
 	})
-	if relayed != "" {
+	if s.relayedInstance != "" {
 		s.relayAddress, s.relayControlAddress = freeAddress(t), freeAddress(t)
 		s.startRelay(t, []string{s.relayAddress}, []string{s.platformAddress}, s.relayControlAddress)
 	}
+}
+
+// addEntries adds two entry instances in each data centre, which are not started yet.
+func (s *system) addEntries(t testing.TB) {
+	t.Helper()
 	for i, dc := range []medlarwheel.DataCentreID{dataCentreOne, dataCentreOne, dataCentreTwo, dataCentreTwo} {
 		s.entries = append(s.entries, &entry{
 			id: medlarwheel.InstanceID(fmt.Sprintf("entry-%d", i+1)), dataCentre: dc,
 			clientAddress: freeAddress(t), peerAddress: freeAddress(t),
 		})
 	}
+}
+
+// startEntries starts the entry instances and waits until every one is ready and votes. It fails the test as soon as one
+// exits: if another process serves its address, the readiness probe succeeds but the instance never votes.
+func (s *system) startEntries(t testing.TB) {
+	t.Helper()
 	for _, e := range s.entries {
 		s.startEntry(t, e)
 	}
 	for _, e := range s.entries {
-		await(t, 10*time.Second, string(e.id)+" ready", e.isReady)
+		s.awaitRunning(t, 10*time.Second, string(e.id)+" ready", e.isReady)
 	}
 	s.awaitVoters(t)
-	return s
+}
+
+// awaitRunning polls a condition until it holds, as await does. It also fails the test if an entry instance has exited.
+func (s *system) awaitRunning(t testing.TB, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	await(t, limit, what, func() bool {
+		t.Helper()
+		held := condition()
+		for _, e := range s.entries {
+			if e.hasExited() {
+				t.Fatalf("%s exited while the test waited for: %s; exit error %v, last log lines:\n%s", e.id, what, e.err, e.logs.tail(3))
+			}
+		}
+		return held
+	})
 }
 
 func (s *system) add(p *process) *process {
@@ -140,8 +184,11 @@
 // reportLogs prints the last log lines of every entry instance if the test fails.
 func (s *system) reportLogs(t testing.TB) {
 	t.Cleanup(func() {
-		if t.Failed() {
-			for _, e := range s.entries {
+		if !t.Failed() {
+			return
+		}
+		for _, e := range s.entries {
+			if e.process != nil {
 				t.Logf("log of %s:\n%s", e.id, e.logs.tail(12))
 			}
 		}
@@ -263,7 +310,7 @@
 		voters[e.dataCentre]++
 	}
 	for _, e := range s.entries {
-		await(t, capacityTimeout, "votes by "+string(e.id), func() bool {
+		s.awaitRunning(t, capacityTimeout, "votes by "+string(e.id), func() bool {
 			return e.gauge("seats") == voters[e.dataCentre] && e.gauge("seat-votes") == 1
 		})
 	}
