Give each test system its own system key

Seen in a trial of two test runs at once on one machine: three instances of one system logged "superseded" and shut down, because a new instance of the other run had got the peer address of a stopped instance. The start then failed with "condition not met within 30s: votes by entry-4", after 58 s (1 of 9 starts with a forced duplicate address).

Cause, in the test's set-up: all systems have the same instance names and the same system key, so instances accept calls of any other run that reach them, and take a process with their name for their own later process.

Change: every system draws its system key, and only entry instances receive it.

--- a/medlarproof/path_test.go
+++ b/medlarproof/path_test.go
@@ -27,7 +27,7 @@
 // instances and runners together. The overhead of an instance is the difference between calls through it and direct calls.
 func BenchmarkPath(b *testing.B) {
 	for b.Loop() {
-		s := &system{}
+		s := newStoppedSystem("")
 		s.start(b)
 		s.benchProxyOverhead(b)
 		s.benchFlood(b)
--- a/medlarproof/process_test.go
+++ b/medlarproof/process_test.go
@@ -63,10 +63,16 @@
 
 // startProcess starts a program, which runs until it is stopped.
 func startProcess(t testing.TB, name, program string, arguments ...string) *process {
+	t.Helper()
+	return startProcessWith(t, nil, name, program, arguments...)
+}
+
+// startProcessWith starts a program with additional environment variables.
+func startProcessWith(t testing.TB, environment []string, name, program string, arguments ...string) *process {
 	t.Helper()
 	p := &process{name: name, logs: &logBuffer{}, exited: make(chan struct{})}
 	p.command = exec.Command(filepath.Join(binaryDir, program), arguments...)
-	p.command.Env = append(os.Environ(), "MEDLARWHEEL_SYSTEM_KEY=medlarproof-system-key", "MEDLARWHEEL_AUTHOR=medlarproof")
+	p.command.Env = append(append(os.Environ(), "MEDLARWHEEL_AUTHOR=medlarproof"), environment...)
 	p.command.Stdout, p.command.Stderr = p.logs, p.logs
 	if err := p.command.Start(); err != nil {
 		t.Fatalf("start %s: %v", name, err)
--- a/medlarproof/start_test.go
+++ b/medlarproof/start_test.go
@@ -25,7 +25,7 @@
 func TestStartReportsExitedInstance(t *testing.T) {
 	for other := range 3 {
 		t.Run(fmt.Sprintf("address of entry-%d", other+1), func(t *testing.T) {
-			s := &system{}
+			s := newStoppedSystem("")
 			t.Cleanup(s.stop)
 			s.startPlatform(t)
 			s.addEntries(t)
@@ -43,3 +43,31 @@
 		})
 	}
 }
+
+// Guards against an instance that takes a process of another system for its own later process and stops, when the other
+// process has the address of a stopped instance. Several test runs on one machine can assign addresses in this way.
+func TestSystemsDoNotAcceptEachOthersCalls(t *testing.T) {
+	s := newSystem(t, "")
+	stopped := s.entries[3]
+	stopped.kill()
+	other := newStoppedSystem("")
+	t.Cleanup(other.stop)
+	other.startPlatform(t)
+	other.addEntries(t)
+	other.entries[0].peerAddress = stopped.peerAddress
+	other.startEntries(t)
+	for _, e := range s.entries[:3] {
+		before := e.counter("peer-failure.exchange")
+		await(t, capacityTimeout, "rejected call to the other system by "+string(e.id), func() bool {
+			if e.hasExited() {
+				t.Fatalf("%s exited, error %v; want it to keep running; last log lines:\n%s", e.id, e.err, e.logs.tail(3))
+			}
+			return e.counter("peer-failure.exchange") > before
+		})
+	}
+	for _, e := range append(s.entries[:3:3], other.entries...) {
+		if e.hasExited() {
+			t.Errorf("%s exited, error %v; want it to keep running", e.id, e.err)
+		}
+	}
+}
--- a/medlarproof/system_test.go
+++ b/medlarproof/system_test.go
@@ -1,6 +1,7 @@
 package medlarproof
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -45,6 +46,9 @@
 
 // system is the system under test with its processes.
 type system struct {
+	// key is the system key. It differs between systems, because their instances have the same names: an instance that is
+	// called at an address that a stopped instance of another system used must reject the call.
+	key             string
 	platformAddress string
 	entries         []*entry
 	processes       []*process
@@ -64,7 +68,7 @@
 		shared.reportLogs(t)
 		return shared
 	}
-	s := &system{}
+	s := newStoppedSystem("")
 	t.Cleanup(func() {
 		if shared != s {
 			s.stop()
@@ -80,13 +84,18 @@
 // through a relay.
 func newSystem(t testing.TB, relayed medlarwheel.InstanceID) *system {
 	t.Helper()
-	s := &system{relayedInstance: relayed}
+	s := newStoppedSystem(relayed)
 	t.Cleanup(s.stop)
 	s.reportLogs(t)
 	s.start(t)
 	return s
 }
 
+// newStoppedSystem returns a system without processes.
+func newStoppedSystem(relayed medlarwheel.InstanceID) *system {
+	return &system{key: "medlarproof-" + rand.Text(), relayedInstance: relayed}
+}
+
 // start starts the processes of the system and waits until every instance is ready and votes.
 func (s *system) start(t testing.TB) {
 	t.Helper()
@@ -171,7 +180,8 @@
 	if e.id == s.relayedInstance {
 		arguments = append(arguments, "--platform", s.relayAddress)
 	}
-	e.process = s.add(startProcess(t, string(e.id), "medlarwheel", arguments...))
+	environment := []string{"MEDLARWHEEL_SYSTEM_KEY=" + s.key}
+	e.process = s.add(startProcessWith(t, environment, string(e.id), "medlarwheel", arguments...))
 }
 
 // stop kills all processes of the system, each by its process id.
@@ -228,17 +238,27 @@
 	return medlaroperator.UpstreamStatus{}, false
 }
 
-// gauge returns the value of a gauge of the instance, or zero if it cannot be read.
-func (e *entry) gauge(name string) int {
-	var values map[string]struct {
-		Value int `json:"value"`
-	}
+// metric is the value of a metric. Value is set for gauges and Count for counters.
+type metric struct {
+	Value int `json:"value"`
+	Count int `json:"count"`
+}
+
+// metric returns the value of a metric of the instance, or zero if it cannot be read.
+func (e *entry) metric(name string) metric {
+	var values map[string]metric
 	if medlarprocess.GetJSON(e.clientAddress, medlaroperator.PathMetrics, readTimeout, &values) != nil {
-		return 0
+		return metric{}
 	}
-	return values[name].Value
+	return values[name]
 }
 
+// gauge returns the value of a gauge of the instance, or zero if it cannot be read.
+func (e *entry) gauge(name string) int { return e.metric(name).Value }
+
+// counter returns the value of a counter of the instance, or zero if it cannot be read.
+func (e *entry) counter(name string) int { return e.metric(name).Count }
+
 // service describes the runners and the template of a service that a test adds.
 type service struct {
 	name        string
