Count a repeated claim from its first attempt

Callers could see a task run twice at the same time (TWICE): an owner whose claim was stored by its first attempt, and whose repetition found it in the table, counted its authority from the repetition. Other instances count from the stored claim and may claim the cell about 1.5 s after it, so that both would start submissions that are accepted after the next claim. A repetition without a response also replaced the time of the first one.

TestRepeatedClaimCountsFromFirstAttempt failed before: authority counted from 2 s after the first attempt.

Change: authority counts from the first attempt of the term with an unknown outcome. What the predecessor may still do counts from the last attempt, since the predecessor may have renewed its claim before that.

--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -106,3 +106,23 @@
 		t.Error("the instance does not know that it owns the cell")
 	}
 }
+
+// TestRepeatedClaimCountsFromFirstAttempt guards against orders by an owner whose cell another instance may already have claimed:
+// the first attempt of a claim took effect, and a later one only found it in the table.
+func TestRepeatedClaimCountsFromFirstAttempt(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n, _ := newClaimingNode(t, &eventLog{counts: map[string]int{}})
+	firstAttempt := n.clock.Now().Add(-2 * time.Second)
+	n.ownership.unresolved = &unresolvedClaim{
+		term: medlarownership.Term{Number: 2, Instance: "a", Process: n.process}, claimedAt: firstAttempt,
+	}
+	n.claimCell(ctx, medlarownership.Term{Number: 1, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Released: true})
+	owner := n.owner.Load()
+	if owner == nil {
+		t.Fatal("the claim that the table shows has started no owner")
+	}
+	if got := owner.ClaimedAt(); got.After(firstAttempt) {
+		t.Errorf("authority counts from %v after the first attempt, want from that attempt", got.Sub(firstAttempt))
+	}
+}
--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -63,6 +63,26 @@
 	predecessor medlarownership.Predecessor
 }
 
+// sinceFirstAttempt returns a claim with the time of its first unresolved attempt, which may be the one that took effect: other
+// instances count the owner's time-out from it. What the predecessor may still do is counted from the last attempt.
+func (s *ownershipState) sinceFirstAttempt(c unresolvedClaim) unresolvedClaim {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.unresolved
+	if first == nil || first.term.Number != c.term.Number || !first.claimedAt.Before(c.claimedAt) {
+		return c
+	}
+	repeatedAfter := c.claimedAt.Sub(first.claimedAt)
+	c.claimedAt = first.claimedAt
+	c.predecessor.Expired = c.predecessor.Expired && first.predecessor.Expired
+	c.predecessor.Grace = max(c.predecessor.Grace+repeatedAfter, first.predecessor.Grace)
+	if c.predecessor.OutageLeases > 0 {
+		c.predecessor.OutageLeases += repeatedAfter
+	}
+	c.predecessor.OutageLeases = max(c.predecessor.OutageLeases, first.predecessor.OutageLeases)
+	return c
+}
+
 // withMonitor calls use with the monitor under the lock. The lock is released after a panic too, so that a restarted loop
 // does not deadlock.
 func (n *Node) withMonitor(use func(m *medlarownership.Monitor)) {
@@ -257,11 +277,12 @@
 		n.log.Error().Str("event", "claim-failed").Err(err).Msg("cannot encode the claim; the cell is not claimed")
 		return
 	}
+	claim := unresolvedClaim{term: next, claimedAt: claimedAt, predecessor: predecessor}
 	commit, err := n.store.Transact(t)
 	var conflict *medlartable.ConflictError
 	if errors.As(err, &conflict) {
 		if commit.Version = n.ownClaimVersion(conflict); commit.Version != 0 {
-			err = nil
+			claim, err = n.ownership.sinceFirstAttempt(claim), nil
 		} else {
 			n.observeOwnership(ctx, conflict.Rows)
 		}
@@ -270,8 +291,9 @@
 		n.log.Warn().Str("event", "claim-failed").Uint64("term", next.Number).Err(err).
 			Msg("claim of the cell failed or its outcome is unknown; continuing to watch the claim row")
 		if conflict == nil && !medlarwheel.HasNoEffect(err) {
+			claim = n.ownership.sinceFirstAttempt(claim)
 			n.ownership.mu.Lock()
-			n.ownership.unresolved = &unresolvedClaim{term: next, claimedAt: claimedAt, predecessor: predecessor}
+			n.ownership.unresolved = &claim
 			n.ownership.mu.Unlock()
 		}
 		return
@@ -281,7 +303,7 @@
 		Bool("asked", receivedRequests).Int64("outage-leases-ms", predecessor.OutageLeases.Milliseconds()).Msg("")
 	n.withMonitor(func(m *medlarownership.Monitor) { m.RecordClaim(next) })
 	n.setTerm(ctx, next)
-	n.startOwner(ctx, next, claimedAt, predecessor)
+	n.startOwner(ctx, next, claim.claimedAt, claim.predecessor)
 }
 
 // ownClaimVersion returns the row version of a claim by this process whose response was lost, or zero if the conflict is
