Reconcile a worker only with a complete report

TestFullReportReconcilesNoWorker failed before: the inherited task was started after the full report.

Change: a worker whose ends did not all fit counts as not reconciled until a complete report, which follows as soon as the ends are acknowledged. The deadline of the leases holds as before.

--- a/internal/scheduling/medlarcell/ownership.go
+++ b/internal/scheduling/medlarcell/ownership.go
@@ -114,7 +114,7 @@
 		return true
 	}
 	for _, w := range c.workers {
-		if !w.reported {
+		if !w.reported || w.endsTruncated {
 			return false
 		}
 	}
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -173,7 +173,7 @@
 	c.recordResponse(now, w)
 	w.recordClock(now, report.Clock)
 	w.incarnationUncertain = false
-	first := !w.reported
+	first := !w.reported || w.endsTruncated
 	for i := range report.Ended {
 		if e := &report.Ended[i]; e.Number > w.lastProcessedEnd {
 			w.lastProcessedEnd = e.Number
@@ -190,7 +190,8 @@
 			listed[r] = struct{}{}
 		}
 	}
-	if len(report.Ended) <= medlarorder.MaxReportedEnds {
+	w.endsTruncated = len(report.Ended) > medlarorder.MaxReportedEnds
+	if !w.endsTruncated {
 		for r := range w.runs {
 			if _, ok := listed[r]; !ok && r.isProvenMissing(sentAt, renewal.Fence) {
 				c.markLost(now, r, lostMissing)
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -337,3 +337,39 @@
 		t.Error("a task was started again although its end may be among those that the report left out")
 	}
 }
+
+// fullReport is a report with as many ended runs as fit.
+func fullReport() medlarorder.Report {
+	var report medlarorder.Report
+	for i := range medlarorder.MaxReportedEnds + 1 {
+		name := medlarsubmission.TaskName{Submission: "00000000000000bb", Index: i}
+		report.Ended = append(report.Ended, medlarorder.Ended{Number: medlarorder.EndNumber(i + 1), Task: name, Run: 1, Kind: medlarorder.EndDone})
+	}
+	return report
+}
+
+// TestFullReportReconcilesNoWorker guards against a second run of an inherited task whose end did not fit in the first report
+// to a new owner.
+func TestFullReportReconcilesNoWorker(t *testing.T) {
+	sc := newScriptedCell(t, 0, Ownership{Fence: 1 << 12, Term: 2})
+	if err := sc.cell.Restore(sc.now, testSubmission(testStep()), Progress{}, false); err != nil {
+		t.Fatal(err)
+	}
+	sc.cell.SetWorker(sc.now, testWorker(0))
+	sc.flush()
+	sc.dispatch()
+	sc.report(sc.renewals[0], fullReport())
+	sc.cell.FlushSucceeded(sc.now, sc.cell.TakeFlush(0))
+	sc.dispatch()
+	if len(sc.starts) > 0 {
+		t.Fatal("an inherited task was started although its end may be among those that did not fit in the report")
+	}
+	sc.now = sc.now.Add(10 * time.Millisecond)
+	for _, r := range sc.renewals {
+		sc.report(r, medlarorder.Report{})
+	}
+	sc.dispatch()
+	if len(sc.starts) != 1 {
+		t.Errorf("got %d starts after a complete report without the task, want 1", len(sc.starts))
+	}
+}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -20,6 +20,8 @@
 	recorded bool
 	// reported is true once the worker has reported its runs to this owner.
 	reported bool
+	// endsTruncated is true while the worker has ended runs that did not fit in its last report.
+	endsTruncated bool
 	// allRunsKnown is true once this owner has seen a report of the worker: since then, only orders of this owner can have
 	// started runs on it.
 	allRunsKnown bool
