Request no report while ended runs do not fit in one

The owner asked a worker for a report without pause, and raised the worker's fencing token each time, while more than 500 ended runs waited to be acknowledged and the response to a start was lost: since a full report resolves no uncertain run, and each one led to the next request at once. With the table away this lasts until it is back, at one request per round trip.

TestFullReportsAreNotRequestedWithoutPause failed before: got 100 requests for a report in 100 ms, one for each pass of the test.

Change: a full report leads to no further request. The regular renewal carries the raised token and resolves the run once the ends fit.

--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -204,7 +204,9 @@
 	}
 	c.updateServingUtilisations(now, w)
 	c.checkProgress(now, w)
-	c.resolveUncertainRuns(now, w)
+	if !w.endsTruncated {
+		c.resolveUncertainRuns(now, w)
+	}
 }
 
 // isProvenMissing reports whether a report that was requested at sentAt, under fence, and does not list the run, proves
@@ -220,7 +222,8 @@
 	}
 }
 
-// resolveUncertainRuns requests another report if runs are still uncertain.
+// resolveUncertainRuns requests another report if runs are still uncertain. While ended runs do not fit in a report, the next one
+// shows no more before they are acknowledged.
 func (c *Cell) resolveUncertainRuns(now time.Time, w *worker) {
 	for r := range w.runs {
 		if r.phase == runUncertain {
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -373,3 +373,25 @@
 		t.Errorf("got %d starts after a complete report without the task, want 1", len(sc.starts))
 	}
 }
+
+// TestFullReportsAreNotRequestedWithoutPause guards against a stream of requests for a report while a worker's ended runs cannot
+// be acknowledged, each of which raises the worker's fencing token.
+func TestFullReportsAreNotRequestedWithoutPause(t *testing.T) {
+	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	sc.report(sc.renewals[0], medlarorder.Report{})
+	sc.cell.Accept(sc.now, testSubmission(testStep()))
+	sc.dispatch()
+	sc.cell.HandleStartResponse(sc.now, sc.starts[0].Worker, sc.starts[0].Start, medlarorder.Response{}, fmt.Errorf("no response"))
+	requests := 0
+	for range 100 {
+		sc.now = sc.now.Add(time.Millisecond)
+		sc.dispatch()
+		for _, r := range sc.renewals {
+			requests++
+			sc.report(r, fullReport())
+		}
+	}
+	if requests > 4 {
+		t.Errorf("got %d requests for a report in 100 ms while its ends are not acknowledged, want at most 4", requests)
+	}
+}
