Extend no lease of a worker that reports an earlier incarnation

Callers would wait without end for the tasks of a worker that has started again with a lower time of birth, after its clock was set back (LOST): the owner ignored its reports but went on to extend its lease and to acknowledge ends by the numbers of the incarnation before, which makes the new one discard ends that the owner has not seen. The worker was never used again either.

Change: after a report of a lower incarnation no lease is extended and no end acknowledged until the known one reports. The runs end with the longest lease, and then the lower incarnation counts as a restart.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -325,9 +325,7 @@
 	w.clockAt = time.Time{}
 	// The lease in an order for the previous incarnation is in the far future on the clock of the next one, which shortens
 	// it to the maximum.
-	if end := now.Add(c.leaseDurationBound(c.config.MaxLease)); end.After(w.leaseEnd) {
-		w.leaseEnd = end
-	}
+	w.extendLeaseBound(now.Add(c.leaseDurationBound(c.config.MaxLease)))
 	w.recentFailedJobs, w.relativeSpeed = nil, 1
 }
 
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -42,6 +42,9 @@
 		delay = c.config.RenewalRetryDelay
 	default:
 		c.applyReport(now, w, sentAt, renewal, report)
+		if w.incarnationUncertain {
+			delay = c.config.RenewalRetryDelay
+		}
 	}
 	if outOfBand {
 		return
@@ -161,7 +164,8 @@
 
 // applyReport processes a worker's report of ended and running tasks.
 func (c *Cell) applyReport(now time.Time, w *worker, sentAt time.Time, renewal medlarorder.Renew, report medlarorder.Report) {
-	if report.Incarnation < w.incarnation && report.Incarnation != 0 {
+	if report.Incarnation < w.incarnation && report.Incarnation != 0 && (len(w.runs) > 0 || !now.After(w.leaseEnd)) {
+		c.handleLowerIncarnation(now, w)
 		return
 	}
 	if report.Incarnation != w.incarnation && report.Incarnation != 0 {
@@ -209,6 +213,16 @@
 	}
 }
 
+// handleLowerIncarnation handles a report of an incarnation with a lower number. Either the report is late, or the worker has started
+// again after its clock was set back. Until the higher one reports again, no lease is extended and no ends are acknowledged, so that
+// the runs end with their lease.
+func (c *Cell) handleLowerIncarnation(now time.Time, w *worker) {
+	if w.reported {
+		w.extendLeaseBound(now.Add(c.leaseDurationBound(c.config.MaxLease)))
+	}
+	w.incarnationUncertain, w.reported = true, false
+}
+
 // isProvenMissing reports whether a report that was requested at sentAt, under fence, and does not list the run, proves
 // that the run does not exist and never will.
 func (r *run) isProvenMissing(sentAt time.Time, fence medlarwheel.FencingToken) bool {
--- a/internal/scheduling/medlarcell/restart_test.go
+++ b/internal/scheduling/medlarcell/restart_test.go
@@ -143,3 +143,32 @@
 		t.Errorf("task started elsewhere after %v, want after the lease of %v", restartedAfter, lease)
 	}
 }
+
+// TestEarlierIncarnationExtendsNoLease guards against a task that waits for ever because its worker has started again with a
+// lower time of birth, after its clock was set back: its reports are ignored while its lease seems to be extended.
+func TestEarlierIncarnationExtendsNoLease(t *testing.T) {
+	sc, start, renewal := startOnRestartingWorker(t)
+	sc.report(renewal, medlarorder.Report{
+		Incarnation: 9, Running: []medlarorder.Running{{Task: start.Start.Task, Run: 1}}, Ended: []medlarorder.Ended{{Number: 5}},
+	})
+	sc.cell.FlushSucceeded(sc.now, sc.cell.TakeFlush(0))
+	for _, r := range sc.renewals {
+		if r.Worker != start.Worker {
+			sc.report(r, medlarorder.Report{})
+		}
+	}
+	startedAgain := false
+	for began := sc.now; !startedAgain && sc.now.Sub(began) < 3*DefaultConfig().MaxLease; sc.advance(100 * time.Millisecond) {
+		sc.dispatch()
+		startedAgain = len(sc.starts) > 0
+		for _, r := range sc.renewals {
+			if r.Worker == start.Worker && sc.now.Sub(began) > time.Second && r.Renew.AckedUpTo > 0 && !startedAgain {
+				t.Errorf("ends up to %d acknowledged to an incarnation whose reports are ignored", r.Renew.AckedUpTo)
+			}
+			sc.report(r, medlarorder.Report{Incarnation: 2})
+		}
+	}
+	if !startedAgain {
+		t.Error("the task of the earlier incarnation was never started again")
+	}
+}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -104,7 +104,11 @@
 		return
 	}
 	remaining := time.Duration(float64(until-w.clock) * (1 + c.ClockDrift*(1+c.ClockDrift)))
-	end := w.clockAt.Add(remaining + c.LeaseMargin)
+	w.extendLeaseBound(w.clockAt.Add(remaining + c.LeaseMargin))
+}
+
+// extendLeaseBound records that a lease may be in force until end.
+func (w *worker) extendLeaseBound(end time.Time) {
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
