Count a best-effort run once after the restart of its worker

The interference of a best-effort run on the serving tasks beside it was counted twice after its worker had restarted with the same id and reported the run again: the run was confirmed a second time, which opened a second interval of its CPU share. The model is fitted with the doubled share, so that serving tasks are predicted to suffer more than they do.

TestRestartCountsBestEffortRunOnce failed before: got 2 open intervals for one run.

Change: the interval ends when the run becomes uncertain.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -318,6 +318,7 @@
 			c.markLost(now, r, lostRestart)
 			continue
 		}
+		w.shareHistory.endInterval(now, r)
 		r.phase, r.resolveFence = runUncertain, w.fence
 	}
 	c.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Count: lost, Reason: fmt.Sprintf("uncertain runs: %d", len(w.runs))})
--- a/internal/scheduling/medlarcell/restart_test.go
+++ b/internal/scheduling/medlarcell/restart_test.go
@@ -172,3 +172,27 @@
 		t.Error("the task of the earlier incarnation was never started again")
 	}
 }
+
+// TestRestartCountsBestEffortRunOnce guards against interference that is predicted twice for a run which a restarted worker reports
+// again.
+func TestRestartCountsBestEffortRunOnce(t *testing.T) {
+	step := testStep()
+	step.BestEffort, step.Image = true, "i"
+	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	sc.report(sc.renewals[0], medlarorder.Report{})
+	sc.cell.Accept(sc.now, testSubmission(step))
+	sc.dispatch()
+	start, renewal := sc.starts[0], sc.renewals[0]
+	sc.cell.HandleStartResponse(sc.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted, Clock: time.Second}, nil)
+	sc.now = sc.now.Add(10 * time.Millisecond)
+	sc.report(renewal, medlarorder.Report{Incarnation: 2, Running: []medlarorder.Running{{Task: start.Start.Task, Run: start.Start.Run}}})
+	open := 0
+	for _, interval := range sc.cell.workers[start.Worker].shareHistory.intervals {
+		if interval.to.IsZero() {
+			open++
+		}
+	}
+	if open != 1 {
+		t.Errorf("got %d open intervals for one run, want 1", open)
+	}
+}
