Run the control loop while a renewal of the load is unconfirmed

When the table stopped responding while a new owner loaded the cell, its control loop did not start until the table was back: no worker's lease was renewed although the other instances extended the owner's authority, and the cell could not be handed over or released. The tasks then ended with their leases (lost work, late or LOST submissions).

Change: the renewal is handed to the flush, which repeats it from its first attempt before the next batch. loadThrough in the tests resolves it the same way; the checks of both tests are unchanged.

--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -58,7 +58,7 @@
 		o.addModelSnapshot(&transaction)
 	}
 	o.flushing, o.flushedAt = true, now
-	o.goInBackground("flush", func() { o.commitBatch(ctx, transaction, batch, renewal) })
+	o.goInBackground("flush", func() { o.commitBatch(ctx, transaction, batch, renewal, o.Clock.Now()) })
 }
 
 // maxModelSnapshotBytes is the largest row of the platform, less the overhead of its encoding.
@@ -85,10 +85,16 @@
 	time.AfterFunc(wait, func() { o.postToControl(func(time.Time) { o.flushScheduled = false }) })
 }
 
-// commitBatch sends a batch repeatedly until its outcome is known.
-func (o *Owner) commitBatch(ctx context.Context, t medlartable.Transaction, batch *medlarcell.Batch, renewal medlarownership.Renewal) {
-	// The renewal counts from the first attempt, because any of them may be the one that the table has executed.
-	firstSentAt := o.Clock.Now()
+// commitRenewal sends a renewal of the load repeatedly until its outcome is known.
+func (o *Owner) commitRenewal(ctx context.Context, r *unconfirmedRenewal) {
+	o.commitBatch(ctx, r.transaction, &medlarcell.Batch{}, medlarownership.Renewal{Timeout: r.timeout}, r.sentAt)
+}
+
+// commitBatch sends a batch repeatedly until its outcome is known. The renewal counts from the first attempt, because any of them
+// may be the one that the table has executed.
+func (o *Owner) commitBatch(
+	ctx context.Context, t medlartable.Transaction, batch *medlarcell.Batch, renewal medlarownership.Renewal, firstSentAt time.Time,
+) {
 	for {
 		sentAt := o.Clock.Now()
 		commit, err := o.writer.Transact(t)
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -27,8 +27,8 @@
 }
 
 // loadWhileRenewing loads the cell and meanwhile renews the claim: on a slow instance, loading a cell with a thousand
-// submissions takes longer than one renewal lasts. The outcome of every renewal is known when it returns.
-func (o *Owner) loadWhileRenewing(ctx context.Context) error {
+// submissions takes longer than one renewal lasts. It returns the last renewal if its outcome is not known yet.
+func (o *Owner) loadWhileRenewing(ctx context.Context) (unconfirmed *unconfirmedRenewal, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	loaded := make(chan error, 1)
@@ -36,34 +36,23 @@
 	ticker := time.NewTicker(o.config.Ownership.RenewInterval)
 	defer ticker.Stop()
 	var authority time.Time
-	var renewal *unconfirmedRenewal
-	var err error
-	for isLoaded := false; !isLoaded || renewal != nil; {
-		if isLoaded {
-			if !medlarclock.Sleep(ctx, o.config.FlushRetry) {
-				return ctx.Err()
-			}
-		} else {
-			select {
-			case err := <-loaded:
-				if err != nil {
-					return err
-				}
-				isLoaded = true
-				continue
-			case <-ticker.C:
+	for {
+		select {
+		case err := <-loaded:
+			if err == nil {
+				o.cell.Authorize(authority)
 			}
+			return unconfirmed, err
+		case <-ticker.C:
 		}
 		var until time.Time
-		if renewal, until, err = o.renewClaim(renewal); err != nil {
-			return err
+		if unconfirmed, until, err = o.renewClaim(unconfirmed); err != nil {
+			return nil, err
 		}
 		if until.After(authority) {
 			authority = until
 		}
 	}
-	o.cell.Authorize(authority)
-	return nil
 }
 
 // renewClaim writes a renewal without records, and returns the time until which the owner may then send orders. While its
--- a/internal/scheduling/medlarowner/load_test.go
+++ b/internal/scheduling/medlarowner/load_test.go
@@ -61,7 +61,8 @@
 		clock := medlarwheel.SystemClock{}
 		o := New(c, Dependencies{Store: store, Clock: clock, Log: zerolog.Nop(), Meter: medlarmetrics.New()},
 			medlarownership.Term{Number: 2, Version: 9}, clock.Now(), medlarownership.Predecessor{})
-		return o, o.loadWhileRenewing(context.Background())
+		_, err := o.loadWhileRenewing(context.Background())
+		return o, err
 	}
 	store := &slowStore{readTime: 100 * time.Millisecond}
 	began := time.Now()
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -188,14 +188,20 @@
 // Run runs the scheduler until the context ends or another instance owns the cell.
 func (o *Owner) Run(ctx context.Context) error {
 	defer close(o.done)
-	if err := o.loadWhileRenewing(ctx); err != nil {
+	renewal, err := o.loadWhileRenewing(ctx)
+	if err != nil {
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
+	if renewal != nil {
+		// The next batch waits for its outcome, and the control loop does not: the table may be away.
+		o.flushing = true
+		o.goInBackground("flush", func() { o.commitRenewal(ctx, renewal) })
+	}
 	o.goInGroup(group, "follow-submissions", func() error { return o.followSubmissions(ctx) })
 	o.goInGroup(group, "follow-workers", func() error { return o.followWorkers(ctx) })
 	o.goInGroup(group, "control", func() error { return o.control(ctx) })
-	err := group.Wait()
+	err = group.Wait()
 	for _, a := range o.agents {
 		a.agent.Close()
 	}
--- a/internal/scheduling/medlarowner/renewal_test.go
+++ b/internal/scheduling/medlarowner/renewal_test.go
@@ -93,9 +93,14 @@
 	clock := medlarwheel.SystemClock{}
 	o := New(c, Dependencies{Store: table, Clock: clock, Log: zerolog.Nop(), Meter: medlarmetrics.New()},
 		medlarownership.Term{Number: 2, Version: 9}, clock.Now(), medlarownership.Predecessor{})
-	if err := o.loadWhileRenewing(context.Background()); err != nil {
+	renewal, err := o.loadWhileRenewing(context.Background())
+	if err != nil {
 		t.Fatal(err)
 	}
+	if renewal != nil {
+		o.commitRenewal(context.Background(), renewal)
+		o.drainControlFuncs()
+	}
 	return o
 }
 
@@ -129,3 +134,24 @@
 		t.Errorf("authority ends %v after that of the renewal in the table", o.cell.AuthorityEnd().Sub(end))
 	}
 }
+
+// TestOwnerRunsWhileTableIsAwayAfterLoad guards against an owner that neither renews the leases of its workers nor can hand the
+// cell over while the table does not respond to a renewal sent during the load.
+func TestOwnerRunsWhileTableIsAwayAfterLoad(t *testing.T) {
+	table := newResponseLossTable(t, 1<<30)
+	go func() { <-table.applied; close(table.readable) }()
+	c := DefaultConfig()
+	c.Ownership.RenewInterval, c.FlushRetry = 20*time.Millisecond, 5*time.Millisecond
+	clock := medlarwheel.SystemClock{}
+	o := New(c, Dependencies{Store: table, Clock: clock, Log: zerolog.Nop(), Meter: medlarmetrics.New(),
+		Connections: func(int) int { return 1 }},
+		medlarownership.Term{Number: 2, Version: 9}, clock.Now(), medlarownership.Predecessor{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = o.Run(ctx) }()
+	within, cancelWait := context.WithTimeout(ctx, 2*time.Second)
+	defer cancelWait()
+	if !o.Stop(within) {
+		t.Error("the control loop did not run within 2 s of the load")
+	}
+}
