--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -318,6 +318,7 @@
 			c.markLost(now, r, lostRestart)
 			continue
 		}
+		w.shareHistory.endInterval(now, r)
 		r.phase, r.resolveFence = runUncertain, w.fence
 	}
 	c.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Count: lost, Reason: fmt.Sprintf("uncertain runs: %d", len(w.runs))})
@@ -325,9 +326,7 @@
 	w.clockAt = time.Time{}
 	// The lease in an order for the previous incarnation is in the far future on the clock of the next one, which shortens
 	// it to the maximum.
-	if end := now.Add(c.leaseDurationBound(c.config.MaxLease)); end.After(w.leaseEnd) {
-		w.leaseEnd = end
-	}
+	w.extendLeaseBound(now.Add(c.leaseDurationBound(c.config.MaxLease)))
 	w.recentFailedJobs, w.relativeSpeed = nil, 1
 }
 
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -42,6 +42,9 @@
 		delay = c.config.RenewalRetryDelay
 	default:
 		c.applyReport(now, w, sentAt, renewal, report)
+		if w.incarnationUncertain {
+			delay = c.config.RenewalRetryDelay
+		}
 	}
 	if outOfBand {
 		return
@@ -161,7 +164,8 @@
 
 // applyReport processes a worker's report of ended and running tasks.
 func (c *Cell) applyReport(now time.Time, w *worker, sentAt time.Time, renewal medlarorder.Renew, report medlarorder.Report) {
-	if report.Incarnation < w.incarnation && report.Incarnation != 0 {
+	if report.Incarnation < w.incarnation && report.Incarnation != 0 && (len(w.runs) > 0 || !now.After(w.leaseEnd)) {
+		c.handleLowerIncarnation(now, w)
 		return
 	}
 	if report.Incarnation != w.incarnation && report.Incarnation != 0 {
@@ -173,7 +177,7 @@
 	c.recordResponse(now, w)
 	w.recordClock(now, report.Clock)
 	w.incarnationUncertain = false
-	first := !w.reported
+	first := !w.reported || w.endsTruncated
 	for i := range report.Ended {
 		if e := &report.Ended[i]; e.Number > w.lastProcessedEnd {
 			w.lastProcessedEnd = e.Number
@@ -190,7 +194,8 @@
 			listed[r] = struct{}{}
 		}
 	}
-	if len(report.Ended) <= medlarorder.MaxReportedEnds {
+	w.endsTruncated = len(report.Ended) > medlarorder.MaxReportedEnds
+	if !w.endsTruncated {
 		for r := range w.runs {
 			if _, ok := listed[r]; !ok && r.isProvenMissing(sentAt, renewal.Fence) {
 				c.markLost(now, r, lostMissing)
@@ -203,7 +208,19 @@
 	}
 	c.updateServingUtilisations(now, w)
 	c.checkProgress(now, w)
-	c.resolveUncertainRuns(now, w)
+	if !w.endsTruncated {
+		c.resolveUncertainRuns(now, w)
+	}
+}
+
+// handleLowerIncarnation handles a report of an incarnation with a lower number. Either the report is late, or the worker has started
+// again after its clock was set back. Until the higher one reports again, no lease is extended and no ends are acknowledged, so that
+// the runs end with their lease.
+func (c *Cell) handleLowerIncarnation(now time.Time, w *worker) {
+	if w.reported {
+		w.extendLeaseBound(now.Add(c.leaseDurationBound(c.config.MaxLease)))
+	}
+	w.incarnationUncertain, w.reported = true, false
 }
 
 // isProvenMissing reports whether a report that was requested at sentAt, under fence, and does not list the run, proves
@@ -219,7 +236,8 @@
 	}
 }
 
-// resolveUncertainRuns requests another report if runs are still uncertain.
+// resolveUncertainRuns requests another report if runs are still uncertain. While ended runs do not fit in a report, the next one
+// shows no more before they are acknowledged.
 func (c *Cell) resolveUncertainRuns(now time.Time, w *worker) {
 	for r := range w.runs {
 		if r.phase == runUncertain {
--- a/internal/scheduling/medlarcell/restart_test.go
+++ b/internal/scheduling/medlarcell/restart_test.go
@@ -143,3 +143,56 @@
 		t.Errorf("task started elsewhere after %v, want after the lease of %v", restartedAfter, lease)
 	}
 }
+
+// TestEarlierIncarnationExtendsNoLease guards against a task that waits for ever because its worker has started again with a
+// lower time of birth, after its clock was set back: its reports are ignored while its lease seems to be extended.
+func TestEarlierIncarnationExtendsNoLease(t *testing.T) {
+	sc, start, renewal := startOnRestartingWorker(t)
+	sc.report(renewal, medlarorder.Report{
+		Incarnation: 9, Running: []medlarorder.Running{{Task: start.Start.Task, Run: 1}}, Ended: []medlarorder.Ended{{Number: 5}},
+	})
+	sc.cell.FlushSucceeded(sc.now, sc.cell.TakeFlush(0))
+	for _, r := range sc.renewals {
+		if r.Worker != start.Worker {
+			sc.report(r, medlarorder.Report{})
+		}
+	}
+	startedAgain := false
+	for began := sc.now; !startedAgain && sc.now.Sub(began) < 3*DefaultConfig().MaxLease; sc.advance(100 * time.Millisecond) {
+		sc.dispatch()
+		startedAgain = len(sc.starts) > 0
+		for _, r := range sc.renewals {
+			if r.Worker == start.Worker && sc.now.Sub(began) > time.Second && r.Renew.AckedUpTo > 0 && !startedAgain {
+				t.Errorf("ends up to %d acknowledged to an incarnation whose reports are ignored", r.Renew.AckedUpTo)
+			}
+			sc.report(r, medlarorder.Report{Incarnation: 2})
+		}
+	}
+	if !startedAgain {
+		t.Error("the task of the earlier incarnation was never started again")
+	}
+}
+
+// TestRestartCountsBestEffortRunOnce guards against interference that is predicted twice for a run which a restarted worker reports
+// again.
+func TestRestartCountsBestEffortRunOnce(t *testing.T) {
+	step := testStep()
+	step.BestEffort, step.Image = true, "i"
+	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	sc.report(sc.renewals[0], medlarorder.Report{})
+	sc.cell.Accept(sc.now, testSubmission(step))
+	sc.dispatch()
+	start, renewal := sc.starts[0], sc.renewals[0]
+	sc.cell.HandleStartResponse(sc.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted, Clock: time.Second}, nil)
+	sc.now = sc.now.Add(10 * time.Millisecond)
+	sc.report(renewal, medlarorder.Report{Incarnation: 2, Running: []medlarorder.Running{{Task: start.Start.Task, Run: start.Start.Run}}})
+	open := 0
+	for _, interval := range sc.cell.workers[start.Worker].shareHistory.intervals {
+		if interval.to.IsZero() {
+			open++
+		}
+	}
+	if open != 1 {
+		t.Errorf("got %d open intervals for one run, want 1", open)
+	}
+}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -20,6 +20,8 @@
 	recorded bool
 	// reported is true once the worker has reported its runs to this owner.
 	reported bool
+	// endsTruncated is true while the worker has ended runs that did not fit in its last report.
+	endsTruncated bool
 	// allRunsKnown is true once this owner has seen a report of the worker: since then, only orders of this owner can have
 	// started runs on it.
 	allRunsKnown bool
@@ -102,7 +104,11 @@
 		return
 	}
 	remaining := time.Duration(float64(until-w.clock) * (1 + c.ClockDrift*(1+c.ClockDrift)))
-	end := w.clockAt.Add(remaining + c.LeaseMargin)
+	w.extendLeaseBound(w.clockAt.Add(remaining + c.LeaseMargin))
+}
+
+// extendLeaseBound records that a lease may be in force until end.
+func (w *worker) extendLeaseBound(end time.Time) {
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
