Log how many workers have crashed under a task

The logs could not tell that one task crashes worker after worker: task-lost names one run, and the lines of the tasks beside it fill the limit of lines per kind. The cell now keeps up to five crashes for each task: runs under which a worker restarted, or was silent until its lease must have ended. A record is withdrawn when a worker lists or ends the run after all, and all records of a task once a run of it was reported for ten seconds. A crash is confirmed when another worker registers the same address; otherwise the worker may have been unreachable. From the second crash on, task-suspected shows count and evidence. Nothing acts on the records yet.

Test: TestRepeatedCrashesAreLogged (without the records there is no event).

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -309,6 +309,7 @@
 		return
 	}
 	c.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Count: len(w.runs)})
+	c.recordCrashes(now, w, lostRestart)
 	for r := range w.runs {
 		c.markLost(now, r, lostRestart)
 	}
@@ -323,6 +324,7 @@
 	for id, w := range c.workers {
 		if len(w.runs) > 0 && now.After(w.leaseEnd) {
 			c.emit(Event{Kind: EventLeaseEnded, Worker: id, Count: len(w.runs), Age: now.Sub(w.lastContact)})
+			c.recordCrashes(now, w, lostLease)
 			for r := range w.runs {
 				c.markLost(now, r, lostLease)
 			}
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -63,6 +63,7 @@
 	EventTaskFailed         EventKind = "task-failed"
 	EventTaskLost           EventKind = "task-lost"
 	EventTaskAdopted        EventKind = "task-adopted"
+	EventTaskSuspected      EventKind = "task-suspected"
 	EventStartUncertain     EventKind = "start-uncertain"
 	EventStartRejected      EventKind = "start-rejected"
 	EventUnknownRunStopped  EventKind = "stray-run-stopped"
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -86,6 +86,8 @@
 	moves int
 	// failedTime is the total time that the failed runs of the task have taken.
 	failedTime time.Duration
+	// crashes lists up to maxCrashes runs under which a worker crashed, unless the task has been cleared of them since.
+	crashes []Crash
 	// avoidWorker is the worker on which the last run failed or from which the task was moved.
 	avoidWorker medlarwheel.WorkerID
 }
@@ -111,6 +113,9 @@
 	phase  runPhase
 	// sentAt is when the start was sent and confirmedAt when the worker confirmed it.
 	sentAt, confirmedAt time.Time
+	// reportedAt is when a report last listed the run. adopted is true if an earlier owner has started it.
+	reportedAt time.Time
+	adopted    bool
 	// resolveFence is the lowest fencing token of a renewal whose report shows conclusively whether an uncertain run
 	// exists.
 	resolveFence    medlarwheel.FencingToken
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -240,6 +240,7 @@
 	if r.phase != runConfirmed {
 		c.confirm(now, r)
 	}
+	r.observeSurvival(now)
 	r.progressPercent = max(r.progressPercent, running.Percent)
 	r.checkpoint = running.Checkpoint
 	if running.Checkpoint != "" {
@@ -263,7 +264,7 @@
 		return nil
 	}
 	t.lastRun = max(t.lastRun, running.Run)
-	r := &run{step: s, index: running.Task.Index, number: running.Run, worker: w, sentAt: now, pace: fullPace}
+	r := &run{step: s, index: running.Task.Index, number: running.Run, worker: w, sentAt: now, adopted: true, pace: fullPace}
 	c.attach(r)
 	if c.reconciled {
 		c.emit(Event{Kind: EventTaskAdopted, Task: running.Task, Run: running.Run, Worker: w.info.ID})
