Give up a task under which two workers have crashed

Cause: a lost run requeues its task without a count. maxAttempts counts reported failures only, and a crashed worker reports nothing. It is back at its address under another id, so that nothing connected the two.

Change: the records of crashes decide. Two confirmed crashes right after a start of the task, one of them with no start of another submission beside it, fail the submission; so do three confirmed crashes at any time, or five lost workers of which some may only have been unreachable. A task that was just started on a worker that crashed is a suspect: it prefers an empty worker, and nothing of another submission is started there until a report shows that the worker has survived. Long-running tasks follow the same rule. Crashes are part of the progress record, of 100 tasks of a submission at most. From the second crash on, the task waits until they are stored. Ended leases that the worker reports later are withdrawn.

Evidence: TestTaskThatCrashesWorkersIsGivenUp failed first ("after 6 crashed workers the submission is running"), for tasks that end and long-running ones. TestSimulatedCrashingTasks plays owners that change, partitions and other crashes.

--- a/internal/scheduling/medlarcell/candidates.go
+++ b/internal/scheduling/medlarcell/candidates.go
@@ -39,8 +39,10 @@
 	return popped
 }
 
-// hasOwnConstraints reports whether the task avoids or excludes workers that other tasks of its step do not.
-func (t *task) hasOwnConstraints() bool { return t.avoidWorker != "" || len(t.runs) > 0 }
+// hasOwnConstraints reports whether the task avoids, excludes or prefers workers that other tasks of its step do not.
+func (t *task) hasOwnConstraints() bool {
+	return t.avoidWorker != "" || t.isSuspect() || len(t.runs) > 0
+}
 
 // placeStep starts waiting tasks of a step on the given workers until none fits the next task.
 func (c *Cell) placeStep(now time.Time, s *step, workers []*worker) {
--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -1,11 +1,13 @@
 package medlarcell
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
 
 	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 )
 
@@ -27,10 +29,15 @@
 
 const (
 	// promptCrashTime is how long a run has been reported at most if its start may have caused the crash of its worker.
-	promptCrashTime = time.Second
+	promptCrashTime = 250 * time.Millisecond
 	// crashProbation is how long a run has to be reported until its task is no longer suspected.
 	crashProbation = 10 * time.Second
-	// maxCrashes bounds the records of one task.
+	// certainCrashes is the number of crashes, each right after a start of the task, that the task is blamed for.
+	certainCrashes = 2
+	// maxConfirmedCrashes is the number of crashes that the task is blamed for whenever they happened.
+	maxConfirmedCrashes = 3
+	// maxCrashes is the number of lost workers after which a task is not started again, even if some of them may only
+	// have been unreachable.
 	maxCrashes = 5
 )
 
@@ -77,12 +84,118 @@
 	}
 	t.crashes = append(t.crashes, crash)
 	c.confirmCrashes(t)
+	if t.isSuspect() {
+		c.markDirty(r.job())
+	}
 	if len(t.crashes) > 1 {
+		t.crashesUnstored, r.job().crashesUnstored = true, true
 		c.emit(Event{
 			Kind: EventTaskSuspected, Task: r.name(), Run: r.number, Worker: crash.Worker, Count: len(t.crashes), Reason: describeCrashes(t.crashes),
 			Age: now.Sub(r.sentAt),
 		})
 	}
+	if isBlamed(t.crashes) {
+		c.giveUp(now, r)
+	}
+}
+
+// isSuspect reports whether the next run of the task may crash its worker. A single crash long after the start of the
+// run says little, since one crash hits all runs on the worker.
+func (t *task) isSuspect() bool {
+	return len(t.crashes) > 1 || len(t.crashes) == 1 && t.crashes[0].Prompt
+}
+
+// isBlamed reports whether the crashes are certain to be the task's own, or are so many that the task may not be started
+// again.
+func isBlamed(crashes []Crash) bool {
+	confirmed, prompt, alone := countCrashes(crashes)
+	return prompt >= certainCrashes && alone > 0 || confirmed >= maxConfirmedCrashes || len(crashes) >= maxCrashes
+}
+
+// isReservedForSuspect reports whether a suspect of another submission was started on the worker just now. Nothing else is
+// started there until a report shows that the worker has survived, so that a crash tells which task is the cause.
+func (w *worker) isReservedForSuspect(j *job) bool {
+	if w.suspectRuns == 0 {
+		return false
+	}
+	for r := range w.runs {
+		if r.suspect && r.isPrompt() && r.job() != j {
+			return true
+		}
+	}
+	return false
+}
+
+// crashExposure returns the used share of the worker's CPU, which a crash would interrupt, and one more if another run
+// was started there just now, which could be the cause of a crash as well.
+func (w *worker) crashExposure() float64 {
+	exposure := float64(w.committed.MilliCPU+w.bestEffortCPU) / float64(max(1, w.info.Capacity.MilliCPU))
+	for r := range w.runs {
+		if r.isPrompt() {
+			return exposure + 1
+		}
+	}
+	return exposure
+}
+
+// giveUp fails the submission of a task that crashes its workers.
+func (c *Cell) giveUp(now time.Time, r *run) {
+	j := r.job()
+	c.finish(now, j, medlarsubmission.StateFailed)
+	c.emit(Event{
+		Kind: EventFailed, Submission: j.submission.ID, Route: j.submission.Route, Task: r.name(), Run: r.number, Worker: r.worker.info.ID,
+		Reason: "crashed its workers", Age: now.Sub(j.submission.AcceptedAt),
+	})
+}
+
+// releaseSuspects requeues the tasks of a job whose crashes are stored now. Before that they are not started again,
+// since the next owner would not know the count.
+func (c *Cell) releaseSuspects(now time.Time, j *job) {
+	if !j.crashesUnstored || j.dirty {
+		return
+	}
+	j.crashesUnstored = false
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				if s.tasks[i].crashesUnstored {
+					s.tasks[i].crashesUnstored = false
+					c.requeue(now, s, i)
+				}
+			}
+		}
+	}
+}
+
+// maxStoredSuspects bounds the tasks of a submission whose crashes are stored, because the size of a row is limited.
+const maxStoredSuspects = 100
+
+// storedCrashes returns the crashes to store, by occurrence, step and task. Those of the tasks with the most crashes
+// come first.
+func (j *job) storedCrashes() map[string][]Crash {
+	type suspect struct {
+		key     string
+		crashes []Crash
+	}
+	var suspects []suspect
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				if t := &s.tasks[i]; len(t.crashes) > 0 && !t.done {
+					suspects = append(suspects, suspect{fmt.Sprintf("%d.%d.%d", o.index, s.index, i), t.crashes})
+				}
+			}
+		}
+	}
+	if len(suspects) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(suspects, func(a, b suspect) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
+	stored := map[string][]Crash{}
+	for _, s := range suspects[:min(len(suspects), maxStoredSuspects)] {
+		stored[s.key] = slices.Clone(s.crashes)
+	}
+	return stored
 }
 
 // confirmCrashes confirms the crashes of workers whose address another worker has registered since.
@@ -126,17 +239,26 @@
 }
 
 // withdrawCrash removes the record of a crash, because the worker had the run after all.
-func (t *task) withdrawCrash(number medlarorder.RunNumber) {
+func (c *Cell) withdrawCrash(j *job, t *task, number medlarorder.RunNumber) {
+	n := len(t.crashes)
 	t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
+	if len(t.crashes) < n {
+		c.markDirty(j)
+	}
 }
 
 // observeSurvival clears the task of earlier crashes once a run of it has been reported for long enough. A worker that
 // lists a run has not crashed under it.
-func (r *run) observeSurvival(now time.Time) {
+func (c *Cell) observeSurvival(now time.Time, r *run) {
 	r.reportedAt = now
 	t := r.task()
-	if r.reportedFor() >= crashProbation {
-		t.crashes = nil
+	if len(t.crashes) == 0 {
+		return
+	}
+	if r.reportedFor() < crashProbation {
+		c.withdrawCrash(r.job(), t, r.number)
+		return
 	}
-	t.withdrawCrash(r.number)
+	t.crashes = nil
+	c.markDirty(r.job())
 }
--- a/internal/scheduling/medlarcell/crash_test.go
+++ b/internal/scheduling/medlarcell/crash_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 )
 
@@ -98,3 +99,109 @@
 		t.Fatalf("the event gives %q, want %q", logged[0].Reason, want)
 	}
 }
+
+// TestTaskThatCrashesWorkersIsGivenUp guards against a task that crashes worker after worker because it is started again
+// without end.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	lasting := testStep()
+	lasting.LongRunning = true
+	for name, step := range map[string]medlarsubmission.Step{"task that ends": testStep(), "long-running task": lasting} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashCell(t, 4, Ownership{Fence: 1 << 12, Term: 1})
+			c.cell.Accept(c.now, testSubmission(step))
+			c.dispatch()
+			starts, crashes := c.starts, 0
+			for ; len(starts) > 0 && crashes < 6; crashes++ {
+				starts = c.crashAtStart(starts[0])
+			}
+			if state, _ := c.cell.State("00000000000000aa"); crashes != 2 || state != medlarsubmission.StateFailed {
+				t.Fatalf("after %d crashed workers the submission is %s, want it failed after 2", crashes, state)
+			}
+		})
+	}
+}
+
+// TestNeighbourOfCrashingTaskIsNotFailed guards against a submission that fails for the crashes of a task beside it.
+func TestNeighbourOfCrashingTaskIsNotFailed(t *testing.T) {
+	c := newCrashCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	neighbour := testSubmission(testStep())
+	neighbour.ID = "00000000000000bb"
+	c.cell.Accept(c.now, testSubmission(testStep()))
+	c.cell.Accept(c.now, neighbour)
+	c.dispatch()
+	if len(c.starts) != 2 {
+		t.Fatalf("%d tasks were started on the worker, want 2", len(c.starts))
+	}
+	c.cell.HandleStartResponse(c.now, c.starts[1].Worker, c.starts[1].Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
+	second := c.crashAtStart(c.starts[0])
+	if len(second) != 1 {
+		t.Fatalf("%d suspects were started together on the worker, want 1", len(second))
+	}
+	if third := c.crashAtStart(second[0]); len(third) != 1 || third[0].Start.Task.Submission == second[0].Start.Task.Submission {
+		t.Fatalf("after the second crash %d tasks were started, want one, of the other submission", len(third))
+	}
+}
+
+// TestCrashCountSurvivesChangeOfOwner guards against owners that each let a task crash workers anew.
+func TestCrashCountSurvivesChangeOfOwner(t *testing.T) {
+	first := newCrashCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	first.cell.Accept(first.now, testSubmission(testStep()))
+	first.dispatch()
+	first.crashAtStart(first.starts[0])
+	next := newCrashCell(t, 0, Ownership{Fence: 2 << 12, Term: 2})
+	stored := first.cell.jobs["00000000000000aa"].progress()
+	if err := next.cell.Restore(next.now, testSubmission(testStep()), stored, false); err != nil {
+		t.Fatal(err)
+	}
+	next.join("10.0.0.9:80")
+	next.dispatch()
+	next.crashAtStart(next.starts[0])
+	if state, _ := next.cell.State("00000000000000aa"); state != medlarsubmission.StateFailed {
+		t.Fatalf("after a crash under each owner the submission is %s, want failed", state)
+	}
+}
+
+// TestUnreachableWorkersDoNotFailSubmission guards against a partitioned worker, which reports the end of the lease later,
+// that counts as crashed.
+func TestUnreachableWorkersDoNotFailSubmission(t *testing.T) {
+	c := newCrashCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	c.cell.Accept(c.now, testSubmission(testStep()))
+	c.dispatch()
+	for partition := range maxCrashes + 1 {
+		start := c.starts[0]
+		c.cell.HandleStartResponse(c.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
+		c.advance(10 * time.Second)
+		c.dispatch()
+		end := medlarorder.Ended{Number: medlarorder.EndNumber(partition + 1), Task: start.Start.Task, Run: start.Start.Run, Kind: medlarorder.EndLeaseExpired}
+		c.report(Command{Worker: start.Worker}, medlarorder.Report{Ended: []medlarorder.Ended{end}})
+		c.flush()
+		if c.dispatch(); len(c.starts) != 1 {
+			t.Fatalf("after %d partitions the task is not started again", partition+1)
+		}
+	}
+}
+
+// TestSuspectWaitsUntilItsCrashesAreStored guards against an owner that dies with a count that its successor does not know.
+func TestSuspectWaitsUntilItsCrashesAreStored(t *testing.T) {
+	c := newScriptedCell(t, 3, Ownership{Fence: 1 << 12, Term: 1})
+	for _, renewal := range c.renewals {
+		c.report(renewal, medlarorder.Report{})
+	}
+	c.cell.Accept(c.now, testSubmission(testStep()))
+	s := c.cell.jobs["00000000000000aa"].occurrences[0].steps[0]
+	c.dispatch()
+	for run := range 2 {
+		worker := c.starts[0].Worker
+		crashed := c.cell.workers[worker].info
+		crashed.Incarnation = medlarorder.Incarnation(run + 2)
+		c.cell.SetWorker(c.now, crashed)
+		c.dispatch()
+	}
+	if len(s.tasks[0].crashes) != 2 || len(c.starts) > 0 {
+		t.Fatalf("%d starts after %d crashes that are not stored, want none after 2", len(c.starts), len(s.tasks[0].crashes))
+	}
+	c.flush()
+	if c.dispatch(); len(c.starts) != 1 {
+		t.Fatal("the task was not started after its crashes were stored")
+	}
+}
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -30,7 +30,7 @@
 	if j.state.IsFinal() || t.done {
 		return
 	}
-	t.withdrawCrash(e.Run)
+	c.withdrawCrash(j, t, e.Run)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -33,6 +33,8 @@
 	// inherited is true for jobs that may have runs of an earlier owner, on workers that have not reported yet.
 	inherited bool
 	dirty     bool
+	// crashesUnstored is true while tasks wait for their crashes to be stored.
+	crashesUnstored bool
 }
 
 // occurrence is one execution of all steps of a submission.
@@ -88,6 +90,8 @@
 	failedTime time.Duration
 	// crashes lists up to maxCrashes runs under which a worker crashed, unless the task has been cleared of them since.
 	crashes []Crash
+	// crashesUnstored is true while the task waits for its crashes to be stored.
+	crashesUnstored bool
 	// avoidWorker is the worker on which the last run failed or from which the task was moved.
 	avoidWorker medlarwheel.WorkerID
 }
@@ -116,6 +120,8 @@
 	// reportedAt is when a report last listed the run. adopted is true if an earlier owner has started it.
 	reportedAt time.Time
 	adopted    bool
+	// suspect is true if the task was suspected to crash its workers when the run was started.
+	suspect bool
 	// resolveFence is the lowest fencing token of a renewal whose report shows conclusively whether an uncertain run
 	// exists.
 	resolveFence    medlarwheel.FencingToken
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -111,7 +111,7 @@
 		if w == nil {
 			break
 		}
-		r := &run{step: s, index: i, number: number, worker: w, sentAt: now, pace: fullPace}
+		r := &run{step: s, index: i, number: number, worker: w, sentAt: now, suspect: s.tasks[i].isSuspect(), pace: fullPace}
 		w.addRun(r)
 		chosen = append(chosen, r)
 	}
@@ -135,7 +135,7 @@
 		number = max(c.firstRun, t.lastRun+1)
 	}
 	t.lastRun = number
-	r := &run{step: s, index: index, number: number, worker: w, sentAt: now, pace: fullPace, usage: -1}
+	r := &run{step: s, index: index, number: number, worker: w, sentAt: now, suspect: t.isSuspect(), pace: fullPace, usage: -1}
 	c.attach(r)
 	order := medlarorder.Start{
 		Task: s.name(index), Run: number, Spec: s.occurrence.job.submission.Spec, Fence: w.fence,
@@ -160,6 +160,9 @@
 			return false
 		}
 	}
+	if w.isReservedForSuspect(s.occurrence.job) {
+		return false
+	}
 	need := spec.Size
 	if spec.BestEffort {
 		need.MilliCPU = 0
@@ -187,6 +190,7 @@
 	sameImageBonus      = 1.0
 	sameSubmissionBonus = 1.0
 	freeCapacityPenalty = 0.2
+	suspectPenalty      = 2.0
 	// opportunityCostWeight is the weight of the opportunity cost against that of the unused CPU.
 	opportunityCostWeight = 0.3
 )
@@ -215,6 +219,12 @@
 	if t.avoidWorker == w.info.ID {
 		score -= avoidPenalty
 	}
+	if w.suspectRuns > 0 {
+		score -= suspectPenalty
+	}
+	if t.isSuspect() {
+		score -= suspectPenalty * w.crashExposure()
+	}
 	score -= float64(len(w.recentFailedJobs)) + slownessPenalty*max(0, 1-w.relativeSpeed)
 	return score
 }
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -24,6 +24,8 @@
 	Failed map[string][]medlarorder.RunNumber `json:"failed,omitempty"`
 	// Checkpoints holds the checkpoints of interrupted tasks, by occurrence, step and task.
 	Checkpoints map[string]string `json:"saved,omitempty"`
+	// Crashes holds the crashes of workers under a task, by occurrence, step and task.
+	Crashes map[string][]Crash `json:"crashes,omitempty"`
 }
 
 // Record is the progress of one submission.
@@ -105,6 +107,7 @@
 		if state := b.Records[i].Progress.State; state.IsFinal() {
 			j.durableState = state
 		}
+		c.releaseSuspects(now, j)
 	}
 	c.sendDeferredRenewals(now)
 }
@@ -144,7 +147,7 @@
 	if j.state.IsFinal() {
 		return Progress{State: j.state}
 	}
-	p := Progress{Done: map[string]string{}, Failed: map[string][]medlarorder.RunNumber{}, Checkpoints: map[string]string{}}
+	p := Progress{Done: map[string]string{}, Failed: map[string][]medlarorder.RunNumber{}, Checkpoints: map[string]string{}, Crashes: j.storedCrashes()}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			s.encodeProgress(&p)
@@ -178,7 +181,9 @@
 }
 
 // hasStarted reports whether a task of the submission is known to have run.
-func (p *Progress) hasStarted() bool { return len(p.Done)+len(p.Failed)+len(p.Checkpoints) > 0 }
+func (p *Progress) hasStarted() bool {
+	return len(p.Done)+len(p.Failed)+len(p.Checkpoints)+len(p.Crashes) > 0
+}
 
 // restoreProgress sets the state of a new job from its stored progress.
 func (j *job) restoreProgress(p Progress) error {
@@ -211,6 +216,13 @@
 			t.checkpoint = checkpoint
 		}
 	}
+	for key, crashes := range p.Crashes {
+		if t, err := j.findTaskByKey(key); err != nil {
+			return err
+		} else if t != nil {
+			t.crashes = slices.Clone(crashes[:min(len(crashes), maxCrashes)])
+		}
+	}
 	return nil
 }
 
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -240,7 +240,7 @@
 	if r.phase != runConfirmed {
 		c.confirm(now, r)
 	}
-	r.observeSurvival(now)
+	c.observeSurvival(now, r)
 	r.progressPercent = max(r.progressPercent, running.Percent)
 	r.checkpoint = running.Checkpoint
 	if running.Checkpoint != "" {
@@ -264,7 +264,7 @@
 		return nil
 	}
 	t.lastRun = max(t.lastRun, running.Run)
-	r := &run{step: s, index: running.Task.Index, number: running.Run, worker: w, sentAt: now, adopted: true, pace: fullPace}
+	r := &run{step: s, index: running.Task.Index, number: running.Run, worker: w, sentAt: now, adopted: true, suspect: t.isSuspect(), pace: fullPace}
 	c.attach(r)
 	if c.reconciled {
 		c.emit(Event{Kind: EventTaskAdopted, Task: running.Task, Run: running.Run, Worker: w.info.ID})
@@ -329,10 +329,10 @@
 	c.requeue(now, r.step, r.index)
 }
 
-// requeue makes a task wait for a worker again, unless it is done or has another run.
+// requeue makes a task wait for a worker again, unless it is done, has another run, or waits for its crashes to be stored.
 func (c *Cell) requeue(now time.Time, s *step, index int) {
 	t := &s.tasks[index]
-	if t.done || t.waiting || len(t.runs) > 0 || s.occurrence.job.state.IsFinal() {
+	if t.done || t.waiting || t.crashesUnstored || len(t.runs) > 0 || s.occurrence.job.state.IsFinal() {
 		return
 	}
 	t.waiting = true
--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -71,6 +72,8 @@
 	ackedDone map[medlarsubmission.TaskName]bool
 	failures  map[medlarsubmission.TaskName]map[medlarorder.RunNumber]bool
 	faults    bool
+	// crashingStarts counts the starts of the tasks that crash each worker that starts them.
+	crashingStarts map[medlarsubmission.TaskName]int
 }
 
 var simEpoch = time.Unix(1_700_000_000, 0)
@@ -238,6 +241,10 @@
 		perform = func() func(error) {
 			sim.checkStart(worker, c.Start)
 			response := worker.start(sim.now, c.Start, sim.rng)
+			if _, crashes := sim.crashingStarts[c.Start.Task]; crashes && response.Verdict == medlarorder.VerdictAccepted {
+				sim.crashingStarts[c.Start.Task]++
+				sim.after(10*time.Millisecond, func() { sim.crash(worker) })
+			}
 			return func(err error) { sim.cell.HandleStartResponse(sim.time(), c.Worker, c.Start, response, err) }
 		}
 	case CommandStop:
@@ -495,3 +502,30 @@
 		})
 	}
 }
+
+// TestSimulatedCrashingTasks guards against tasks that crash worker after worker without being given up, and against
+// others that are given up for it, while owners change and workers crash or are partitioned.
+func TestSimulatedCrashingTasks(t *testing.T) {
+	for seed := range 20 {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			sim := newSimCluster(t, uint64(seed))
+			sim.crashingStarts = map[medlarsubmission.TaskName]int{}
+			for n := range 3 {
+				sim.crashingStarts[medlarsubmission.TaskName{Submission: medlarsubmission.ID(fmt.Sprintf("%016x", n)), Step: n % 2}] = 0
+			}
+			sim.run(simDuration)
+			sim.faults = false
+			sim.run(2*simDuration + simRecoveryTime)
+			for name, starts := range sim.crashingStarts {
+				state, _ := sim.cell.State(name.Submission)
+				if starts > maxCrashes || state != medlarsubmission.StateFailed {
+					t.Errorf("task %s was started %d times, and its submission is %s; want at most %d starts and failed", name, starts, state, maxCrashes)
+				}
+			}
+			sim.accepted = slices.DeleteFunc(sim.accepted, func(s medlarsubmission.Submission) bool {
+				return slices.ContainsFunc(slices.Collect(maps.Keys(sim.crashingStarts)), func(n medlarsubmission.TaskName) bool { return n.Submission == s.ID })
+			})
+			sim.checkFinished()
+		})
+	}
+}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -50,6 +50,8 @@
 	bestEffortCPU int64
 	// longRunningCPU is the part of the committed CPU that long-running tasks have reserved.
 	longRunningCPU int64
+	// suspectRuns counts the runs of tasks that are suspected to crash their workers.
+	suspectRuns int
 	// longRunningCPUByImage is longRunningCPU by image.
 	longRunningCPUByImage map[string]int64
 	// headrooms is how far the utilisation of serving tasks may rise. It is recomputed when it is stale.
@@ -134,6 +136,9 @@
 func (w *worker) addRun(r *run) {
 	w.runs[r] = struct{}{}
 	w.adjustCommitted(r, 1)
+	if r.suspect {
+		w.suspectRuns++
+	}
 	if r.step.tasksPerWorker != nil {
 		r.step.tasksPerWorker[w]++
 	}
@@ -146,6 +151,9 @@
 	}
 	delete(w.runs, r)
 	w.adjustCommitted(r, -1)
+	if r.suspect {
+		w.suspectRuns--
+	}
 	if r.step.tasksPerWorker != nil {
 		r.step.tasksPerWorker[w]--
 	}
