Count crashes across owners, and blame each on one task

Causes, from traces: the first crash was stored only after the next start, and its owner died in between; a run that its owner started, and whose crash it did not live to see, counted nowhere; a crash counted against every task on the worker for good, so that three crashes of others, at any time of its runs, failed an innocent task.

Change: a suspect is held until its crash is stored, from the first one on. When a new owner is reconciled, a stored suspect that neither runs nor has ended counts as one more lost worker, and is held until that is stored. A crash that one task is blamed for is removed from the records of other submissions, and three crashes count only if two of them came right after a start. Four lost workers instead of five end the task, which leaves room for one that no owner could count.

With four, each right after a start, a sixth start remains possible: the first run of a task that no owner lives to count leaves no trace.

Tests: TestNextOwnerCountsUnreportedRunOfSuspect fails without the count (1 crash, want 2); TestSuspectWaitsUntilItsCrashesAreStored now demands it from the first crash on; TestNeighbourOfCrashingTaskIsNotFailed also checks the cleared record.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -303,13 +303,13 @@
 
 // handleRestart marks the runs of earlier incarnations of the worker as lost.
 func (c *Cell) handleRestart(now time.Time, w *worker, incarnation medlarorder.Incarnation) {
-	known := w.incarnation != 0
+	previous := w.incarnation
 	w.incarnation = incarnation
-	if !known {
+	if previous == 0 {
 		return
 	}
 	c.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Count: len(w.runs)})
-	c.recordCrashes(now, w, lostRestart)
+	c.recordCrashes(now, w, previous, lostRestart)
 	for r := range w.runs {
 		c.markLost(now, r, lostRestart)
 	}
@@ -324,7 +324,7 @@
 	for id, w := range c.workers {
 		if len(w.runs) > 0 && now.After(w.leaseEnd) {
 			c.emit(Event{Kind: EventLeaseEnded, Worker: id, Count: len(w.runs), Age: now.Sub(w.lastContact)})
-			c.recordCrashes(now, w, lostLease)
+			c.recordCrashes(now, w, w.incarnation, lostLease)
 			for r := range w.runs {
 				c.markLost(now, r, lostLease)
 			}
--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -13,9 +13,11 @@
 
 // Crash is a run under which a worker crashed, or went silent until its lease must have ended.
 type Crash struct {
-	Run     medlarorder.RunNumber `json:"run"`
-	Worker  medlarwheel.WorkerID  `json:"worker"`
-	Address string                `json:"address,omitempty"`
+	// Run is zero for a run that an earlier owner may have started without noticing the crash.
+	Run         medlarorder.RunNumber   `json:"run"`
+	Worker      medlarwheel.WorkerID    `json:"worker"`
+	Incarnation medlarorder.Incarnation `json:"life,omitempty"`
+	Address     string                  `json:"address,omitempty"`
 	// Confirmed is true if another process is known to have taken the worker's place. Otherwise the worker may have been
 	// unreachable.
 	Confirmed bool `json:"confirmed,omitempty"`
@@ -34,16 +36,16 @@
 	crashProbation = 10 * time.Second
 	// certainCrashes is the number of crashes, each right after a start of the task, that the task is blamed for.
 	certainCrashes = 2
-	// maxConfirmedCrashes is the number of crashes that the task is blamed for whenever they happened.
-	maxConfirmedCrashes = 3
+	// ambiguousCrashes is the number of crashes that the task is blamed for although others may have caused each of them.
+	ambiguousCrashes = 3
 	// maxCrashes is the number of lost workers after which a task is not started again, even if some of them may only
 	// have been unreachable.
-	maxCrashes = 5
+	maxCrashes = 4
 )
 
-// recordCrashes records that a worker with these runs has crashed or was silent until its lease must have ended. It is
-// called before the runs are marked as lost.
-func (c *Cell) recordCrashes(now time.Time, w *worker, reason string) {
+// recordCrashes records that this incarnation of a worker has crashed, or was silent until its lease must have ended. It
+// is called before the runs are marked as lost.
+func (c *Cell) recordCrashes(now time.Time, w *worker, incarnation medlarorder.Incarnation, reason string) {
 	if w.info.Draining {
 		// A draining worker terminates what still runs on it when it leaves.
 		return
@@ -55,15 +57,26 @@
 			submissions[r.job()] = struct{}{}
 		}
 	}
+	var suspects []*run
 	for r := range w.runs {
-		if r.reportedFor() >= crashProbation || r.step.occurrence.job.state.IsFinal() {
+		if r.reportedFor() >= crashProbation || r.job().state.IsFinal() || r.task().done {
 			continue
 		}
+		suspects = append(suspects, r)
 		c.recordCrash(now, r, Crash{
-			Run: r.number, Worker: w.info.ID, Address: w.info.Address, Confirmed: restarted,
+			Run: r.number, Worker: w.info.ID, Incarnation: incarnation, Address: w.info.Address, Confirmed: restarted,
 			Started: r.phase == runConfirmed, Prompt: r.isPrompt(), Alone: r.isPrompt() && len(submissions) == 1,
 		})
 	}
+	// The task with the strongest evidence is assessed first, because that may clear the others.
+	slices.SortFunc(suspects, func(a, b *run) int {
+		_, promptA, aloneA := countCrashes(a.task().crashes)
+		_, promptB, aloneB := countCrashes(b.task().crashes)
+		return cmp.Or(cmp.Compare(promptB, promptA), cmp.Compare(aloneB, aloneA), cmp.Compare(a.name().String(), b.name().String()))
+	})
+	for _, r := range suspects {
+		c.assess(now, r.step, r.index)
+	}
 }
 
 // reportedFor returns how long the reports of the worker have listed the run.
@@ -79,23 +92,75 @@
 
 func (c *Cell) recordCrash(now time.Time, r *run, crash Crash) {
 	t := r.task()
-	if t.done || len(t.crashes) >= maxCrashes || slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Run == crash.Run }) {
+	if slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Run == crash.Run }) {
 		return
 	}
 	t.crashes = append(t.crashes, crash)
 	c.confirmCrashes(t)
 	if t.isSuspect() {
-		c.markDirty(r.job())
+		c.holdUntilStored(r.step, r.index)
 	}
 	if len(t.crashes) > 1 {
-		t.crashesUnstored, r.job().crashesUnstored = true, true
 		c.emit(Event{
 			Kind: EventTaskSuspected, Task: r.name(), Run: r.number, Worker: crash.Worker, Count: len(t.crashes), Reason: describeCrashes(t.crashes),
 			Age: now.Sub(r.sentAt),
 		})
 	}
-	if isBlamed(t.crashes) {
-		c.giveUp(now, r)
+}
+
+// assess fails the submission of a task that is to blame for the crashes of its workers.
+func (c *Cell) assess(now time.Time, s *step, index int) {
+	j, t := s.occurrence.job, &s.tasks[index]
+	if c.confirmCrashes(t); j.state.IsFinal() || !isBlamed(t.crashes) {
+		return
+	}
+	c.clearOthers(j, t.crashes)
+	last := t.crashes[len(t.crashes)-1]
+	c.finish(now, j, medlarsubmission.StateFailed)
+	c.emit(Event{
+		Kind: EventFailed, Submission: j.submission.ID, Route: j.submission.Route, Task: s.name(index), Run: last.Run, Worker: last.Worker,
+		Reason: "crashed its workers: " + describeCrashes(t.crashes), Age: now.Sub(j.submission.AcceptedAt),
+	})
+}
+
+// clearOthers removes the crashes that a task is blamed for from the records of other submissions.
+func (c *Cell) clearOthers(blamed *job, crashes []Crash) {
+	for _, j := range c.jobs {
+		if j == blamed || j.state.IsFinal() {
+			continue
+		}
+		j.forEachTask(func(s *step, index int) {
+			t := &s.tasks[index]
+			n := len(t.crashes)
+			t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool {
+				return slices.ContainsFunc(crashes, func(own Crash) bool {
+					return own.Prompt && own.Worker == crash.Worker && own.Incarnation == crash.Incarnation
+				})
+			})
+			if len(t.crashes) < n {
+				c.markDirty(j)
+			}
+		})
+	}
+}
+
+// countUnreportedRuns counts a lost run for each suspect that is neither running nor has ended: the earlier owner may have
+// started it, and may have died before it noticed the crash.
+func (c *Cell) countUnreportedRuns(now time.Time) {
+	for _, j := range c.jobs {
+		if !j.inheritedSuspects || j.state.IsFinal() {
+			continue
+		}
+		j.forEachTask(func(s *step, index int) {
+			t := &s.tasks[index]
+			if !t.inheritedSuspect || t.done || j.state.IsFinal() {
+				return
+			}
+			t.inheritedSuspect = false
+			t.crashes = append(t.crashes, Crash{})
+			c.holdUntilStored(s, index)
+			c.assess(now, s, index)
+		})
 	}
 }
 
@@ -109,7 +174,7 @@
 // again.
 func isBlamed(crashes []Crash) bool {
 	confirmed, prompt, alone := countCrashes(crashes)
-	return prompt >= certainCrashes && alone > 0 || confirmed >= maxConfirmedCrashes || len(crashes) >= maxCrashes
+	return prompt >= certainCrashes && (alone > 0 || confirmed >= ambiguousCrashes) || len(crashes) >= maxCrashes
 }
 
 // isReservedForSuspect reports whether a suspect of another submission was started on the worker just now. Nothing else is
@@ -138,33 +203,28 @@
 	return exposure
 }
 
-// giveUp fails the submission of a task that crashes its workers.
-func (c *Cell) giveUp(now time.Time, r *run) {
-	j := r.job()
-	c.finish(now, j, medlarsubmission.StateFailed)
-	c.emit(Event{
-		Kind: EventFailed, Submission: j.submission.ID, Route: j.submission.Route, Task: r.name(), Run: r.number, Worker: r.worker.info.ID,
-		Reason: "crashed its workers", Age: now.Sub(j.submission.AcceptedAt),
-	})
+// holdUntilStored keeps a suspect from being started until its crashes are stored, since the next owner would not know
+// their count.
+func (c *Cell) holdUntilStored(s *step, index int) {
+	j, t := s.occurrence.job, &s.tasks[index]
+	c.markDirty(j)
+	t.waiting, t.crashesUnstored, j.crashesUnstored = false, true, true
+	s.removeReady(index)
+	c.needsCompaction = true
 }
 
-// releaseSuspects requeues the tasks of a job whose crashes are stored now. Before that they are not started again,
-// since the next owner would not know the count.
+// releaseSuspects requeues the tasks of a job whose crashes are stored now.
 func (c *Cell) releaseSuspects(now time.Time, j *job) {
 	if !j.crashesUnstored || j.dirty {
 		return
 	}
 	j.crashesUnstored = false
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for i := range s.tasks {
-				if s.tasks[i].crashesUnstored {
-					s.tasks[i].crashesUnstored = false
-					c.requeue(now, s, i)
-				}
-			}
+	j.forEachTask(func(s *step, index int) {
+		if t := &s.tasks[index]; t.crashesUnstored {
+			t.crashesUnstored = false
+			c.requeue(now, s, index)
 		}
-	}
+	})
 }
 
 // maxStoredSuspects bounds the tasks of a submission whose crashes are stored, because the size of a row is limited.
@@ -178,15 +238,11 @@
 		crashes []Crash
 	}
 	var suspects []suspect
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for i := range s.tasks {
-				if t := &s.tasks[i]; len(t.crashes) > 0 && !t.done {
-					suspects = append(suspects, suspect{fmt.Sprintf("%d.%d.%d", o.index, s.index, i), t.crashes})
-				}
-			}
+	j.forEachTask(func(s *step, index int) {
+		if t := &s.tasks[index]; len(t.crashes) > 0 && !t.done {
+			suspects = append(suspects, suspect{fmt.Sprintf("%d.%d.%d", s.occurrence.index, s.index, index), t.crashes})
 		}
-	}
+	})
 	if len(suspects) == 0 {
 		return nil
 	}
@@ -241,7 +297,9 @@
 // withdrawCrash removes the record of a crash, because the worker had the run after all.
 func (c *Cell) withdrawCrash(j *job, t *task, number medlarorder.RunNumber) {
 	n := len(t.crashes)
-	t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool { return crash.Run == number })
+	t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool {
+		return crash.Run == number || crash.Run == 0 && number < c.firstRun
+	})
 	if len(t.crashes) < n {
 		c.markDirty(j)
 	}
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -35,6 +35,8 @@
 	dirty     bool
 	// crashesUnstored is true while tasks wait for their crashes to be stored.
 	crashesUnstored bool
+	// inheritedSuspects is true if an earlier owner has stored crashes of the job's tasks.
+	inheritedSuspects bool
 }
 
 // occurrence is one execution of all steps of a submission.
@@ -90,6 +92,9 @@
 	failedTime time.Duration
 	// crashes lists up to maxCrashes runs under which a worker crashed, unless the task has been cleared of them since.
 	crashes []Crash
+	// inheritedSuspect is true while it is unknown whether an earlier owner has started the task again after the crashes
+	// that it stored.
+	inheritedSuspect bool
 	// crashesUnstored is true while the task waits for its crashes to be stored.
 	crashesUnstored bool
 	// avoidWorker is the worker on which the last run failed or from which the task was moved.
@@ -245,6 +250,17 @@
 // isIndex reports whether n, which may come from outside the process, is a valid index of the list.
 func isIndex[T any](n int, list []T) bool { return n >= 0 && n < len(list) }
 
+// forEachTask calls f for every task of the job.
+func (j *job) forEachTask(f func(s *step, index int)) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				f(s, i)
+			}
+		}
+	}
+}
+
 // forEachRun calls f for every run of the job. f may end runs.
 func (j *job) forEachRun(f func(*run)) {
 	for _, o := range j.occurrences {
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -221,6 +221,7 @@
 			return err
 		} else if t != nil {
 			t.crashes = slices.Clone(crashes[:min(len(crashes), maxCrashes)])
+			t.inheritedSuspect, j.inheritedSuspects = t.isSuspect(), true
 		}
 	}
 	return nil
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -264,6 +264,7 @@
 		return nil
 	}
 	t.lastRun = max(t.lastRun, running.Run)
+	t.inheritedSuspect = false
 	r := &run{step: s, index: running.Task.Index, number: running.Run, worker: w, sentAt: now, adopted: true, suspect: t.isSuspect(), pace: fullPace}
 	c.attach(r)
 	if c.reconciled {
