Hold a suspect for the store only after a confirmed crash

A worker that is only silent has perhaps not crashed, and its task must not depend on the table. The task is now held if the crash is confirmed, or from the second lost worker on.

--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -98,7 +98,10 @@
 	t.crashes = append(t.crashes, crash)
 	c.confirmCrashes(t)
 	if t.isSuspect() {
-		c.holdUntilStored(r.step, r.index)
+		c.markDirty(r.job())
+		if len(t.crashes) > 1 || t.crashes[0].Confirmed {
+			c.holdUntilStored(r.step, r.index)
+		}
 	}
 	if len(t.crashes) > 1 {
 		c.emit(Event{
