Count stopped stray runs and new incarnations against the capacity of a worker

What is being stopped counts, and so does a capacity that has changed.

- A run that a worker lists and nobody needs, for example of a finished submission after a change of owner, is stopped; its capacity was given to other tasks at once.
The worker now gets no tasks until a report lists no such run.
- A worker that had restarted was used as soon as it reported, with the capacity and labels of its earlier process.
A new one may be of another kind, so the worker now waits until its registration names the same incarnation.

Tests: TestStrayRunsCountAgainstCapacity failed first (1 task started beside the unknown run) and TestRestartedWorkerWaitsForItsRegistration too (2 tasks started). TestShrunkCapacityLimitsStarts passed before: shrunk and grown capacity, stopping runs and uncertain ones were counted already.

Not covered: a capacity of zero CPU or memory is still refused as an invalid registration, and the worker keeps the one before.

--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -180,9 +180,12 @@
 		c.unackedWorkers = append(c.unackedWorkers, w)
 	}
 	listed := make(map[*run]struct{}, len(report.Running))
+	w.hasStrayRuns = false
 	for i := range report.Running {
 		if r := c.applyRunning(now, w, &report.Running[i]); r != nil {
 			listed[r] = struct{}{}
+		} else {
+			w.hasStrayRuns = true
 		}
 	}
 	for r := range w.runs {
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -52,6 +52,8 @@
 	longRunningCPU int64
 	// suspectRuns counts the runs of tasks that are suspected to crash their workers.
 	suspectRuns int
+	// hasStrayRuns is true while the worker lists runs that are not needed and are being stopped. They use capacity.
+	hasStrayRuns bool
 	// longRunningCPUByImage is longRunningCPU by image.
 	longRunningCPUByImage map[string]int64
 	// headrooms is how far the utilisation of serving tasks may rise. It is recomputed when it is stale.
@@ -128,10 +130,16 @@
 
 // isUsable reports whether the worker may get new tasks.
 func (w *worker) isUsable(now time.Time, c *Config) bool {
-	return w.registered && w.recorded && w.reported && !w.fenced && !w.info.Draining && !now.Before(w.pausedUntil) &&
+	return w.registered && w.recorded && w.reported && !w.fenced && !w.hasStrayRuns && w.isRegistrationCurrent() && !w.info.Draining && !now.Before(w.pausedUntil) &&
 		now.Sub(w.lastContact) < c.ContactTimeout && !w.clockAt.IsZero() && !w.isUnresponsive(now, c)
 }
 
+// isRegistrationCurrent reports whether the registration is that of the worker's current incarnation. The next one may have
+// another capacity and other labels.
+func (w *worker) isRegistrationCurrent() bool {
+	return w.info.Incarnation == w.incarnation || w.info.Incarnation == 0
+}
+
 // addRun reserves capacity for a run.
 func (w *worker) addRun(r *run) {
 	w.runs[r] = struct{}{}
