--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -305,15 +305,16 @@
 // one may have accepted the others, or may still accept those whose orders are under way, until it has seen a raised
 // fencing token: its next report shows which of them exist.
 func (c *Cell) handleRestart(now time.Time, w *worker, incarnation medlarorder.Incarnation) {
-	known := w.incarnation != 0
+	previous := w.incarnation
 	w.incarnation = incarnation
-	if !known {
+	if previous == 0 {
 		return
 	}
 	w.fence++
 	lost := 0
+	c.recordCrashes(now, w, previous, lostRestart)
 	for r := range w.runs {
-		if r.reported {
+		if r.isReported() {
 			lost++
 			c.markLost(now, r, lostRestart)
 			continue
@@ -336,6 +337,7 @@
 	for id, w := range c.workers {
 		if len(w.runs) > 0 && now.After(w.leaseEnd) {
 			c.emit(Event{Kind: EventLeaseEnded, Worker: id, Count: len(w.runs), Age: now.Sub(w.lastContact)})
+			c.recordCrashes(now, w, w.incarnation, lostLease)
 			for r := range w.runs {
 				c.markLost(now, r, lostLease)
 			}
--- /dev/null
+++ b/internal/scheduling/medlarcell/crash.go
@@ -0,0 +1,325 @@
+package medlarcell
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
+)
+
+// Crash is a run under which a worker crashed, or went silent until its lease must have ended.
+type Crash struct {
+	// Run is zero for a run that an earlier owner may have started without noticing the crash.
+	Run         medlarorder.RunNumber   `json:"run"`
+	Worker      medlarwheel.WorkerID    `json:"worker"`
+	Incarnation medlarorder.Incarnation `json:"life,omitempty"`
+	Address     string                  `json:"address,omitempty"`
+	// Confirmed is true if another process is known to have taken the worker's place. Otherwise the worker may have been
+	// unreachable.
+	Confirmed bool `json:"confirmed,omitempty"`
+	// Started is true if the worker has confirmed the start of the run.
+	Started bool `json:"started,omitempty"`
+	// Prompt is true if the worker stopped responding right after the start of the run, and Alone if no run of another
+	// submission was started there at that time.
+	Prompt bool `json:"prompt,omitempty"`
+	Alone  bool `json:"alone,omitempty"`
+}
+
+const (
+	// promptCrashTime is how long a run has been reported at most if its start may have caused the crash of its worker.
+	promptCrashTime = 250 * time.Millisecond
+	// crashProbation is how long a run has to be reported until its task is no longer suspected.
+	crashProbation = 10 * time.Second
+	// certainCrashes is the number of crashes, each right after a start of the task, that the task is blamed for.
+	certainCrashes = 2
+	// ambiguousCrashes is the number of crashes that the task is blamed for although others may have caused each of them.
+	ambiguousCrashes = 3
+	// maxCrashes is the number of lost workers after which a task is not started again, even if some of them may only
+	// have been unreachable.
+	maxCrashes = 4
+)
+
+// recordCrashes records that this incarnation of a worker has crashed, or was silent until its lease must have ended. It
+// is called before the runs are marked as lost.
+func (c *Cell) recordCrashes(now time.Time, w *worker, incarnation medlarorder.Incarnation, reason string) {
+	if w.info.Draining {
+		// A draining worker terminates what still runs on it when it leaves.
+		return
+	}
+	restarted := reason == lostRestart
+	submissions := map[*job]struct{}{}
+	for r := range w.runs {
+		if r.isPrompt() {
+			submissions[r.job()] = struct{}{}
+		}
+	}
+	var suspects []*run
+	for r := range w.runs {
+		if r.reportedFor() >= crashProbation || r.job().state.IsFinal() || r.task().done {
+			continue
+		}
+		suspects = append(suspects, r)
+		c.recordCrash(now, r, Crash{
+			Run: r.number, Worker: w.info.ID, Incarnation: incarnation, Address: w.info.Address, Confirmed: restarted,
+			Started: r.phase == runConfirmed, Prompt: r.isPrompt(), Alone: r.isPrompt() && len(submissions) == 1,
+		})
+	}
+	// The task with the strongest evidence is assessed first, because that may clear the others.
+	slices.SortFunc(suspects, func(a, b *run) int {
+		_, promptA, aloneA := countCrashes(a.task().crashes)
+		_, promptB, aloneB := countCrashes(b.task().crashes)
+		return cmp.Or(cmp.Compare(promptB, promptA), cmp.Compare(aloneB, aloneA), cmp.Compare(a.name().String(), b.name().String()))
+	})
+	for _, r := range suspects {
+		c.assess(now, r.step, r.index)
+	}
+}
+
+// reportedFor returns how long the reports of the worker have listed the run.
+func (r *run) reportedFor() time.Duration {
+	if !r.isReported() {
+		return 0
+	}
+	return r.reportedAt.Sub(r.confirmedAt)
+}
+
+// isPrompt reports whether the start of the run may be what its worker has crashed of.
+func (r *run) isPrompt() bool { return !r.adopted && r.reportedFor() < promptCrashTime }
+
+func (c *Cell) recordCrash(now time.Time, r *run, crash Crash) {
+	t := r.task()
+	if slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Run == crash.Run }) {
+		return
+	}
+	t.crashes = append(t.crashes, crash)
+	c.confirmCrashes(t)
+	if t.isSuspect() {
+		c.markDirty(r.job())
+		if len(t.crashes) > 1 || t.crashes[0].Confirmed {
+			c.holdUntilStored(r.step, r.index)
+		}
+	}
+	if len(t.crashes) > 1 {
+		c.emit(Event{
+			Kind: EventTaskSuspected, Task: r.name(), Run: r.number, Worker: crash.Worker, Count: len(t.crashes), Reason: describeCrashes(t.crashes),
+			Age: now.Sub(r.sentAt),
+		})
+	}
+}
+
+// assess fails the submission of a task that is to blame for the crashes of its workers.
+func (c *Cell) assess(now time.Time, s *step, index int) {
+	j, t := s.occurrence.job, &s.tasks[index]
+	if c.confirmCrashes(t); j.state.IsFinal() || !isBlamed(t.crashes) {
+		return
+	}
+	c.clearOthers(j, t.crashes)
+	last := t.crashes[len(t.crashes)-1]
+	c.finish(now, j, medlarsubmission.StateFailed)
+	c.emit(Event{
+		Kind: EventFailed, Submission: j.submission.ID, Route: j.submission.Route, Task: s.name(index), Run: last.Run, Worker: last.Worker,
+		Reason: "crashed its workers: " + describeCrashes(t.crashes), Age: now.Sub(j.submission.AcceptedAt),
+	})
+}
+
+// clearOthers removes the crashes that a task is blamed for from the records of other submissions.
+func (c *Cell) clearOthers(blamed *job, crashes []Crash) {
+	for _, j := range c.jobs {
+		if j == blamed || j.state.IsFinal() {
+			continue
+		}
+		j.forEachTask(func(s *step, index int) {
+			t := &s.tasks[index]
+			n := len(t.crashes)
+			t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool {
+				return slices.ContainsFunc(crashes, func(own Crash) bool {
+					return own.Prompt && own.Worker == crash.Worker && own.Incarnation == crash.Incarnation
+				})
+			})
+			if len(t.crashes) < n {
+				c.markDirty(j)
+			}
+		})
+	}
+}
+
+// countUnreportedRuns counts a lost run for each suspect that is neither running nor has ended: the earlier owner may have
+// started it, and may have died before it noticed the crash.
+func (c *Cell) countUnreportedRuns(now time.Time) {
+	for _, j := range c.jobs {
+		if !j.inheritedSuspects || j.state.IsFinal() {
+			continue
+		}
+		j.forEachTask(func(s *step, index int) {
+			t := &s.tasks[index]
+			if !t.inheritedSuspect || t.done || j.state.IsFinal() {
+				return
+			}
+			t.inheritedSuspect = false
+			t.crashes = append(t.crashes, Crash{})
+			c.holdUntilStored(s, index)
+			c.assess(now, s, index)
+		})
+	}
+}
+
+// isSuspect reports whether the next run of the task may crash its worker. A single crash long after the start of the
+// run says little, since one crash hits all runs on the worker.
+func (t *task) isSuspect() bool {
+	return len(t.crashes) > 1 || len(t.crashes) == 1 && t.crashes[0].Prompt
+}
+
+// isBlamed reports whether the crashes are certain to be the task's own, or are so many that the task may not be started
+// again.
+func isBlamed(crashes []Crash) bool {
+	confirmed, prompt, alone := countCrashes(crashes)
+	return prompt >= certainCrashes && (alone > 0 || confirmed >= ambiguousCrashes) || len(crashes) >= maxCrashes
+}
+
+// isReservedForSuspect reports whether a suspect of another submission was started on the worker just now. Nothing else is
+// started there until a report shows that the worker has survived, so that a crash tells which task is the cause.
+func (w *worker) isReservedForSuspect(j *job) bool {
+	if w.suspectRuns == 0 {
+		return false
+	}
+	for r := range w.runs {
+		if r.suspect && r.isPrompt() && r.job() != j {
+			return true
+		}
+	}
+	return false
+}
+
+// crashExposure returns the used share of the worker's CPU, which a crash would interrupt, and one more if another run
+// was started there just now, which could be the cause of a crash as well.
+func (w *worker) crashExposure() float64 {
+	exposure := float64(w.committed.MilliCPU+w.bestEffortCPU) / float64(max(1, w.info.Capacity.MilliCPU))
+	for r := range w.runs {
+		if r.isPrompt() {
+			return exposure + 1
+		}
+	}
+	return exposure
+}
+
+// holdUntilStored keeps a suspect from being started until its crashes are stored, since the next owner would not know
+// their count.
+func (c *Cell) holdUntilStored(s *step, index int) {
+	j, t := s.occurrence.job, &s.tasks[index]
+	c.markDirty(j)
+	t.waiting, t.crashesUnstored, j.crashesUnstored = false, true, true
+	s.removeReady(index)
+	c.needsCompaction = true
+}
+
+// releaseSuspects requeues the tasks of a job whose crashes are stored now.
+func (c *Cell) releaseSuspects(now time.Time, j *job) {
+	if !j.crashesUnstored || j.dirty {
+		return
+	}
+	j.crashesUnstored = false
+	j.forEachTask(func(s *step, index int) {
+		if t := &s.tasks[index]; t.crashesUnstored {
+			t.crashesUnstored = false
+			c.requeue(now, s, index)
+		}
+	})
+}
+
+// maxStoredSuspects bounds the tasks of a submission whose crashes are stored, because the size of a row is limited.
+const maxStoredSuspects = 100
+
+// storedCrashes returns the crashes to store, by occurrence, step and task. Those of the tasks with the most crashes
+// come first.
+func (j *job) storedCrashes() map[string][]Crash {
+	type suspect struct {
+		key     string
+		crashes []Crash
+	}
+	var suspects []suspect
+	j.forEachTask(func(s *step, index int) {
+		if t := &s.tasks[index]; len(t.crashes) > 0 && !t.done {
+			suspects = append(suspects, suspect{fmt.Sprintf("%d.%d.%d", s.occurrence.index, s.index, index), t.crashes})
+		}
+	})
+	if len(suspects) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(suspects, func(a, b suspect) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
+	stored := map[string][]Crash{}
+	for _, s := range suspects[:min(len(suspects), maxStoredSuspects)] {
+		stored[s.key] = slices.Clone(s.crashes)
+	}
+	return stored
+}
+
+// confirmCrashes confirms the crashes of workers whose address another worker has registered since.
+func (c *Cell) confirmCrashes(t *task) {
+	for i := range t.crashes {
+		crash := &t.crashes[i]
+		if crash.Confirmed || crash.Address == "" {
+			continue
+		}
+		for id, w := range c.workers {
+			if id != crash.Worker && w.info.Address == crash.Address {
+				crash.Confirmed = true
+				break
+			}
+		}
+	}
+}
+
+// describeCrashes returns the evidence that the task is what crashes its workers.
+func describeCrashes(crashes []Crash) string {
+	confirmed, prompt, alone := countCrashes(crashes)
+	return fmt.Sprintf("confirmed %d, right after the start %d, alone %d", confirmed, prompt, alone)
+}
+
+// countCrashes counts the confirmed crashes, those of them right after the start of the run, and those of the latter with
+// no other suspect.
+func countCrashes(crashes []Crash) (confirmed, prompt, alone int) {
+	for _, crash := range crashes {
+		if !crash.Confirmed || !crash.Started {
+			continue
+		}
+		confirmed++
+		if crash.Prompt {
+			prompt++
+		}
+		if crash.Alone {
+			alone++
+		}
+	}
+	return confirmed, prompt, alone
+}
+
+// withdrawCrash removes the record of a crash, because the worker had the run after all.
+func (c *Cell) withdrawCrash(j *job, t *task, number medlarorder.RunNumber) {
+	n := len(t.crashes)
+	t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool {
+		return crash.Run == number || crash.Run == 0 && number < c.firstRun
+	})
+	if len(t.crashes) < n {
+		c.markDirty(j)
+	}
+}
+
+// observeSurvival clears the task of earlier crashes once a run of it has been reported for long enough. A worker that
+// lists a run has not crashed under it.
+func (c *Cell) observeSurvival(now time.Time, r *run) {
+	r.reportedAt = now
+	t := r.task()
+	if len(t.crashes) == 0 {
+		return
+	}
+	if r.reportedFor() < crashProbation {
+		c.withdrawCrash(r.job(), t, r.number)
+		return
+	}
+	t.crashes = nil
+	c.markDirty(r.job())
+}
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -30,6 +30,8 @@
 	if j.state.IsFinal() || t.done {
 		return
 	}
+	c.withdrawCrash(j, t, e.Run)
+	t.inheritedSuspect = false
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -33,6 +33,10 @@
 	// inherited is true for jobs that may have runs of an earlier owner, on workers that have not reported yet.
 	inherited bool
 	dirty     bool
+	// crashesUnstored is true while tasks wait for their crashes to be stored.
+	crashesUnstored bool
+	// inheritedSuspects is true if an earlier owner has stored crashes of the job's tasks.
+	inheritedSuspects bool
 }
 
 // occurrence is one execution of all steps of a submission.
@@ -86,6 +90,13 @@
 	moves int
 	// failedTime is the total time that the failed runs of the task have taken.
 	failedTime time.Duration
+	// crashes lists up to maxCrashes runs under which a worker crashed, unless the task has been cleared of them since.
+	crashes []Crash
+	// inheritedSuspect is true while it is unknown whether an earlier owner has started the task again after the crashes
+	// that it stored.
+	inheritedSuspect bool
+	// crashesUnstored is true while the task waits for its crashes to be stored.
+	crashesUnstored bool
 	// avoidWorker is the worker on which the last run failed or from which the task was moved.
 	avoidWorker medlarwheel.WorkerID
 }
@@ -111,9 +122,12 @@
 	phase  runPhase
 	// sentAt is when the start was sent and confirmedAt when the worker confirmed it.
 	sentAt, confirmedAt time.Time
-	// reported is true once a report has listed the run. Unlike the response to a start, a report names the incarnation of
-	// the worker that runs it.
-	reported bool
+	// reportedAt is when a report last listed the run, or zero before. Unlike the response to a start, a report names the
+	// incarnation of the worker that runs it. adopted is true if an earlier owner has started the run.
+	reportedAt time.Time
+	adopted    bool
+	// suspect is true if the task was suspected to crash its workers when the run was started.
+	suspect bool
 	// resolveFence is the lowest fencing token of a renewal whose report shows conclusively whether an uncertain run
 	// exists.
 	resolveFence    medlarwheel.FencingToken
@@ -141,6 +155,9 @@
 	overTargetSince       time.Time
 }
 
+// isReported reports whether a report has listed the run.
+func (r *run) isReported() bool { return !r.reportedAt.IsZero() }
+
 func (r *run) task() *task { return &r.step.tasks[r.index] }
 
 func (r *run) job() *job { return r.step.occurrence.job }
@@ -237,6 +254,17 @@
 // isIndex reports whether n, which may come from outside the process, is a valid index of the list.
 func isIndex[T any](n int, list []T) bool { return n >= 0 && n < len(list) }
 
+// forEachTask calls f for every task of the job.
+func (j *job) forEachTask(f func(s *step, index int)) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				f(s, i)
+			}
+		}
+	}
+}
+
 // forEachRun calls f for every run of the job. f may end runs.
 func (j *job) forEachRun(f func(*run)) {
 	for _, o := range j.occurrences {
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -189,9 +189,12 @@
 		c.unackedWorkers = append(c.unackedWorkers, w)
 	}
 	listed := make(map[*run]struct{}, len(report.Running))
+	w.hasStrayRuns = false
 	for i := range report.Running {
 		if r := c.applyRunning(now, w, &report.Running[i]); r != nil {
 			listed[r] = struct{}{}
+		} else {
+			w.hasStrayRuns = true
 		}
 	}
 	w.endsTruncated = len(report.Ended) > medlarorder.MaxReportedEnds
@@ -265,7 +268,7 @@
 	if r.phase != runConfirmed {
 		c.confirm(now, r)
 	}
-	r.reported = true
+	c.observeSurvival(now, r)
 	r.progressPercent = max(r.progressPercent, running.Percent)
 	r.checkpoint = running.Checkpoint
 	if running.Checkpoint != "" {
@@ -289,7 +292,8 @@
 		return nil
 	}
 	t.lastRun = max(t.lastRun, running.Run)
-	r := &run{step: s, index: running.Task.Index, number: running.Run, worker: w, sentAt: now, pace: fullPace}
+	t.inheritedSuspect = false
+	r := &run{step: s, index: running.Task.Index, number: running.Run, worker: w, sentAt: now, adopted: true, suspect: t.isSuspect(), pace: fullPace}
 	c.attach(r)
 	if c.reconciled {
 		c.emit(Event{Kind: EventTaskAdopted, Task: running.Task, Run: running.Run, Worker: w.info.ID})
@@ -354,10 +358,10 @@
 	c.requeue(now, r.step, r.index)
 }
 
-// requeue makes a task wait for a worker again, unless it is done or has another run.
+// requeue makes a task wait for a worker again, unless it is done, has another run, or waits for its crashes to be stored.
 func (c *Cell) requeue(now time.Time, s *step, index int) {
 	t := &s.tasks[index]
-	if t.done || t.waiting || len(t.runs) > 0 || s.occurrence.job.state.IsFinal() {
+	if t.done || t.waiting || t.crashesUnstored || len(t.runs) > 0 || s.occurrence.job.state.IsFinal() {
 		return
 	}
 	t.waiting = true
