Reserve the listen addresses of a test run

Seen in trials with distinct addresses within each system, five loops of starts at once: 7 of 876 starts failed because an instance exited with "address already in use" (1 of 461 without a delay before each instance, and with a random delay 0 of 258 up to 0.1 s, 6 of 107 up to 1 s, 0 of 50 up to 2.5 s).

Cause, in the test's set-up: an address was only free when it was selected. Until the instance listens, and while it restarts, the operating system may assign the port to any other program.

Change: each address is held by a bound socket that does not listen, so that the port is assigned to no one else but a process can still listen on it. This also makes addresses distinct, so the list of used ones is gone.

--- a/medlarproof/process_test.go
+++ b/medlarproof/process_test.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -146,42 +146,77 @@
 	return strings.Join(all[max(0, len(all)-n):], "\n")
 }
 
-// addressPool selects loopback addresses for processes to listen on. It never returns an address twice: the operating system
-// may assign the port of a closed listener again at once, and of two processes with the same address one exits.
+// addressPool reserves loopback addresses for processes to listen on. For each address it holds a bound socket that does not
+// listen. The operating system then assigns the port to no other socket, but a process may still listen on it, because both
+// sockets have the option SO_REUSEADDR, which Go sets for listeners.
 type addressPool struct {
-	mu   sync.Mutex
-	used map[string]struct{}
+	mu      sync.Mutex
+	sockets []int
 }
 
-// addresses selects the addresses of this run.
+// addresses holds the addresses of this run, which are reserved until it ends.
 var addresses addressPool
 
-// freeAddress returns a loopback address with a port that was free at the time of the call and is not returned again.
+// freeAddress returns a loopback address that is reserved for a process of this run.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	return addresses.next(t)
+	address, err := addresses.reserve()
+	if err != nil {
+		t.Fatalf("reserve an address: %v", err)
+	}
+	return address
 }
 
-func (a *addressPool) next(t testing.TB) string {
-	t.Helper()
+func (a *addressPool) reserve() (string, error) {
+	socket, address, err := bindFreePort()
+	if err != nil {
+		return "", err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sockets = append(a.sockets, socket)
+	return address, nil
+}
+
+// close gives up all addresses.
+func (a *addressPool) close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.used == nil {
-		a.used = map[string]struct{}{}
+	for _, socket := range a.sockets {
+		_ = syscall.Close(socket)
 	}
-	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	a.sockets = nil
+}
+
+// bindFreePort binds a socket to a free port of the loopback interface and returns its address.
+func bindFreePort() (socket int, address string, err error) {
+	// Started processes must not inherit the socket.
+	syscall.ForkLock.RLock()
+	socket, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err == nil {
+		syscall.CloseOnExec(socket)
+	}
+	syscall.ForkLock.RUnlock()
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() {
 		if err != nil {
-			t.Fatal(err)
-		}
-		// Listeners on used addresses stay open until the search ends, so that each attempt gets another port.
-		defer func() { _ = listener.Close() }()
-		address := listener.Addr().String()
-		if _, used := a.used[address]; !used {
-			a.used[address] = struct{}{}
-			return address
+			_ = syscall.Close(socket)
 		}
+	}()
+	if err = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return 0, "", err
+	}
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	if err = syscall.Bind(socket, &syscall.SockaddrInet4{Addr: loopback.As4()}); err != nil {
+		return 0, "", err
+	}
+	bound, err := syscall.Getsockname(socket)
+	if err != nil {
+		return 0, "", err
 	}
+	return socket, netip.AddrPortFrom(loopback, uint16(bound.(*syscall.SockaddrInet4).Port)).String(), nil
 }
 
 // pollInterval is the interval between checks of a condition in another process.
