Test the authority of a renewal that is confirmed after the load

The test of the repeated renewal covers only one that is confirmed during the load: it passes although commitRenewal counts from the repetition.

--- a/internal/scheduling/medlarowner/renewal_test.go
+++ b/internal/scheduling/medlarowner/renewal_test.go
@@ -155,3 +155,13 @@
 		t.Error("the control loop did not run within 2 s of the load")
 	}
 }
+
+// TestAuthorityCountsFromTheFirstAttemptAfterLoad guards against the same when the renewal is confirmed only after the load.
+func TestAuthorityCountsFromTheFirstAttemptAfterLoad(t *testing.T) {
+	table := newResponseLossTable(t, 6)
+	go func() { <-table.applied; close(table.readable) }()
+	o := loadThrough(t, table)
+	if end := table.renewedAt.Add(o.config.Ownership.OwnerTimeout); o.cell.AuthorityEnd().After(end) {
+		t.Errorf("authority ends %v after that of the renewal in the table", o.cell.AuthorityEnd().Sub(end))
+	}
+}
