--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -471,6 +471,7 @@
 	}
 	for seed := range seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
 			sim := newSimCluster(t, uint64(seed))
 			sim.run(simDuration)
 			sim.faults = false
@@ -504,6 +505,7 @@
 func TestSimulatedOutages(t *testing.T) {
 	for seed := range 20 {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
 			sim := newSimCluster(t, uint64(seed))
 			sim.events = nil
 			for _, worker := range sim.workers {
@@ -531,6 +533,7 @@
 func TestSimulatedCrashingTasks(t *testing.T) {
 	for seed := range 20 {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
 			sim := newSimClusterWithOwners(t, uint64(seed), 1)
 			sim.crashingStarts = map[medlarsubmission.TaskName]int{}
 			for n := range 3 {
