Record the crash of an uncertain run only once its worker lacks it

The crash now waits with the run (pendingCrash) until a report shows that it is missing. A suspect is held for the store only if its start was confirmed.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -310,11 +310,12 @@
 	if previous == 0 {
 		return
 	}
+	w.restartedAt = now
+	c.recordCrashes(now, w, previous, lostRestart)
 	w.fence++
 	lost := 0
-	c.recordCrashes(now, w, previous, lostRestart)
 	for r := range w.runs {
-		if r.isReported() {
+		if r.reported {
 			lost++
 			c.markLost(now, r, lostRestart)
 			continue
--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -62,11 +62,17 @@
 		if r.reportedFor() >= crashProbation || r.job().state.IsFinal() || r.task().done {
 			continue
 		}
-		suspects = append(suspects, r)
-		c.recordCrash(now, r, Crash{
+		crash := Crash{
 			Run: r.number, Worker: w.info.ID, Incarnation: incarnation, Address: w.info.Address, Confirmed: restarted,
 			Started: r.phase == runConfirmed, Prompt: r.isPrompt(), Alone: r.isPrompt() && len(submissions) == 1,
-		})
+		}
+		if restarted && !r.reported {
+			// The new incarnation may have accepted the run.
+			r.pendingCrash = &crash
+			continue
+		}
+		suspects = append(suspects, r)
+		c.recordCrash(now, r, crash)
 	}
 	// The task with the strongest evidence is assessed first, because that may clear the others.
 	slices.SortFunc(suspects, func(a, b *run) int {
@@ -81,7 +87,7 @@
 
 // reportedFor returns how long the reports of the worker have listed the run.
 func (r *run) reportedFor() time.Duration {
-	if !r.isReported() {
+	if r.reportedAt.IsZero() {
 		return 0
 	}
 	return r.reportedAt.Sub(r.confirmedAt)
@@ -99,7 +105,7 @@
 	c.confirmCrashes(t)
 	if t.isSuspect() {
 		c.markDirty(r.job())
-		if len(t.crashes) > 1 || t.crashes[0].Confirmed {
+		if len(t.crashes) > 1 || t.crashes[0].Confirmed && t.crashes[0].Started {
 			c.holdUntilStored(r.step, r.index)
 		}
 	}
@@ -311,7 +317,7 @@
 // observeSurvival clears the task of earlier crashes once a run of it has been reported for long enough. A worker that
 // lists a run has not crashed under it.
 func (c *Cell) observeSurvival(now time.Time, r *run) {
-	r.reportedAt = now
+	r.reportedAt, r.pendingCrash = now, nil
 	t := r.task()
 	if len(t.crashes) == 0 {
 		return
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -122,12 +122,16 @@
 	phase  runPhase
 	// sentAt is when the start was sent and confirmedAt when the worker confirmed it.
 	sentAt, confirmedAt time.Time
-	// reportedAt is when a report last listed the run, or zero before. Unlike the response to a start, a report names the
-	// incarnation of the worker that runs it. adopted is true if an earlier owner has started the run.
+	// reportedAt is when a report last listed the run. adopted is true if an earlier owner has started it.
 	reportedAt time.Time
 	adopted    bool
+	// pendingCrash is the crash under which the run is lost if the restarted worker does not list it.
+	pendingCrash *Crash
 	// suspect is true if the task was suspected to crash its workers when the run was started.
 	suspect bool
+	// reported is true once a report has listed the run. Unlike the response to a start, a report names the incarnation of
+	// the worker that runs it.
+	reported bool
 	// resolveFence is the lowest fencing token of a renewal whose report shows conclusively whether an uncertain run
 	// exists.
 	resolveFence    medlarwheel.FencingToken
@@ -155,9 +159,6 @@
 	overTargetSince       time.Time
 }
 
-// isReported reports whether a report has listed the run.
-func (r *run) isReported() bool { return !r.reportedAt.IsZero() }
-
 func (r *run) task() *task { return &r.step.tasks[r.index] }
 
 func (r *run) job() *job { return r.step.occurrence.job }
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -269,6 +269,7 @@
 		c.confirm(now, r)
 	}
 	c.observeSurvival(now, r)
+	r.reported = true
 	r.progressPercent = max(r.progressPercent, running.Percent)
 	r.checkpoint = running.Checkpoint
 	if running.Checkpoint != "" {
@@ -351,6 +352,10 @@
 
 // markLost removes a run that cannot be running any more, and requeues its task.
 func (c *Cell) markLost(now time.Time, r *run, reason string) {
+	if r.pendingCrash != nil {
+		c.recordCrash(now, r, *r.pendingCrash)
+		c.assess(now, r.step, r.index)
+	}
 	c.detach(now, r)
 	t := r.task()
 	t.lastEndedRun = max(t.lastEndedRun, r.number)
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -13,6 +13,8 @@
 	info medlarorder.Worker
 	// incarnation is that of the last report, or zero before the first one.
 	incarnation medlarorder.Incarnation
+	// restartedAt is when a report first showed the current incarnation, if it is not the first one.
+	restartedAt time.Time
 	// registered is false once the worker's registration is gone. It then gets no new tasks.
 	registered bool
 	// recorded is true once the worker is in the table's list of workers. Before that it gets no tasks, since the next
@@ -137,14 +139,18 @@
 
 // isUsable reports whether the worker may get new tasks.
 func (w *worker) isUsable(now time.Time, c *Config) bool {
-	return w.registered && w.recorded && w.reported && !w.fenced && !w.hasStrayRuns && w.isRegistrationCurrent() && !w.info.Draining && !now.Before(w.pausedUntil) &&
+	return w.registered && w.recorded && w.reported && !w.fenced && !w.hasStrayRuns && w.isRegistrationCurrent(now) && !w.info.Draining && !now.Before(w.pausedUntil) &&
 		now.Sub(w.lastContact) < c.ContactTimeout && !w.clockAt.IsZero() && !w.isUnresponsive(now, c)
 }
 
-// isRegistrationCurrent reports whether the registration is that of the worker's current incarnation. The next one may have
-// another capacity and other labels.
-func (w *worker) isRegistrationCurrent() bool {
-	return w.info.Incarnation == w.incarnation || w.info.Incarnation == 0 || w.incarnation == 0
+// registrationTimeout is how long a restarted worker gets no tasks until its registration names the new incarnation. While
+// the table is unavailable, workers cannot register.
+const registrationTimeout = 5 * time.Second
+
+// isRegistrationCurrent reports whether the registration is that of the worker's current incarnation, which may have
+// another capacity and other labels than the one before.
+func (w *worker) isRegistrationCurrent(now time.Time) bool {
+	return w.info.Incarnation == w.incarnation || now.Sub(w.restartedAt) >= registrationTimeout
 }
 
 // addRun reserves capacity for a run.
