--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -1,6 +1,7 @@
 package medlarcell
 
 import (
+	"fmt"
 	"time"
 
 	"medlarwheel"
@@ -248,8 +249,6 @@
 func (c *Cell) RestoreWorkers(now time.Time, workers []medlarorder.Worker) {
 	for _, info := range workers {
 		if c.workers[info.ID] == nil {
-			// The incarnation is unknown: the worker may have restarted since.
-			info.Incarnation = 0
 			c.SetWorker(now, info)
 			c.workers[info.ID].registered = false
 		}
@@ -283,8 +282,9 @@
 	}
 	w.info, w.centreResponsiveness = info, c.responsivenessByCentre.of(info.DataCentre)
 	c.failureCache.workerChanged(w)
-	if info.Incarnation != w.incarnation {
-		c.handleRestart(now, w, info.Incarnation)
+	if info.Incarnation != w.incarnation && w.incarnation != 0 {
+		// Any writer may have written the registration, so only a report of the worker shows whether it has restarted.
+		w.incarnationUncertain = true
 	}
 	if !w.renewalInFlight || address != info.Address {
 		c.scheduleRenewal(now, w, 0)
@@ -301,20 +301,34 @@
 	c.emit(Event{Kind: EventWorkerUnregistered, Worker: id, Age: now.Sub(w.lastContact)})
 }
 
-// handleRestart marks the runs of earlier incarnations of the worker as lost.
+// handleRestart handles a new incarnation of the worker. Runs that an earlier incarnation has reported are lost. The new
+// one may have accepted the others, or may still accept those whose orders are under way, until it has seen a raised
+// fencing token: its next report shows which of them exist.
 func (c *Cell) handleRestart(now time.Time, w *worker, incarnation medlarorder.Incarnation) {
 	previous := w.incarnation
 	w.incarnation = incarnation
 	if previous == 0 {
 		return
 	}
-	c.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Count: len(w.runs)})
+	w.restartedAt = now
 	c.recordCrashes(now, w, previous, lostRestart)
+	w.fence++
+	lost := 0
 	for r := range w.runs {
-		c.markLost(now, r, lostRestart)
+		if r.reported {
+			lost++
+			c.markLost(now, r, lostRestart)
+			continue
+		}
+		w.shareHistory.endInterval(now, r)
+		r.phase, r.resolveFence = runUncertain, w.fence
 	}
+	c.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Count: lost, Reason: fmt.Sprintf("uncertain runs: %d", len(w.runs))})
 	w.lastProcessedEnd, w.lastAckedEnd, w.reported = 0, 0, false
 	w.clockAt = time.Time{}
+	// The lease in an order for the previous incarnation is in the far future on the clock of the next one, which shortens
+	// it to the maximum.
+	w.extendLeaseBound(now.Add(c.leaseDurationBound(c.config.MaxLease)))
 	w.recentFailedJobs, w.relativeSpeed = nil, 1
 }
 
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -309,3 +309,89 @@
 		t.Fatalf("%d tasks were started, want one, on w0, the only worker that is neither draining nor unregistered", len(sc.starts))
 	}
 }
+
+// TestFullReportProvesNoRunMissing guards against a second run of a task whose end does not fit in the report. A worker reports
+// 500 ended runs at a time, and more wait while an outage of the table delays the acknowledgements.
+func TestFullReportProvesNoRunMissing(t *testing.T) {
+	const endsPerReport = 500
+	sc := newScriptedCell(t, 2, Ownership{Fence: 1 << 12, Term: 1})
+	for _, renewal := range sc.renewals {
+		sc.report(renewal, medlarorder.Report{})
+	}
+	sc.cell.Accept(sc.now, testSubmission(testStep()))
+	sc.dispatch()
+	start := sc.starts[0]
+	sc.cell.HandleStartResponse(sc.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
+	sc.now = sc.now.Add(10 * time.Millisecond)
+	var full medlarorder.Report
+	for n := range endsPerReport {
+		full.Ended = append(full.Ended, medlarorder.Ended{Number: medlarorder.EndNumber(n + 1), Run: 1, Kind: medlarorder.EndDone})
+	}
+	for _, renewal := range sc.renewals {
+		if renewal.Worker == start.Worker {
+			sc.report(renewal, full)
+		}
+	}
+	sc.dispatch()
+	if len(sc.starts) > 0 {
+		t.Error("a task was started again although its end may be among those that the report left out")
+	}
+}
+
+// fullReport is a report with as many ended runs as fit.
+func fullReport() medlarorder.Report {
+	var report medlarorder.Report
+	for i := range medlarorder.MaxReportedEnds + 1 {
+		name := medlarsubmission.TaskName{Submission: "00000000000000bb", Index: i}
+		report.Ended = append(report.Ended, medlarorder.Ended{Number: medlarorder.EndNumber(i + 1), Task: name, Run: 1, Kind: medlarorder.EndDone})
+	}
+	return report
+}
+
+// TestFullReportReconcilesNoWorker guards against a second run of an inherited task whose end did not fit in the first report
+// to a new owner.
+func TestFullReportReconcilesNoWorker(t *testing.T) {
+	sc := newScriptedCell(t, 0, Ownership{Fence: 1 << 12, Term: 2})
+	if err := sc.cell.Restore(sc.now, testSubmission(testStep()), Progress{}, false); err != nil {
+		t.Fatal(err)
+	}
+	sc.cell.SetWorker(sc.now, testWorker(0))
+	sc.flush()
+	sc.dispatch()
+	sc.report(sc.renewals[0], fullReport())
+	sc.cell.FlushSucceeded(sc.now, sc.cell.TakeFlush(0))
+	sc.dispatch()
+	if len(sc.starts) > 0 {
+		t.Fatal("an inherited task was started although its end may be among those that did not fit in the report")
+	}
+	sc.now = sc.now.Add(10 * time.Millisecond)
+	for _, r := range sc.renewals {
+		sc.report(r, medlarorder.Report{})
+	}
+	sc.dispatch()
+	if len(sc.starts) != 1 {
+		t.Errorf("got %d starts after a complete report without the task, want 1", len(sc.starts))
+	}
+}
+
+// TestFullReportsAreNotRequestedWithoutPause guards against a stream of requests for a report while a worker's ended runs cannot
+// be acknowledged, each of which raises the worker's fencing token.
+func TestFullReportsAreNotRequestedWithoutPause(t *testing.T) {
+	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	sc.report(sc.renewals[0], medlarorder.Report{})
+	sc.cell.Accept(sc.now, testSubmission(testStep()))
+	sc.dispatch()
+	sc.cell.HandleStartResponse(sc.now, sc.starts[0].Worker, sc.starts[0].Start, medlarorder.Response{}, fmt.Errorf("no response"))
+	requests := 0
+	for range 100 {
+		sc.now = sc.now.Add(time.Millisecond)
+		sc.dispatch()
+		for _, r := range sc.renewals {
+			requests++
+			sc.report(r, fullReport())
+		}
+	}
+	if requests > 4 {
+		t.Errorf("got %d requests for a report in 100 ms while its ends are not acknowledged, want at most 4", requests)
+	}
+}
--- a/internal/scheduling/medlarcell/responses.go
+++ b/internal/scheduling/medlarcell/responses.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if response.Clock > 0 {
-		c.recordResponse(now, w, response.Clock)
+		c.recordResponse(now, w)
 	}
 	switch response.Verdict {
 	case medlarorder.VerdictAccepted:
@@ -38,6 +38,8 @@
 		w.reported = false
 	case medlarorder.VerdictSuperseded:
 		r.task().lastRun += runNumberSkip
+		// A run of the task that is still being stopped there rejects every start until it has ended.
+		w.pausedUntil = now.Add(c.config.UnhealthyPause)
 	}
 	c.handleRejectedStart(now, r, string(response.Verdict))
 }
@@ -77,7 +79,7 @@
 		return
 	}
 	if response.Clock > 0 {
-		c.recordResponse(now, w, response.Clock)
+		c.recordResponse(now, w)
 	}
 	if response.Verdict == medlarorder.VerdictFenced {
 		c.handleFenced(now, w, s.Fence)
