--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -37,6 +37,23 @@
 	claimLock sync.Mutex
 	// unresolved is a claim whose response was lost. The table may still carry it out.
 	unresolved *unresolvedClaim
+	// startedTerm is the number of the last term of which this process has run the owner.
+	startedTerm uint64
+}
+
+// beginTerm reports whether the owner of a term is still to be started. Both the response to a claim and the rows of the
+// table may show a claim first, on different goroutines; only the first one starts the owner.
+func (s *ownershipState) beginTerm(number uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if number <= s.startedTerm {
+		return false
+	}
+	s.startedTerm = number
+	if s.unresolved != nil && s.unresolved.term.Number <= number {
+		s.unresolved = nil
+	}
+	return true
 }
 
 // unresolvedClaim is a claim whose outcome is unknown.
@@ -46,6 +63,26 @@
 	predecessor medlarownership.Predecessor
 }
 
+// sinceFirstAttempt returns a claim with the time of its first unresolved attempt, which may be the one that took effect: other
+// instances count the owner's time-out from it. What the predecessor may still do is counted from the last attempt.
+func (s *ownershipState) sinceFirstAttempt(c unresolvedClaim) unresolvedClaim {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.unresolved
+	if first == nil || first.term.Number != c.term.Number || !first.claimedAt.Before(c.claimedAt) {
+		return c
+	}
+	repeatedAfter := c.claimedAt.Sub(first.claimedAt)
+	c.claimedAt = first.claimedAt
+	c.predecessor.Expired = c.predecessor.Expired && first.predecessor.Expired
+	c.predecessor.Grace = max(c.predecessor.Grace+repeatedAfter, first.predecessor.Grace)
+	if c.predecessor.OutageLeases > 0 {
+		c.predecessor.OutageLeases += repeatedAfter
+	}
+	c.predecessor.OutageLeases = max(c.predecessor.OutageLeases, first.predecessor.OutageLeases)
+	return c
+}
+
 // withMonitor calls use with the monitor under the lock. The lock is released after a panic too, so that a restarted loop
 // does not deadlock.
 func (n *Node) withMonitor(use func(m *medlarownership.Monitor)) {
@@ -240,11 +277,12 @@
 		n.log.Error().Str("event", "claim-failed").Err(err).Msg("cannot encode the claim; the cell is not claimed")
 		return
 	}
+	claim := unresolvedClaim{term: next, claimedAt: claimedAt, predecessor: predecessor}
 	commit, err := n.store.Transact(t)
 	var conflict *medlartable.ConflictError
 	if errors.As(err, &conflict) {
 		if commit.Version = n.ownClaimVersion(conflict); commit.Version != 0 {
-			err = nil
+			claim, err = n.ownership.sinceFirstAttempt(claim), nil
 		} else {
 			n.observeOwnership(ctx, conflict.Rows)
 		}
@@ -253,8 +291,9 @@
 		n.log.Warn().Str("event", "claim-failed").Uint64("term", next.Number).Err(err).
 			Msg("claim of the cell failed or its outcome is unknown; continuing to watch the claim row")
 		if conflict == nil && !medlarwheel.HasNoEffect(err) {
+			claim = n.ownership.sinceFirstAttempt(claim)
 			n.ownership.mu.Lock()
-			n.ownership.unresolved = &unresolvedClaim{term: next, claimedAt: claimedAt, predecessor: predecessor}
+			n.ownership.unresolved = &claim
 			n.ownership.mu.Unlock()
 		}
 		return
@@ -264,7 +303,7 @@
 		Bool("asked", receivedRequests).Int64("outage-leases-ms", predecessor.OutageLeases.Milliseconds()).Msg("")
 	n.withMonitor(func(m *medlarownership.Monitor) { m.RecordClaim(next) })
 	n.setTerm(ctx, next)
-	n.startOwner(ctx, next, claimedAt, predecessor)
+	n.startOwner(ctx, next, claim.claimedAt, claim.predecessor)
 }
 
 // ownClaimVersion returns the row version of a claim by this process whose response was lost, or zero if the conflict is
@@ -292,8 +331,13 @@
 	defaultGCPercent = 100
 )
 
-// startOwner runs the scheduler in the background until it loses the cell.
+// startOwner runs the scheduler in the background until it loses the cell. It does nothing if this process has already
+// started the owner of the term.
 func (n *Node) startOwner(ctx context.Context, term medlarownership.Term, claimedAt time.Time, predecessor medlarownership.Predecessor) {
+	if !n.ownership.beginTerm(term.Number) {
+		n.log.Info().Str("event", "owner-already-started").Uint64("term", term.Number).Msg("")
+		return
+	}
 	owner := medlarowner.New(n.config.Owner, medlarowner.Dependencies{
 		Store:    n.store,
 		Registry: medlarowner.Registry{Range: platform.WorkerRange(), Decode: platform.DecodeWorker},
@@ -308,11 +352,13 @@
 		Clock: n.clock, Log: n.log, Meter: n.meter,
 	}, term, claimedAt, predecessor)
 	n.owner.Store(owner)
+	n.meter.Count("owner.started")
+	n.log.Info().Str("event", "owner-started").Uint64("term", term.Number).Str("process", term.Process).Msg("")
 	go func() {
 		debug.SetGCPercent(ownerGCPercent)
 		defer debug.SetGCPercent(defaultGCPercent)
 		err := owner.Run(ctx)
-		n.owner.Store(nil)
+		n.owner.CompareAndSwap(owner, nil)
 		if medlarrecover.IsPanic(err) {
 			// The next owner reads the same records. If the fault depends on the state of this process, another process
 			// does not hit it.
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -125,8 +125,13 @@
 	// reportedAt is when a report last listed the run. adopted is true if an earlier owner has started it.
 	reportedAt time.Time
 	adopted    bool
+	// pendingCrash is the crash under which the run is lost if the restarted worker does not list it.
+	pendingCrash *Crash
 	// suspect is true if the task was suspected to crash its workers when the run was started.
 	suspect bool
+	// reported is true once a report has listed the run. Unlike the response to a start, a report names the incarnation of
+	// the worker that runs it.
+	reported bool
 	// resolveFence is the lowest fencing token of a renewal whose report shows conclusively whether an uncertain run
 	// exists.
 	resolveFence    medlarwheel.FencingToken
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -34,10 +34,17 @@
 	case report.Verdict == medlarorder.VerdictFenced:
 		c.handleFenced(now, w, renewal.Fence)
 		delay = c.config.RenewalRetryDelay
+	case report.Verdict == medlarorder.VerdictOtherIncarnation:
+		// A lease is never extended for a worker that no longer exists at the address, so that its runs end with it.
+		w.incarnationUncertain, w.reported = true, false
+		delay = c.config.RenewalRetryDelay
 	case report.Verdict != medlarorder.VerdictAccepted:
 		delay = c.config.RenewalRetryDelay
 	default:
 		c.applyReport(now, w, sentAt, renewal, report)
+		if w.incarnationUncertain {
+			delay = c.config.RenewalRetryDelay
+		}
 	}
 	if outOfBand {
 		return
@@ -157,7 +164,8 @@
 
 // applyReport processes a worker's report of ended and running tasks.
 func (c *Cell) applyReport(now time.Time, w *worker, sentAt time.Time, renewal medlarorder.Renew, report medlarorder.Report) {
-	if report.Incarnation < w.incarnation && report.Incarnation != 0 {
+	if report.Incarnation < w.incarnation && report.Incarnation != 0 && (len(w.runs) > 0 || !now.After(w.leaseEnd)) {
+		c.handleLowerIncarnation(now, w)
 		return
 	}
 	if report.Incarnation != w.incarnation && report.Incarnation != 0 {
@@ -166,9 +174,10 @@
 	if now.Sub(w.lastContact) >= c.config.ContactTimeout && !w.lastContact.IsZero() {
 		c.emit(Event{Kind: EventWorkerResponsive, Worker: w.info.ID, Age: now.Sub(w.lastContact)})
 	}
-	c.recordResponse(now, w, report.Clock)
+	c.recordResponse(now, w)
+	w.recordClock(now, report.Clock)
 	w.incarnationUncertain = false
-	first := !w.reported
+	first := !w.reported || w.endsTruncated
 	for i := range report.Ended {
 		if e := &report.Ended[i]; e.Number > w.lastProcessedEnd {
 			w.lastProcessedEnd = e.Number
@@ -188,9 +197,12 @@
 			w.hasStrayRuns = true
 		}
 	}
-	for r := range w.runs {
-		if _, ok := listed[r]; !ok && r.isProvenMissing(sentAt, renewal.Fence) {
-			c.markLost(now, r, lostMissing)
+	w.endsTruncated = len(report.Ended) > medlarorder.MaxReportedEnds
+	if !w.endsTruncated {
+		for r := range w.runs {
+			if _, ok := listed[r]; !ok && r.isProvenMissing(sentAt, renewal.Fence) {
+				c.markLost(now, r, lostMissing)
+			}
 		}
 	}
 	w.reported, w.allRunsKnown = true, true
@@ -199,7 +211,19 @@
 	}
 	c.updateServingUtilisations(now, w)
 	c.checkProgress(now, w)
-	c.resolveUncertainRuns(now, w)
+	if !w.endsTruncated {
+		c.resolveUncertainRuns(now, w)
+	}
+}
+
+// handleLowerIncarnation handles a report of an incarnation with a lower number. Either the report is late, or the worker has started
+// again after its clock was set back. Until the higher one reports again, no lease is extended and no ends are acknowledged, so that
+// the runs end with their lease.
+func (c *Cell) handleLowerIncarnation(now time.Time, w *worker) {
+	if w.reported {
+		w.extendLeaseBound(now.Add(c.leaseDurationBound(c.config.MaxLease)))
+	}
+	w.incarnationUncertain, w.reported = true, false
 }
 
 // isProvenMissing reports whether a report that was requested at sentAt, under fence, and does not list the run, proves
@@ -215,7 +239,8 @@
 	}
 }
 
-// resolveUncertainRuns requests another report if runs are still uncertain.
+// resolveUncertainRuns requests another report if runs are still uncertain. While ended runs do not fit in a report, the next one
+// shows no more before they are acknowledged.
 func (c *Cell) resolveUncertainRuns(now time.Time, w *worker) {
 	for r := range w.runs {
 		if r.phase == runUncertain {
@@ -244,6 +269,7 @@
 		c.confirm(now, r)
 	}
 	c.observeSurvival(now, r)
+	r.reported = true
 	r.progressPercent = max(r.progressPercent, running.Percent)
 	r.checkpoint = running.Checkpoint
 	if running.Checkpoint != "" {
@@ -326,6 +352,10 @@
 
 // markLost removes a run that cannot be running any more, and requeues its task.
 func (c *Cell) markLost(now time.Time, r *run, reason string) {
+	if r.pendingCrash != nil {
+		c.recordCrash(now, r, *r.pendingCrash)
+		c.assess(now, r.step, r.index)
+	}
 	c.detach(now, r)
 	t := r.task()
 	t.lastEndedRun = max(t.lastEndedRun, r.number)
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -10,8 +10,11 @@
 
 // worker is the state of one worker and of the runs on it.
 type worker struct {
-	info        medlarorder.Worker
+	info medlarorder.Worker
+	// incarnation is that of the last report, or zero before the first one.
 	incarnation medlarorder.Incarnation
+	// restartedAt is when a report first showed the current incarnation, if it is not the first one.
+	restartedAt time.Time
 	// registered is false once the worker's registration is gone. It then gets no new tasks.
 	registered bool
 	// recorded is true once the worker is in the table's list of workers. Before that it gets no tasks, since the next
@@ -19,6 +22,8 @@
 	recorded bool
 	// reported is true once the worker has reported its runs to this owner.
 	reported bool
+	// endsTruncated is true while the worker has ended runs that did not fit in its last report.
+	endsTruncated bool
 	// allRunsKnown is true once this owner has seen a report of the worker: since then, only orders of this owner can have
 	// started runs on it.
 	allRunsKnown bool
@@ -29,8 +34,8 @@
 	responsiveness responsiveness
 	// centreResponsiveness is that of the worker's data centre.
 	centreResponsiveness *responsiveness
-	// clock is the reading of the worker's clock in the response that was received at clockAt. The worker may have taken
-	// it earlier.
+	// clock is the reading of the worker's clock in the report that was received at clockAt. The worker may have taken it
+	// earlier.
 	clock   time.Duration
 	clockAt time.Time
 	// leaseEnd is when every lease that this or an earlier owner has granted must have ended.
@@ -69,8 +74,8 @@
 	// relativeSpeed is the observed speed of the worker's tasks relative to their estimates. One is normal.
 	relativeSpeed   float64
 	speedObservedAt time.Time
-	// incarnationUncertain is true after a renewal without a response: the next connection may reach another incarnation
-	// of the worker, which numbers its ended runs from 1.
+	// incarnationUncertain is true after a renewal without a response, or a registration of another incarnation, until the
+	// next report: the next order may reach another incarnation of the worker, which numbers its ended runs from 1.
 	incarnationUncertain bool
 	// fenced is true from fencedAt, when the worker reported a higher fencing token, until the ownership is confirmed.
 	fenced   bool
@@ -85,7 +90,7 @@
 
 func newWorker(info medlarorder.Worker, fence medlarwheel.FencingToken, leaseEnd time.Time) *worker {
 	return &worker{
-		info: info, incarnation: info.Incarnation, registered: true, fence: fence, leaseEnd: leaseEnd, runs: map[*run]struct{}{}, relativeSpeed: 1,
+		info: info, registered: true, fence: fence, leaseEnd: leaseEnd, runs: map[*run]struct{}{}, relativeSpeed: 1,
 		longRunningCPUByImage: map[string]int64{},
 	}
 }
@@ -105,15 +110,19 @@
 		return
 	}
 	remaining := time.Duration(float64(until-w.clock) * (1 + c.ClockDrift*(1+c.ClockDrift)))
-	end := w.clockAt.Add(remaining + c.LeaseMargin)
+	w.extendLeaseBound(w.clockAt.Add(remaining + c.LeaseMargin))
+}
+
+// extendLeaseBound records that a lease may be in force until end.
+func (w *worker) extendLeaseBound(end time.Time) {
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
 }
 
-// recordContact records a response with the worker's clock.
-func (w *worker) recordContact(now time.Time, clock time.Duration) {
-	w.lastContact = now
+// recordClock records the reading of the worker's clock in a report. Responses to orders do not name the incarnation whose
+// clock they show.
+func (w *worker) recordClock(now time.Time, clock time.Duration) {
 	if clock > 0 {
 		w.clock, w.clockAt = clock, now
 	}
@@ -130,14 +139,18 @@
 
 // isUsable reports whether the worker may get new tasks.
 func (w *worker) isUsable(now time.Time, c *Config) bool {
-	return w.registered && w.recorded && w.reported && !w.fenced && !w.hasStrayRuns && w.isRegistrationCurrent() && !w.info.Draining && !now.Before(w.pausedUntil) &&
+	return w.registered && w.recorded && w.reported && !w.fenced && !w.hasStrayRuns && w.isRegistrationCurrent(now) && !w.info.Draining && !now.Before(w.pausedUntil) &&
 		now.Sub(w.lastContact) < c.ContactTimeout && !w.clockAt.IsZero() && !w.isUnresponsive(now, c)
 }
 
-// isRegistrationCurrent reports whether the registration is that of the worker's current incarnation. The next one may have
-// another capacity and other labels.
-func (w *worker) isRegistrationCurrent() bool {
-	return w.info.Incarnation == w.incarnation || w.info.Incarnation == 0
+// registrationTimeout is how long a restarted worker gets no tasks until its registration names the new incarnation. While
+// the table is unavailable, workers cannot register.
+const registrationTimeout = 5 * time.Second
+
+// isRegistrationCurrent reports whether the registration is that of the worker's current incarnation, which may have
+// another capacity and other labels than the one before.
+func (w *worker) isRegistrationCurrent(now time.Time) bool {
+	return w.info.Incarnation == w.incarnation || now.Sub(w.restartedAt) >= registrationTimeout
 }
 
 // addRun reserves capacity for a run.
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -18,9 +18,17 @@
 	"medlarwheel/internal/state/medlartable"
 )
 
+// unconfirmedRenewal is a renewal whose outcome is not known yet.
+type unconfirmedRenewal struct {
+	transaction medlartable.Transaction
+	timeout     time.Duration
+	// sentAt is when it was first sent.
+	sentAt time.Time
+}
+
 // loadWhileRenewing loads the cell and meanwhile renews the claim: on a slow instance, loading a cell with a thousand
-// submissions takes longer than one renewal lasts.
-func (o *Owner) loadWhileRenewing(ctx context.Context) error {
+// submissions takes longer than one renewal lasts. It returns the last renewal if its outcome is not known yet.
+func (o *Owner) loadWhileRenewing(ctx context.Context) (unconfirmed *unconfirmedRenewal, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	loaded := make(chan error, 1)
@@ -34,36 +42,39 @@
 			if err == nil {
 				o.cell.Authorize(authority)
 			}
-			return err
+			return unconfirmed, err
 		case <-ticker.C:
-			until, err := o.renewClaim()
-			if err != nil {
-				return err
-			}
-			if until.After(authority) {
-				authority = until
-			}
+		}
+		var until time.Time
+		if unconfirmed, until, err = o.renewClaim(unconfirmed); err != nil {
+			return nil, err
+		}
+		if until.After(authority) {
+			authority = until
 		}
 	}
 }
 
-// renewClaim writes a renewal without records, and returns the time until which the owner may then send orders. It is
-// zero if the outcome is not known yet.
-func (o *Owner) renewClaim() (until time.Time, err error) {
-	renewal := medlarownership.Renewal{Timeout: o.config.Ownership.TimeoutFor(o.writeDuration)}
-	transaction, err := o.chain.Next(&medlarcell.Batch{}, nil, renewal)
-	if err != nil {
-		return until, err
+// renewClaim writes a renewal without records, and returns the time until which the owner may then send orders. While its
+// outcome is unknown, the renewal is returned and has to be sent again: the chain tells batches apart by their position
+// only, so another batch in its place could be taken for it.
+func (o *Owner) renewClaim(r *unconfirmedRenewal) (unconfirmed *unconfirmedRenewal, until time.Time, err error) {
+	if r == nil {
+		r = &unconfirmedRenewal{timeout: o.config.Ownership.TimeoutFor(o.writeDuration), sentAt: o.Clock.Now()}
+		r.transaction, err = o.chain.Next(&medlarcell.Batch{}, nil, medlarownership.Renewal{Timeout: r.timeout})
+		if err != nil {
+			return nil, until, err
+		}
 	}
-	sentAt := o.Clock.Now()
-	switch o.chain.Resolve(o.writer.Transact(transaction)) {
+	switch o.chain.Resolve(o.writer.Transact(r.transaction)) {
 	case medlarcellstore.OutcomeSuperseded:
-		return until, ErrSuperseded
+		return nil, until, ErrSuperseded
 	case medlarcellstore.OutcomeRetry:
-		return until, nil
+		return r, until, nil
 	default:
-		o.recordRenewal(sentAt)
-		return sentAt.Add(renewal.Timeout), nil
+		// The first attempt may be the one that took effect.
+		o.recordRenewal(r.sentAt)
+		return nil, r.sentAt.Add(r.timeout), nil
 	}
 }
 
@@ -217,31 +228,49 @@
 		return o.readAll(ctx, o.Registry.Range)
 	}
 	return o.follow(ctx, o.Registry.Range.Table, o.workersVersion, o.config.WorkersPause, readAll, func(rows []medlartable.Row, whole bool) {
-		var deleted []medlartable.Row
-		present := rows[:0:0]
-		for _, r := range rows {
-			if r.Deleted {
-				deleted = append(deleted, r)
-			} else {
-				present = append(present, r)
-			}
+		if whole {
+			workers := o.decodeWorkers(rows)
+			o.postToControl(func(now time.Time) { o.cell.SetWorkers(now, workers) })
+			return
 		}
-		workers := o.decodeWorkers(present)
+		changes := o.decodeWorkerChanges(rows)
 		o.postToControl(func(now time.Time) {
-			if whole {
-				o.cell.SetWorkers(now, workers)
-				return
-			}
-			for _, w := range workers {
-				o.cell.SetWorker(now, w)
-			}
-			for _, r := range deleted {
-				o.cell.Unregister(now, medlarwheel.WorkerID(r.Key))
+			for _, c := range changes {
+				if c.registered {
+					o.cell.SetWorker(now, c.worker)
+				} else {
+					o.cell.Unregister(now, c.worker.ID)
+				}
 			}
 		})
 	})
 }
 
+// workerChange is a change of one registration.
+type workerChange struct {
+	worker     medlarorder.Worker
+	registered bool
+}
+
+// decodeWorkerChanges decodes changed rows of the list of workers. A registration that has become unreadable counts as removed, as
+// it does when the whole list is read.
+func (o *Owner) decodeWorkerChanges(rows []medlartable.Row) []workerChange {
+	logUnreadable := o.unreadableRowLogger(zerolog.WarnLevel)
+	changes := make([]workerChange, 0, len(rows))
+	for _, r := range rows {
+		c := workerChange{worker: medlarorder.Worker{ID: medlarwheel.WorkerID(r.Key)}}
+		if !r.Deleted {
+			if worker, err := o.Registry.Decode(r.Key, r.Value); err != nil {
+				logUnreadable(r, err)
+			} else {
+				c = workerChange{worker: worker, registered: true}
+			}
+		}
+		changes = append(changes, c)
+	}
+	return changes
+}
+
 // follow follows the changes of a table from the version up to which it was read.
 func (o *Owner) follow(ctx context.Context, table string, from medlarwheel.RowVersion, pause time.Duration, readAll readFunc, handle medlartable.Handler) error {
 	f := medlartable.Follower{
