--- a/internal/execution/medlarorder/order.go
+++ b/internal/execution/medlarorder/order.go
@@ -49,9 +49,9 @@
 	Remaining time.Duration `json:"-"`
 }
 
-// Limits of a registration, which any writer of the table may have written. A worker that is within them fits in a row of the
-// table in the owner's list of workers, where JSON may escape each byte as six. One row too large would be refused together with
-// all records of its batch, and the owner could store nothing any more.
+// Limits of a registration, which any writer of the table may have written. A worker that is within them fits in a row
+// of the table in the owner's list of workers, where JSON may escape each byte as six. One row too large would be
+// refused together with all records of its batch, and the owner could store nothing any more.
 const (
 	maxTextBytes = 200
 	maxLabels    = 16
--- a/internal/execution/medlarorder/order_test.go
+++ b/internal/execution/medlarorder/order_test.go
@@ -9,8 +9,8 @@
 	"medlarwheel"
 )
 
-// TestCheckedWorkerFitsInARow guards against a registration that is accepted and then makes the table refuse all records of the
-// cell.
+// TestCheckedWorkerFitsInARow guards against a registration that is accepted and then makes the table refuse all
+// records of the cell.
 func TestCheckedWorkerFitsInARow(t *testing.T) {
 	const maxRowBytes = 40 << 10 // of 64 KiB, less the overhead of its encoding
 	largest := strings.Repeat("<", maxTextBytes)
--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -107,8 +107,8 @@
 	}
 }
 
-// TestRepeatedClaimCountsFromFirstAttempt guards against orders by an owner whose cell another instance may already have claimed:
-// the first attempt of a claim took effect, and a later one only found it in the table.
+// TestRepeatedClaimCountsFromFirstAttempt guards against orders by an owner whose cell another instance may already
+// have claimed: the first attempt of a claim took effect, and a later one only found it in the table.
 func TestRepeatedClaimCountsFromFirstAttempt(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -63,8 +63,9 @@
 	predecessor medlarownership.Predecessor
 }
 
-// sinceFirstAttempt returns a claim with the time of its first unresolved attempt, which may be the one that took effect: other
-// instances count the owner's time-out from it. What the predecessor may still do is counted from the last attempt.
+// sinceFirstAttempt returns a claim with the time of its first unresolved attempt, which may be the one that took
+// effect: other instances count the owner's time-out from it. What the predecessor may still do is counted from the
+// last attempt.
 func (s *ownershipState) sinceFirstAttempt(c unresolvedClaim) unresolvedClaim {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/scheduling/medlarcell/capacity_test.go
+++ b/internal/scheduling/medlarcell/capacity_test.go
@@ -66,7 +66,8 @@
 	}
 }
 
-// TestRestartedWorkerWaitsForItsRegistration guards against starts that fit the capacity of the worker's earlier process only.
+// TestRestartedWorkerWaitsForItsRegistration guards against starts that fit the capacity of the worker's earlier
+// process only.
 func TestRestartedWorkerWaitsForItsRegistration(t *testing.T) {
 	sc := cellWithCapacity(t, 4000)
 	sc.dispatch()
--- a/internal/scheduling/medlarcell/crash_test.go
+++ b/internal/scheduling/medlarcell/crash_test.go
@@ -213,7 +213,8 @@
 	}
 }
 
-// TestNextOwnerCountsUnreportedRunOfSuspect guards against a crash that no owner counts, since the one that started the run died too.
+// TestNextOwnerCountsUnreportedRunOfSuspect guards against a crash that no owner counts, since the one that started the
+// run died too.
 func TestNextOwnerCountsUnreportedRunOfSuspect(t *testing.T) {
 	task := medlarsubmission.TaskName{Submission: "00000000000000aa"}
 	for name, test := range map[string]struct {
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -211,14 +211,15 @@
 	}
 	c.updateServingUtilisations(now, w)
 	c.checkProgress(now, w)
+	// While ended runs do not fit in a report, the next one shows no more before they are acknowledged.
 	if !w.endsTruncated {
 		c.resolveUncertainRuns(now, w)
 	}
 }
 
-// handleLowerIncarnation handles a report of an incarnation with a lower number. Either the report is late, or the worker has started
-// again after its clock was set back. Until the higher one reports again, no lease is extended and no ends are acknowledged, so that
-// the runs end with their lease.
+// handleLowerIncarnation handles a report of an incarnation with a lower number. Either the report is late, or the
+// worker has started again after its clock was set back. Until the higher one reports again, no lease is extended and
+// no ends are acknowledged, so that the runs end with their lease.
 func (c *Cell) handleLowerIncarnation(now time.Time, w *worker) {
 	if w.reported {
 		w.extendLeaseBound(now.Add(c.leaseDurationBound(c.config.MaxLease)))
@@ -239,8 +240,7 @@
 	}
 }
 
-// resolveUncertainRuns requests another report if runs are still uncertain. While ended runs do not fit in a report, the next one
-// shows no more before they are acknowledged.
+// resolveUncertainRuns requests another report if runs are still uncertain.
 func (c *Cell) resolveUncertainRuns(now time.Time, w *worker) {
 	for r := range w.runs {
 		if r.phase == runUncertain {
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -310,8 +310,8 @@
 	}
 }
 
-// TestFullReportProvesNoRunMissing guards against a second run of a task whose end does not fit in the report. A worker reports
-// 500 ended runs at a time, and more wait while an outage of the table delays the acknowledgements.
+// TestFullReportProvesNoRunMissing guards against a second run of a task whose end does not fit in the report. A worker
+// reports 500 ended runs at a time, and more wait while an outage of the table delays the acknowledgements.
 func TestFullReportProvesNoRunMissing(t *testing.T) {
 	const endsPerReport = 500
 	sc := newScriptedCell(t, 2, Ownership{Fence: 1 << 12, Term: 1})
@@ -374,8 +374,8 @@
 	}
 }
 
-// TestFullReportsAreNotRequestedWithoutPause guards against a stream of requests for a report while a worker's ended runs cannot
-// be acknowledged, each of which raises the worker's fencing token.
+// TestFullReportsAreNotRequestedWithoutPause guards against a stream of requests for a report while a worker's ended
+// runs cannot be acknowledged, each of which raises the worker's fencing token.
 func TestFullReportsAreNotRequestedWithoutPause(t *testing.T) {
 	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
 	sc.report(sc.renewals[0], medlarorder.Report{})
--- a/internal/scheduling/medlarcell/restart_test.go
+++ b/internal/scheduling/medlarcell/restart_test.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// TestStartUnderWayDuringRestartIsResolved guards against a second run of a task whose start reaches the new incarnation after
-// its first report.
+// TestStartUnderWayDuringRestartIsResolved guards against a second run of a task whose start reaches the new
+// incarnation after its first report.
 func TestStartUnderWayDuringRestartIsResolved(t *testing.T) {
 	sc, start, renewal := startOnRestartingWorker(t)
 	sc.report(renewal, medlarorder.Report{Incarnation: 2})
@@ -94,7 +94,8 @@
 	}
 }
 
-// TestSupersededStartIsNotRepeatedAtOnce guards against hundreds of starts of one task while a worker stops an earlier run of it.
+// TestSupersededStartIsNotRepeatedAtOnce guards against hundreds of starts of one task while a worker stops an earlier
+// run of it.
 func TestSupersededStartIsNotRepeatedAtOnce(t *testing.T) {
 	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
 	sc.report(sc.renewals[0], medlarorder.Report{})
@@ -115,8 +116,8 @@
 	}
 }
 
-// TestTaskOfReplacedWorkerRunsAgain guards against a task that waits for ever because another worker responds at the address of
-// the one that ran it, and its lease seems to be extended with every renewal.
+// TestTaskOfReplacedWorkerRunsAgain guards against a task that waits for ever because another worker responds at the
+// address of the one that ran it, and its lease seems to be extended with every renewal.
 func TestTaskOfReplacedWorkerRunsAgain(t *testing.T) {
 	sc, start, renewal := startOnRestartingWorker(t)
 	sc.report(renewal, medlarorder.Report{Running: []medlarorder.Running{{Task: start.Start.Task, Run: 1}}})
@@ -173,8 +174,8 @@
 	}
 }
 
-// TestRestartCountsBestEffortRunOnce guards against interference that is predicted twice for a run which a restarted worker reports
-// again.
+// TestRestartCountsBestEffortRunOnce guards against interference that is predicted twice for a run which a restarted
+// worker reports again.
 func TestRestartCountsBestEffortRunOnce(t *testing.T) {
 	step := testStep()
 	step.BestEffort, step.Image = true, "i"
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -90,8 +90,8 @@
 	o.commitBatch(ctx, r.transaction, &medlarcell.Batch{}, medlarownership.Renewal{Timeout: r.timeout}, r.sentAt)
 }
 
-// commitBatch sends a batch repeatedly until its outcome is known. The renewal counts from the first attempt, because any of them
-// may be the one that the table has executed.
+// commitBatch sends a batch repeatedly until its outcome is known. The renewal counts from the first attempt, because
+// any of them may be the one that the table has executed.
 func (o *Owner) commitBatch(
 	ctx context.Context, t medlartable.Transaction, batch *medlarcell.Batch, renewal medlarownership.Renewal, firstSentAt time.Time,
 ) {
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -252,8 +252,8 @@
 	registered bool
 }
 
-// decodeWorkerChanges decodes changed rows of the list of workers. A registration that has become unreadable counts as removed, as
-// it does when the whole list is read.
+// decodeWorkerChanges decodes changed rows of the list of workers. A registration that has become unreadable counts as
+// removed, as it does when the whole list is read.
 func (o *Owner) decodeWorkerChanges(rows []medlartable.Row) []workerChange {
 	logUnreadable := o.unreadableRowLogger(zerolog.WarnLevel)
 	changes := make([]workerChange, 0, len(rows))
--- a/internal/scheduling/medlarowner/load_test.go
+++ b/internal/scheduling/medlarowner/load_test.go
@@ -94,8 +94,8 @@
 	return <-s.pages, nil
 }
 
-// TestUnreadableEntryEndsRegistration guards against tasks for a worker whose entry another writer has made unreadable, and against
-// a follower that stops at such an entry or skips the other changes.
+// TestUnreadableEntryEndsRegistration guards against tasks for a worker whose entry another writer has made unreadable,
+// and against a follower that stops at such an entry or skips the other changes.
 func TestUnreadableEntryEndsRegistration(t *testing.T) {
 	store := &changingStore{pages: make(chan medlartable.Page), after: make(chan medlarwheel.RowVersion)}
 	o := testOwner(store)
--- a/internal/scheduling/medlarowner/renewal_test.go
+++ b/internal/scheduling/medlarowner/renewal_test.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// TestOwnerRunsWhileTableIsAwayAfterLoad guards against an owner that neither renews the leases of its workers nor can hand the
-// cell over while the table does not respond to a renewal sent during the load.
+// TestOwnerRunsWhileTableIsAwayAfterLoad guards against an owner that neither renews the leases of its workers nor can
+// hand the cell over while the table does not respond to a renewal sent during the load.
 func TestOwnerRunsWhileTableIsAwayAfterLoad(t *testing.T) {
 	table := newResponseLossTable(t, 1<<30)
 	go func() { <-table.applied; close(table.readable) }()
--- a/internal/state/medlarcellstore/cellstore.go
+++ b/internal/state/medlarcellstore/cellstore.go
@@ -213,9 +213,10 @@
 		errors.Wrapf(err, "encode the chain row of cell %s for term %d", part, term)
 }
 
-// Next returns the transaction of the next batch. It also removes the progress of erased submissions, whose own rows must
-// have been removed before: the next owner would restart a submission that has no progress. The same batch may be sent again
-// until Resolve has determined its outcome, and the next batch is refused until then. A renewal with a zero timeout is omitted.
+// Next returns the transaction of the next batch. It also removes the progress of erased submissions, whose own rows
+// must have been removed before: the next owner would restart a submission that has no progress. The same batch may be
+// sent again until Resolve has determined its outcome, and the next batch is refused until then. A renewal with a zero
+// timeout is omitted.
 func (c *Chain) Next(batch *medlarcell.Batch, erased []medlarsubmission.ID, renewal medlarownership.Renewal) (medlartable.Transaction, error) {
 	if c.unresolved {
 		return medlartable.Transaction{}, errors.WithMessagef(errUnresolvedBatch, "batch %d of cell %s", c.next+1, c.part)
