Derive what the crash records and restarts kept twice

- reported of a run was reportedAt that is set; the three places that make a run share newRun.
- Crashes are encoded with the rest of a task's progress, without a walk over all tasks of the submission for each record, and are confirmed once where they are recorded.
- A report says itself whether it has all ends, by the number that workers report at a time.
- A claim without a response was merged with its earlier attempt and kept in two steps, between which the table could show it and its owner could start; it then counted as unresolved until the next read, and the instance refused promises.
It is kept in one step, and not for a term whose owner was started.
TestClaimOfStartedTermIsNotUnresolved fails if the check of the term is left out.
The line cell-claimed shows the leases that the owner waits for.
- The tests of renewals use the owner that the package's tests had, and the two of the authority are cases of one, with the same checks.

--- a/internal/execution/medlarorder/order.go
+++ b/internal/execution/medlarorder/order.go
@@ -203,9 +203,9 @@
 	Checkpoint string `json:"Saved"`
 }
 
-// MaxReportedEnds is the number of ended runs up to which a report is complete. A worker with more of them reports the first
-// ones, and the others once these are acknowledged.
-const MaxReportedEnds = 499
+// MaxReportedEnds is the number of ended runs that a worker reports at a time. It reports further ones once these are
+// acknowledged.
+const MaxReportedEnds = 500
 
 // Report is the response of a worker to Renew: its verdict, and its running and ended runs.
 type Report struct {
@@ -215,3 +215,6 @@
 	Running     []Running
 	Ended       []Ended
 }
+
+// HasAllEnds reports whether the report is certain to list every ended run that is not acknowledged.
+func (r *Report) HasAllEnds() bool { return len(r.Ended) < MaxReportedEnds }
--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -126,3 +126,16 @@
 		t.Errorf("authority counts from %v after the first attempt, want from that attempt", got.Sub(firstAttempt))
 	}
 }
+
+// TestClaimOfStartedTermIsNotUnresolved guards against an instance that refuses promises because the response to its claim is
+// lost only after the table has shown the claim and its owner was started.
+func TestClaimOfStartedTermIsNotUnresolved(t *testing.T) {
+	var s ownershipState
+	claim := unresolvedClaim{term: medlarownership.Term{Number: 2}}
+	if !s.beginTerm(claim.term.Number) {
+		t.Fatal("the owner of a new term is not started")
+	}
+	if s.keepUnresolved(claim); s.unresolved != nil {
+		t.Error("the claim counts as unresolved although its owner was started")
+	}
+}
--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -63,13 +63,10 @@
 	predecessor medlarownership.Predecessor
 }
 
-// sinceFirstAttempt returns a claim with the time of its first unresolved attempt, which may be the one that took
-// effect: other instances count the owner's time-out from it. What the predecessor may still do is counted from the
-// last attempt.
-func (s *ownershipState) sinceFirstAttempt(c unresolvedClaim) unresolvedClaim {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	first := s.unresolved
+// repeating returns the claim as a repetition of an earlier attempt with an unknown outcome, which may be the one that took
+// effect: other instances count the owner's time-out from it. What the predecessor may still do is counted from the last
+// attempt.
+func (c unresolvedClaim) repeating(first *unresolvedClaim) unresolvedClaim {
 	if first == nil || first.term.Number != c.term.Number || !first.claimedAt.Before(c.claimedAt) {
 		return c
 	}
@@ -84,6 +81,23 @@
 	return c
 }
 
+// sinceFirstAttempt returns a claim with the time of its first unresolved attempt.
+func (s *ownershipState) sinceFirstAttempt(c unresolvedClaim) unresolvedClaim {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.repeating(s.unresolved)
+}
+
+// keepUnresolved keeps a claim without a response until the table shows its outcome, unless that has happened meanwhile.
+func (s *ownershipState) keepUnresolved(c unresolvedClaim) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.term.Number > s.startedTerm {
+		c = c.repeating(s.unresolved)
+		s.unresolved = &c
+	}
+}
+
 // withMonitor calls use with the monitor under the lock. The lock is released after a panic too, so that a restarted loop
 // does not deadlock.
 func (n *Node) withMonitor(use func(m *medlarownership.Monitor)) {
@@ -292,16 +306,13 @@
 		n.log.Warn().Str("event", "claim-failed").Uint64("term", next.Number).Err(err).
 			Msg("claim of the cell failed or its outcome is unknown; continuing to watch the claim row")
 		if conflict == nil && !medlarwheel.HasNoEffect(err) {
-			claim = n.ownership.sinceFirstAttempt(claim)
-			n.ownership.mu.Lock()
-			n.ownership.unresolved = &claim
-			n.ownership.mu.Unlock()
+			n.ownership.keepUnresolved(claim)
 		}
 		return
 	}
 	next.Version = commit.Version
 	n.log.Info().Str("event", "cell-claimed").Uint64("term", next.Number).Str("from", string(current.Instance)).
-		Bool("asked", receivedRequests).Int64("outage-leases-ms", predecessor.OutageLeases.Milliseconds()).Msg("")
+		Bool("asked", receivedRequests).Int64("outage-leases-ms", claim.predecessor.OutageLeases.Milliseconds()).Msg("")
 	n.withMonitor(func(m *medlarownership.Monitor) { m.RecordClaim(next) })
 	n.setTerm(ctx, next)
 	n.startOwner(ctx, next, claim.claimedAt, claim.predecessor)
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -315,7 +315,7 @@
 	w.fence++
 	lost := 0
 	for r := range w.runs {
-		if r.reported {
+		if r.isReported() {
 			lost++
 			c.markLost(now, r, lostRestart)
 			continue
--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -66,7 +67,7 @@
 			Run: r.number, Worker: w.info.ID, Incarnation: incarnation, Address: w.info.Address, Confirmed: restarted,
 			Started: r.phase == runConfirmed, Prompt: r.isPrompt(), Alone: r.isPrompt() && len(submissions) == 1,
 		}
-		if restarted && !r.reported {
+		if restarted && !r.isReported() {
 			// The new incarnation may have accepted the run.
 			r.pendingCrash = &crash
 			continue
@@ -87,7 +88,7 @@
 
 // reportedFor returns how long the reports of the worker have listed the run.
 func (r *run) reportedFor() time.Duration {
-	if r.reportedAt.IsZero() {
+	if !r.isReported() {
 		return 0
 	}
 	return r.reportedAt.Sub(r.confirmedAt)
@@ -120,7 +121,7 @@
 // assess fails the submission of a task that is to blame for the crashes of its workers.
 func (c *Cell) assess(now time.Time, s *step, index int) {
 	j, t := s.occurrence.job, &s.tasks[index]
-	if c.confirmCrashes(t); j.state.IsFinal() || !isBlamed(t.crashes) {
+	if j.state.IsFinal() || !isBlamed(t.crashes) {
 		return
 	}
 	c.clearOthers(j, t.crashes)
@@ -167,6 +168,7 @@
 			}
 			t.inheritedSuspect = false
 			t.crashes = append(t.crashes, Crash{})
+			c.confirmCrashes(t)
 			c.holdUntilStored(s, index)
 			c.assess(now, s, index)
 		})
@@ -239,28 +241,17 @@
 // maxStoredSuspects bounds the tasks of a submission whose crashes are stored, because the size of a row is limited.
 const maxStoredSuspects = 100
 
-// storedCrashes returns the crashes to store, by occurrence, step and task. Those of the tasks with the most crashes
-// come first.
-func (j *job) storedCrashes() map[string][]Crash {
-	type suspect struct {
-		key     string
-		crashes []Crash
+// limitCrashes keeps the crashes of at most maxStoredSuspects tasks, of those with the most crashes.
+func (p *Progress) limitCrashes() {
+	if len(p.Crashes) <= maxStoredSuspects {
+		return
 	}
-	var suspects []suspect
-	j.forEachTask(func(s *step, index int) {
-		if t := &s.tasks[index]; len(t.crashes) > 0 && !t.done {
-			suspects = append(suspects, suspect{fmt.Sprintf("%d.%d.%d", s.occurrence.index, s.index, index), t.crashes})
-		}
+	keys := slices.SortedFunc(maps.Keys(p.Crashes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(p.Crashes[b]), len(p.Crashes[a])), cmp.Compare(a, b))
 	})
-	if len(suspects) == 0 {
-		return nil
-	}
-	slices.SortStableFunc(suspects, func(a, b suspect) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
-	stored := map[string][]Crash{}
-	for _, s := range suspects[:min(len(suspects), maxStoredSuspects)] {
-		stored[s.key] = slices.Clone(s.crashes)
+	for _, key := range keys[maxStoredSuspects:] {
+		delete(p.Crashes, key)
 	}
-	return stored
 }
 
 // confirmCrashes confirms the crashes of workers whose address another worker has registered since.
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -122,16 +122,13 @@
 	phase  runPhase
 	// sentAt is when the start was sent and confirmedAt when the worker confirmed it.
 	sentAt, confirmedAt time.Time
-	// reportedAt is when a report last listed the run. adopted is true if an earlier owner has started it.
+	// reportedAt is when a report last listed the run, or zero before. adopted is true if an earlier owner has started it.
 	reportedAt time.Time
 	adopted    bool
 	// pendingCrash is the crash under which the run is lost if the restarted worker does not list it.
 	pendingCrash *Crash
 	// suspect is true if the task was suspected to crash its workers when the run was started.
 	suspect bool
-	// reported is true once a report has listed the run. Unlike the response to a start, a report names the incarnation of
-	// the worker that runs it.
-	reported bool
 	// resolveFence is the lowest fencing token of a renewal whose report shows conclusively whether an uncertain run
 	// exists.
 	resolveFence    medlarwheel.FencingToken
@@ -159,6 +156,20 @@
 	overTargetSince       time.Time
 }
 
+// newRun returns a run that has not been sent yet.
+func newRun(now time.Time, w *worker, s *step, index int, number medlarorder.RunNumber) *run {
+	return &run{
+		step: s, index: index, number: number, worker: w, sentAt: now, suspect: s.tasks[index].isSuspect(), pace: fullPace, usage: unknownUsage,
+	}
+}
+
+// unknownUsage is the usage of a run of which the worker has not measured any.
+const unknownUsage = -1
+
+// isReported reports whether a report has listed the run. Unlike the response to a start, a report names the incarnation
+// of the worker that runs it.
+func (r *run) isReported() bool { return !r.reportedAt.IsZero() }
+
 func (r *run) task() *task { return &r.step.tasks[r.index] }
 
 func (r *run) job() *job { return r.step.occurrence.job }
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -111,7 +111,7 @@
 		if w == nil {
 			break
 		}
-		r := &run{step: s, index: i, number: number, worker: w, sentAt: now, suspect: s.tasks[i].isSuspect(), pace: fullPace}
+		r := newRun(now, w, s, i, number)
 		w.addRun(r)
 		chosen = append(chosen, r)
 	}
@@ -135,7 +135,7 @@
 		number = max(c.firstRun, t.lastRun+1)
 	}
 	t.lastRun = number
-	r := &run{step: s, index: index, number: number, worker: w, sentAt: now, suspect: t.isSuspect(), pace: fullPace, usage: -1}
+	r := newRun(now, w, s, index, number)
 	c.attach(r)
 	order := medlarorder.Start{
 		Task: s.name(index), Run: number, Spec: s.occurrence.job.submission.Spec, Fence: w.fence,
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -147,12 +147,13 @@
 	if j.state.IsFinal() {
 		return Progress{State: j.state}
 	}
-	p := Progress{Done: map[string]string{}, Failed: map[string][]medlarorder.RunNumber{}, Checkpoints: map[string]string{}, Crashes: j.storedCrashes()}
+	p := Progress{Done: map[string]string{}, Failed: map[string][]medlarorder.RunNumber{}, Checkpoints: map[string]string{}, Crashes: map[string][]Crash{}}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			s.encodeProgress(&p)
 		}
 	}
+	p.limitCrashes()
 	return p
 }
 
@@ -171,6 +172,9 @@
 		if len(t.failedRuns) > 0 {
 			p.Failed[fmt.Sprintf("%s.%d", key, i)] = slices.Clone(t.failedRuns)
 		}
+		if len(t.crashes) > 0 {
+			p.Crashes[fmt.Sprintf("%s.%d", key, i)] = slices.Clone(t.crashes)
+		}
 		if t.checkpoint != "" && len(t.runs) == 0 {
 			p.Checkpoints[fmt.Sprintf("%s.%d", key, i)] = t.checkpoint
 		}
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -43,6 +43,7 @@
 	default:
 		c.applyReport(now, w, sentAt, renewal, report)
 		if w.incarnationUncertain {
+			// The report was that of an earlier incarnation.
 			delay = c.config.RenewalRetryDelay
 		}
 	}
@@ -197,7 +198,7 @@
 			w.hasStrayRuns = true
 		}
 	}
-	w.endsTruncated = len(report.Ended) > medlarorder.MaxReportedEnds
+	w.endsTruncated = !report.HasAllEnds()
 	if !w.endsTruncated {
 		for r := range w.runs {
 			if _, ok := listed[r]; !ok && r.isProvenMissing(sentAt, renewal.Fence) {
@@ -269,13 +270,12 @@
 		c.confirm(now, r)
 	}
 	c.observeSurvival(now, r)
-	r.reported = true
 	r.progressPercent = max(r.progressPercent, running.Percent)
 	r.checkpoint = running.Checkpoint
 	if running.Checkpoint != "" {
 		r.task().checkpoint = running.Checkpoint
 	}
-	r.usage = -1
+	r.usage = unknownUsage
 	if running.HasUsage {
 		r.usage = running.Usage
 	}
@@ -294,7 +294,8 @@
 	}
 	t.lastRun = max(t.lastRun, running.Run)
 	t.inheritedSuspect = false
-	r := &run{step: s, index: running.Task.Index, number: running.Run, worker: w, sentAt: now, adopted: true, suspect: t.isSuspect(), pace: fullPace}
+	r := newRun(now, w, s, running.Task.Index, running.Run)
+	r.adopted = true
 	c.attach(r)
 	if c.reconciled {
 		c.emit(Event{Kind: EventTaskAdopted, Task: running.Task, Run: running.Run, Worker: w.info.ID})
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -341,7 +341,7 @@
 // fullReport is a report with as many ended runs as fit.
 func fullReport() medlarorder.Report {
 	var report medlarorder.Report
-	for i := range medlarorder.MaxReportedEnds + 1 {
+	for i := range medlarorder.MaxReportedEnds {
 		name := medlarsubmission.TaskName{Submission: "00000000000000bb", Index: i}
 		report.Ended = append(report.Ended, medlarorder.Ended{Number: medlarorder.EndNumber(i + 1), Task: name, Run: 1, Kind: medlarorder.EndDone})
 	}
--- a/internal/scheduling/medlarowner/renewal_test.go
+++ b/internal/scheduling/medlarowner/renewal_test.go
@@ -7,10 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 
 	"medlarwheel"
-	"medlarwheel/internal/operation/medlarmetrics"
 	"medlarwheel/internal/scheduling/medlarcell"
 	"medlarwheel/internal/state/medlarcellstore"
 	"medlarwheel/internal/state/medlarownership"
@@ -85,14 +83,17 @@
 	return medlartable.Commit{Version: s.version}, nil
 }
 
-// loadThrough loads a cell from the table with a renewal every 20 ms.
+// renewingOwner returns an owner that renews its claim every 20 ms.
+func renewingOwner(table Store) *Owner {
+	o := testOwner(table)
+	o.config.Ownership.RenewInterval, o.config.FlushRetry = 20*time.Millisecond, 5*time.Millisecond
+	return o
+}
+
+// loadThrough loads a cell from the table.
 func loadThrough(t *testing.T, table Store) *Owner {
 	t.Helper()
-	c := DefaultConfig()
-	c.Ownership.RenewInterval, c.FlushRetry = 20*time.Millisecond, 5*time.Millisecond
-	clock := medlarwheel.SystemClock{}
-	o := New(c, Dependencies{Store: table, Clock: clock, Log: zerolog.Nop(), Meter: medlarmetrics.New()},
-		medlarownership.Term{Number: 2, Version: 9}, clock.Now(), medlarownership.Predecessor{})
+	o := renewingOwner(table)
 	renewal, err := o.loadWhileRenewing(context.Background())
 	if err != nil {
 		t.Fatal(err)
@@ -127,11 +128,18 @@
 // TestAuthorityCountsFromTheRenewalThatTookEffect guards against an owner that goes on after others may claim the cell,
 // because it counts its authority from the repetition of a renewal whose response was lost.
 func TestAuthorityCountsFromTheRenewalThatTookEffect(t *testing.T) {
-	table := newResponseLossTable(t, 6)
-	go func() { <-table.answered; close(table.readable) }()
-	o := loadThrough(t, table)
-	if end := table.renewedAt.Add(o.config.Ownership.OwnerTimeout); o.cell.AuthorityEnd().After(end) {
-		t.Errorf("authority ends %v after that of the renewal in the table", o.cell.AuthorityEnd().Sub(end))
+	for name, loaded := range map[string]func(*responseLossTable) <-chan struct{}{
+		"confirmed during the load": func(s *responseLossTable) <-chan struct{} { return s.answered },
+		"confirmed after the load":  func(s *responseLossTable) <-chan struct{} { return s.applied },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newResponseLossTable(t, 6)
+			go func() { <-loaded(table); close(table.readable) }()
+			o := loadThrough(t, table)
+			if end := table.renewedAt.Add(o.config.Ownership.OwnerTimeout); o.cell.AuthorityEnd().After(end) {
+				t.Errorf("authority ends %v after that of the renewal in the table", o.cell.AuthorityEnd().Sub(end))
+			}
+		})
 	}
 }
 
@@ -140,12 +148,7 @@
 func TestOwnerRunsWhileTableIsAwayAfterLoad(t *testing.T) {
 	table := newResponseLossTable(t, 1<<30)
 	go func() { <-table.applied; close(table.readable) }()
-	c := DefaultConfig()
-	c.Ownership.RenewInterval, c.FlushRetry = 20*time.Millisecond, 5*time.Millisecond
-	clock := medlarwheel.SystemClock{}
-	o := New(c, Dependencies{Store: table, Clock: clock, Log: zerolog.Nop(), Meter: medlarmetrics.New(),
-		Connections: func(int) int { return 1 }},
-		medlarownership.Term{Number: 2, Version: 9}, clock.Now(), medlarownership.Predecessor{})
+	o := renewingOwner(table)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = o.Run(ctx) }()
@@ -155,13 +158,3 @@
 		t.Error("the control loop did not run within 2 s of the load")
 	}
 }
-
-// TestAuthorityCountsFromTheFirstAttemptAfterLoad guards against the same when the renewal is confirmed only after the load.
-func TestAuthorityCountsFromTheFirstAttemptAfterLoad(t *testing.T) {
-	table := newResponseLossTable(t, 6)
-	go func() { <-table.applied; close(table.readable) }()
-	o := loadThrough(t, table)
-	if end := table.renewedAt.Add(o.config.Ownership.OwnerTimeout); o.cell.AuthorityEnd().After(end) {
-		t.Errorf("authority ends %v after that of the renewal in the table", o.cell.AuthorityEnd().Sub(end))
-	}
-}
