Show that a submission runs whose cancel was answered with 410

While answers of the store are lost, a client gets 504 for its submission and 410 for its cancel. The late write then makes the submission run to its end.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Plays the case lost-cancel: exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
+# TROUBLE=0 leaves out the disruption.
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+exec review/bin/standin lost-cancel target/medlarwheel "$folder/record.txt" || exit 2
