Count no crash for a suspect that was not started again

Cause: a task whose worker is lost right after its start is stored as a suspect. Each new owner counted one more crash for every suspect that neither ran nor had ended, since the owner before could have started it. It had only waited for room. Four such counts fail a submission, and each holds the task until it is stored.

Evidence: the log of the instance that failed it says run 0 and "confirmed 0, right after the start 0, alone 0"; the three owners before it report no lost worker. TestChangesOfOwnerFailNoWaitingTask failed before: "after 1 changes of owner 2 crashes are stored".

Change: the progress row holds the run of a suspect from its acceptance to its end. A new owner counts a crash for such a run only, and only if its worker is gone: the supposition is replaced by what the owner before has seen. TestAcceptedRunOfSuspectIsStored failed before (no record).

--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -14,7 +14,6 @@
 
 // Crash is a run under which a worker crashed, or went silent until its lease must have ended.
 type Crash struct {
-	// Run is zero for a run that an earlier owner may have started without noticing the crash.
 	Run         medlarorder.RunNumber   `json:"run"`
 	Worker      medlarwheel.WorkerID    `json:"worker"`
 	Incarnation medlarorder.Incarnation `json:"life,omitempty"`
@@ -63,17 +62,15 @@
 		if r.reportedFor() >= crashProbation || r.job().state.IsFinal() || r.task().done {
 			continue
 		}
-		crash := Crash{
-			Run: r.number, Worker: w.info.ID, Incarnation: incarnation, Address: w.info.Address, Confirmed: restarted,
-			Started: r.phase == runConfirmed, Prompt: r.isPrompt(), Alone: r.isPrompt() && len(submissions) == 1,
-		}
+		crash := r.crashOf(incarnation)
+		crash.Confirmed, crash.Prompt, crash.Alone = restarted, r.isPrompt(), r.isPrompt() && len(submissions) == 1
 		if restarted && !r.isReported() {
 			// The new incarnation may have accepted the run.
 			r.pendingCrash = &crash
 			continue
 		}
 		suspects = append(suspects, r)
-		c.recordCrash(now, r, crash)
+		c.recordCrash(r.step, r.index, crash, now.Sub(r.sentAt))
 	}
 	// The task with the strongest evidence is assessed first, because that may clear the others.
 	slices.SortFunc(suspects, func(a, b *run) int {
@@ -86,6 +83,13 @@
 	}
 }
 
+// crashOf returns the crash of an incarnation of the run's worker under the run.
+func (r *run) crashOf(incarnation medlarorder.Incarnation) Crash {
+	return Crash{
+		Run: r.number, Worker: r.worker.info.ID, Incarnation: incarnation, Address: r.worker.info.Address, Started: r.phase == runConfirmed,
+	}
+}
+
 // reportedFor returns how long the reports of the worker have listed the run.
 func (r *run) reportedFor() time.Duration {
 	if !r.isReported() {
@@ -97,23 +101,24 @@
 // isPrompt reports whether the start of the run may be what its worker has crashed of.
 func (r *run) isPrompt() bool { return !r.adopted && r.reportedFor() < promptCrashTime }
 
-func (c *Cell) recordCrash(now time.Time, r *run, crash Crash) {
-	t := r.task()
+// recordCrash records a crash under a run that was started the given time ago, or zero if that is unknown.
+func (c *Cell) recordCrash(s *step, index int, crash Crash, age time.Duration) {
+	j, t := s.occurrence.job, &s.tasks[index]
 	if slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Run == crash.Run }) {
 		return
 	}
 	t.crashes = append(t.crashes, crash)
 	c.confirmCrashes(t)
 	if t.isSuspect() {
-		c.markDirty(r.job())
+		c.markDirty(j)
 		if len(t.crashes) > 1 || t.crashes[0].Confirmed && t.crashes[0].Started {
-			c.holdUntilStored(r.step, r.index)
+			c.holdUntilStored(s, index)
 		}
 	}
 	if len(t.crashes) > 1 {
 		c.emit(Event{
-			Kind: EventTaskSuspected, Task: r.name(), Run: r.number, Worker: crash.Worker, Count: len(t.crashes), Reason: describeCrashes(t.crashes),
-			Age: now.Sub(r.sentAt),
+			Kind: EventTaskSuspected, Task: s.name(index), Run: crash.Run, Worker: crash.Worker, Count: len(t.crashes), Reason: describeCrashes(t.crashes),
+			Age: age,
 		})
 	}
 }
@@ -154,27 +159,51 @@
 	}
 }
 
-// countUnreportedRuns counts a lost run for each suspect that is neither running nor has ended: the earlier owner may have
-// started it, and may have died before it noticed the crash.
-func (c *Cell) countUnreportedRuns(now time.Time) {
+// countInheritedRuns records a crash for each run of a suspect that an earlier owner has started, that neither runs nor has
+// ended, and whose worker is gone: the earlier owner may have died before it noticed.
+func (c *Cell) countInheritedRuns(now time.Time) {
 	for _, j := range c.jobs {
 		if !j.inheritedSuspects || j.state.IsFinal() {
 			continue
 		}
 		j.forEachTask(func(s *step, index int) {
 			t := &s.tasks[index]
-			if !t.inheritedSuspect || t.done || j.state.IsFinal() {
+			if t.inheritedRun == nil || t.done || j.state.IsFinal() {
 				return
 			}
-			t.inheritedSuspect = false
-			t.crashes = append(t.crashes, Crash{})
-			c.confirmCrashes(t)
-			c.holdUntilStored(s, index)
+			crash := *t.inheritedRun
+			t.inheritedRun = nil
+			if w := c.workers[crash.Worker]; w != nil && w.reported {
+				if w.incarnation == crash.Incarnation {
+					return
+				}
+				crash.Confirmed = true
+			}
+			c.recordCrash(s, index, crash, 0)
 			c.assess(now, s, index)
 		})
 	}
 }
 
+// suspectRun returns the crash that the next owner records if the run of the suspect neither runs nor has ended by then, or
+// nil if no run is known to have been accepted.
+func (t *task) suspectRun() *Crash {
+	for _, r := range t.runs {
+		if r.suspect && r.phase == runConfirmed {
+			crash := r.crashOf(r.worker.incarnation)
+			return &crash
+		}
+	}
+	return t.inheritedRun
+}
+
+// storeSuspectRun stores that a run of a suspect has been confirmed or has ended.
+func (c *Cell) storeSuspectRun(r *run) {
+	if r.suspect && r.phase == runConfirmed && !r.job().state.IsFinal() {
+		c.markDirty(r.job())
+	}
+}
+
 // isSuspect reports whether the next run of the task may crash its worker. A single crash long after the start of the
 // run says little, since one crash hits all runs on the worker.
 func (t *task) isSuspect() bool {
@@ -241,7 +270,7 @@
 // maxStoredSuspects bounds the tasks of a submission whose crashes are stored, because the size of a row is limited.
 const maxStoredSuspects = 100
 
-// limitCrashes keeps the crashes of at most maxStoredSuspects tasks, of those with the most crashes.
+// limitCrashes keeps the records of at most maxStoredSuspects tasks, of those with the most crashes.
 func (p *Progress) limitCrashes() {
 	if len(p.Crashes) <= maxStoredSuspects {
 		return
@@ -251,6 +280,7 @@
 	})
 	for _, key := range keys[maxStoredSuspects:] {
 		delete(p.Crashes, key)
+		delete(p.SuspectRuns, key)
 	}
 }
 
@@ -296,9 +326,12 @@
 
 // withdrawCrash removes the record of a crash, because the worker had the run after all.
 func (c *Cell) withdrawCrash(j *job, t *task, number medlarorder.RunNumber) {
+	if t.inheritedRun != nil && t.inheritedRun.Run <= number {
+		t.inheritedRun = nil
+	}
 	n := len(t.crashes)
 	t.crashes = slices.DeleteFunc(t.crashes, func(crash Crash) bool {
-		return crash.Run == number || crash.Run == 0 && number < c.firstRun
+		return crash.Run == number
 	})
 	if len(t.crashes) < n {
 		c.markDirty(j)
--- a/internal/scheduling/medlarcell/crash_test.go
+++ b/internal/scheduling/medlarcell/crash_test.go
@@ -214,29 +214,117 @@
 }
 
 // TestNextOwnerCountsUnreportedRunOfSuspect guards against a crash that no owner counts, since the one that started the
-// run died too.
+// run died too, and against one that is counted although the run was not started or its worker is up.
 func TestNextOwnerCountsUnreportedRunOfSuspect(t *testing.T) {
 	task := medlarsubmission.TaskName{Submission: "00000000000000aa"}
+	startedOn := func(worker medlarwheel.WorkerID, incarnation medlarorder.Incarnation) map[string]Crash {
+		return map[string]Crash{"0.0.0": {Run: 2, Worker: worker, Incarnation: incarnation, Address: "10.0.0.1:80", Started: true}}
+	}
+	running := []medlarorder.Running{{Task: task, Run: 2}}
+	ended := func(run medlarorder.RunNumber) []medlarorder.Ended {
+		return []medlarorder.Ended{{Number: 1, Task: task, Run: run, Kind: medlarorder.EndFailed}}
+	}
 	for name, test := range map[string]struct {
-		report medlarorder.Report
-		want   int
+		started         map[string]Crash
+		report          medlarorder.Report
+		want, confirmed int
 	}{
-		"neither running nor ended": {want: 2},
-		"running":                   {report: medlarorder.Report{Running: []medlarorder.Running{{Task: task, Run: 2}}}, want: 1},
-		"ended":                     {report: medlarorder.Report{Ended: []medlarorder.Ended{{Number: 1, Task: task, Run: 2, Kind: medlarorder.EndFailed}}}, want: 1},
+		"not started again":         {want: 1},
+		"neither running nor ended": {started: startedOn("w9", 1), want: 2, confirmed: 1},
+		"worker restarted":          {started: startedOn("w0", 1), report: medlarorder.Report{Incarnation: 2}, want: 2, confirmed: 1},
+		"worker up":                 {started: startedOn("w0", 1), report: medlarorder.Report{Incarnation: 1}, want: 1},
+		"running":                   {started: startedOn("w0", 1), report: medlarorder.Report{Incarnation: 1, Running: running}, want: 1},
+		"ended":                     {started: startedOn("w0", 1), report: medlarorder.Report{Incarnation: 1, Ended: ended(2)}, want: 1},
+		"earlier run ended":         {started: startedOn("w9", 1), report: medlarorder.Report{Ended: ended(1)}, want: 1, confirmed: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			sc := newScriptedCell(t, 0, Ownership{Fence: 2 << 12, Term: 2})
-			stored := Progress{Crashes: map[string][]Crash{"0.0.0": {{Run: 1, Worker: "w8", Prompt: true}}}}
+			stored := Progress{Crashes: map[string][]Crash{"0.0.0": {{Run: 1, Worker: "w8", Prompt: true}}}, SuspectRuns: test.started}
 			if err := sc.cell.Restore(sc.now, testSubmission(testStep()), stored, false); err != nil {
 				t.Fatal(err)
 			}
 			sc.cell.SetWorker(sc.now, testWorker(0))
 			sc.dispatch()
 			sc.report(sc.renewals[0], test.report)
-			if _, counted := sc.cell.jobs[task.Submission].findTask(task); len(counted.crashes) != test.want {
-				t.Fatalf("%d crashes are counted, want %d", len(counted.crashes), test.want)
+			_, counted := sc.cell.jobs[task.Submission].findTask(task)
+			if confirmed, _, _ := countCrashes(counted.crashes); len(counted.crashes) != test.want || confirmed != test.confirmed {
+				t.Fatalf("%d crashes are counted, %d of them confirmed, want %d and %d", len(counted.crashes), confirmed, test.want, test.confirmed)
 			}
 		})
 	}
 }
+
+// TestAcceptedRunOfSuspectIsStored guards against an owner that dies after it has started a suspect again, and leaves no trace
+// of the run for its successor.
+func TestAcceptedRunOfSuspectIsStored(t *testing.T) {
+	c := newCrashCell(t, 3, Ownership{Fence: 1 << 12, Term: 1})
+	c.cell.Accept(c.now, testSubmission(testStep()))
+	c.dispatch()
+	start := c.crashAtStart(c.starts[0])[0]
+	record := func() *Crash {
+		for _, r := range c.cell.TakeFlush(100).Records {
+			if crash, ok := r.Progress.SuspectRuns["0.0.0"]; ok {
+				return &crash
+			}
+		}
+		return nil
+	}
+	if crash := record(); crash != nil {
+		t.Fatalf("run %d is stored before a worker has accepted it", crash.Run)
+	}
+	c.cell.HandleStartResponse(c.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
+	if crash := record(); crash == nil || crash.Run != start.Start.Run || crash.Worker != start.Worker {
+		t.Fatalf("stored run of the suspect is %+v, want run %d on %s", crash, start.Start.Run, start.Worker)
+	}
+	c.report(Command{Worker: start.Worker}, medlarorder.Report{
+		Ended: []medlarorder.Ended{{Number: 1, Task: start.Start.Task, Run: start.Start.Run, Kind: medlarorder.EndStopped}},
+	})
+	if !c.cell.HasFlush() {
+		t.Fatal("the end of the run changes no record")
+	}
+	if crash := record(); crash != nil {
+		t.Fatalf("run %d is still stored after its end", crash.Run)
+	}
+}
+
+// TestChangesOfOwnerFailNoWaitingTask guards against owners that each count a crash for a task that only waits for a worker,
+// until its submission is shown as failed.
+func TestChangesOfOwnerFailNoWaitingTask(t *testing.T) {
+	step := testStep()
+	step.LongRunning = true
+	first := newCrashCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	first.cell.Accept(first.now, testSubmission(step))
+	first.dispatch()
+	start := first.starts[0]
+	first.cell.HandleStartResponse(first.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
+	delete(first.addresses, start.Worker)
+	for range 100 {
+		first.advance(100 * time.Millisecond)
+		first.flush()
+		first.keepAlive()
+	}
+	stored := first.cell.jobs["00000000000000aa"].progress()
+	for term := range uint64(2 * maxCrashes) {
+		next := newCrashCell(t, 0, Ownership{Fence: medlarwheel.FencingToken(term+2) << 12, Term: term + 2})
+		if err := next.cell.Restore(next.now, testSubmission(step), stored, false); err != nil {
+			t.Fatal(err)
+		}
+		full := testWorker(8)
+		full.Capacity = medlarsubmission.Size{}
+		next.addresses[full.ID] = full.Address
+		next.cell.SetWorker(next.now, full)
+		next.flush()
+		for range 5 {
+			next.advance(100 * time.Millisecond)
+			next.flush()
+			next.keepAlive()
+		}
+		if !next.cell.reconciled {
+			t.Fatal("the workers have reported, but the cell is not reconciled")
+		}
+		stored = next.cell.jobs["00000000000000aa"].progress()
+		if count := len(stored.Crashes["0.0.0"]); count != 1 || stored.State != "" {
+			t.Fatalf("after %d changes of owner %d crashes are stored and the state %q, want the one crash and no final state", term+1, count, stored.State)
+		}
+	}
+}
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -31,7 +31,6 @@
 		return
 	}
 	c.withdrawCrash(j, t, e.Run)
-	t.inheritedSuspect = false
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -92,9 +92,9 @@
 	failedTime time.Duration
 	// crashes lists up to maxCrashes runs under which a worker crashed, unless the task has been cleared of them since.
 	crashes []Crash
-	// inheritedSuspect is true while it is unknown whether an earlier owner has started the task again after the crashes
-	// that it stored.
-	inheritedSuspect bool
+	// inheritedRun is the crash to record if the run of the task that an earlier owner has stored neither runs nor has
+	// ended.
+	inheritedRun *Crash
 	// crashesUnstored is true while the task waits for its crashes to be stored.
 	crashesUnstored bool
 	// avoidWorker is the worker on which the last run failed or from which the task was moved.
--- a/internal/scheduling/medlarcell/ownership.go
+++ b/internal/scheduling/medlarcell/ownership.go
@@ -96,7 +96,7 @@
 		return
 	}
 	c.reconciled = true
-	c.countUnreportedRuns(now)
+	c.countInheritedRuns(now)
 	unresponsive := 0
 	for _, w := range c.workers {
 		if !w.reported {
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -26,6 +26,9 @@
 	Checkpoints map[string]string `json:"saved,omitempty"`
 	// Crashes holds the crashes of workers under a task, by occurrence, step and task.
 	Crashes map[string][]Crash `json:"crashes,omitempty"`
+	// SuspectRuns holds the runs of tasks with crashes that a worker has accepted, by occurrence, step and task. Without
+	// them, the next owner could not tell a task that has crashed another worker from one that was not started again.
+	SuspectRuns map[string]Crash `json:"suspect-runs,omitempty"`
 }
 
 // Record is the progress of one submission.
@@ -147,7 +150,7 @@
 	if j.state.IsFinal() {
 		return Progress{State: j.state}
 	}
-	p := Progress{Done: map[string]string{}, Failed: map[string][]medlarorder.RunNumber{}, Checkpoints: map[string]string{}, Crashes: map[string][]Crash{}}
+	p := Progress{Done: map[string]string{}, Failed: map[string][]medlarorder.RunNumber{}, Checkpoints: map[string]string{}, Crashes: map[string][]Crash{}, SuspectRuns: map[string]Crash{}}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			s.encodeProgress(&p)
@@ -173,7 +176,11 @@
 			p.Failed[fmt.Sprintf("%s.%d", key, i)] = slices.Clone(t.failedRuns)
 		}
 		if len(t.crashes) > 0 {
-			p.Crashes[fmt.Sprintf("%s.%d", key, i)] = slices.Clone(t.crashes)
+			taskKey := fmt.Sprintf("%s.%d", key, i)
+			p.Crashes[taskKey] = slices.Clone(t.crashes)
+			if crash := t.suspectRun(); crash != nil {
+				p.SuspectRuns[taskKey] = *crash
+			}
 		}
 		if t.checkpoint != "" && len(t.runs) == 0 {
 			p.Checkpoints[fmt.Sprintf("%s.%d", key, i)] = t.checkpoint
@@ -225,7 +232,14 @@
 			return err
 		} else if t != nil {
 			t.crashes = slices.Clone(crashes[:min(len(crashes), maxCrashes)])
-			t.inheritedSuspect, j.inheritedSuspects = t.isSuspect(), true
+			j.inheritedSuspects = true
+		}
+	}
+	for key, crash := range p.SuspectRuns {
+		if t, err := j.findTaskByKey(key); err != nil {
+			return err
+		} else if t != nil {
+			t.inheritedRun = &crash
 		}
 	}
 	return nil
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -293,7 +293,7 @@
 		return nil
 	}
 	t.lastRun = max(t.lastRun, running.Run)
-	t.inheritedSuspect = false
+	t.inheritedRun = nil
 	r := newRun(now, w, s, running.Task.Index, running.Run)
 	r.adopted = true
 	c.attach(r)
@@ -327,6 +327,7 @@
 	if r.step.spec.BestEffort {
 		r.worker.shareHistory.startInterval(now, r)
 	}
+	c.storeSuspectRun(r)
 	j := r.job()
 	if !j.started {
 		c.markStarted(j)
@@ -348,13 +349,14 @@
 		}
 	}
 	r.worker.removeRun(r)
+	c.storeSuspectRun(r)
 	c.failureCache.workerChanged(r.worker)
 }
 
 // markLost removes a run that cannot be running any more, and requeues its task.
 func (c *Cell) markLost(now time.Time, r *run, reason string) {
 	if r.pendingCrash != nil {
-		c.recordCrash(now, r, *r.pendingCrash)
+		c.recordCrash(r.step, r.index, *r.pendingCrash, now.Sub(r.sentAt))
 		c.assess(now, r.step, r.index)
 	}
 	c.detach(now, r)
