Fail no submission because its workers fell silent

Cause: isBlamed failed a task after four crashes of any kind, so that the number of starts is bounded even if no worker comes back to confirm a crash.

TestSilentWorkersDoNotFailSubmission, in which workers run the task for a second and fall silent, failed before: "the task is not started again after 4 workers have fallen silent".

Change: four confirmed crashes, or four workers lost right after a start of the task, fail the submission. The second keeps the bound, since a worker that is lost at each start points to the task; TestTaskThatLosesWorkersForGoodIsGivenUp passed before and after.

--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -38,8 +38,8 @@
 	certainCrashes = 2
 	// ambiguousCrashes is the number of crashes that the task is blamed for although others may have caused each of them.
 	ambiguousCrashes = 3
-	// maxCrashes is the number of lost workers after which a task is not started again, even if some of them may only
-	// have been unreachable.
+	// maxCrashes is the number of confirmed crashes, or of workers lost right after a start of the task, that the task is
+	// blamed for in any case. No more crashes of a task are kept.
 	maxCrashes = 4
 )
 
@@ -109,6 +109,7 @@
 	}
 	t.crashes = append(t.crashes, crash)
 	c.confirmCrashes(t)
+	t.limitCrashes()
 	if t.isSuspect() {
 		c.markDirty(j)
 		if len(t.crashes) > 1 || t.crashes[0].Confirmed && t.crashes[0].Started {
@@ -210,11 +211,37 @@
 	return len(t.crashes) > 1 || len(t.crashes) == 1 && t.crashes[0].Prompt
 }
 
-// isBlamed reports whether the crashes are certain to be the task's own, or are so many that the task may not be started
-// again.
+// isBlamed reports whether the task is the cause of the crashes, or of so many that it may not be started again. Workers that
+// fell silent some time after a start do not count, since they may only have been unreachable.
 func isBlamed(crashes []Crash) bool {
 	confirmed, prompt, alone := countCrashes(crashes)
-	return prompt >= certainCrashes && (alone > 0 || confirmed >= ambiguousCrashes) || len(crashes) >= maxCrashes
+	lostAtStart := 0
+	for _, crash := range crashes {
+		if crash.Started && crash.Prompt {
+			lostAtStart++
+		}
+	}
+	return prompt >= certainCrashes && (alone > 0 || confirmed >= ambiguousCrashes) || max(confirmed, lostAtStart) >= maxCrashes
+}
+
+// limitCrashes drops the weakest evidence, the oldest first, if there are more than maxCrashes crashes.
+func (t *task) limitCrashes() {
+	if len(t.crashes) <= maxCrashes {
+		return
+	}
+	weakest := slices.MinFunc(t.crashes, func(a, b Crash) int { return cmp.Compare(a.evidence(), b.evidence()) })
+	i := slices.Index(t.crashes, weakest)
+	t.crashes = slices.Delete(t.crashes, i, i+1)
+}
+
+// evidence counts the facts that point to the task as the cause of the crash.
+func (k Crash) evidence() (n int) {
+	for _, fact := range []bool{k.Confirmed, k.Started, k.Prompt} {
+		if fact {
+			n++
+		}
+	}
+	return n
 }
 
 // isReservedForSuspect reports whether a suspect of another submission was started on the worker just now. Nothing else is
--- a/internal/scheduling/medlarcell/crash_test.go
+++ b/internal/scheduling/medlarcell/crash_test.go
@@ -328,3 +328,63 @@
 		}
 	}
 }
+
+// loseWorkers lets the worker of each start of the task fall silent for good, after it has run the task for the given time,
+// and returns how many were lost until no start followed.
+func (c *crashCell) loseWorkers(most int, ranFor time.Duration) (lost int) {
+	starts := c.starts
+	for ; len(starts) > 0 && lost < most; lost++ {
+		start := starts[0]
+		c.cell.HandleStartResponse(c.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
+		running := medlarorder.Report{Running: []medlarorder.Running{{Task: start.Start.Task, Run: start.Start.Run}}}
+		for range ranFor / (100 * time.Millisecond) {
+			c.advance(100 * time.Millisecond)
+			c.dispatch()
+			for _, renewal := range c.renewals {
+				if renewal.Worker == start.Worker {
+					c.report(renewal, running)
+				} else {
+					c.report(renewal, medlarorder.Report{})
+				}
+			}
+		}
+		delete(c.addresses, start.Worker)
+		c.starts = nil
+		for range 100 {
+			c.advance(100 * time.Millisecond)
+			c.flush()
+			c.keepAlive()
+		}
+		starts = c.starts
+	}
+	return lost
+}
+
+// TestSilentWorkersDoNotFailSubmission guards against a submission that is shown as failed after workers have fallen silent
+// under a task, although nothing shows that they have crashed, or that the task is the cause.
+func TestSilentWorkersDoNotFailSubmission(t *testing.T) {
+	c := newCrashCell(t, 2*maxCrashes, Ownership{Fence: 1 << 12, Term: 1})
+	c.cell.Accept(c.now, testSubmission(testStep()))
+	c.keepAlive()
+	if lost := c.loseWorkers(2*maxCrashes-1, time.Second); lost < 2*maxCrashes-1 {
+		t.Errorf("the task is not started again after %d workers have fallen silent", lost)
+	}
+	if state, _ := c.cell.State("00000000000000aa"); state.IsFinal() {
+		t.Errorf("the submission is %s, want it running", state)
+	}
+	if _, task := c.cell.jobs["00000000000000aa"].findTask(medlarsubmission.TaskName{Submission: "00000000000000aa"}); len(task.crashes) > maxCrashes {
+		t.Errorf("%d crashes are kept, want at most %d", len(task.crashes), maxCrashes)
+	}
+}
+
+// TestTaskThatLosesWorkersForGoodIsGivenUp guards against a task that crashes worker after worker, none of which comes back to
+// confirm it.
+func TestTaskThatLosesWorkersForGoodIsGivenUp(t *testing.T) {
+	c := newCrashCell(t, 2*maxCrashes, Ownership{Fence: 1 << 12, Term: 1})
+	c.cell.Accept(c.now, testSubmission(testStep()))
+	c.keepAlive()
+	lost := c.loseWorkers(2*maxCrashes, 0)
+	if state, _ := c.cell.State("00000000000000aa"); lost != maxCrashes || state != medlarsubmission.StateFailed {
+		t.Errorf("the submission is %s after %d workers were lost right after the start, want failed after %d", state, lost, maxCrashes)
+	}
+}
