Store the cancellation of a submission that is not stored yet

Cause: a cancellation that found no submission in the table stored nothing. The read says nothing about writes whose outcome is unknown, and neither the table nor the owner had anything that could stop such a write. The owner also dropped a cancellation that reached it before its submission.

Evidence: the log of the cancelling instance has outcome "gone" and no write; the store of the case carries out the submission's write 1 s to 6 s later.

Change: the cancellation is stored before it is answered, whether or not the submission exists. The owner keeps it and cancels the submission as soon as its row turns up, so that the order of the two rows no longer matters; a new owner reads it like all rows. It is erased after the time for which finished submissions are kept. In the same place: a removal that is refused because another submission has changed took the cancellations beside it for removed (TestCancellationWithoutSubmissionIsErasedBesideConflict).

--- a/internal/operation/medlarnode/submissions.go
+++ b/internal/operation/medlarnode/submissions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"medlarwheel/internal/acceptance/medlargroupcommit"
@@ -84,7 +85,8 @@
 			Msg("cannot read the submission from the table; refusing the request")
 		return refused
 	}
-	if len(entries.Rows) == 0 {
+	isStored := func(r medlartable.Row) bool { return r.Key == string(id) }
+	if !slices.ContainsFunc(entries.Rows, isStored) {
 		return platform.Reply{Outcome: platform.OutcomeNotFound}
 	}
 	if len(entries.Rows) > 1 {
@@ -109,17 +111,26 @@
 	return platform.Reply{Outcome: platform.OutcomeOK, State: state}
 }
 
-// Cancel stores the cancellation of a submission that exists and is not final.
+// Cancel stores the cancellation of a submission that is not final. It also does so if the submission does not exist, since
+// a write of it without a response may still be carried out.
 func (n *Node) Cancel(id medlarsubmission.ID, deadline time.Time) platform.Reply {
 	began := n.clock.Now()
+	reply, reason := n.cancel(id, deadline)
+	n.logReply("cancel", id, "", reply, reason, n.clock.Now().Sub(began))
+	return reply
+}
+
+func (n *Node) cancel(id medlarsubmission.ID, deadline time.Time) (platform.Reply, string) {
 	state := n.State(id)
-	if state.Outcome != platform.OutcomeOK || state.State.IsFinal() {
-		n.logReply("cancel", id, "", state, "state "+string(state.State), n.clock.Now().Sub(began))
-		return state
+	exists := state.Outcome == platform.OutcomeOK
+	if !exists && state.Outcome != platform.OutcomeNotFound || state.State.IsFinal() {
+		return state, "state " + string(state.State)
 	}
 	reply, reason := n.storeRow(medlarcellstore.CancelRow(n.config.Owner.Part, id), deadline)
-	n.logReply("cancel", id, "", reply, reason, n.clock.Now().Sub(began))
-	return reply
+	if !exists && reply.Outcome == platform.OutcomeOK {
+		return state, "not found, cancellation " + reason
+	}
+	return reply, reason
 }
 
 // QueueLength returns the number of submissions of a route of which no task has started.
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -54,6 +54,11 @@
 	// dirty lists the jobs whose records have changed since they were last stored. finished lists those in a final
 	// state, oldest first.
 	dirty, finished []*job
+	// earlyCancellations holds the times of cancellations whose submission is not known. A write of the submission without a
+	// response may still be carried out. earlyCancellationOrder lists their submissions, oldest first, and some that have
+	// become known since.
+	earlyCancellations     map[medlarsubmission.ID]time.Time
+	earlyCancellationOrder []medlarsubmission.ID
 
 	// Workers.
 
@@ -107,7 +112,7 @@
 // New returns a cell without submissions or workers.
 func New(c Config) *Cell {
 	return &Cell{
-		config: c, jobs: map[medlarsubmission.ID]*job{}, workers: map[medlarwheel.WorkerID]*worker{}, responsivenessByCentre: responsivenessMap{}, queueLengths: map[string]int{},
+		config: c, jobs: map[medlarsubmission.ID]*job{}, earlyCancellations: map[medlarsubmission.ID]time.Time{}, workers: map[medlarwheel.WorkerID]*worker{}, responsivenessByCentre: responsivenessMap{}, queueLengths: map[string]int{},
 		meanWork: map[string]float64{}, meanSpeed: 1, shortTaskSize: map[medlarwheel.ServiceName]float64{}, failureCache: newPlacementFailureCache(),
 		runTimes:          medlarforecast.New(c.RunTimes),
 		interferenceModel: medlarinterference.New(c.Interference.Model),
@@ -156,6 +161,10 @@
 		}
 	}
 	c.emit(Event{Kind: EventAccepted, Submission: s.ID, Route: s.Route, Age: now.Sub(s.AcceptedAt)})
+	if _, cancelled := c.earlyCancellations[s.ID]; cancelled {
+		delete(c.earlyCancellations, s.ID)
+		c.Cancel(now, s.ID)
+	}
 }
 
 func (c *Cell) add(s medlarsubmission.Submission, inherited bool) *job {
@@ -189,17 +198,6 @@
 // isCountedAsWaiting reports whether the job is included in the queue length of its route.
 func (j *job) isCountedAsWaiting() bool { return !j.started && j.submission.OccurrenceCount == 0 }
 
-// Cancel ends a submission and stops its runs. It does nothing if the submission is unknown or finished.
-func (c *Cell) Cancel(now time.Time, id medlarsubmission.ID) {
-	j, known := c.jobs[id]
-	if known && !j.state.IsFinal() {
-		c.cancel(now, j)
-		c.emit(Event{Kind: EventCancelled, Submission: id, Route: j.submission.Route, Age: now.Sub(j.submission.AcceptedAt)})
-	}
-}
-
-func (c *Cell) cancel(now time.Time, j *job) { c.finish(now, j, medlarsubmission.StateCancelled) }
-
 // finish moves the job to a final state and stops its runs.
 func (c *Cell) finish(now time.Time, j *job, state medlarsubmission.State) {
 	c.stopWaiting(j)
@@ -366,6 +364,7 @@
 	c.measureLoad(now)
 	c.emitWaitReasons(now)
 	c.removeFinished(now)
+	c.removeEarlyCancellations(now)
 }
 
 func (c *Cell) removeFinished(now time.Time) {
--- a/internal/scheduling/medlarowner/erase.go
+++ b/internal/scheduling/medlarowner/erase.go
@@ -17,7 +17,7 @@
 // eraser removes the rows of submissions that the cell no longer keeps. The row of a submission is removed first, from
 // the part of the table that holds it. Its progress is removed after that, with one of the batches that store records.
 type eraser struct {
-	// versions holds the version of the row of each submission.
+	// versions holds the version of the row of each submission. A cancellation whose submission was not stored has none.
 	versions map[medlarsubmission.ID]medlarwheel.RowVersion
 	// pending holds the submissions whose rows are to be removed, by part of the table.
 	pending map[string][]medlarcellstore.Erasure
@@ -93,13 +93,12 @@
 			e.orphaned = append(e.orphaned, erasure.ID)
 			continue
 		}
-		row, found := conflict.Find(medlarcellstore.TableSubmissions, string(erasure.ID))
-		switch {
-		case !found || row.Version == 0:
+		switch row, _ := conflict.Find(medlarcellstore.TableSubmissions, string(erasure.ID)); row.Version {
+		case erasure.Version:
+			e.pending[part] = append(e.pending[part], erasure)
+		case 0:
 			// An earlier attempt has removed the row, but its response was lost.
 			e.orphaned = append(e.orphaned, erasure.ID)
-		case row.Version == erasure.Version:
-			e.pending[part] = append(e.pending[part], erasure)
 		}
 	}
 	return true
--- a/internal/scheduling/medlarowner/erase_test.go
+++ b/internal/scheduling/medlarowner/erase_test.go
@@ -73,3 +73,23 @@
 		t.Errorf("orphaned progress: got %v, want [b]", got)
 	}
 }
+
+// TestCancellationWithoutSubmissionIsErasedBesideConflict guards against rows of cancellations that stay in the table, because
+// another submission of the same removal has changed.
+func TestCancellationWithoutSubmissionIsErasedBesideConflict(t *testing.T) {
+	e := newEraser()
+	e.enqueue(testPart, testID)
+	part := e.largestPart()
+	erasures := e.pending[part]
+	delete(e.pending, part)
+	e.handleResult(part, erasures, &medlartable.ConflictError{})
+	if len(e.pending[part]) != 1 {
+		t.Errorf("%d removals are queued after a conflict of another submission, want 1", len(e.pending[part]))
+	}
+	stored := medlartable.Row{Table: medlarcellstore.TableSubmissions, Key: string(testID), Version: 7}
+	delete(e.pending, part)
+	e.handleResult(part, erasures, &medlartable.ConflictError{Rows: []medlartable.Row{stored}})
+	if len(e.pending[part])+len(e.orphaned) != 0 {
+		t.Errorf("%d removals and %d of progress are queued for a submission that was stored after all, want none", len(e.pending[part]), len(e.orphaned))
+	}
+}
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -161,6 +161,9 @@
 			logUnreadable(medlartable.Row{Table: medlarcellstore.TableProgress, Key: string(s.ID)}, err)
 		}
 	}
+	for id := range cancelled {
+		o.cell.Cancel(now, id)
+	}
 	o.eraser.findOrphanedProgress(submissions, progress)
 }
 
--- a/internal/scheduling/medlarowner/load_test.go
+++ b/internal/scheduling/medlarowner/load_test.go
@@ -10,9 +10,11 @@
 	"github.com/rs/zerolog"
 
 	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 	"medlarwheel/internal/operation/medlarmetrics"
 	"medlarwheel/internal/scheduling/medlarcell"
+	"medlarwheel/internal/state/medlarcellstore"
 	"medlarwheel/internal/state/medlarownership"
 	"medlarwheel/internal/state/medlartable"
 )
@@ -137,3 +139,15 @@
 		}
 	}
 }
+
+// TestNextOwnerKeepsEarlyCancellation guards against a submission that runs although its cancellation was answered, because its
+// late write is carried out after a change of owner.
+func TestNextOwnerKeepsEarlyCancellation(t *testing.T) {
+	o := testOwner(&slowStore{})
+	now := o.Clock.Now()
+	o.restoreSubmissions(now, []medlartable.Row{medlarcellstore.CancelRow(testPart, testID)}, nil)
+	o.cell.Accept(now, medlarsubmission.Submission{ID: testID, Route: "q", Service: "svc", AcceptedAt: now})
+	if state, _ := o.cell.State(testID); state != medlarsubmission.StateCancelled {
+		t.Errorf("the submission is %q, want %q", state, medlarsubmission.StateCancelled)
+	}
+}
--- a/internal/state/medlarcellstore/cellstore.go
+++ b/internal/state/medlarcellstore/cellstore.go
@@ -86,7 +86,8 @@
 // Erasure identifies a submission whose rows are to be removed.
 type Erasure struct {
 	ID medlarsubmission.ID
-	// Version is the version of the submission's row, which protects a later submission with the same id from removal.
+	// Version is the version of the submission's row, which protects a later submission with the same id from removal, or
+	// zero if only a cancellation is stored.
 	Version medlarwheel.RowVersion
 }
 
