Let a submission that is heard of late wait for the workers' reports

Cause: such an owner may send orders for a grace period after the claim, and the new owner treated submissions that it heard of within that time as possibly started. It counted the time of hearing, not that of storing: with a table that is slow to read, a submission that was stored in the grace period and started by the previous owner, on a worker that is cut off, was started again at once.

Evidence: TestSubmissionHeardOfLateWaitsForReports failed before: "the submission was started while a worker may run it on an order of the previous owner".

Change: the new owner reads a version of the table once the grace period has ended, and every submission up to that version waits for the reports of all workers or the end of their leases. Later ones do not wait (TestGraceEndsWithLaterSubmissions).

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -32,8 +32,8 @@
 	// leases have ended by outageLeasesEnd.
 	outageLease                       time.Duration
 	outageLeaseUntil, outageLeasesEnd time.Time
-	// graceEnd is the time until which the previous owner may still start tasks, including those of new submissions.
-	graceEnd time.Time
+	// inGrace is true until all submissions that the previous owner may start tasks of are accepted.
+	inGrace bool
 	// authorityEnd is the time until which this owner may send orders without a further renewal of its ownership.
 	authorityEnd time.Time
 
@@ -154,7 +154,7 @@
 	if _, known := c.jobs[s.ID]; known {
 		return
 	}
-	j := c.add(s, now.Before(c.graceEnd))
+	j := c.add(s, c.inGrace)
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			c.enqueue(now, st)
--- a/internal/scheduling/medlarcell/ownership.go
+++ b/internal/scheduling/medlarcell/ownership.go
@@ -36,11 +36,15 @@
 	c.fence = ownership.Fence
 	c.firstRun = medlarorder.RunNumber((ownership.Term-1)*runNumbersPerTerm + 1)
 	c.tickedAt, c.termStartedAt = now, now
-	c.graceEnd = now.Add(ownership.Grace)
+	c.inGrace = ownership.Grace > 0
 	c.reconcileDeadline = now.Add(ownership.Grace + max(c.inheritedLeaseBound(&ownership), c.leaseDurationBound(ownership.OutageLeaseRemaining)))
 	c.outageLeasesEnd = now.Add(ownership.OutageLeaseRemaining)
 }
 
+// EndGrace records that all submissions that are accepted from now on were stored after the grace period of the previous owner.
+// One that was stored earlier may have been started by it, whenever this owner hears of it.
+func (c *Cell) EndGrace() { c.inGrace = false }
+
 // Authorize extends the time until which this owner may send orders to workers.
 func (c *Cell) Authorize(until time.Time) {
 	if until.After(c.authorityEnd) {
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -395,3 +395,22 @@
 		t.Errorf("got %d requests for a report in 100 ms while its ends are not acknowledged, want at most 4", requests)
 	}
 }
+
+// TestSubmissionHeardOfLateWaitsForReports guards against a submission that two owners start. The previous owner has read and
+// started it in the grace period, on a worker that is cut off; its successor hears of it only after that.
+func TestSubmissionHeardOfLateWaitsForReports(t *testing.T) {
+	sc := newScriptedCell(t, 2, Ownership{Fence: 2 << 12, Term: 2, Grace: time.Second})
+	sc.report(sc.renewals[0], medlarorder.Report{})
+	second := sc.renewals[1]
+	sc.now = sc.now.Add(2 * time.Second)
+	sc.report(Command{Worker: sc.renewals[0].Worker}, medlarorder.Report{})
+	sc.cell.Accept(sc.now, testSubmission(testStep()))
+	if sc.dispatch(); len(sc.starts) > 0 {
+		t.Fatal("the submission was started while a worker may run it on an order of the previous owner")
+	}
+	running := medlarorder.Running{Task: medlarsubmission.TaskName{Submission: "00000000000000aa"}, Run: 1}
+	sc.report(second, medlarorder.Report{Running: []medlarorder.Running{running}})
+	if sc.dispatch(); len(sc.starts)+len(sc.stops) > 0 {
+		t.Fatalf("got %d starts and %d stops although the previous owner's run was reported, want none", len(sc.starts), len(sc.stops))
+	}
+}
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -1,6 +1,7 @@
 package medlarowner
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -211,11 +212,17 @@
 
 // followSubmissions passes newly accepted submissions and cancellations to the scheduler.
 func (o *Owner) followSubmissions(ctx context.Context) error {
-	return o.follow(ctx, medlarcellstore.TableSubmissions, o.submissionsVersion, 0, o.readSubmissions, func(rows []medlartable.Row, _ bool) {
+	return o.follow(ctx, medlarcellstore.TableSubmissions, o.submissionsVersion, 0, o.readSubmissions, func(rows []medlartable.Row, whole bool) {
 		entries, cancelled := o.decodeEntries(rows)
+		if whole {
+			slices.SortFunc(entries, func(a, b medlarcellstore.Entry) int { return cmp.Compare(a.Version, b.Version) })
+		}
 		o.postToControl(func(now time.Time) {
 			for i := range entries {
 				o.eraser.versions[entries[i].ID] = entries[i].Version
+				if o.graceVersion > 0 && entries[i].Version > o.graceVersion {
+					o.cell.EndGrace()
+				}
 				o.cell.Accept(now, entries[i].Submission)
 			}
 			for id := range cancelled {
@@ -225,6 +232,19 @@
 	})
 }
 
+// findGraceVersion reads a version of the table once the previous owner may send no more orders.
+func (o *Owner) findGraceVersion(ctx context.Context) error {
+	if !medlarclock.Sleep(ctx, o.claimedAt.Add(o.grace).Sub(o.Clock.Now())) {
+		return ctx.Err()
+	}
+	noRows := medlarcellstore.ProgressRange(o.config.Part, "")
+	_, version, err := o.readAll(ctx, noRows)
+	if err == nil {
+		o.postToControl(func(time.Time) { o.graceVersion = version })
+	}
+	return err
+}
+
 // followWorkers passes changes of the list of workers to the scheduler.
 func (o *Owner) followWorkers(ctx context.Context) error {
 	readAll := func(ctx context.Context) ([]medlartable.Row, medlarwheel.RowVersion, error) {
--- a/internal/scheduling/medlarowner/load_test.go
+++ b/internal/scheduling/medlarowner/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -151,3 +152,60 @@
 		t.Errorf("the submission is %q, want %q", state, medlarsubmission.StateCancelled)
 	}
 }
+
+// TestGraceEndsWithLaterSubmissions guards against a submission that two owners start, because this one hears of it only after the
+// grace period of the other, and against all others waiting for the reports of every worker.
+func TestGraceEndsWithLaterSubmissions(t *testing.T) {
+	store := &changingStore{pages: make(chan medlartable.Page, 2), after: make(chan medlarwheel.RowVersion, 2)}
+	clock := medlarwheel.SystemClock{}
+	o := New(DefaultConfig(), Dependencies{Store: store, Clock: clock, Log: zerolog.Nop(), Meter: medlarmetrics.New()},
+		medlarownership.Term{Number: 2, Version: 9}, clock.Now(), medlarownership.Predecessor{Expired: true, Grace: 20 * time.Millisecond})
+	now := clock.Now()
+	o.cell.SetWorkers(now, []medlarorder.Worker{testWorker("reporting"), testWorker("silent")})
+	o.cell.FlushSucceeded(now, o.cell.TakeFlush(10))
+	report := medlarorder.Report{Verdict: medlarorder.VerdictAccepted, Incarnation: 1, Clock: time.Second}
+	o.cell.HandleRenewResponse(now, "reporting", false, now, medlarorder.Renew{}, report, nil)
+	o.cell.TakeCommands()
+
+	if err := o.findGraceVersion(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if waited := clock.Now().Sub(o.claimedAt); waited < o.grace {
+		t.Errorf("the version is read %v after the claim, want at least %v", waited, o.grace)
+	}
+	(<-o.controlFuncs)(now)
+	// The table has version 1 after the grace period.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o.submissionsVersion = 1
+	go func() { _ = o.followSubmissions(ctx) }()
+	for want, version := range []medlarwheel.RowVersion{1, 2} {
+		id := medlarsubmission.ID(fmt.Sprintf("%016x", version))
+		row, err := medlarcellstore.SubmissionRow(testPart, &medlarsubmission.Submission{
+			ID: id, Route: "q", Service: "svc", AcceptedAt: now, Policy: medlarsubmission.Policy{MaxAttempts: 1, Stretch: 2, Allowance: time.Second},
+			Steps: []medlarsubmission.Step{{Count: 1, Size: medlarsubmission.Size{MilliCPU: 1, MemoryMB: 1}, Estimate: time.Second}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		row.Version = version
+		store.pages <- medlartable.Page{Rows: []medlartable.Row{row}, Version: version}
+		(<-o.controlFuncs)(now)
+		o.cell.Place(now)
+		starts := 0
+		for _, c := range o.cell.TakeCommands() {
+			if c.Kind == medlarcell.CommandStart && c.Start.Task.Submission == id {
+				starts++
+			}
+		}
+		if starts != want {
+			t.Errorf("submission stored at version %d: %d starts before the silent worker has reported, want %d", version, starts, want)
+		}
+	}
+}
+
+func testWorker(id medlarwheel.WorkerID) medlarorder.Worker {
+	return medlarorder.Worker{
+		ID: id, Incarnation: 1, Service: "svc", Address: "10.0.0.1:80", Capacity: medlarsubmission.Size{MilliCPU: 8000, MemoryMB: 8000},
+	}
+}
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -154,10 +154,14 @@
 	claimedAt  time.Time
 	// submissionsVersion and workersVersion are the table versions up to which submissions and workers are loaded.
 	submissionsVersion, workersVersion medlarwheel.RowVersion
-	eraser                             eraser
-	eventLogLimit                      logLimit
-	releasing                          bool
-	superseded                         bool
+	// grace is how long after the claim the previous owner may still send orders. graceVersion is a table version after
+	// that, or zero while none is known.
+	grace         time.Duration
+	graceVersion  medlarwheel.RowVersion
+	eraser        eraser
+	eventLogLimit logLimit
+	releasing     bool
+	superseded    bool
 }
 
 type agentEntry struct {
@@ -173,7 +177,7 @@
 		chain:  medlarcellstore.NewChain(c.Part, term.Number, term.Version),
 		agents: map[medlarwheel.WorkerID]*agentEntry{}, controlFuncs: make(chan func(time.Time), controlFuncBuffer),
 		done: make(chan struct{}), failed: make(chan error, 1), claimedAt: claimedAt,
-		writer: medlarhedge.New(c.Hedge, d.Store, d.Clock, func(bool) {}), eraser: newEraser(),
+		writer: medlarhedge.New(c.Hedge, d.Store, d.Clock, func(bool) {}), eraser: newEraser(), grace: predecessor.Grace,
 	}
 	o.cell.Begin(claimedAt, medlarcell.Ownership{
 		Fence: medlarownership.FirstFencingToken(term.Version), Term: term.Number, Expired: predecessor.Expired, Grace: predecessor.Grace,
@@ -200,6 +204,9 @@
 	}
 	o.goInGroup(group, "follow-submissions", func() error { return o.followSubmissions(ctx) })
 	o.goInGroup(group, "follow-workers", func() error { return o.followWorkers(ctx) })
+	if o.grace > 0 {
+		o.goInGroup(group, "end-grace", func() error { return o.findGraceVersion(ctx) })
+	}
 	o.goInGroup(group, "control", func() error { return o.control(ctx) })
 	err = group.Wait()
 	for _, a := range o.agents {
