Wait for runs and ends of submissions that are not known yet

Cause: a worker's first report may name a submission that the new owner has not heard of yet. A run of it was ordered to stop and did not keep the cell from being reconciled, so that its task was started elsewhere while the stop took place. An end of it was dropped and acknowledged, so that its task ran again.

Evidence: TestRunOfUnknownSubmissionDelaysReconciliation failed before: "the task was started while its earlier run is still being stopped"; TestEndOfUnknownSubmissionIsKept failed with "1 workers may discard the end of an unknown submission" and "the task was started although its end is reported".

Change: until the cell is reconciled, an end of an unknown submission is neither processed nor acknowledged, and a worker that lists a run or an end of one does not count as heard. The deadline of the reconciliation bounds both, for submissions that were erased (TestEndOfErasedSubmissionIsAcknowledged, passes before and after). The worker is asked again after a pause, since it answers at once while it has ends to report.

--- a/internal/scheduling/medlarcell/ownership.go
+++ b/internal/scheduling/medlarcell/ownership.go
@@ -119,7 +119,7 @@
 		return true
 	}
 	for _, w := range c.workers {
-		if !w.reported || w.endsTruncated {
+		if !w.reported || w.endsTruncated || w.hasUnknownTasks {
 			return false
 		}
 	}
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -42,8 +42,8 @@
 		delay = c.config.RenewalRetryDelay
 	default:
 		c.applyReport(now, w, sentAt, renewal, report)
-		if w.incarnationUncertain {
-			// The report was that of an earlier incarnation.
+		if w.incarnationUncertain || w.hasUnknownTasks {
+			// The report was that of an earlier incarnation, or the worker responds at once until its ends are acknowledged.
 			delay = c.config.RenewalRetryDelay
 		}
 	}
@@ -178,19 +178,14 @@
 	c.recordResponse(now, w)
 	w.recordClock(now, report.Clock)
 	w.incarnationUncertain = false
-	first := !w.reported || w.endsTruncated
-	for i := range report.Ended {
-		if e := &report.Ended[i]; e.Number > w.lastProcessedEnd {
-			w.lastProcessedEnd = e.Number
-			c.handleEnd(now, w, e)
-		}
-	}
+	mayReconcile := !w.reported || w.endsTruncated || w.hasUnknownTasks
+	w.hasStrayRuns, w.hasUnknownTasks = false, !c.processEnds(now, w, report.Ended)
+	w.endsTruncated = w.hasUnknownTasks || !report.HasAllEnds()
 	if w.lastProcessedEnd > w.lastAckedEnd && !w.inUnackedList {
 		w.inUnackedList = true
 		c.unackedWorkers = append(c.unackedWorkers, w)
 	}
 	listed := make(map[*run]struct{}, len(report.Running))
-	w.hasStrayRuns = false
 	for i := range report.Running {
 		if r := c.applyRunning(now, w, &report.Running[i]); r != nil {
 			listed[r] = struct{}{}
@@ -198,7 +193,6 @@
 			w.hasStrayRuns = true
 		}
 	}
-	w.endsTruncated = !report.HasAllEnds()
 	if !w.endsTruncated {
 		for r := range w.runs {
 			if _, ok := listed[r]; !ok && r.isProvenMissing(sentAt, renewal.Fence) {
@@ -207,7 +201,7 @@
 		}
 	}
 	w.reported, w.allRunsKnown = true, true
-	if first {
+	if mayReconcile {
 		c.tryReconcile(now)
 	}
 	c.updateServingUtilisations(now, w)
@@ -218,6 +212,23 @@
 	}
 }
 
+// processEnds processes the ended runs that were not processed before. It reports false if it had to stop at the run of an
+// unknown submission. Until the cell is reconciled, one that the previous owner has started may still become known.
+func (c *Cell) processEnds(now time.Time, w *worker, ends []medlarorder.Ended) bool {
+	for i := range ends {
+		e := &ends[i]
+		if e.Number <= w.lastProcessedEnd {
+			continue
+		}
+		if !c.reconciled && c.jobs[e.Task.Submission] == nil {
+			return false
+		}
+		w.lastProcessedEnd = e.Number
+		c.handleEnd(now, w, e)
+	}
+	return true
+}
+
 // handleLowerIncarnation handles a report of an incarnation with a lower number. Either the report is late, or the
 // worker has started again after its clock was set back. Until the higher one reports again, no lease is extended and
 // no ends are acknowledged, so that the runs end with their lease.
@@ -285,7 +296,11 @@
 // adopt takes over a run that an earlier owner has started. It returns nil if the run is not needed.
 func (c *Cell) adopt(now time.Time, w *worker, running *medlarorder.Running) *run {
 	j := c.jobs[running.Task.Submission]
-	if j == nil || j.state.IsFinal() {
+	if j == nil {
+		w.hasUnknownTasks = true
+		return nil
+	}
+	if j.state.IsFinal() {
 		return nil
 	}
 	s, t := j.findTask(running.Task)
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -414,3 +414,68 @@
 		t.Fatalf("got %d starts and %d stops although the previous owner's run was reported, want none", len(sc.starts), len(sc.stops))
 	}
 }
+
+// TestRunOfUnknownSubmissionDelaysReconciliation guards against a second run of a task beside the one of the previous owner,
+// which was ordered to stop because its submission was not known yet.
+func TestRunOfUnknownSubmissionDelaysReconciliation(t *testing.T) {
+	sc := newScriptedCell(t, 2, Ownership{Fence: 2 << 12, Term: 2, Grace: time.Second})
+	running := medlarorder.Running{Task: medlarsubmission.TaskName{Submission: "00000000000000aa"}, Run: 1}
+	sc.report(sc.renewals[0], medlarorder.Report{})
+	sc.report(sc.renewals[1], medlarorder.Report{Running: []medlarorder.Running{running}})
+	sc.dispatch()
+	if len(sc.stops) != 1 {
+		t.Fatalf("%d stops of the run of an unknown submission, want 1", len(sc.stops))
+	}
+	renewals := sc.renewals
+	sc.cell.Accept(sc.now, testSubmission(testStep()))
+	if sc.dispatch(); len(sc.starts) > 0 {
+		t.Fatal("the task was started while its earlier run is still being stopped")
+	}
+	for _, r := range renewals {
+		sc.report(r, medlarorder.Report{})
+	}
+	if sc.dispatch(); len(sc.starts) != 1 {
+		t.Fatalf("%d starts after the earlier run has ended, want 1", len(sc.starts))
+	}
+}
+
+// TestEndOfUnknownSubmissionIsKept guards against a task that runs again after its end, which was reported before its submission
+// was known, and was acknowledged.
+func TestEndOfUnknownSubmissionIsKept(t *testing.T) {
+	sc := newScriptedCell(t, 1, Ownership{Fence: 2 << 12, Term: 2, Grace: time.Second})
+	done := medlarorder.Ended{Number: 3, Run: 1, Kind: medlarorder.EndDone, Task: medlarsubmission.TaskName{Submission: "00000000000000aa"}}
+	renewal := sc.renewals[0]
+	sc.report(renewal, medlarorder.Report{Ended: []medlarorder.Ended{done}})
+	if acks := sc.cell.TakeFlush(10).acks; len(acks) > 0 {
+		t.Errorf("%d workers may discard the end of an unknown submission, want none", len(acks))
+	}
+	sc.cell.Accept(sc.now, testSubmission(testStep()))
+	if sc.dispatch(); len(sc.starts) > 0 {
+		t.Fatal("the task was started although its end is reported")
+	}
+	if len(sc.renewals) != 1 || sc.renewals[0].Delay == 0 {
+		t.Errorf("next renewals are %+v, want one after a pause, since the worker responds at once", sc.renewals)
+	}
+	sc.report(renewal, medlarorder.Report{Ended: []medlarorder.Ended{done}})
+	sc.flush()
+	if state, _ := sc.cell.State("00000000000000aa"); state != medlarsubmission.StateCompleted {
+		t.Errorf("the submission is %q, want %q", state, medlarsubmission.StateCompleted)
+	}
+}
+
+// TestEndOfErasedSubmissionIsAcknowledged guards against a worker whose ends are never acknowledged, because one of them belongs
+// to a submission that was erased.
+func TestEndOfErasedSubmissionIsAcknowledged(t *testing.T) {
+	sc := newScriptedCell(t, 1, Ownership{Fence: 2 << 12, Term: 2, Grace: time.Second})
+	erased := medlarorder.Ended{Number: 3, Run: 1, Kind: medlarorder.EndDone, Task: medlarsubmission.TaskName{Submission: "00000000000000ee"}}
+	for deadline := sc.now.Add(2 * DefaultConfig().MaxLease); !sc.cell.reconciled; sc.advance(100 * time.Millisecond) {
+		if sc.now.After(deadline) {
+			t.Fatal("the cell is not reconciled")
+		}
+		sc.report(Command{Worker: "w0"}, medlarorder.Report{Ended: []medlarorder.Ended{erased}})
+	}
+	sc.report(Command{Worker: "w0"}, medlarorder.Report{Ended: []medlarorder.Ended{erased}})
+	if acks := sc.cell.TakeFlush(10).acks; len(acks) != 1 {
+		t.Errorf("%d workers may discard the end of an erased submission, want 1", len(acks))
+	}
+}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -22,7 +22,7 @@
 	recorded bool
 	// reported is true once the worker has reported its runs to this owner.
 	reported bool
-	// endsTruncated is true while the worker has ended runs that did not fit in its last report.
+	// endsTruncated is true while the worker has ended runs that did not fit in its last report, or that can't be processed yet.
 	endsTruncated bool
 	// allRunsKnown is true once this owner has seen a report of the worker: since then, only orders of this owner can have
 	// started runs on it.
@@ -59,6 +59,9 @@
 	suspectRuns int
 	// hasStrayRuns is true while the worker lists runs that are not needed and are being stopped. They use capacity.
 	hasStrayRuns bool
+	// hasUnknownTasks is true while the worker lists runs or ends of submissions that are not known. The previous owner may have
+	// heard of them earlier.
+	hasUnknownTasks bool
 	// longRunningCPUByImage is longRunningCPU by image.
 	longRunningCPUByImage map[string]int64
 	// headrooms is how far the utilisation of serving tasks may rise. It is recomputed when it is stale.
