State the leases of silent workers in renewals

Cause: a successor does not know the age of the leases that its predecessor has granted, so it counted a full lease for each worker that did not answer from its own claim. Each change of owner began the wait anew.

Change: a renewal states how long the leases of silent workers may still last, and the owner extends none of them before a renewal without it is stored. A successor counts from the renewal, after a planned change and after a kill alike.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -24,6 +24,10 @@
 	// have not reported.
 	reconcileDeadline time.Time
 	reconciled        bool
+	// inheritedLeaseEnds holds when the leases of workers end that were silent under the previous owner, unless it has
+	// granted outage leases, all of which have ended by inheritedOutageLeasesEnd.
+	inheritedLeaseEnds       map[medlarwheel.WorkerID]time.Time
+	inheritedOutageLeasesEnd time.Time
 	// termStartedAt is when the ownership began. adoptedTasks counts the runs that were adopted until the cell was
 	// reconciled.
 	termStartedAt time.Time
@@ -76,6 +80,10 @@
 	// unackedWorkers lists the workers with ended runs that are not acknowledged yet. deferredRenewals lists those whose
 	// next renewal waits for the acknowledgement.
 	unackedWorkers, deferredRenewals []*worker
+	// storedLeases holds the workers whose lease end a renewal in the table, or on its way there, states. silenceChanged is
+	// true if the next renewal will state others.
+	storedLeases   map[medlarwheel.WorkerID]struct{}
+	silenceChanged bool
 	// joined and left are the workers whose addition or removal is not stored yet.
 	joined, left []medlarwheel.WorkerID
 
@@ -112,7 +120,7 @@
 // New returns a cell without submissions or workers.
 func New(c Config) *Cell {
 	return &Cell{
-		config: c, jobs: map[medlarsubmission.ID]*job{}, earlyCancellations: map[medlarsubmission.ID]time.Time{}, workers: map[medlarwheel.WorkerID]*worker{}, responsivenessByCentre: responsivenessMap{}, queueLengths: map[string]int{},
+		config: c, jobs: map[medlarsubmission.ID]*job{}, earlyCancellations: map[medlarsubmission.ID]time.Time{}, workers: map[medlarwheel.WorkerID]*worker{}, storedLeases: map[medlarwheel.WorkerID]struct{}{}, responsivenessByCentre: responsivenessMap{}, queueLengths: map[string]int{},
 		meanWork: map[string]float64{}, meanSpeed: 1, shortTaskSize: map[medlarwheel.ServiceName]float64{}, failureCache: newPlacementFailureCache(),
 		runTimes:          medlarforecast.New(c.RunTimes),
 		interferenceModel: medlarinterference.New(c.Interference.Model),
@@ -259,7 +267,7 @@
 	w := c.workers[info.ID]
 	wasDraining := w != nil && w.info.Draining
 	if w == nil {
-		w = newWorker(info, c.fence, c.reconcileDeadline)
+		w = newWorker(info, c.fence, c.inheritedLeaseEnd(info.ID))
 		w.centreResponsiveness = c.responsivenessByCentre.of(info.DataCentre)
 		c.workers[info.ID] = w
 		c.sortedWorkers = nil
@@ -356,6 +364,7 @@
 			}
 		}
 	}
+	c.silenceChanged = c.differsFromStoredLeases(now)
 	c.evacuate(now)
 	c.sendDeferredRenewals(now)
 	c.fitModel(now)
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -62,6 +62,7 @@
 	EventFirstStart         EventKind = "submission-started"
 	EventTaskFailed         EventKind = "task-failed"
 	EventTaskLost           EventKind = "task-lost"
+	EventTaskRestarted      EventKind = "lost-task-restarted"
 	EventTaskAdopted        EventKind = "task-adopted"
 	EventTaskSuspected      EventKind = "task-suspected"
 	EventStartUncertain     EventKind = "start-uncertain"
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -86,6 +86,8 @@
 	lastRun, lastEndedRun medlarorder.RunNumber
 	checkpoint            string
 	runs                  []*run
+	// lostAt is when the worker of the last run was lost, if the task was not started again since.
+	lostAt time.Time
 	// moves counts how often the task was moved away from a slow worker.
 	moves int
 	// failedTime is the total time that the failed runs of the task have taken.
--- a/internal/scheduling/medlarcell/opportunity_cost.go
+++ b/internal/scheduling/medlarcell/opportunity_cost.go
@@ -32,7 +32,7 @@
 	demands := c.bestEffortDemands()
 	for _, w := range c.workers {
 		w.opportunityCost = 0
-		if !w.isUsable(now, &c.config) {
+		if !c.isUsable(now, w) {
 			continue
 		}
 		if w.headroomsStale {
--- a/internal/scheduling/medlarcell/ownership.go
+++ b/internal/scheduling/medlarcell/ownership.go
@@ -25,6 +25,8 @@
 	// OutageLeaseRemaining is how long after the claim a lease may last that was granted while the table was
 	// unavailable.
 	OutageLeaseRemaining time.Duration
+	// LeaseEnds holds when the leases of silent workers have ended, unless they were extended during a table outage.
+	LeaseEnds map[medlarwheel.WorkerID]time.Time
 }
 
 // runNumbersPerTerm is the number of run numbers that one owner may use for a task.
@@ -39,6 +41,22 @@
 	c.inGrace = ownership.Grace > 0
 	c.reconcileDeadline = now.Add(ownership.Grace + max(c.inheritedLeaseBound(&ownership), c.leaseDurationBound(ownership.OutageLeaseRemaining)))
 	c.outageLeasesEnd = now.Add(ownership.OutageLeaseRemaining)
+	c.inheritedLeaseEnds = ownership.LeaseEnds
+	if ownership.OutageLeaseRemaining > 0 {
+		c.inheritedOutageLeasesEnd = now.Add(ownership.Grace + c.leaseDurationBound(ownership.OutageLeaseRemaining))
+	}
+}
+
+// inheritedLeaseEnd returns when all leases of earlier owners for a worker have ended.
+func (c *Cell) inheritedLeaseEnd(id medlarwheel.WorkerID) time.Time {
+	end, known := c.inheritedLeaseEnds[id]
+	if end.Before(c.inheritedOutageLeasesEnd) {
+		end = c.inheritedOutageLeasesEnd
+	}
+	if !known || end.After(c.reconcileDeadline) {
+		return c.reconcileDeadline
+	}
+	return end
 }
 
 // EndGrace records that all submissions that are accepted from now on were stored after the grace period of the previous owner.
@@ -71,7 +89,11 @@
 // nextLeaseEnd returns the end of the lease that the owner may grant now, on the worker's clock.
 func (c *Cell) nextLeaseEnd(now time.Time, w *worker) time.Duration {
 	lease := min(c.config.Lease, c.authorityEnd.Add(c.config.LeaseTail).Sub(now))
-	if now.Before(c.outageLeaseUntil) {
+	switch inOutage := now.Before(c.outageLeaseUntil); {
+	case inOutage && c.isLeaseStored(w):
+		// A successor takes the stored end for the end of the lease, or that of all outage leases if it is later.
+		lease = c.outageLease
+	case inOutage:
 		lease = max(lease, c.outageLease)
 	}
 	return w.localLeaseEnd(now, lease)
@@ -101,6 +123,7 @@
 	}
 	c.reconciled = true
 	c.countInheritedRuns(now)
+	c.recordInheritedLosses()
 	unresponsive := 0
 	for _, w := range c.workers {
 		if !w.reported {
@@ -119,7 +142,8 @@
 		return true
 	}
 	for _, w := range c.workers {
-		if !w.reported || w.endsTruncated || w.hasUnknownTasks {
+		hasReported := w.reported && !w.endsTruncated && !w.hasUnknownTasks
+		if !hasReported && now.Before(w.inheritedLeaseEnd) {
 			return false
 		}
 	}
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -89,7 +89,7 @@
 	}
 	c.usableWorkers = c.usableWorkers[:0]
 	for _, w := range c.sortedWorkers {
-		if w.isUsable(now, &c.config) {
+		if c.isUsable(now, w) {
 			c.usableWorkers = append(c.usableWorkers, w)
 		}
 	}
@@ -135,6 +135,10 @@
 		number = max(c.firstRun, t.lastRun+1)
 	}
 	t.lastRun = number
+	if !t.lostAt.IsZero() {
+		c.emit(Event{Kind: EventTaskRestarted, Task: s.name(index), Run: number, Worker: w.info.ID, Age: now.Sub(t.lostAt)})
+		t.lostAt = time.Time{}
+	}
 	r := newRun(now, w, s, index, number)
 	c.attach(r)
 	order := medlarorder.Start{
--- a/internal/scheduling/medlarcell/placement_failures.go
+++ b/internal/scheduling/medlarcell/placement_failures.go
@@ -119,7 +119,7 @@
 	c.changedWorkers = c.changedWorkers[:0]
 	c.visitMark++
 	for _, w := range c.failureCache.changes[seen:] {
-		if w.visitMark != c.visitMark && w.isUsable(now, &c.config) {
+		if w.visitMark != c.visitMark && c.isUsable(now, w) {
 			w.visitMark = c.visitMark
 			c.changedWorkers = append(c.changedWorkers, w)
 		}
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -42,8 +42,9 @@
 		delay = c.config.RenewalRetryDelay
 	default:
 		c.applyReport(now, w, sentAt, renewal, report)
-		if w.incarnationUncertain || w.hasUnknownTasks {
-			// The report was that of an earlier incarnation, or the worker responds at once until its ends are acknowledged.
+		if w.incarnationUncertain || w.hasUnknownTasks || c.isLeaseFixed(now, w) {
+			// The report was that of an earlier incarnation, or the worker responds at once until its ends are acknowledged, or its
+			// lease can be extended soon.
 			delay = c.config.RenewalRetryDelay
 		}
 	}
@@ -137,7 +138,10 @@
 		// Ended runs are acknowledged only to the incarnation that has reported them.
 		renewal.AckedUpTo, renewal.Wait = w.lastAckedEnd, c.config.RenewalWait
 	}
-	if !w.clockAt.IsZero() && !w.incarnationUncertain {
+	switch {
+	case c.isLeaseFixed(now, w):
+		renewal.Wait = 0
+	case !w.clockAt.IsZero() && !w.incarnationUncertain:
 		// A renewal without a response may still have extended the lease. No extension is requested until the worker
 		// responds, so that the end of its lease stays known.
 		renewal.LeaseEnd = c.nextLeaseEnd(now, w)
@@ -176,6 +180,7 @@
 		c.emit(Event{Kind: EventWorkerResponsive, Worker: w.info.ID, Age: now.Sub(w.lastContact)})
 	}
 	c.recordResponse(now, w)
+	c.silenceChanged = c.silenceChanged || c.isLeaseStored(w)
 	w.recordClock(now, report.Clock)
 	w.incarnationUncertain = false
 	mayReconcile := !w.reported || w.endsTruncated || w.hasUnknownTasks
@@ -377,6 +382,7 @@
 	c.detach(now, r)
 	t := r.task()
 	t.lastEndedRun = max(t.lastEndedRun, r.number)
+	t.lostAt = r.worker.lastContact
 	c.emit(Event{Kind: EventTaskLost, Task: r.name(), Run: r.number, Worker: r.worker.info.ID, Reason: reason, Age: now.Sub(r.sentAt)})
 	c.requeue(now, r.step, r.index)
 }
--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -58,6 +58,8 @@
 	progress      map[medlarsubmission.ID]Progress
 	term          uint64
 	storedWorkers []medlarorder.Worker
+	// leaseEnds is when the leases of the workers that were silent at the last renewal of the owner end.
+	leaseEnds map[medlarwheel.WorkerID]time.Time
 
 	cell     *Cell
 	owner    int // counts owners; events of earlier ones are dropped
@@ -140,7 +142,9 @@
 	sim.cell = cell
 	cell.Begin(sim.time(), Ownership{
 		Fence: medlarwheel.FencingToken(sim.term << 12), Term: sim.term, Expired: expired, OutageLeaseRemaining: max(0, sim.outageLeasesEnd-sim.now),
+		LeaseEnds: sim.leaseEnds,
 	})
+	sim.leaseEnds = nil
 	cell.Authorize(sim.time().Add(simAuthorityDuration))
 	for _, s := range sim.accepted {
 		if err := cell.Restore(sim.time(), s, sim.progress[s.ID], sim.cancelled[s.ID]); err != nil {
@@ -189,10 +193,15 @@
 	if sim.tableUnreachable {
 		return
 	}
+	renew := sim.cell.HasSilenceChanged()
 	batch := sim.cell.TakeFlush(3)
-	if batch.IsEmpty() {
+	if batch.IsEmpty() && !renew {
 		return
 	}
+	var leasesLeft map[medlarwheel.WorkerID]time.Duration
+	if renew {
+		leasesLeft = sim.cell.TakeLeasesLeft(sim.time())
+	}
 	owner := sim.owner
 	sim.flushing = true
 	sim.after(sim.latency()*3, func() {
@@ -204,10 +213,19 @@
 		for _, r := range batch.Records {
 			sim.progress[r.Submission] = r.Progress
 		}
+		if renew {
+			sim.leaseEnds = map[medlarwheel.WorkerID]time.Time{}
+			for id, left := range leasesLeft {
+				sim.leaseEnds[id] = sim.time().Add(left)
+			}
+		}
 		sim.after(sim.latency(), func() {
 			if owner == sim.owner {
 				sim.flushing = false
 				sim.cell.FlushSucceeded(sim.time(), batch)
+				if renew {
+					sim.cell.ConfirmLeasesLeft(sim.time(), leasesLeft)
+				}
 				sim.processOutput()
 			}
 		})
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -38,9 +38,10 @@
 	// earlier.
 	clock   time.Duration
 	clockAt time.Time
-	// leaseEnd is when every lease that this or an earlier owner has granted must have ended.
-	leaseEnd time.Time
-	fence    medlarwheel.FencingToken
+	// leaseEnd is when every lease that this or an earlier owner has granted must have ended, and inheritedLeaseEnd when
+	// those of earlier owners must have.
+	leaseEnd, inheritedLeaseEnd time.Time
+	fence                       medlarwheel.FencingToken
 	// lastProcessedEnd is the number of the last ended run that was processed, and lastAckedEnd that of the last one
 	// that the worker may discard.
 	lastProcessedEnd, lastAckedEnd medlarorder.EndNumber
@@ -93,7 +94,7 @@
 
 func newWorker(info medlarorder.Worker, fence medlarwheel.FencingToken, leaseEnd time.Time) *worker {
 	return &worker{
-		info: info, registered: true, fence: fence, leaseEnd: leaseEnd, runs: map[*run]struct{}{}, relativeSpeed: 1,
+		info: info, registered: true, fence: fence, leaseEnd: leaseEnd, inheritedLeaseEnd: leaseEnd, runs: map[*run]struct{}{}, relativeSpeed: 1,
 		longRunningCPUByImage: map[string]int64{},
 	}
 }
@@ -141,9 +142,9 @@
 }
 
 // isUsable reports whether the worker may get new tasks.
-func (w *worker) isUsable(now time.Time, c *Config) bool {
-	return w.registered && w.recorded && w.reported && !w.fenced && !w.hasStrayRuns && w.isRegistrationCurrent(now) && !w.info.Draining && !now.Before(w.pausedUntil) &&
-		now.Sub(w.lastContact) < c.ContactTimeout && !w.clockAt.IsZero() && !w.isUnresponsive(now, c)
+func (c *Cell) isUsable(now time.Time, w *worker) bool {
+	return w.registered && w.recorded && w.reported && !w.fenced && !c.isLeaseFixed(now, w) && !w.hasStrayRuns && w.isRegistrationCurrent(now) && !w.info.Draining && !now.Before(w.pausedUntil) &&
+		now.Sub(w.lastContact) < c.config.ContactTimeout && !w.clockAt.IsZero() && !w.isUnresponsive(now, &c.config)
 }
 
 // registrationTimeout is how long a restarted worker gets no tasks until its registration names the new incarnation. While
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -25,7 +25,7 @@
 		o.scheduleFlush(wait)
 		return
 	}
-	renew := now.Sub(o.RenewedAt()) >= o.config.Ownership.RenewInterval || o.cell.NeedsOwnershipCheck()
+	renew := now.Sub(o.RenewedAt()) >= o.config.Ownership.RenewInterval || o.cell.NeedsOwnershipCheck() || o.cell.HasSilenceChanged()
 	limit := medlarcellstore.MaxRecords
 	var erased []medlarsubmission.ID
 	if renew {
@@ -45,6 +45,7 @@
 	if renew {
 		// A renewal never shortens the authority that an earlier one has granted.
 		renewal.Timeout = max(o.config.Ownership.TimeoutFor(o.writeDuration), o.cell.AuthorityEnd().Sub(now))
+		renewal.LeasesLeft = o.cell.TakeLeasesLeft(now)
 	}
 	transaction, err := o.chain.Next(batch, erased, renewal)
 	if err != nil {
@@ -133,6 +134,7 @@
 	if renewal.Timeout > 0 {
 		o.recordRenewal(sentAt)
 		o.cell.Authorize(sentAt.Add(renewal.Timeout))
+		o.cell.ConfirmLeasesLeft(now, renewal.LeasesLeft)
 	}
 }
 
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -113,6 +113,12 @@
 func (o *Owner) logSchedulerEvents() {
 	for _, event := range o.cell.TakeEvents() {
 		o.Meter.Count("cell." + string(event.Kind))
+		switch event.Kind {
+		case medlarcell.EventTaskRestarted:
+			o.Meter.Time("owner.lost-task-restart", event.Age)
+		case medlarcell.EventTakeoverReconciled:
+			o.Meter.Time("owner.takeover", event.Age)
+		}
 		ok, suppressed := o.eventLogLimit.admits(o.Clock.Now(), event.Kind)
 		for kind, count := range suppressed {
 			o.Log.Warn().Str("event", "notes-left-out").Str("kind", string(kind)).Int("count", count).
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -182,6 +182,7 @@
 	o.cell.Begin(claimedAt, medlarcell.Ownership{
 		Fence: medlarownership.FirstFencingToken(term.Version), Term: term.Number, Expired: predecessor.Expired, Grace: predecessor.Grace,
 		PreviousLease: predecessor.Lease, PreviousLeaseTail: predecessor.LeaseTail, OutageLeaseRemaining: predecessor.OutageLeases,
+		LeaseEnds: predecessor.LeaseEnds,
 	})
 	o.recordOutageLeases()
 	o.recordRenewal(claimedAt)
--- a/internal/state/medlarcellstore/cellstore.go
+++ b/internal/state/medlarcellstore/cellstore.go
@@ -231,6 +231,7 @@
 	t.Require[0].Version = c.version
 	t.Put[0].Value = value
 	if renewal.Timeout > 0 {
+		renewal.Term = c.term
 		renewalRow, err := medlarownership.RenewalRow(c.part, renewal)
 		if err != nil {
 			return t, err
--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -119,6 +119,11 @@
 type Renewal struct {
 	// Timeout is how long after the renewal the owner may send orders.
 	Timeout time.Duration `json:"timeout-ns"`
+	// Term is the number of the owner's term. Renewals of earlier builds have none.
+	Term uint64 `json:"term,omitempty"`
+	// LeasesLeft is how long the leases of silent workers may still last. The owner extends none of them before a later
+	// renewal without them is stored.
+	LeasesLeft map[medlarwheel.WorkerID]time.Duration `json:"leases-left-ns,omitempty"`
 }
 
 // RenewalRow returns the row of a renewal.
@@ -154,6 +159,9 @@
 	config         Config
 	term           Term
 	renewalVersion medlarwheel.RowVersion
+	// renewal is the last renewal, which was seen at renewalSeenAt.
+	renewal       Renewal
+	renewalSeenAt time.Time
 	// ownerTimeout is how long after its last renewal the owner may send orders.
 	ownerTimeout time.Duration
 	// sinceRenewal is the time without a renewal, counted only while the table has responded.
@@ -208,6 +216,7 @@
 	case r.Key == KeyRenewal && r.Version > m.renewalVersion:
 		m.renewalVersion, m.sinceRenewal = r.Version, 0
 		renewal, err := DecodeRenewal(r)
+		m.renewal, m.renewalSeenAt = renewal, m.lastResponse
 		if err != nil {
 			// The owner may have requested the longest timeout.
 			m.ownerTimeout = m.config.MaxOwnerTimeout
@@ -264,6 +273,9 @@
 		Lease: min(m.term.Lease, m.config.MaxLease), LeaseTail: min(m.term.LeaseTail, m.config.MaxLease),
 		OutageLeases: m.outageLeasesAt(now, receivedRequests),
 	}
+	if m.renewal.Term == m.term.Number {
+		p.LeaseEnds = m.leaseEnds()
+	}
 	if m.term.Number == 0 || m.ownerDead || m.term.Released {
 		return p
 	}
@@ -274,6 +286,15 @@
 	return p
 }
 
+// leaseEnds returns when the leases of the workers in the last renewal have ended.
+func (m *Monitor) leaseEnds() map[medlarwheel.WorkerID]time.Time {
+	ends := make(map[medlarwheel.WorkerID]time.Time, len(m.renewal.LeasesLeft))
+	for id, left := range m.renewal.LeasesLeft {
+		ends[id] = m.renewalSeenAt.Add(max(0, left))
+	}
+	return ends
+}
+
 // outageLeasesAt returns for how long outage leases may remain valid. The reported time is limited to what workers accept, so
 // that one wrong message or row does not leave the cell without an owner.
 func (m *Monitor) outageLeasesAt(now time.Time, receivedRequests bool) time.Duration {
@@ -326,6 +347,9 @@
 	Lease, LeaseTail time.Duration
 	// OutageLeases is how long after the claim leases granted during a table outage may remain valid.
 	OutageLeases time.Duration
+	// LeaseEnds holds when the leases of workers have ended that were silent at the last renewal, unless they were extended
+	// during a table outage.
+	LeaseEnds map[medlarwheel.WorkerID]time.Time
 }
 
 func (m *Monitor) claimTimeout() time.Duration { return m.ownerTimeout + m.config.ClaimMargin }
--- a/internal/state/medlarownership/ownership_test.go
+++ b/internal/state/medlarownership/ownership_test.go
@@ -274,3 +274,36 @@
 		t.Errorf("predecessor is %+v, want leases of 9s with a tail of the longest lease that workers accept", got)
 	}
 }
+
+// TestPredecessorKnowsLeasesOfItsTermOnly guards against a task that waits for a full lease of a worker that was lost long ago, and
+// against one that runs twice since an owner of a later term, or of a build that states no leases, has extended its lease.
+func TestPredecessorKnowsLeasesOfItsTermOnly(t *testing.T) {
+	const silent = medlarwheel.WorkerID("w1")
+	seenAt := start.Add(time.Second)
+	for name, test := range map[string]struct {
+		renewal Renewal
+		want    time.Time
+	}{
+		"this term":    {renewal: Renewal{Term: 3, LeasesLeft: map[medlarwheel.WorkerID]time.Duration{silent: 2 * time.Second}}, want: seenAt.Add(2 * time.Second)},
+		"ended":        {renewal: Renewal{Term: 3, LeasesLeft: map[medlarwheel.WorkerID]time.Duration{silent: -time.Hour}}, want: seenAt},
+		"another term": {renewal: Renewal{Term: 2, LeasesLeft: map[medlarwheel.WorkerID]time.Duration{silent: 2 * time.Second}}},
+		"no term":      {renewal: Renewal{LeasesLeft: map[medlarwheel.WorkerID]time.Duration{silent: 2 * time.Second}}},
+		"not silent":   {renewal: Renewal{Term: 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newTestMonitor(t)
+			test.renewal.Timeout = time.Second
+			row, err := RenewalRow("c0", test.renewal)
+			if err != nil {
+				t.Fatal(err)
+			}
+			row.Version = 60
+			if err := m.Observe(seenAt, []medlartable.Row{row}); err != nil {
+				t.Fatal(err)
+			}
+			if got := m.Predecessor(seenAt.Add(time.Second), true).LeaseEnds[silent]; !got.Equal(test.want) {
+				t.Errorf("the lease ends at %v, want %v", got, test.want)
+			}
+		})
+	}
+}
