Try long-running tasks on suspended workers

Cause: two failed runs in a row suspend a worker for 4 s or longer, in which it got no task at all. In a full service it can be the only worker with room for a large task. One run in twenty fails by itself there, so that sound workers are suspended now and then.

Evidence: `task-waits` of the task says "paused 1, spread 2, processors 38" for ten seconds, and it started on the paused worker as soon as its suspension had ended. TestLongRunningTaskIsTriedOnSuspendedWorker failed before: no start.

Change: a long-running task that has waited for a second is tried on suspended workers, at most once a second on each. It has no limit of attempts, so that a failure there costs it nothing. TestShortTaskWaitsForSuspension and TestSuspendedWorkerIsNotUsedBesideOthers passed before and after.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -75,6 +75,8 @@
 	usableWorkers, changedWorkers []*worker
 	candidates                    candidates
 	visitMark                     uint64
+	// suspensionsEnd is when no worker is suspended any more.
+	suspensionsEnd time.Time
 	// fencedWorkers is the number of workers that have seen a higher fencing token.
 	fencedWorkers int
 	// unackedWorkers lists the workers with ended runs that are not acknowledged yet. deferredRenewals lists those whose
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -149,23 +149,3 @@
 	j.softDeadline = j.softDeadline.Add(extension)
 	j.hardDeadline = j.hardDeadline.Add(time.Duration(c.config.HardDeadlineFactor * float64(extension)))
 }
-
-// countWorkerFailure counts a failed run against the worker and suspends it after too many. Consecutive failures of
-// different submissions point to the worker; those of one submission point to the submission.
-func (c *Cell) countWorkerFailure(now time.Time, w *worker, j *job) {
-	if slices.Contains(w.recentFailedJobs, j.submission.ID) {
-		return
-	}
-	w.recentFailedJobs = append(w.recentFailedJobs, j.submission.ID)
-	if len(w.recentFailedJobs) < c.config.FailuresToSuspend {
-		return
-	}
-	pause := c.config.SuspendDuration << min(w.suspensions, maxSuspendDoublings)
-	w.suspensions++
-	w.recentFailedJobs = w.recentFailedJobs[:0]
-	w.pausedUntil = now.Add(pause)
-	c.emit(Event{Kind: EventWorkerSuspended, Worker: w.info.ID, Age: pause, Count: w.suspensions})
-}
-
-// maxSuspendDoublings bounds the exponential backoff of a worker on which every run fails.
-const maxSuspendDoublings = 3
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -48,6 +48,7 @@
 			c.failureCache.recordFailure(s)
 		}
 	}
+	c.placeOnSuspended(now)
 }
 
 // maxFailedStepsPerPass bounds the number of steps without a feasible worker that one pass considers.
@@ -80,15 +81,20 @@
 	})
 }
 
-// listUsableWorkers returns the workers that may get new tasks, sorted by id so that placement is deterministic.
-func (c *Cell) listUsableWorkers(now time.Time) []*worker {
+// workersByID returns the workers sorted by id, so that placement is deterministic.
+func (c *Cell) workersByID() []*worker {
 	if c.sortedWorkers == nil {
 		c.sortedWorkers = slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int {
 			return strings.Compare(string(a.info.ID), string(b.info.ID))
 		})
 	}
+	return c.sortedWorkers
+}
+
+// listUsableWorkers returns the workers that may get new tasks.
+func (c *Cell) listUsableWorkers(now time.Time) []*worker {
 	c.usableWorkers = c.usableWorkers[:0]
-	for _, w := range c.sortedWorkers {
+	for _, w := range c.workersByID() {
 		if c.isUsable(now, w) {
 			c.usableWorkers = append(c.usableWorkers, w)
 		}
--- a/internal/scheduling/medlarcell/wait_reasons.go
+++ b/internal/scheduling/medlarcell/wait_reasons.go
@@ -41,7 +41,7 @@
 			unresponsive++
 		case w.info.Draining:
 			draining++
-		case now.Before(w.pausedUntil):
+		case now.Before(w.pausedUntil) || w.isSuspended(now):
 			paused++
 		case s.spec.MaxPerWorker > 0 && s.tasksPerWorker[w] >= s.spec.MaxPerWorker:
 			atTaskLimit++
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -72,6 +72,8 @@
 	opportunityCost float64
 	shareHistory    shareHistory
 	pausedUntil     time.Time
+	// suspendedUntil is set after too many failed runs. triedAt is when a task was last started there nevertheless.
+	suspendedUntil, triedAt time.Time
 	// recentFailedJobs lists the submissions of the latest consecutive failed runs.
 	recentFailedJobs []medlarsubmission.ID
 	suspensions      int
@@ -143,6 +145,14 @@
 
 // isUsable reports whether the worker may get new tasks.
 func (c *Cell) isUsable(now time.Time, w *worker) bool {
+	return !w.isSuspended(now) && c.isAvailable(now, w)
+}
+
+// isSuspended reports whether the worker gets no new tasks because of failed runs.
+func (w *worker) isSuspended(now time.Time) bool { return now.Before(w.suspendedUntil) }
+
+// isAvailable reports whether the worker may get new tasks unless it is suspended.
+func (c *Cell) isAvailable(now time.Time, w *worker) bool {
 	return w.registered && w.recorded && w.reported && !w.fenced && !c.isLeaseFixed(now, w) && !w.hasStrayRuns && w.isRegistrationCurrent(now) && !w.info.Draining && !now.Before(w.pausedUntil) &&
 		now.Sub(w.lastContact) < c.config.ContactTimeout && !w.clockAt.IsZero() && !w.isUnresponsive(now, &c.config)
 }
