Wait only for recorded workers after a change of owner

Cause: a new owner waited for every registered worker that did not respond. A worker that no owner has recorded in the list of the fleet has got no task, since it is recorded before its first start and leaves the list only when nothing can run there.

Evidence: `takeover-settled` now names the worker that was waited for; it was one that had left the fleet 8 s before, registered again and crashed. TestNewOwnerDoesNotWaitForUnrecordedWorker failed before: "0 starts after all recorded workers have reported".

Change: the reconciliation waits for recorded workers. A record that can't be decoded counts by its key (TestUnreadableRecordOfWorkerKeepsItsID). Scripted tests with a later owner record their workers, which they had only registered; their checks are the same.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -260,7 +260,9 @@
 			c.SetWorker(now, info)
 			c.workers[info.ID].registered = false
 		}
-		c.workers[info.ID].recorded = true
+		w := c.workers[info.ID]
+		w.recorded, w.inheritedLeaseEnd = true, c.inheritedLeaseEnd(info.ID)
+		w.extendLeaseBound(w.inheritedLeaseEnd)
 	}
 }
 
@@ -269,7 +271,7 @@
 	w := c.workers[info.ID]
 	wasDraining := w != nil && w.info.Draining
 	if w == nil {
-		w = newWorker(info, c.fence, c.inheritedLeaseEnd(info.ID))
+		w = newWorker(info, c.fence)
 		w.centreResponsiveness = c.responsivenessByCentre.of(info.DataCentre)
 		c.workers[info.ID] = w
 		c.sortedWorkers = nil
--- a/internal/scheduling/medlarcell/ownership.go
+++ b/internal/scheduling/medlarcell/ownership.go
@@ -125,15 +125,25 @@
 	c.countInheritedRuns(now)
 	c.recordInheritedLosses()
 	unresponsive := 0
+	var last *worker
 	for _, w := range c.workers {
-		if !w.reported {
-			unresponsive++
+		if w.reported {
+			continue
+		}
+		unresponsive++
+		if last == nil || w.inheritedLeaseEnd.After(last.inheritedLeaseEnd) {
+			last = w
 		}
 	}
-	c.emit(Event{
+	event := Event{
 		Kind: EventTakeoverReconciled, Count: len(c.workers), Age: now.Sub(c.termStartedAt),
 		Reason: fmt.Sprintf("tasks adopted: %d, workers without a response: %d", c.adoptedTasks, unresponsive),
-	})
+	}
+	if last != nil {
+		// This is the worker that was waited for the longest.
+		event.Worker = last.info.ID
+	}
+	c.emit(event)
 }
 
 // isReconciled reports whether every task that no worker has reported is known not to run.
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -29,6 +29,9 @@
 	sc.cell.Authorize(sc.now.Add(time.Hour))
 	for i := range workers {
 		sc.cell.SetWorker(sc.now, testWorker(i))
+		if ownership.Term > 1 {
+			sc.cell.RestoreWorkers(sc.now, []medlarorder.Worker{testWorker(i)})
+		}
 	}
 	sc.flush()
 	sc.dispatch()
@@ -356,6 +359,7 @@
 		t.Fatal(err)
 	}
 	sc.cell.SetWorker(sc.now, testWorker(0))
+	sc.cell.RestoreWorkers(sc.now, []medlarorder.Worker{testWorker(0)})
 	sc.flush()
 	sc.dispatch()
 	sc.report(sc.renewals[0], fullReport())
@@ -479,3 +483,18 @@
 		t.Errorf("%d workers may discard the end of an erased submission, want 1", len(acks))
 	}
 }
+
+// TestNewOwnerDoesNotWaitForUnrecordedWorker guards against inherited tasks that wait for a full lease of a worker that does not
+// respond, although it was never recorded as one that may run tasks.
+func TestNewOwnerDoesNotWaitForUnrecordedWorker(t *testing.T) {
+	sc := newInheritingCell(t, Ownership{Fence: 2 << 12, Term: 2})
+	sc.cell.SetWorker(sc.now, testWorker(2))
+	sc.flush()
+	sc.dispatch()
+	for _, w := range []medlarwheel.WorkerID{"w0", "w1"} {
+		sc.report(Command{Worker: w}, medlarorder.Report{})
+	}
+	if sc.dispatch(); len(sc.starts) != 1 {
+		t.Errorf("%d starts after all recorded workers have reported, want 1", len(sc.starts))
+	}
+}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -39,7 +39,7 @@
 	clock   time.Duration
 	clockAt time.Time
 	// leaseEnd is when every lease that this or an earlier owner has granted must have ended, and inheritedLeaseEnd when
-	// those of earlier owners must have.
+	// those of earlier owners must have. The latter is zero if no earlier owner can have started a run there.
 	leaseEnd, inheritedLeaseEnd time.Time
 	fence                       medlarwheel.FencingToken
 	// lastProcessedEnd is the number of the last ended run that was processed, and lastAckedEnd that of the last one
@@ -94,9 +94,9 @@
 	reportRequested bool
 }
 
-func newWorker(info medlarorder.Worker, fence medlarwheel.FencingToken, leaseEnd time.Time) *worker {
+func newWorker(info medlarorder.Worker, fence medlarwheel.FencingToken) *worker {
 	return &worker{
-		info: info, registered: true, fence: fence, leaseEnd: leaseEnd, inheritedLeaseEnd: leaseEnd, runs: map[*run]struct{}{}, relativeSpeed: 1,
+		info: info, registered: true, fence: fence, runs: map[*run]struct{}{}, relativeSpeed: 1,
 		longRunningCPUByImage: map[string]int64{},
 	}
 }
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -114,7 +114,7 @@
 	}
 	o.restoreSubmissions(now, submissions, progress)
 	o.cell.SetWorkers(now, o.decodeWorkers(workers))
-	o.cell.RestoreWorkers(now, decodeRows(recordedWorkers, medlarcellstore.DecodeWorker, o.unreadableRowLogger(zerolog.ErrorLevel)))
+	o.cell.RestoreWorkers(now, o.decodeRecordedWorkers(recordedWorkers))
 	o.Log.Info().Str("event", "cell-loaded").Uint64("term", o.term.Number).Int("submission-rows", len(submissions)).
 		Int("workers", len(workers)).Dur("took", now.Sub(began)).Msg("")
 	return nil
@@ -210,6 +210,22 @@
 	return decodeRows(rows, decode, o.unreadableRowLogger(zerolog.WarnLevel))
 }
 
+// decodeRecordedWorkers decodes the list of workers that may run tasks. A worker whose row can't be decoded may run some too, so
+// its id is kept.
+func (o *Owner) decodeRecordedWorkers(rows []medlartable.Row) []medlarorder.Worker {
+	workers := make([]medlarorder.Worker, 0, len(rows))
+	logUnreadable := o.unreadableRowLogger(zerolog.ErrorLevel)
+	for _, r := range rows {
+		w, err := medlarcellstore.DecodeWorker(r)
+		if err != nil {
+			logUnreadable(r, err)
+			w = medlarorder.Worker{ID: medlarwheel.WorkerID(r.Key)}
+		}
+		workers = append(workers, w)
+	}
+	return workers
+}
+
 // followSubmissions passes newly accepted submissions and cancellations to the scheduler.
 func (o *Owner) followSubmissions(ctx context.Context) error {
 	return o.follow(ctx, medlarcellstore.TableSubmissions, o.submissionsVersion, 0, o.readSubmissions, func(rows []medlartable.Row, whole bool) {
--- a/internal/scheduling/medlarowner/load_test.go
+++ b/internal/scheduling/medlarowner/load_test.go
@@ -161,7 +161,9 @@
 	o := New(DefaultConfig(), Dependencies{Store: store, Clock: clock, Log: zerolog.Nop(), Meter: medlarmetrics.New()},
 		medlarownership.Term{Number: 2, Version: 9}, clock.Now(), medlarownership.Predecessor{Expired: true, Grace: 20 * time.Millisecond})
 	now := clock.Now()
-	o.cell.SetWorkers(now, []medlarorder.Worker{testWorker("reporting"), testWorker("silent")})
+	workers := []medlarorder.Worker{testWorker("reporting"), testWorker("silent")}
+	o.cell.SetWorkers(now, workers)
+	o.cell.RestoreWorkers(now, workers)
 	o.cell.FlushSucceeded(now, o.cell.TakeFlush(10))
 	report := medlarorder.Report{Verdict: medlarorder.VerdictAccepted, Incarnation: 1, Clock: time.Second}
 	o.cell.HandleRenewResponse(now, "reporting", false, now, medlarorder.Renew{}, report, nil)
@@ -204,6 +206,16 @@
 	}
 }
 
+// TestUnreadableRecordOfWorkerKeepsItsID guards against a new owner that does not wait for a worker which may run tasks, because the
+// worker's row in the stored list can't be decoded.
+func TestUnreadableRecordOfWorkerKeepsItsID(t *testing.T) {
+	rows := []medlartable.Row{{Key: "w1", Value: []byte("{")}, {Key: "w2", Value: []byte("{}")}}
+	workers := testOwner(&slowStore{}).decodeRecordedWorkers(rows)
+	if len(workers) != 2 || workers[0].ID != "w1" || workers[1].ID != "w2" {
+		t.Errorf("recorded workers are %+v, want w1 and w2", workers)
+	}
+}
+
 func testWorker(id medlarwheel.WorkerID) medlarorder.Worker {
 	return medlarorder.Worker{
 		ID: id, Incarnation: 1, Service: "svc", Address: "10.0.0.1:80", Capacity: medlarsubmission.Size{MilliCPU: 8000, MemoryMB: 8000},
