Pause and give up orders that workers reject as invalid

Cause: the verdict for 400 paused neither worker nor task, and nothing counted it.

Change: the step pauses from 0.25 s up to 8 s, and after eight rounds in a row its submission is failed and logged with the reason. An accepted start ends the count; the task avoids the worker that has rejected it.

--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -72,6 +72,10 @@
 	completedRuns    int
 	totalRunTime     time.Duration
 	longestRunTime   time.Duration
+	// invalidRounds counts the rounds in a row in which workers have rejected orders of the step as invalid. It gets no further
+	// starts until pausedUntil.
+	invalidRounds int
+	pausedUntil   time.Time
 	// failure is set once the step has been in the queue.
 	failure *placementFailure
 }
@@ -186,7 +190,7 @@
 
 // isEligible reports whether tasks of the step may run at the given time.
 func (s *step) isEligible(now time.Time) bool {
-	return s.unmetDependencies == 0 && !now.Before(s.occurrence.startAt)
+	return s.unmetDependencies == 0 && !now.Before(s.occurrence.startAt) && !now.Before(s.pausedUntil)
 }
 
 func newJob(s medlarsubmission.Submission, inherited bool, runTimes *medlarforecast.Model) *job {
--- a/internal/scheduling/medlarcell/responses.go
+++ b/internal/scheduling/medlarcell/responses.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 )
 
@@ -29,6 +30,7 @@
 		if r.phase == runSent {
 			c.confirm(now, r)
 		}
+		r.step.invalidRounds = 0
 		return
 	case medlarorder.VerdictFenced:
 		c.handleFenced(now, w, s.Fence)
@@ -40,10 +42,40 @@
 		r.task().lastRun += runNumberSkip
 		// A run of the task that is still being stopped there rejects every start until it has ended.
 		w.pausedUntil = now.Add(c.config.UnhealthyPause)
+	case medlarorder.VerdictInvalid:
+		r.task().avoidWorker = w.info.ID
+		defer c.handleInvalidOrder(now, r)
 	}
 	c.handleRejectedStart(now, r, string(response.Verdict))
 }
 
+const (
+	// invalidOrderPause is the pause of a step after its orders were rejected as invalid. It doubles with each further round, up
+	// to maxInvalidOrderPause.
+	invalidOrderPause    = 250 * time.Millisecond
+	maxInvalidOrderPause = 8 * time.Second
+	// maxInvalidRounds is the number of such rounds in a row after which the submission fails, about half a minute later.
+	maxInvalidRounds = 8
+)
+
+// handleInvalidOrder pauses a step whose order a worker can't decode, and fails its submission after too many rounds. All
+// orders of a step hold the same text.
+func (c *Cell) handleInvalidOrder(now time.Time, r *run) {
+	s, j := r.step, r.job()
+	if j.state.IsFinal() || now.Before(s.pausedUntil) {
+		return
+	}
+	s.pausedUntil = now.Add(min(invalidOrderPause<<s.invalidRounds, maxInvalidOrderPause))
+	if s.invalidRounds++; s.invalidRounds < maxInvalidRounds {
+		return
+	}
+	c.finish(now, j, medlarsubmission.StateFailed)
+	c.emit(Event{
+		Kind: EventFailed, Submission: j.submission.ID, Route: j.submission.Route, Task: r.name(), Run: r.number, Worker: r.worker.info.ID,
+		Reason: "workers reject its orders as invalid", Age: now.Sub(j.submission.AcceptedAt), Count: s.invalidRounds,
+	})
+}
+
 // runNumberSkip is the number of run numbers that are skipped after a worker has rejected one as superseded.
 const runNumberSkip = 16
 
