Store the progress of a large submission in several rows

Cause: the progress of a submission was one row without a bound, while acceptance allows 20,000 tasks. With a checkpoint of 16 digits for each task it has 608,901 bytes, of 65,536 that a row holds. The table refused the batch, and the owner repeated it for ever.

Change: the tasks are divided into segments with a row each, so many that the row fits whatever happens to them, by the attempts of the queue and the largest checkpoint that is stored. Batches are bounded in bytes by the same estimate, and only the rows that have changed are written. The limit of a row comes from the settings.

--- a/internal/operation/medlarnode/node.go
+++ b/internal/operation/medlarnode/node.go
@@ -72,6 +72,9 @@
 	MemoryLimitFraction float64
 }
 
+// Base64 encodes three bytes as four. The limit of a row may apply to either.
+const base64Triple, base64Quad = 3, 4
+
 // DefaultConfig returns the configuration of an instance with the platform's settings.
 func DefaultConfig(settings platform.Settings) Config {
 	owner := medlarowner.DefaultConfig()
@@ -79,6 +82,10 @@
 	owner.Cell.MaxLease, owner.Ownership.MaxLease = settings.MaxLease, settings.MaxLease
 	owner.Ownership.OutageLease = min(owner.Ownership.OutageLease, settings.MaxLease)
 	owner.Cell.KeepFinished = max(owner.Cell.KeepFinished, settings.KeepFinished+10*time.Second)
+	maxRowBytes := settings.RowBytes / base64Quad * base64Triple
+	if maxRowBytes > 0 {
+		owner.Cell.MaxRowBytes = min(owner.Cell.MaxRowBytes, maxRowBytes)
+	}
 	return Config{
 		Settings: settings, Owner: owner, Admission: medlaradmission.DefaultConfig(), Registry: medlarinstance.DefaultConfig(),
 		StoreConnections: 24, StoreTimeout: 1200 * time.Millisecond,
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -55,9 +55,10 @@
 	// needsCompaction is true if the queue may hold steps without waiting tasks.
 	needsCompaction bool
 	failureCache    placementFailureCache
-	// dirty lists the jobs whose records have changed since they were last stored. finished lists those in a final
+	// dirty lists the segments whose records have changed since they were last stored. finished lists the jobs in a final
 	// state, oldest first.
-	dirty, finished []*job
+	dirty    []*segment
+	finished []*job
 	// earlyCancellations holds the times of cancellations whose submission is not known. A write of the submission without a
 	// response may still be carried out. earlyCancellationOrder lists their submissions, oldest first, and some that have
 	// become known since.
@@ -139,6 +140,12 @@
 	if err := j.restoreProgress(p); err != nil {
 		return err
 	}
+	if !p.State.IsFinal() {
+		// Earlier builds have stored the progress of all segments in the row of the first one.
+		for i := 1; i < len(j.segments); i++ {
+			c.markSegmentDirty(&j.segments[i])
+		}
+	}
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			c.enqueue(now, st)
@@ -178,7 +185,7 @@
 }
 
 func (c *Cell) add(s medlarsubmission.Submission, inherited bool) *job {
-	j := newJob(s, inherited, c.runTimes)
+	j := newJob(s, inherited, c.runTimes, c.config.segmentTasks(&s))
 	j.hardDeadline = s.AcceptedAt.Add(time.Duration(c.config.HardDeadlineFactor * float64(j.softDeadline.Sub(s.AcceptedAt))))
 	c.jobs[s.ID] = j
 	c.observeWork(j)
@@ -384,11 +391,11 @@
 	kept := 0
 	for kept < len(c.finished) && now.Sub(c.finished[kept].finishedAt) > c.config.KeepFinished {
 		j := c.finished[kept]
-		if j.dirty {
+		if j.dirtySegments > 0 {
 			break
 		}
 		delete(c.jobs, j.submission.ID)
-		c.commands = append(c.commands, Command{Kind: CommandDeleteSubmission, Submission: j.submission.ID})
+		c.commands = append(c.commands, Command{Kind: CommandDeleteSubmission, Submission: j.submission.ID, Segments: len(j.segments)})
 		kept++
 	}
 	c.finished = c.finished[kept:]
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -34,10 +34,12 @@
 	Worker     medlarwheel.WorkerID
 	Address    string
 	Submission medlarsubmission.ID
-	Start      medlarorder.Start
-	Stop       medlarorder.Stop
-	Pace       medlarorder.Pace
-	Renew      medlarorder.Renew
+	// Segments is the number of segments of the submission, each of which may have a row of progress.
+	Segments int
+	Start    medlarorder.Start
+	Stop     medlarorder.Stop
+	Pace     medlarorder.Pace
+	Renew    medlarorder.Renew
 	// OutOfBand marks a renewal in addition to the regular one, which resolves an uncertain run.
 	OutOfBand bool
 	Delay     time.Duration
@@ -55,35 +57,36 @@
 
 // The kinds of event.
 const (
-	EventAccepted           EventKind = "submission-taken-in"
-	EventCancelled          EventKind = "submission-cancelled"
-	EventCompleted          EventKind = "submission-completed"
-	EventFailed             EventKind = "submission-failed"
-	EventFirstStart         EventKind = "submission-started"
-	EventTaskFailed         EventKind = "task-failed"
-	EventTaskLost           EventKind = "task-lost"
-	EventTaskRestarted      EventKind = "lost-task-restarted"
-	EventTaskAdopted        EventKind = "task-adopted"
-	EventTaskSuspected      EventKind = "task-suspected"
-	EventStartUncertain     EventKind = "start-uncertain"
-	EventStartRejected      EventKind = "start-rejected"
-	EventUnknownRunStopped  EventKind = "stray-run-stopped"
-	EventWorkerJoined       EventKind = "worker-joined"
-	EventWorkerDraining     EventKind = "worker-draining"
-	EventWorkerUnregistered EventKind = "worker-unregistered"
-	EventWorkerRestarted    EventKind = "worker-restarted"
-	EventWorkerUnresponsive EventKind = "worker-silent"
-	EventWorkerResponsive   EventKind = "worker-back"
-	EventWorkerSuspended    EventKind = "worker-suspended"
-	EventLeaseEnded         EventKind = "worker-lease-ended"
-	EventTakeoverReconciled EventKind = "takeover-settled"
-	EventWorkerFenced       EventKind = "worker-fenced"
-	EventTaskWaiting        EventKind = "task-waits"
-	EventLoad               EventKind = "cell-load"
-	EventWorkerSpeed        EventKind = "worker-speed"
-	EventTaskMoved          EventKind = "task-moved"
-	EventTaskEvacuated      EventKind = "task-evacuated"
-	EventTailTargetExceeded EventKind = "tail-target-exceeded"
+	EventAccepted            EventKind = "submission-taken-in"
+	EventCancelled           EventKind = "submission-cancelled"
+	EventCompleted           EventKind = "submission-completed"
+	EventFailed              EventKind = "submission-failed"
+	EventFirstStart          EventKind = "submission-started"
+	EventTaskFailed          EventKind = "task-failed"
+	EventTaskLost            EventKind = "task-lost"
+	EventTaskRestarted       EventKind = "lost-task-restarted"
+	EventTaskAdopted         EventKind = "task-adopted"
+	EventTaskSuspected       EventKind = "task-suspected"
+	EventCheckpointNotStored EventKind = "checkpoint-not-stored"
+	EventStartUncertain      EventKind = "start-uncertain"
+	EventStartRejected       EventKind = "start-rejected"
+	EventUnknownRunStopped   EventKind = "stray-run-stopped"
+	EventWorkerJoined        EventKind = "worker-joined"
+	EventWorkerDraining      EventKind = "worker-draining"
+	EventWorkerUnregistered  EventKind = "worker-unregistered"
+	EventWorkerRestarted     EventKind = "worker-restarted"
+	EventWorkerUnresponsive  EventKind = "worker-silent"
+	EventWorkerResponsive    EventKind = "worker-back"
+	EventWorkerSuspended     EventKind = "worker-suspended"
+	EventLeaseEnded          EventKind = "worker-lease-ended"
+	EventTakeoverReconciled  EventKind = "takeover-settled"
+	EventWorkerFenced        EventKind = "worker-fenced"
+	EventTaskWaiting         EventKind = "task-waits"
+	EventLoad                EventKind = "cell-load"
+	EventWorkerSpeed         EventKind = "worker-speed"
+	EventTaskMoved           EventKind = "task-moved"
+	EventTaskEvacuated       EventKind = "task-evacuated"
+	EventTailTargetExceeded  EventKind = "tail-target-exceeded"
 )
 
 // Event is a scheduling decision or a change of state for the log, with the inputs that led to it.
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -38,6 +38,8 @@
 	StopRetry time.Duration
 	// KeepFinished is how long a finished submission is kept in memory.
 	KeepFinished time.Duration
+	// MaxRowBytes is the largest size of a record of progress, and MaxBatchBytes that of all records in a batch, but for the last.
+	MaxRowBytes, MaxBatchBytes int
 	// FailuresToSuspend is the number of consecutive failed runs, of different submissions, after which a worker is
 	// suspended.
 	FailuresToSuspend int
@@ -65,7 +67,7 @@
 		Lease: 7 * time.Second, MaxLease: 10 * time.Second, LeaseTail: 6 * time.Second, RenewalWait: 600 * time.Millisecond, RenewalRetryDelay: 150 * time.Millisecond,
 		AckWaitTimeout: 200 * time.Millisecond,
 		ContactTimeout: 1300 * time.Millisecond, ResponseTimeout: 150 * time.Millisecond, ClockDrift: 0.02, LeaseMargin: 200 * time.Millisecond,
-		StopRetry: time.Second, KeepFinished: 2 * time.Minute,
+		StopRetry: time.Second, KeepFinished: 2 * time.Minute, MaxRowBytes: 48 << 10, MaxBatchBytes: 512 << 10,
 		FailuresToSuspend: 2, SuspendDuration: 4 * time.Second,
 		UnhealthyPause: 200 * time.Millisecond, LongRunningCPUShare: 0.5, HardDeadlineFactor: 3,
 		Rank: medlarrank.DefaultConfig(), RunTimes: medlarforecast.DefaultConfig(), Interference: DefaultInterferenceConfig(),
--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -103,7 +103,7 @@
 
 // recordCrash records a crash under a run that was started the given time ago, or zero if that is unknown.
 func (c *Cell) recordCrash(s *step, index int, crash Crash, age time.Duration) {
-	j, t := s.occurrence.job, &s.tasks[index]
+	t := &s.tasks[index]
 	if slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Run == crash.Run }) {
 		return
 	}
@@ -111,7 +111,7 @@
 	c.confirmCrashes(t)
 	t.limitCrashes()
 	if t.isSuspect() {
-		c.markDirty(j)
+		c.markTaskDirty(s, index)
 		if len(t.crashes) > 1 || t.crashes[0].Confirmed && t.crashes[0].Started {
 			c.holdUntilStored(s, index)
 		}
@@ -154,7 +154,7 @@
 				})
 			})
 			if len(t.crashes) < n {
-				c.markDirty(j)
+				c.markTaskDirty(s, index)
 			}
 		})
 	}
@@ -201,7 +201,7 @@
 // storeSuspectRun stores that a run of a suspect has been confirmed or has ended.
 func (c *Cell) storeSuspectRun(r *run) {
 	if r.suspect && r.phase == runConfirmed && !r.job().state.IsFinal() {
-		c.markDirty(r.job())
+		c.markTaskDirty(r.step, r.index)
 	}
 }
 
@@ -274,19 +274,18 @@
 // their count.
 func (c *Cell) holdUntilStored(s *step, index int) {
 	j, t := s.occurrence.job, &s.tasks[index]
-	c.markDirty(j)
+	c.markTaskDirty(s, index)
 	t.waiting, t.crashesUnstored, j.crashesUnstored = false, true, true
 	s.removeReady(index)
 	c.needsCompaction = true
 }
 
-// releaseSuspects requeues the tasks of a job whose crashes are stored now.
-func (c *Cell) releaseSuspects(now time.Time, j *job) {
-	if !j.crashesUnstored || j.dirty {
+// releaseSuspects requeues the tasks of a segment whose crashes are stored now.
+func (c *Cell) releaseSuspects(now time.Time, g *segment) {
+	if !g.job.crashesUnstored || g.dirty {
 		return
 	}
-	j.crashesUnstored = false
-	j.forEachTask(func(s *step, index int) {
+	g.forEachTask(func(s *step, index int) {
 		if t := &s.tasks[index]; t.crashesUnstored {
 			t.crashesUnstored = false
 			c.requeue(now, s, index)
@@ -294,20 +293,20 @@
 	})
 }
 
-// maxStoredSuspects bounds the tasks of a submission whose crashes are stored, because the size of a row is limited.
-const maxStoredSuspects = 100
-
-// limitCrashes keeps the records of at most maxStoredSuspects tasks, of those with the most crashes.
-func (p *Progress) limitCrashes() {
-	if len(p.Crashes) <= maxStoredSuspects {
-		return
-	}
+// limitCrashes keeps the records of the tasks with the most crashes, up to the given size.
+func (p *Progress) limitCrashes(size int) {
 	keys := slices.SortedFunc(maps.Keys(p.Crashes), func(a, b string) int {
 		return cmp.Or(cmp.Compare(len(p.Crashes[b]), len(p.Crashes[a])), cmp.Compare(a, b))
 	})
-	for _, key := range keys[maxStoredSuspects:] {
-		delete(p.Crashes, key)
-		delete(p.SuspectRuns, key)
+	for _, key := range keys {
+		size -= 2*maxTaskKeyBytes + crashesBytes(p.Crashes[key])
+		if run, ok := p.SuspectRuns[key]; ok {
+			size -= run.bytes()
+		}
+		if size < 0 {
+			delete(p.Crashes, key)
+			delete(p.SuspectRuns, key)
+		}
 	}
 }
 
@@ -352,7 +351,8 @@
 }
 
 // withdrawCrash removes the record of a crash, because the worker had the run after all.
-func (c *Cell) withdrawCrash(j *job, t *task, number medlarorder.RunNumber) {
+func (c *Cell) withdrawCrash(s *step, index int, number medlarorder.RunNumber) {
+	t := &s.tasks[index]
 	if t.inheritedRun != nil && t.inheritedRun.Run <= number {
 		t.inheritedRun = nil
 	}
@@ -361,7 +361,7 @@
 		return crash.Run == number
 	})
 	if len(t.crashes) < n {
-		c.markDirty(j)
+		c.markTaskDirty(s, index)
 	}
 }
 
@@ -374,9 +374,9 @@
 		return
 	}
 	if r.reportedFor() < crashProbation {
-		c.withdrawCrash(r.job(), t, r.number)
+		c.withdrawCrash(r.step, r.index, r.number)
 		return
 	}
 	t.crashes = nil
-	c.markDirty(r.job())
+	c.markTaskDirty(r.step, r.index)
 }
--- a/internal/scheduling/medlarcell/crash_test.go
+++ b/internal/scheduling/medlarcell/crash_test.go
@@ -153,7 +153,7 @@
 	first.dispatch()
 	first.crashAtStart(first.starts[0])
 	next := newCrashCell(t, 0, Ownership{Fence: 2 << 12, Term: 2})
-	stored := first.cell.jobs["00000000000000aa"].progress()
+	stored := first.progress()
 	if err := next.cell.Restore(next.now, testSubmission(testStep()), stored, false); err != nil {
 		t.Fatal(err)
 	}
@@ -303,7 +303,7 @@
 		first.flush()
 		first.keepAlive()
 	}
-	stored := first.cell.jobs["00000000000000aa"].progress()
+	stored := first.progress()
 	for term := range uint64(2 * maxCrashes) {
 		next := newCrashCell(t, 0, Ownership{Fence: medlarwheel.FencingToken(term+2) << 12, Term: term + 2})
 		if err := next.cell.Restore(next.now, testSubmission(step), stored, false); err != nil {
@@ -322,7 +322,7 @@
 		if !next.cell.reconciled {
 			t.Fatal("the workers have reported, but the cell is not reconciled")
 		}
-		stored = next.cell.jobs["00000000000000aa"].progress()
+		stored = next.progress()
 		if count := len(stored.Crashes["0.0.0"]); count != 1 || stored.State != "" {
 			t.Fatalf("after %d changes of owner %d crashes are stored and the state %q, want the one crash and no final state", term+1, count, stored.State)
 		}
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -30,7 +30,7 @@
 	if j.state.IsFinal() || t.done {
 		return
 	}
-	c.withdrawCrash(j, t, e.Run)
+	c.withdrawCrash(s, e.Task.Index, e.Run)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
@@ -40,7 +40,7 @@
 	case medlarorder.EndFailed:
 		c.handleFailure(now, w, r, s, e)
 	default:
-		c.markDirty(j)
+		c.markTaskDirty(s, e.Task.Index)
 		c.requeue(now, s, e.Task.Index)
 	}
 }
@@ -67,11 +67,12 @@
 		// The end of one member completes the whole gang.
 		for i := range s.tasks {
 			s.completeTask(i)
+			c.markTaskDirty(s, i)
 		}
 	}
 	s.completeTask(e.Task.Index)
 	c.needsCompaction = true
-	c.markDirty(j)
+	c.markTaskDirty(s, e.Task.Index)
 	if s.remainingTasks == 0 {
 		for _, later := range s.occurrence.steps {
 			c.enqueue(now, later)
@@ -123,7 +124,7 @@
 	if !slices.Contains(t.failedRuns, e.Run) {
 		t.failedRuns = append(t.failedRuns, e.Run)
 	}
-	c.markDirty(j)
+	c.markTaskDirty(s, e.Task.Index)
 	if len(t.failedRuns) >= max(1, j.submission.Policy.MaxAttempts) {
 		c.finish(now, j, medlarsubmission.StateFailed)
 		c.emit(Event{Kind: EventFailed, Submission: j.submission.ID, Route: j.submission.Route, Task: e.Task, Worker: w.info.ID, Age: now.Sub(j.submission.AcceptedAt)})
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -32,8 +32,11 @@
 	finishedAt    time.Time
 	// inherited is true for jobs that may have runs of an earlier owner, on workers that have not reported yet.
 	inherited bool
-	dirty     bool
-	// crashesUnstored is true while tasks wait for their crashes to be stored.
+	// segments divides the tasks, segmentTasks in each, into rows of progress. dirtySegments counts those that are to be stored.
+	segments                    []segment
+	segmentTasks, dirtySegments int
+	tasksPerOccurrence          int
+	// crashesUnstored is true once a task has waited for its crashes to be stored.
 	crashesUnstored bool
 	// inheritedSuspects is true if an earlier owner has stored crashes of the job's tasks.
 	inheritedSuspects bool
@@ -54,6 +57,8 @@
 	index      int
 	spec       *medlarsubmission.Step
 	tasks      []task
+	// firstTask is the number of the first task among all tasks of the job.
+	firstTask int
 	// ready lists the indices of the tasks that wait for a worker.
 	ready []int
 	// unmetDependencies counts the unfinished steps that this step waits for.
@@ -193,7 +198,7 @@
 	return s.unmetDependencies == 0 && !now.Before(s.occurrence.startAt) && !now.Before(s.pausedUntil)
 }
 
-func newJob(s medlarsubmission.Submission, inherited bool, runTimes *medlarforecast.Model) *job {
+func newJob(s medlarsubmission.Submission, inherited bool, runTimes *medlarforecast.Model, segmentTasks int) *job {
 	j := &job{submission: s, state: medlarsubmission.StateQueued, inherited: inherited}
 	expected, longestTasks := make([]time.Duration, len(s.Steps)), make([]time.Duration, len(s.Steps))
 	for i := range s.Steps {
@@ -205,7 +210,10 @@
 	for i := range s.Steps {
 		longest = max(longest, j.criticalPaths[i])
 		j.totalWork += float64(s.Steps[i].Count) * coreSeconds(expected[i], &s.Steps[i])
+		j.tasksPerOccurrence += s.Steps[i].Count
 	}
+	j.segmentTasks = segmentTasks
+	j.segments = newSegments(j, j.tasksPerOccurrence*s.Occurrences(), segmentTasks)
 	j.remainingWork = j.totalWork
 	objective := time.Duration(s.Policy.Stretch*float64(longest)) + s.Policy.Allowance
 	j.softDeadline = s.AcceptedAt.Add(objective)
@@ -240,9 +248,11 @@
 
 func newOccurrence(j *job, index int, expected []time.Duration) *occurrence {
 	o := &occurrence{job: j, index: index, startAt: j.submission.Due(index), remainingSteps: len(j.submission.Steps)}
+	firstTask := index * j.tasksPerOccurrence
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
-		s := &step{occurrence: o, index: i, spec: spec, remainingTasks: spec.Count, unmetDependencies: len(spec.After), predictedRunTime: expected[i]}
+		s := &step{occurrence: o, index: i, spec: spec, remainingTasks: spec.Count, unmetDependencies: len(spec.After), predictedRunTime: expected[i], firstTask: firstTask}
+		firstTask += spec.Count
 		s.tasks = make([]task, spec.Count)
 		s.ready = make([]int, spec.Count)
 		for t := range s.tasks {
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -18,7 +18,7 @@
 type Progress struct {
 	// State is set once it is final. The other fields are then empty.
 	State medlarsubmission.State `json:"state,omitempty"`
-	// Done holds one bit for each completed task, by occurrence and step.
+	// Done holds one bit for each completed task, by occurrence and step, and by the offset of the first byte if it is not 0.
 	Done map[string]string `json:"done,omitempty"`
 	// Failed holds the numbers of the failed runs, by occurrence, step and task.
 	Failed map[string][]medlarorder.RunNumber `json:"failed,omitempty"`
@@ -31,9 +31,10 @@
 	SuspectRuns map[string]Crash `json:"suspect-runs,omitempty"`
 }
 
-// Record is the progress of one submission.
+// Record is the progress of one segment of a submission. Segment 0 holds its final state as well.
 type Record struct {
 	Submission medlarsubmission.ID
+	Segment    int
 	Progress   Progress
 }
 
@@ -43,8 +44,9 @@
 	// Joined lists workers that may run tasks from now on, and Left those that no longer do.
 	Joined []medlarorder.Worker
 	Left   []medlarwheel.WorkerID
-	jobs   []*job
-	acks   map[*worker]endAck
+	// segments holds the segments of the records.
+	segments []*segment
+	acks     map[*worker]endAck
 }
 
 type endAck struct {
@@ -57,28 +59,28 @@
 	return len(b.Records) == 0 && len(b.acks) == 0 && len(b.Joined)+len(b.Left) == 0
 }
 
-func (c *Cell) markDirty(j *job) {
-	if !j.dirty {
-		j.dirty = true
-		c.dirty = append(c.dirty, j)
-	}
-}
-
 // HasFlush reports whether TakeFlush would return records.
 func (c *Cell) HasFlush() bool { return len(c.dirty)+len(c.joined)+len(c.left) > 0 }
 
-// TakeFlush returns up to limit records that have changed. The ended runs that led to them are acknowledged once
-// FlushSucceeded is called with the batch. At most one batch may be in flight.
+// TakeFlush returns up to limit records that have changed, of at most Config.MaxBatchBytes. The ended runs that led to them
+// are acknowledged once FlushSucceeded is called with the batch. At most one batch may be in flight.
 func (c *Cell) TakeFlush(limit int) *Batch {
 	b := &Batch{acks: map[*worker]endAck{}}
 	limit -= c.takeWorkerChanges(b, limit)
-	n := min(limit, len(c.dirty))
-	for _, j := range c.dirty[:n] {
-		j.dirty = false
-		b.jobs = append(b.jobs, j)
-		b.Records = append(b.Records, Record{Submission: j.submission.ID, Progress: j.progress()})
+	taken, size := 0, 0
+	for ; taken < len(c.dirty) && len(b.Records) < limit && size < c.config.MaxBatchBytes; taken++ {
+		g := c.dirty[taken]
+		g.dirty = false
+		g.job.dirtySegments--
+		if g.index > 0 && g.job.state.IsFinal() {
+			continue
+		}
+		record := Record{Submission: g.job.submission.ID, Segment: g.index, Progress: c.progress(g)}
+		size += record.Progress.bytes()
+		b.segments = append(b.segments, g)
+		b.Records = append(b.Records, record)
 	}
-	c.dirty = append([]*job(nil), c.dirty[n:]...)
+	c.dirty = append([]*segment(nil), c.dirty[taken:]...)
 	if len(c.dirty) > 0 {
 		// An ended run may belong to a record that is not in this batch.
 		return b
@@ -106,20 +108,26 @@
 			c.failureCache.workerChanged(w)
 		}
 	}
-	for i, j := range b.jobs {
+	for i, g := range b.segments {
 		if state := b.Records[i].Progress.State; state.IsFinal() {
-			j.durableState = state
+			g.job.durableState = state
 		}
-		c.releaseSuspects(now, j)
+		c.releaseSuspects(now, g)
 	}
 	c.sendDeferredRenewals(now)
 }
 
 // FlushFailed marks the records of a batch as changed again, since they could not be stored.
 func (c *Cell) FlushFailed(b *Batch) {
-	for _, j := range b.jobs {
-		c.markDirty(j)
+	later := slices.DeleteFunc(c.dirty, func(g *segment) bool { return slices.Contains(b.segments, g) })
+	for _, g := range b.segments {
+		if !g.dirty {
+			g.dirty = true
+			g.job.dirtySegments++
+		}
 	}
+	// They stay in order: a row of an earlier build may hold the progress of all segments, and must be the last to be replaced.
+	c.dirty = slices.Concat(b.segments, later)
 	for i := range b.Joined {
 		c.joined = append(c.joined, b.Joined[i].ID)
 	}
@@ -146,49 +154,75 @@
 	return joined + left
 }
 
-func (j *job) progress() Progress {
-	if j.state.IsFinal() {
-		return Progress{State: j.state}
+// progress returns the progress of a segment.
+func (c *Cell) progress(g *segment) Progress {
+	if g.job.state.IsFinal() {
+		return Progress{State: g.job.state}
 	}
 	p := Progress{Done: map[string]string{}, Failed: map[string][]medlarorder.RunNumber{}, Checkpoints: map[string]string{}, Crashes: map[string][]Crash{}, SuspectRuns: map[string]Crash{}}
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			s.encodeProgress(&p)
+	done := map[*step]*doneTasks{}
+	g.forEachTask(func(s *step, index int) {
+		if !s.tasks[index].done {
+			c.encodeTask(&p, s, index)
+			return
+		}
+		if done[s] == nil {
+			done[s] = &doneTasks{offset: g.firstTaskOf(s) / 8}
 		}
+		done[s].add(index)
+	})
+	for s, d := range done {
+		p.Done[d.key(s)] = base64.RawStdEncoding.EncodeToString(d.bits)
 	}
-	p.limitCrashes()
+	p.limitCrashes(c.config.MaxRowBytes / crashBytesShare)
 	return p
 }
 
-func (s *step) encodeProgress(p *Progress) {
-	var bits []byte
-	key := fmt.Sprintf("%d.%d", s.occurrence.index, s.index)
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if t.done {
-			if bits == nil {
-				bits = make([]byte, (len(s.tasks)+7)/8)
-			}
-			bits[i/8] |= 1 << (i % 8)
-			continue
-		}
-		if len(t.failedRuns) > 0 {
-			p.Failed[fmt.Sprintf("%s.%d", key, i)] = slices.Clone(t.failedRuns)
-		}
-		if len(t.crashes) > 0 {
-			taskKey := fmt.Sprintf("%s.%d", key, i)
-			p.Crashes[taskKey] = slices.Clone(t.crashes)
-			if crash := t.suspectRun(); crash != nil {
-				p.SuspectRuns[taskKey] = *crash
-			}
-		}
-		if t.checkpoint != "" && len(t.runs) == 0 {
-			p.Checkpoints[fmt.Sprintf("%s.%d", key, i)] = t.checkpoint
+// doneTasks is the set of done tasks of a step in a segment, with one bit for each, from the byte at offset on.
+type doneTasks struct {
+	offset int
+	bits   []byte
+}
+
+func (d *doneTasks) add(index int) {
+	i := index/8 - d.offset
+	for len(d.bits) <= i {
+		d.bits = append(d.bits, 0)
+	}
+	d.bits[i] |= 1 << (index % 8)
+}
+
+// key returns the key of the step in Progress.Done, followed by the offset unless it is 0.
+func (d *doneTasks) key(s *step) string {
+	if d.offset == 0 {
+		return s.key()
+	}
+	return fmt.Sprintf("%s+%d", s.key(), d.offset)
+}
+
+func (s *step) key() string { return fmt.Sprintf("%d.%d", s.occurrence.index, s.index) }
+
+// encodeTask adds the progress of a task that is not done.
+func (c *Cell) encodeTask(p *Progress, s *step, index int) {
+	t := &s.tasks[index]
+	key := func() string { return fmt.Sprintf("%s.%d", s.key(), index) }
+	if len(t.failedRuns) > 0 {
+		p.Failed[key()] = slices.Clone(lastRuns(t.failedRuns))
+	}
+	if len(t.crashes) > 0 {
+		p.Crashes[key()] = slices.Clone(t.crashes)
+		if crash := t.suspectRun(); crash != nil {
+			p.SuspectRuns[key()] = *crash
 		}
 	}
-	if bits != nil {
-		p.Done[key] = base64.RawStdEncoding.EncodeToString(bits)
+	if t.checkpoint == "" || len(t.runs) > 0 {
+		return
+	}
+	if len(t.checkpoint) > maxCheckpointBytes || textBytes(t.checkpoint) > maxCheckpointBytes {
+		c.emit(Event{Kind: EventCheckpointNotStored, Task: s.name(index), Count: len(t.checkpoint)})
+		return
 	}
+	p.Checkpoints[key()] = t.checkpoint
 }
 
 // hasStarted reports whether a task of the submission is known to have run.
@@ -196,12 +230,72 @@
 	return len(p.Done)+len(p.Failed)+len(p.Checkpoints)+len(p.Crashes) > 0
 }
 
+// Merge adds the progress in another row of the same submission. Rows of later segments come later.
+func (p *Progress) Merge(later Progress) error {
+	for key, bits := range later.Done {
+		merged, err := mergeBits(p.Done[key], bits)
+		if err != nil {
+			return errors.Wrapf(err, "done tasks of step %q are not base64", key)
+		}
+		setIn(&p.Done, key, merged)
+	}
+	for key, runs := range later.Failed {
+		merged := slices.Concat(p.Failed[key], runs)
+		slices.Sort(merged)
+		setIn(&p.Failed, key, slices.Compact(merged))
+	}
+	for key, checkpoint := range later.Checkpoints {
+		setIn(&p.Checkpoints, key, checkpoint)
+	}
+	for key, crashes := range later.Crashes {
+		setIn(&p.Crashes, key, crashes)
+	}
+	for key, crash := range later.SuspectRuns {
+		setIn(&p.SuspectRuns, key, crash)
+	}
+	if later.State != "" {
+		p.State = later.State
+	}
+	return nil
+}
+
+// setIn sets an entry of a map that may be nil.
+func setIn[V any](m *map[string]V, key string, value V) {
+	if *m == nil {
+		*m = map[string]V{}
+	}
+	(*m)[key] = value
+}
+
+// mergeBits returns the union of two encoded sets of tasks.
+func mergeBits(a, b string) (string, error) {
+	if a == "" {
+		return b, nil
+	}
+	union, err := base64.RawStdEncoding.DecodeString(a)
+	if err != nil {
+		return "", err
+	}
+	more, err := base64.RawStdEncoding.DecodeString(b)
+	if err != nil {
+		return "", err
+	}
+	for i, bits := range more {
+		if i < len(union) {
+			union[i] |= bits
+		} else {
+			union = append(union, bits)
+		}
+	}
+	return base64.RawStdEncoding.EncodeToString(union), nil
+}
+
 // restoreProgress sets the state of a new job from its stored progress.
 func (j *job) restoreProgress(p Progress) error {
 	for key, text := range p.Done {
-		var occurrence, index int
-		if _, err := fmt.Sscanf(key, "%d.%d", &occurrence, &index); err != nil {
-			return errors.Wrapf(err, "submission %s: invalid key %q of done tasks, want occurrence.step", j.submission.ID, key)
+		var occurrence, index, offset int
+		if n, err := fmt.Sscanf(key, "%d.%d+%d", &occurrence, &index, &offset); n < 2 || offset < 0 {
+			return errors.Wrapf(err, "submission %s: invalid key %q of done tasks, want occurrence.step or occurrence.step+offset", j.submission.ID, key)
 		}
 		bits, err := base64.RawStdEncoding.DecodeString(text)
 		if err != nil {
@@ -211,7 +305,7 @@
 		if s == nil {
 			return errors.Errorf("submission %s: progress lists done tasks of step %q, but the submission has no such step", j.submission.ID, key)
 		}
-		s.restoreDone(bits)
+		s.restoreDone(offset, bits)
 	}
 	for key, runs := range p.Failed {
 		if t, err := j.findTaskByKey(key); err != nil {
@@ -254,9 +348,10 @@
 	return t, nil
 }
 
-func (s *step) restoreDone(bits []byte) {
-	for i := range s.tasks {
-		if i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
+// restoreDone completes the tasks whose bits are set, from the byte at offset on.
+func (s *step) restoreDone(offset int, bits []byte) {
+	for i := 8 * min(offset, len(s.tasks)); i < len(s.tasks) && i/8-offset < len(bits); i++ {
+		if bits[i/8-offset]&(1<<(i%8)) != 0 {
 			s.completeTask(i)
 		}
 	}
--- a/internal/scheduling/medlarcell/progress_test.go
+++ b/internal/scheduling/medlarcell/progress_test.go
@@ -17,6 +17,9 @@
 		"key not numeric":     {Done: map[string]string{"x": "AQ"}},
 		"invalid base64":      {Done: map[string]string{"0.0": "%"}},
 		"too many bits":       {Done: map[string]string{"0.0": "/////w"}},
+		"negative offset":     {Done: map[string]string{"0.0+-1": "AQ"}},
+		"offset out of range": {Done: map[string]string{"0.0+9223372036854775807": "AQ"}},
+		"offset not numeric":  {Done: map[string]string{"0.0+x": "AQ"}},
 		"negative task":       {Failed: map[string][]medlarorder.RunNumber{"0.0.-1": {1}}},
 		"task out of range":   {Checkpoints: map[string]string{"0.0.77": "x"}},
 	} {
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -71,6 +71,11 @@
 	return medlarsubmission.Step{Count: 1, Size: medlarsubmission.Size{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second}
 }
 
+// progress returns the progress of the test submission, which has one segment.
+func (sc *scriptedCell) progress() Progress {
+	return sc.cell.progress(&sc.cell.jobs["00000000000000aa"].segments[0])
+}
+
 // dispatch places waiting tasks and sorts the commands since the last dispatch by kind.
 func (sc *scriptedCell) dispatch() {
 	sc.cell.Place(sc.now)
--- a/internal/scheduling/medlarcell/silence_test.go
+++ b/internal/scheduling/medlarcell/silence_test.go
@@ -78,7 +78,7 @@
 	s.flush()
 	s.left, s.storedAt = s.cell.TakeLeasesLeft(s.now), s.now
 	s.cell.ConfirmLeasesLeft(s.now, s.left)
-	s.stored = s.cell.jobs["00000000000000aa"].progress()
+	s.stored = s.progress()
 	return started
 }
 
--- a/internal/scheduling/medlarowner/erase.go
+++ b/internal/scheduling/medlarowner/erase.go
@@ -21,26 +21,37 @@
 	versions map[medlarsubmission.ID]medlarwheel.RowVersion
 	// pending holds the submissions whose rows are to be removed, by part of the table.
 	pending map[string][]medlarcellstore.Erasure
-	// orphaned holds the submissions whose rows are removed and whose progress is still stored.
-	orphaned []medlarsubmission.ID
+	// segments holds the number of segments of the pending submissions.
+	segments map[medlarsubmission.ID]int
+	// orphaned holds the rows of progress whose submissions are removed.
+	orphaned []medlarcellstore.ProgressKey
 	// inFlight is true while a removal is in progress.
 	inFlight bool
 }
 
 func newEraser() eraser {
 	return eraser{
-		versions: map[medlarsubmission.ID]medlarwheel.RowVersion{},
-		pending:  map[string][]medlarcellstore.Erasure{},
+		versions: map[medlarsubmission.ID]medlarwheel.RowVersion{}, segments: map[medlarsubmission.ID]int{},
+		pending: map[string][]medlarcellstore.Erasure{},
 	}
 }
 
-// enqueue adds a submission whose rows are to be removed.
-func (e *eraser) enqueue(cell string, id medlarsubmission.ID) {
+// enqueue adds a submission whose rows are to be removed, with the number of segments of its progress.
+func (e *eraser) enqueue(cell string, id medlarsubmission.ID, segments int) {
 	part := medlarcellstore.SubmissionPart(cell, id)
 	e.pending[part] = append(e.pending[part], medlarcellstore.Erasure{ID: id, Version: e.versions[id]})
+	e.segments[id] = segments
 	delete(e.versions, id)
 }
 
+// addOrphaned adds the rows of progress of a submission that is removed.
+func (e *eraser) addOrphaned(id medlarsubmission.ID) {
+	for segment := range max(1, e.segments[id]) {
+		e.orphaned = append(e.orphaned, medlarcellstore.NewProgressKey(id, segment))
+	}
+	delete(e.segments, id)
+}
+
 // findOrphanedProgress finds progress without a submission, which a previous owner left when it ended between the two
 // removals.
 func (e *eraser) findOrphanedProgress(submissions, progress []medlartable.Row) {
@@ -49,19 +60,19 @@
 		present[r.Key] = true
 	}
 	for _, r := range progress {
-		if !present[r.Key] {
-			e.orphaned = append(e.orphaned, medlarsubmission.ID(r.Key))
+		if key := medlarcellstore.ProgressKey(r.Key); !present[string(key.Submission())] {
+			e.orphaned = append(e.orphaned, key)
 		}
 	}
 }
 
-// takeOrphanedProgress returns up to maxProgressErasures submissions whose progress is to be removed now. A submission
-// that was submitted again in the meantime keeps its progress.
-func (e *eraser) takeOrphanedProgress() []medlarsubmission.ID {
-	var taken []medlarsubmission.ID
+// takeOrphanedProgress returns up to maxProgressErasures rows of progress that are to be removed now. A submission that was
+// submitted again in the meantime keeps its progress.
+func (e *eraser) takeOrphanedProgress() []medlarcellstore.ProgressKey {
+	var taken []medlarcellstore.ProgressKey
 	n := 0
 	for ; n < len(e.orphaned) && len(taken) < maxProgressErasures; n++ {
-		if _, known := e.versions[e.orphaned[n]]; !known {
+		if _, known := e.versions[e.orphaned[n].Submission()]; !known {
 			taken = append(taken, e.orphaned[n])
 		}
 	}
@@ -90,7 +101,7 @@
 	}
 	for _, erasure := range erasures {
 		if !isConflict {
-			e.orphaned = append(e.orphaned, erasure.ID)
+			e.addOrphaned(erasure.ID)
 			continue
 		}
 		switch row, _ := conflict.Find(medlarcellstore.TableSubmissions, string(erasure.ID)); row.Version {
@@ -98,7 +109,7 @@
 			e.pending[part] = append(e.pending[part], erasure)
 		case 0:
 			// An earlier attempt has removed the row, but its response was lost.
-			e.orphaned = append(e.orphaned, erasure.ID)
+			e.addOrphaned(erasure.ID)
 		}
 	}
 	return true
--- a/internal/scheduling/medlarowner/erase_test.go
+++ b/internal/scheduling/medlarowner/erase_test.go
@@ -20,7 +20,7 @@
 func eraserInFlight() (e eraser, part string, erasures []medlarcellstore.Erasure) {
 	e = newEraser()
 	e.versions[testID] = 7
-	e.enqueue(testPart, testID)
+	e.enqueue(testPart, testID, 1)
 	part = e.largestPart()
 	erasures = e.pending[part]
 	delete(e.pending, part)
@@ -43,7 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			e, part, erasures := eraserInFlight()
 			e.handleResult(part, erasures, c.err)
-			if got := slices.Contains(e.takeOrphanedProgress(), testID); got != c.erased {
+			if got := slices.Contains(e.takeOrphanedProgress(), medlarcellstore.ProgressKey(testID)); got != c.erased {
 				t.Errorf("progress is removed: got %v, want %v", got, c.erased)
 			}
 			if got := len(e.pending[part]) > 0; got != c.requeued {
@@ -69,7 +69,7 @@
 func TestOrphanedProgressIsFound(t *testing.T) {
 	e := newEraser()
 	e.findOrphanedProgress([]medlartable.Row{{Key: "a", Value: []byte("not readable")}}, []medlartable.Row{{Key: "a"}, {Key: "b"}})
-	if got := e.takeOrphanedProgress(); !slices.Equal(got, []medlarsubmission.ID{"b"}) {
+	if got := e.takeOrphanedProgress(); !slices.Equal(got, []medlarcellstore.ProgressKey{"b"}) {
 		t.Errorf("orphaned progress: got %v, want [b]", got)
 	}
 }
@@ -78,7 +78,7 @@
 // another submission of the same removal has changed.
 func TestCancellationWithoutSubmissionIsErasedBesideConflict(t *testing.T) {
 	e := newEraser()
-	e.enqueue(testPart, testID)
+	e.enqueue(testPart, testID, 1)
 	part := e.largestPart()
 	erasures := e.pending[part]
 	delete(e.pending, part)
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"medlarwheel"
-	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/scheduling/medlarcell"
 	"medlarwheel/internal/state/medlarcellstore"
@@ -27,7 +26,7 @@
 	}
 	renew := now.Sub(o.RenewedAt()) >= o.config.Ownership.RenewInterval || o.cell.NeedsOwnershipCheck() || o.cell.HasSilenceChanged()
 	limit := medlarcellstore.MaxRecords
-	var erased []medlarsubmission.ID
+	var erased []medlarcellstore.ProgressKey
 	if renew {
 		erased = o.eraser.takeOrphanedProgress()
 		limit -= len(erased)
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -148,10 +148,16 @@
 	logUnreadable := o.unreadableRowLogger(zerolog.ErrorLevel)
 	states := make(map[medlarsubmission.ID]medlarcell.Progress, len(progress))
 	for _, r := range progress {
-		if p, err := medlarcellstore.DecodeProgress(r); err != nil {
+		id := medlarcellstore.ProgressKey(r.Key).Submission()
+		p, err := medlarcellstore.DecodeProgress(r)
+		if err == nil {
+			// The rows of a submission come in the order of their keys, the first segment first.
+			merged := states[id]
+			err = merged.Merge(p)
+			states[id] = merged
+		}
+		if err != nil {
 			logUnreadable(r, err)
-		} else {
-			states[medlarsubmission.ID(r.Key)] = p
 		}
 	}
 	entries, cancelled := o.decodeEntries(submissions)
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -14,7 +14,7 @@
 	o.updateConnectionLimit()
 	for _, command := range o.cell.TakeCommands() {
 		if command.Kind == medlarcell.CommandDeleteSubmission {
-			o.eraser.enqueue(o.config.Part, command.Submission)
+			o.eraser.enqueue(o.config.Part, command.Submission, command.Segments)
 			continue
 		}
 		if command.Kind == medlarcell.CommandDisconnect {
--- a/internal/state/medlarcellstore/cellstore.go
+++ b/internal/state/medlarcellstore/cellstore.go
@@ -18,6 +18,8 @@
 
 import (
 	"encoding/json"
+	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -108,7 +110,27 @@
 // MaxErasures is the number of submissions that one transaction can remove, with three entries for each.
 const MaxErasures = medlartable.MaxEntries / 3
 
-// ProgressRange selects the progress row of one submission.
+// ProgressKey is the key of a row of progress: the id of the submission, followed by the number of the segment unless it is 0.
+type ProgressKey string
+
+// segmentSeparator separates the id and the number of the segment in a ProgressKey.
+const segmentSeparator = "/"
+
+// NewProgressKey returns the key of a segment.
+func NewProgressKey(id medlarsubmission.ID, segment int) ProgressKey {
+	if segment == 0 {
+		return ProgressKey(id)
+	}
+	return ProgressKey(string(id) + segmentSeparator + strconv.Itoa(segment))
+}
+
+// Submission returns the id of the submission.
+func (k ProgressKey) Submission() medlarsubmission.ID {
+	id, _, _ := strings.Cut(string(k), segmentSeparator)
+	return medlarsubmission.ID(id)
+}
+
+// ProgressRange selects the first progress row of one submission, which holds its final state.
 func ProgressRange(part string, id medlarsubmission.ID) medlartable.Range {
 	return medlartable.Range{Table: TableProgress, Part: part, From: string(id), To: string(id) + "\x00"}
 }
@@ -218,7 +240,7 @@
 // must have been removed before: the next owner would restart a submission that has no progress. The same batch may be
 // sent again until Resolve has determined its outcome, and the next batch is refused until then. A renewal with a zero
 // timeout is omitted.
-func (c *Chain) Next(batch *medlarcell.Batch, erased []medlarsubmission.ID, renewal medlarownership.Renewal) (medlartable.Transaction, error) {
+func (c *Chain) Next(batch *medlarcell.Batch, erased []ProgressKey, renewal medlarownership.Renewal) (medlartable.Transaction, error) {
 	if c.unresolved {
 		return medlartable.Transaction{}, errors.WithMessagef(errUnresolvedBatch, "batch %d of cell %s", c.next+1, c.part)
 	}
@@ -253,10 +275,10 @@
 		if err != nil {
 			return t, errors.Wrapf(err, "encode progress of submission %s", r.Submission)
 		}
-		t.Put = append(t.Put, medlartable.Row{Table: TableProgress, Part: c.part, Key: string(r.Submission), Value: value})
+		t.Put = append(t.Put, medlartable.Row{Table: TableProgress, Part: c.part, Key: string(NewProgressKey(r.Submission, r.Segment)), Value: value})
 	}
-	for _, id := range erased {
-		t.Remove = append(t.Remove, medlartable.Row{Table: TableProgress, Part: c.part, Key: string(id)})
+	for _, key := range erased {
+		t.Remove = append(t.Remove, medlartable.Row{Table: TableProgress, Part: c.part, Key: string(key)})
 	}
 	c.unresolved = true
 	return t, nil
