Reject submissions that fit in no row of the table

Found by reading: callers would get 503 again and again for submissions that were handed in beside one whose row the table refuses, such as 256 steps that each depend on all earlier ones.

Cause: acceptance did not check the size of the row, and a refused transaction refuses all rows in it.

Evidence: TestSubmissionThatFitsInNoRowIsRejected failed before: "outcome 1, want too large", for two shapes of submissions that pass Check.

Change: such a submission is answered with 413 before anything is written.

--- a/internal/operation/medlarnode/submissions.go
+++ b/internal/operation/medlarnode/submissions.go
@@ -33,16 +33,20 @@
 }
 
 func (n *Node) submit(s *medlarsubmission.Submission, deadline time.Time) (platform.Reply, string) {
+	row, err := medlarcellstore.SubmissionRow(n.config.Owner.Part, s)
+	if err != nil {
+		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, err.Error()
+	}
+	if size, most := len(row.Value), n.config.Owner.Cell.MaxRowBytes; size > most {
+		// The table would refuse the row, and with it those of other submissions in the same transaction.
+		return platform.Reply{Outcome: platform.OutcomeTooLarge}, fmt.Sprintf("%d bytes in its row, at most %d", size, most)
+	}
 	decision := n.config.Admission.Admit(n.clock.Now(), s, n.admissionLoad(s))
 	if !decision.Accept {
 		n.meter.Count("door.refused")
 		return platform.Reply{Outcome: platform.OutcomeRefused, Overloaded: true, RetryAfter: decision.RetryAfter},
 			fmt.Sprintf("%s, report is %d ms old", decision.Reason, decision.Age.Milliseconds())
 	}
-	row, err := medlarcellstore.SubmissionRow(n.config.Owner.Part, s)
-	if err != nil {
-		return platform.Reply{Outcome: platform.OutcomeRefused, RetryAfter: storeRetryAfter}, err.Error()
-	}
 	return n.storeRow(row, deadline)
 }
 
@@ -153,5 +157,5 @@
 
 var outcomeNames = map[platform.Outcome]string{
 	platform.OutcomeOK: "accepted", platform.OutcomeRefused: "refused", platform.OutcomeUnknown: "unknown",
-	platform.OutcomeNotFound: "gone",
+	platform.OutcomeNotFound: "gone", platform.OutcomeTooLarge: "too-large",
 }
