Set aside the submission whose record the table refuses

Cause: every answer but success and conflict counted as an unknown outcome, which is resolved by sending the same batch again.

Change: an answer that refuses the content is told apart. The owner looks for the record at fault with smaller and smaller batches, and fails its submission, logged by its id, once the record is refused alone although a batch without records is stored. TestTableThatRefusesEverythingFailsNoSubmission guards against blame for a table that refuses everything.

--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -134,6 +134,21 @@
 	c.left = append(c.left, b.Left...)
 }
 
+// SetAside fails the submission of the only record of a batch, which the table refuses for its content. Its other records are
+// not stored any more, so that the final state is its only one.
+func (c *Cell) SetAside(now time.Time, b *Batch) {
+	c.FlushFailed(&Batch{Joined: b.Joined, Left: b.Left})
+	j := b.segments[0].job
+	if j.state.IsFinal() {
+		return
+	}
+	c.finish(now, j, medlarsubmission.StateFailed)
+	c.emit(Event{
+		Kind: EventFailed, Submission: j.submission.ID, Route: j.submission.Route, Reason: "its progress cannot be stored",
+		Age: now.Sub(j.submission.AcceptedAt),
+	})
+}
+
 // takeWorkerChanges moves added and removed workers into a batch and returns their number.
 func (c *Cell) takeWorkerChanges(b *Batch, limit int) int {
 	joined := min(limit, len(c.joined))
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -24,10 +24,10 @@
 		o.scheduleFlush(wait)
 		return
 	}
-	renew := now.Sub(o.RenewedAt()) >= o.config.Ownership.RenewInterval || o.cell.NeedsOwnershipCheck() || o.cell.HasSilenceChanged()
-	limit := medlarcellstore.MaxRecords
+	renew := now.Sub(o.RenewedAt()) >= o.config.Ownership.RenewInterval || o.cell.NeedsOwnershipCheck() || o.cell.HasSilenceChanged() || o.isolation.isProbing()
+	limit := o.isolation.limit()
 	var erased []medlarcellstore.ProgressKey
-	if renew {
+	if renew && !o.isolation.isActive() {
 		erased = o.eraser.takeOrphanedProgress()
 		limit -= len(erased)
 		o.erasePending()
@@ -53,7 +53,7 @@
 		o.cell.FlushFailed(batch)
 		return
 	}
-	if renew && now.Sub(o.modelSnapshotAt) >= o.config.ModelSnapshotInterval {
+	if renew && !o.isolation.isActive() && now.Sub(o.modelSnapshotAt) >= o.config.ModelSnapshotInterval {
 		o.modelSnapshotAt = now
 		o.addModelSnapshot(&transaction)
 	}
@@ -120,12 +120,17 @@
 // handleCommit processes the outcome of a batch on the control goroutine.
 func (o *Owner) handleCommit(now time.Time, batch *medlarcell.Batch, outcome medlarcellstore.Outcome, sentAt time.Time, renewal medlarownership.Renewal) {
 	o.flushing = false
-	if outcome == medlarcellstore.OutcomeSuperseded {
+	switch outcome {
+	case medlarcellstore.OutcomeInvalid:
+		o.handleInvalidBatch(now, batch)
+		return
+	case medlarcellstore.OutcomeSuperseded:
 		o.Log.Warn().Str("event", "owner-superseded").Uint64("term", o.term.Number).Dur("flush-age", now.Sub(sentAt)).
 			Msg("another instance has claimed the cell; ending the ownership")
 		o.superseded = true
 		return
 	}
+	o.isolation.batchStored()
 	o.cell.FlushSucceeded(now, batch)
 	o.cell.OwnershipConfirmed(now, sentAt)
 	// A decaying maximum keeps one fast response from hiding that the table is slow.
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -72,6 +72,8 @@
 		return nil, until, ErrSuperseded
 	case medlarcellstore.OutcomeRetry:
 		return r, until, nil
+	case medlarcellstore.OutcomeInvalid:
+		return nil, until, nil
 	default:
 		// The first attempt may be the one that took effect.
 		o.recordRenewal(r.sentAt)
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -138,6 +138,7 @@
 	placeScheduled bool
 
 	writer          *medlarhedge.Writer
+	isolation       isolation
 	flushing        bool
 	flushScheduled  bool
 	flushedAt       time.Time
--- a/internal/state/medlarcellstore/cellstore.go
+++ b/internal/state/medlarcellstore/cellstore.go
@@ -295,6 +295,8 @@
 	OutcomeRetry
 	// OutcomeSuperseded means that the batch can no longer be stored, because another owner has claimed the cell.
 	OutcomeSuperseded
+	// OutcomeInvalid means that the table refuses the batch for its content. Another one may take its place.
+	OutcomeInvalid
 )
 
 // Resolve determines the outcome of a batch from the result of its transaction, and advances the chain if it was stored.
@@ -303,6 +305,10 @@
 		c.advance(commit.Version)
 		return OutcomeStored
 	}
+	if errors.Is(err, medlartable.ErrInvalidTransaction) {
+		c.unresolved = false
+		return OutcomeInvalid
+	}
 	var conflict *medlartable.ConflictError
 	if !errors.As(err, &conflict) {
 		return OutcomeRetry
--- a/internal/state/medlartable/table.go
+++ b/internal/state/medlartable/table.go
@@ -70,6 +70,9 @@
 		e.Rows[0].Table, e.Rows[0].Part, e.Rows[0].Key, e.Rows[0].Version)
 }
 
+// ErrInvalidTransaction means that the table has refused a transaction for its content. The same one is refused again.
+var ErrInvalidTransaction = errors.New("table refuses the content of the transaction")
+
 // Find returns the current row with the key, if it is among the required rows that exist.
 func (e *ConflictError) Find(table, key string) (Row, bool) {
 	for _, r := range e.Rows {
