Try waiting tasks again on a worker that changes twice

Callers waited up to 250 ms longer than necessary: a task was not tried again on a worker that had changed once more right after the task was tried on it.

Cause: the list of changed workers left out a change of the worker that had changed last, although steps had been tried since.

TestWorkerThatChangesTwiceIsTriedAgain failed before: "0 starts after both runs on the worker have ended".

--- a/internal/scheduling/medlarcell/placement_failures.go
+++ b/internal/scheduling/medlarcell/placement_failures.go
@@ -43,6 +43,8 @@
 	scanStartedAt time.Time
 	// changes lists the workers that have changed since the scan began, oldest first.
 	changes []*worker
+	// changesTried is the number of changes that some step was tried on and failed.
+	changesTried int
 	// previousPassStart and currentPassStart are the numbers of changes at the start of the last two placement passes.
 	previousPassStart, currentPassStart int
 }
@@ -68,12 +70,12 @@
 		p.byClass = map[placementClass]*placementFailure{}
 	}
 	p.changes = p.changes[:0]
-	p.previousPassStart, p.currentPassStart = 0, 0
+	p.changesTried, p.previousPassStart, p.currentPassStart = 0, 0, 0
 }
 
 // workerChanged records a worker that may have more free capacity than before, or that may be usable again.
 func (p *placementFailureCache) workerChanged(w *worker) {
-	if n := len(p.changes); n == 0 || p.changes[n-1] != w {
+	if n := len(p.changes); n == p.changesTried || p.changes[n-1] != w {
 		p.changes = append(p.changes, w)
 	}
 }
@@ -104,6 +106,7 @@
 		// A speculative copy may not run where the first run is, which says nothing about other tasks.
 		return
 	}
+	p.changesTried = len(p.changes)
 	known := s.failure
 	// A failure of a step that asks for less is more general, as long as that step is still being tried.
 	isCurrent := known.scan == p.scan && known.changesSeen >= p.previousPassStart
--- a/internal/scheduling/medlarcell/placement_failures_test.go
+++ b/internal/scheduling/medlarcell/placement_failures_test.go
@@ -143,3 +143,31 @@
 		}
 	}
 }
+
+// TestWorkerThatChangesTwiceIsTriedAgain guards against a task that waits for the next full scan beside a worker with room, since
+// the worker has changed again right after the task was tried on it.
+func TestWorkerThatChangesTwiceIsTriedAgain(t *testing.T) {
+	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	sc.report(sc.renewals[0], medlarorder.Report{})
+	half := testStep()
+	half.Count, half.Size.MilliCPU = 2, 4000
+	sc.cell.Accept(sc.now, testSubmission(half))
+	sc.dispatch()
+	whole := testStep()
+	whole.Size.MilliCPU = 8000
+	waiting := testSubmission(whole)
+	waiting.ID = "00000000000000bb"
+	sc.cell.Accept(sc.now, waiting)
+	running := sc.starts
+	for i, start := range running {
+		sc.now = sc.now.Add(10 * time.Millisecond)
+		sc.dispatch()
+		sc.report(Command{Worker: "w0"}, medlarorder.Report{Ended: []medlarorder.Ended{{
+			Number: medlarorder.EndNumber(i + 1), Task: start.Start.Task, Run: start.Start.Run, Kind: medlarorder.EndDone,
+		}}})
+		sc.dispatch()
+	}
+	if len(sc.starts) != 1 {
+		t.Errorf("%d starts after both runs on the worker have ended, want 1", len(sc.starts))
+	}
+}
