Create the occurrences of a schedule as they come due

Cause: the tasks of all occurrences were created at once, and kept when they were done.

Change: an occurrence is created a second before it is due and dropped when it is done; at most 20,000 tasks of one submission exist at a time. A report of a worker creates the occurrence of its task. The tasks of a finished submission are dropped once its state is stored.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -59,6 +59,8 @@
 	// state, oldest first.
 	dirty    []*segment
 	finished []*job
+	// scheduledJobs lists the jobs with occurrences that are not due yet.
+	scheduledJobs []*job
 	// earlyCancellations holds the times of cancellations whose submission is not known. A write of the submission without a
 	// response may still be carried out. earlyCancellationOrder lists their submissions, oldest first, and some that have
 	// become known since.
@@ -146,11 +148,7 @@
 			c.markSegmentDirty(&j.segments[i])
 		}
 	}
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			c.enqueue(now, st)
-		}
-	}
+	c.createDueOccurrences(now, j)
 	if p.hasStarted() {
 		c.markStarted(j)
 	}
@@ -172,11 +170,7 @@
 		return
 	}
 	j := c.add(s, c.inGrace)
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			c.enqueue(now, st)
-		}
-	}
+	c.createDueOccurrences(now, j)
 	c.emit(Event{Kind: EventAccepted, Submission: s.ID, Route: s.Route, Age: now.Sub(s.AcceptedAt)})
 	if _, cancelled := c.earlyCancellations[s.ID]; cancelled {
 		delete(c.earlyCancellations, s.ID)
@@ -192,6 +186,8 @@
 	c.observeShortTaskSize(&s)
 	if s.OccurrenceCount == 0 {
 		c.queueLengths[s.Route]++
+	} else {
+		c.scheduledJobs = append(c.scheduledJobs, j)
 	}
 	return j
 }
@@ -376,6 +372,7 @@
 		}
 	}
 	c.silenceChanged = c.differsFromStoredLeases(now)
+	c.createOccurrences(now)
 	c.evacuate(now)
 	c.sendDeferredRenewals(now)
 	c.fitModel(now)
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -25,6 +25,7 @@
 	if t == nil {
 		return
 	}
+	c.queueCreated(now, j)
 	t.lastEndedRun = max(t.lastEndedRun, e.Run)
 	t.lastRun = max(t.lastRun, e.Run)
 	if j.state.IsFinal() || t.done {
@@ -82,12 +83,7 @@
 }
 
 func (c *Cell) checkComplete(now time.Time, j *job) {
-	for _, o := range j.occurrences {
-		if o.remainingSteps > 0 {
-			return
-		}
-	}
-	if j.state.IsFinal() {
+	if j.schedule.remaining > 0 || j.state.IsFinal() {
 		return
 	}
 	c.finish(now, j, medlarsubmission.StateCompleted)
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -17,7 +17,8 @@
 	state      medlarsubmission.State
 	// durableState is the last final state that was stored. Clients see completion and failure only once they are stored.
 	durableState medlarsubmission.State
-	occurrences  []*occurrence
+	// occurrences holds the occurrences that have tasks to run. The others are nil: they are not due yet, or are done.
+	occurrences []*occurrence
 	// softDeadline is when the submission should be complete. After hardDeadline, its result is of no use to the client.
 	softDeadline, hardDeadline time.Time
 	// criticalPaths holds, by step, the longest chain of estimated run times from that step to the end.
@@ -36,6 +37,7 @@
 	segments                    []segment
 	segmentTasks, dirtySegments int
 	tasksPerOccurrence          int
+	schedule                    schedule
 	// crashesUnstored is true once a task has waited for its crashes to be stored.
 	crashesUnstored bool
 	// inheritedSuspects is true if an earlier owner has stored crashes of the job's tasks.
@@ -217,9 +219,8 @@
 	j.remainingWork = j.totalWork
 	objective := time.Duration(s.Policy.Stretch*float64(longest)) + s.Policy.Allowance
 	j.softDeadline = s.AcceptedAt.Add(objective)
-	for k := range s.Occurrences() {
-		j.occurrences = append(j.occurrences, newOccurrence(j, k, expected))
-	}
+	j.occurrences = make([]*occurrence, s.Occurrences())
+	j.schedule = newSchedule(s.Occurrences(), expected)
 	if s.OccurrenceCount > 0 {
 		j.softDeadline = s.Due(0).Add(objective)
 	}
@@ -267,12 +268,14 @@
 	return o
 }
 
-// findTask returns the step and the task with the given name, or nil if there is none.
+// findTask returns the step and the task with the given name, or nil if there is none or its occurrence is done. It creates the
+// occurrence if that has not been done yet.
 func (j *job) findTask(n medlarsubmission.TaskName) (*step, *task) {
-	if !isIndex(n.Occurrence, j.occurrences) || !isIndex(n.Step, j.occurrences[n.Occurrence].steps) {
+	o := j.occurrence(n.Occurrence)
+	if o == nil || !isIndex(n.Step, o.steps) {
 		return nil, nil
 	}
-	s := j.occurrences[n.Occurrence].steps[n.Step]
+	s := o.steps[n.Step]
 	if !isIndex(n.Index, s.tasks) {
 		return nil, nil
 	}
@@ -284,7 +287,7 @@
 
 // forEachTask calls f for every task of the job.
 func (j *job) forEachTask(f func(s *step, index int)) {
-	for _, o := range j.occurrences {
+	for _, o := range j.created() {
 		for _, s := range o.steps {
 			for i := range s.tasks {
 				f(s, i)
@@ -295,7 +298,7 @@
 
 // forEachRun calls f for every run of the job. f may end runs.
 func (j *job) forEachRun(f func(*run)) {
-	for _, o := range j.occurrences {
+	for _, o := range j.created() {
 		for _, s := range o.steps {
 			for i := range s.tasks {
 				for _, r := range append([]*run(nil), s.tasks[i].runs...) {
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -1,6 +1,7 @@
 package medlarcell
 
 import (
+	"cmp"
 	"encoding/base64"
 	"fmt"
 	"slices"
@@ -111,6 +112,7 @@
 	for i, g := range b.segments {
 		if state := b.Records[i].Progress.State; state.IsFinal() {
 			g.job.durableState = state
+			g.job.releaseTasks()
 		}
 		c.releaseSuspects(now, g)
 	}
@@ -186,6 +188,18 @@
 		}
 		done[s].add(index)
 	})
+	for k := range g.doneOccurrences() {
+		// A dropped occurrence is as it was created, but for its tasks.
+		o := newOccurrence(g.job, k, g.job.schedule.predictedRunTimes)
+		for _, s := range o.steps {
+			for i := g.firstTaskOf(s); i < g.endOf(s); i++ {
+				if done[s] == nil {
+					done[s] = &doneTasks{offset: g.firstTaskOf(s) / 8}
+				}
+				done[s].add(i)
+			}
+		}
+	}
 	for s, d := range done {
 		p.Done[d.key(s)] = base64.RawStdEncoding.EncodeToString(d.bits)
 	}
@@ -307,20 +321,24 @@
 
 // restoreProgress sets the state of a new job from its stored progress.
 func (j *job) restoreProgress(p Progress) error {
-	for key, text := range p.Done {
-		var occurrence, index, offset int
-		if n, err := fmt.Sscanf(key, "%d.%d+%d", &occurrence, &index, &offset); n < 2 || offset < 0 {
-			return errors.Wrapf(err, "submission %s: invalid key %q of done tasks, want occurrence.step or occurrence.step+offset", j.submission.ID, key)
-		}
+	parts, err := p.doneParts()
+	if err != nil {
+		return errors.WithMessagef(err, "submission %s", j.submission.ID)
+	}
+	for _, part := range parts {
+		key, text := part.key, p.Done[part.key]
 		bits, err := base64.RawStdEncoding.DecodeString(text)
 		if err != nil {
 			return errors.Wrapf(err, "submission %s: done tasks of step %q are not base64", j.submission.ID, key)
 		}
-		s, _ := j.findTask(medlarsubmission.TaskName{Occurrence: occurrence, Step: index})
+		if isIndex(part.occurrence, j.occurrences) && j.isRepeated() && j.schedule.isDone(part.occurrence) {
+			continue
+		}
+		s, _ := j.findTask(medlarsubmission.TaskName{Occurrence: part.occurrence, Step: part.step})
 		if s == nil {
 			return errors.Errorf("submission %s: progress lists done tasks of step %q, but the submission has no such step", j.submission.ID, key)
 		}
-		s.restoreDone(offset, bits)
+		s.restoreDone(part.offset, bits)
 	}
 	for key, runs := range p.Failed {
 		if t, err := j.findTaskByKey(key); err != nil {
@@ -354,6 +372,28 @@
 	return nil
 }
 
+// donePart is an entry of Progress.Done.
+type donePart struct {
+	key                      string
+	occurrence, step, offset int
+}
+
+// doneParts returns the entries of Done by occurrence, so that only the tasks of one occurrence that is done exist at a time.
+func (p *Progress) doneParts() ([]donePart, error) {
+	parts := make([]donePart, 0, len(p.Done))
+	for key := range p.Done {
+		part := donePart{key: key}
+		if n, err := fmt.Sscanf(key, "%d.%d+%d", &part.occurrence, &part.step, &part.offset); n < 2 || part.offset < 0 {
+			return nil, errors.Wrapf(err, "invalid key %q of done tasks, want occurrence.step or occurrence.step+offset", key)
+		}
+		parts = append(parts, part)
+	}
+	slices.SortFunc(parts, func(a, b donePart) int {
+		return cmp.Or(cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step), cmp.Compare(a.offset, b.offset))
+	})
+	return parts, nil
+}
+
 func (j *job) findTaskByKey(key string) (*task, error) {
 	var n medlarsubmission.TaskName
 	if _, err := fmt.Sscanf(key, "%d.%d.%d", &n.Occurrence, &n.Step, &n.Index); err != nil {
@@ -385,7 +425,9 @@
 	if s.remainingTasks > 0 {
 		return
 	}
-	s.occurrence.remainingSteps--
+	if s.occurrence.remainingSteps--; s.occurrence.remainingSteps == 0 {
+		s.occurrence.job.completeOccurrence(s.occurrence)
+	}
 	for _, later := range s.occurrence.steps {
 		for _, earlier := range later.spec.After {
 			if earlier == s.index {
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -309,6 +309,7 @@
 		return nil
 	}
 	s, t := j.findTask(running.Task)
+	c.queueCreated(now, j)
 	if t == nil || t.done || running.Run <= t.lastEndedRun || len(t.runs) > 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/scheduling/medlarcell/schedule.go
@@ -0,0 +1,128 @@
+package medlarcell
+
+import (
+	"time"
+)
+
+const (
+	// occurrenceLead is how long before its due time an occurrence is created.
+	occurrenceLead = time.Second
+	// maxCreatedTasks is the number of tasks of created occurrences of one submission from which no further occurrence is created,
+	// as many as the largest submission without occurrences has.
+	maxCreatedTasks = 20000
+)
+
+// schedule creates the occurrences of a job as they come due, because all of them together may need more memory than an
+// instance has.
+type schedule struct {
+	// next is the first occurrence that was not created in order. Some later ones may have been created for reports of workers.
+	next int
+	// done holds one bit for each occurrence that is done, and remaining is the number of the others.
+	done      []uint64
+	remaining int
+	// createdTasks is the number of tasks of the occurrences that exist.
+	createdTasks int
+	// predictedRunTimes holds the predicted run time of the tasks of each step.
+	predictedRunTimes []time.Duration
+	// unqueued holds occurrences that were created and whose steps are not in the queue yet.
+	unqueued []*occurrence
+}
+
+const bitsPerWord = 64
+
+func newSchedule(occurrences int, predictedRunTimes []time.Duration) schedule {
+	return schedule{
+		done: make([]uint64, (occurrences+bitsPerWord-1)/bitsPerWord), remaining: occurrences, predictedRunTimes: predictedRunTimes,
+	}
+}
+
+func (c *schedule) isDone(k int) bool { return c.done[k/bitsPerWord]&(1<<(k%bitsPerWord)) != 0 }
+
+func (c *schedule) setDone(k int) {
+	if !c.isDone(k) {
+		c.done[k/bitsPerWord] |= 1 << (k % bitsPerWord)
+		c.remaining--
+	}
+}
+
+// occurrence returns occurrence k, which it creates if necessary, or nil if it is done or does not exist.
+func (j *job) occurrence(k int) *occurrence {
+	if !isIndex(k, j.occurrences) || j.isRepeated() && j.schedule.isDone(k) {
+		return nil
+	}
+	if j.occurrences[k] == nil {
+		o := newOccurrence(j, k, j.schedule.predictedRunTimes)
+		j.occurrences[k] = o
+		j.schedule.createdTasks += j.tasksPerOccurrence
+		j.schedule.unqueued = append(j.schedule.unqueued, o)
+	}
+	return j.occurrences[k]
+}
+
+// isRepeated reports whether the submission states how many times its steps run.
+func (j *job) isRepeated() bool { return j.submission.OccurrenceCount > 0 }
+
+// completeOccurrence records that an occurrence is done. Those of a repeated submission are dropped.
+func (j *job) completeOccurrence(o *occurrence) {
+	c := &j.schedule
+	c.setDone(o.index)
+	if !j.isRepeated() {
+		return
+	}
+	j.occurrences[o.index] = nil
+	c.createdTasks -= j.tasksPerOccurrence
+	if last := len(c.unqueued) - 1; last >= 0 && c.unqueued[last] == o {
+		c.unqueued = c.unqueued[:last]
+	}
+}
+
+// created returns the occurrences that exist.
+func (j *job) created() []*occurrence {
+	var created []*occurrence
+	for _, o := range j.occurrences {
+		if o != nil {
+			created = append(created, o)
+		}
+	}
+	return created
+}
+
+// createDueOccurrences creates the occurrences that are due soon, up to maxCreatedTasks, and queues their steps.
+func (c *Cell) createDueOccurrences(now time.Time, j *job) {
+	for ; j.schedule.next < len(j.occurrences) && !j.state.IsFinal(); j.schedule.next++ {
+		if j.schedule.createdTasks >= maxCreatedTasks || now.Add(occurrenceLead).Before(j.submission.Due(j.schedule.next)) {
+			break
+		}
+		j.occurrence(j.schedule.next)
+	}
+	c.queueCreated(now, j)
+}
+
+// queueCreated queues the steps of the occurrences that were created since the last call.
+func (c *Cell) queueCreated(now time.Time, j *job) {
+	for _, o := range j.schedule.unqueued {
+		for _, s := range o.steps {
+			c.enqueue(now, s)
+		}
+	}
+	j.schedule.unqueued = nil
+}
+
+// createOccurrences creates the due occurrences of all jobs that have further ones.
+func (c *Cell) createOccurrences(now time.Time) {
+	kept := c.scheduledJobs[:0]
+	for _, j := range c.scheduledJobs {
+		c.createDueOccurrences(now, j)
+		if j.schedule.next < len(j.occurrences) && !j.state.IsFinal() {
+			kept = append(kept, j)
+		}
+	}
+	clear(c.scheduledJobs[len(kept):])
+	c.scheduledJobs = kept
+}
+
+// releaseTasks drops the tasks of a job in a final state that is stored. Runs that are still being stopped keep their own steps.
+func (j *job) releaseTasks() {
+	j.occurrences, j.schedule = nil, schedule{}
+	j.submission.Spec, j.submission.Steps = "", nil
+}
--- a/internal/scheduling/medlarcell/segment.go
+++ b/internal/scheduling/medlarcell/segment.go
@@ -1,6 +1,7 @@
 package medlarcell
 
 import (
+	"iter"
 	"unicode/utf8"
 
 	"medlarwheel/internal/acceptance/medlarsubmission"
@@ -63,15 +64,44 @@
 // firstTaskOf returns the index of the first task of the step that is in the segment.
 func (g *segment) firstTaskOf(s *step) int { return max(0, g.index*g.job.segmentTasks-s.firstTask) }
 
-// forEachTask calls f for every task of the segment.
+// endOf returns the index after the last task of the step that is in the segment.
+func (g *segment) endOf(s *step) int {
+	return min(len(s.tasks), (g.index+1)*g.job.segmentTasks-s.firstTask)
+}
+
+// forEachTask calls f for every task of the segment whose occurrence exists.
 func (g *segment) forEachTask(f func(s *step, index int)) {
+	for k := range g.occurrences() {
+		if g.job.occurrences[k] == nil {
+			continue
+		}
+		for _, s := range g.job.occurrences[k].steps {
+			for i := g.firstTaskOf(s); i < g.endOf(s); i++ {
+				f(s, i)
+			}
+		}
+	}
+}
+
+// occurrences returns the numbers of the occurrences that have tasks in the segment.
+func (g *segment) occurrences() iter.Seq[int] {
 	j := g.job
 	first := g.index * j.segmentTasks
-	last := first + j.segmentTasks
-	for k := first / j.tasksPerOccurrence; k < len(j.occurrences) && k*j.tasksPerOccurrence < last; k++ {
-		for _, s := range j.occurrences[k].steps {
-			for i := g.firstTaskOf(s); i < min(len(s.tasks), last-s.firstTask); i++ {
-				f(s, i)
+	return func(yield func(k int) bool) {
+		for k := first / max(1, j.tasksPerOccurrence); k < len(j.occurrences) && k*j.tasksPerOccurrence < first+j.segmentTasks; k++ {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// doneOccurrences returns the numbers of the occurrences in the segment that are done and dropped.
+func (g *segment) doneOccurrences() iter.Seq[int] {
+	return func(yield func(k int) bool) {
+		for k := range g.occurrences() {
+			if g.job.isRepeated() && g.job.schedule.isDone(k) && !yield(k) {
+				return
 			}
 		}
 	}
