Refuse submissions for which an owner has no memory

Callers would see nothing run any more after some large submissions together: the owner exceeds the memory of its instance, and so does each successor.

Cause: acceptance limited the size of one submission and not of all that an owner holds.

Change: the owner estimates the memory of its submissions and reports it with its load; admission control refuses what does not fit into 64 MB beside the others, with 429 and a time to come back. The memory of a large submission is reserved until the owner hears of it.

--- a/internal/acceptance/medlaradmission/admission.go
+++ b/internal/acceptance/medlaradmission/admission.go
@@ -5,6 +5,9 @@
 // Admission control therefore refuses long-running tasks that would take the capacity that short urgent work has
 // recently needed.
 //
+// A scheduler that ends for want of memory is followed by others that load the same submissions. Admission control
+// therefore also refuses submissions that would need more memory than the scheduler has.
+//
 // A submission is accepted if the report is too old or missing.
 //
 // # Usage
@@ -16,6 +19,7 @@
 package medlaradmission
 
 import (
+	"fmt"
 	"time"
 
 	"medlarwheel/internal/acceptance/medlarsubmission"
@@ -29,6 +33,10 @@
 	LongRunningHeadroom float64 `json:"lasting-room"`
 	// LongRunningReleaseRate is the rate at which long-running tasks have released capacity, in cores per second.
 	LongRunningReleaseRate float64 `json:"lasting-release"`
+	// HeldMemory is the memory that the scheduler needs for its submissions, in bytes, and MaxHeldMemory the most that it should
+	// need. Zero means that there is no limit.
+	HeldMemory    int64 `json:"held-memory,omitempty"`
+	MaxHeldMemory int64 `json:"max-held-memory,omitempty"`
 }
 
 // Config configures admission control.
@@ -55,8 +63,25 @@
 	Age time.Duration
 }
 
-// DependsOnLoad reports whether the decision on a submission depends on the load.
-func (c Config) DependsOnLoad(s *medlarsubmission.Submission) bool { return longRunningCores(s) > 0 }
+// largeMemory is the memory of a submission from which a few of them may exceed the limit before the next report.
+const largeMemory = 1 << 20
+
+// memoryRetryAfter is the retry delay given when the memory is used up. It is freed as submissions are finished.
+const memoryRetryAfter = 5 * time.Second
+
+// DependsOnLoad reports whether the decision on a submission depends on a recent report of the load.
+func (c Config) DependsOnLoad(s *medlarsubmission.Submission) bool {
+	return longRunningCores(s) > 0 || c.MemoryToReserve(s) > 0
+}
+
+// MemoryToReserve returns the memory in bytes that the scheduler has to keep free for a submission until it hears of it. It is
+// zero for those of which only many could exceed the limit meanwhile.
+func (c Config) MemoryToReserve(s *medlarsubmission.Submission) int64 {
+	if needed := s.Memory(); needed >= largeMemory {
+		return needed
+	}
+	return 0
+}
 
 // Admit decides whether a submission is accepted.
 func (c Config) Admit(now time.Time, s *medlarsubmission.Submission, load Load) Decision {
@@ -64,6 +89,11 @@
 	if load.At.IsZero() || d.Age > c.MaxAge {
 		return d
 	}
+	if needed := s.Memory(); load.MaxHeldMemory > 0 && load.HeldMemory+needed > load.MaxHeldMemory {
+		d.Accept, d.RetryAfter = false, memoryRetryAfter
+		d.Reason = fmt.Sprintf("needs %d KB of memory, %d of %d KB are held", needed>>10, load.HeldMemory>>10, load.MaxHeldMemory>>10)
+		return d
+	}
 	if cores := longRunningCores(s); cores > 0 && cores > load.LongRunningHeadroom {
 		d.Accept, d.Reason = false, "not enough free capacity for long-running tasks"
 		d.RetryAfter = c.retryAfter(cores-load.LongRunningHeadroom, load.LongRunningReleaseRate)
--- a/internal/acceptance/medlarsubmission/submission.go
+++ b/internal/acceptance/medlarsubmission/submission.go
@@ -180,6 +180,40 @@
 // task. If an owner runs out of memory because of a submission, its successors do too, since they load the same submission.
 const maxTasksAllOccurrences = 200_000
 
+// MaxCreatedTasks is the number of tasks of a repeated submission from which the scheduler creates no further occurrence before
+// others are done.
+const MaxCreatedTasks = maxTasks
+
+// Memory that a scheduler needs for a submission, for each of its steps and for each of their tasks, in bytes. Steps and tasks of
+// occurrences that are not created need none.
+const (
+	submissionMemory = 2048
+	stepMemory       = 512
+	taskMemory       = 256
+)
+
+// Memory returns the memory, in bytes, that a scheduler needs at most for the submission until it is finished.
+func (s *Submission) Memory() int64 {
+	tasks := 0
+	for i := range s.Steps {
+		tasks += s.Steps[i].Count
+	}
+	created := s.Occurrences()
+	if tasks > 0 {
+		created = min(created, MaxCreatedTasks/tasks+1)
+	}
+	return s.MemoryOf(created)
+}
+
+// MemoryOf returns the memory, in bytes, that a scheduler needs for the submission while so many of its occurrences exist.
+func (s *Submission) MemoryOf(occurrences int) int64 {
+	tasks := 0
+	for i := range s.Steps {
+		tasks += s.Steps[i].Count
+	}
+	return submissionMemory + int64(len(s.Spec)) + int64(occurrences)*int64(len(s.Steps)*stepMemory+tasks*taskMemory)
+}
+
 func (s *Step) check(index int) medlarwheel.Faults {
 	path := fmt.Sprintf("steps[%d].", index)
 	faults := medlarwheel.Faults{}.CheckRange(path+"count", int64(s.Count), 1, maxTasks)
--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -37,6 +37,8 @@
 	Term uint64 `json:"term,omitempty"`
 	// Service is the service whose load is requested.
 	Service medlarwheel.ServiceName `json:"service,omitempty"`
+	// Memory is the memory in bytes that a large submission needs, which the owner keeps free for a while.
+	Memory int64 `json:"memory,omitempty"`
 	// OutageLease is the length of the worker leases that the owner grants once every instance has promised.
 	OutageLease time.Duration `json:"outage-lease-ns,omitempty"`
 	// LeasesLeft is how much longer such leases may last at a handover.
@@ -247,7 +249,7 @@
 	case peerPathState:
 		response.State, response.Known, err = owner.State(ctx, request.Submission)
 	case peerPathLoad:
-		response.Load, err = owner.Load(ctx, request.Service)
+		response.Load, err = owner.Load(ctx, request.Service, request.Memory)
 		response.Known = !response.Load.At.IsZero()
 	case peerPathQueueLength:
 		response.Known = true
@@ -310,13 +312,14 @@
 
 // admissionLoad returns the load for the admission decision on a submission. If the decision depends on the load and the
 // last report is old, it waits for a new one: with many instances, most submissions are the first at their instance for
-// seconds.
+// seconds. For a large submission it always does, since the owner keeps the memory free for it.
 func (n *Node) admissionLoad(s *medlarsubmission.Submission) medlaradmission.Load {
 	if !n.config.Admission.DependsOnLoad(s) {
 		return n.cachedLoad(s.Service)
 	}
-	if now := n.clock.Now(); now.Sub(n.loadReports.lastReport(s.Service).At) >= loadRefreshAge {
-		n.fetchLoad(s.Service, now)
+	reserved := n.config.Admission.MemoryToReserve(s)
+	if now := n.clock.Now(); reserved > 0 || now.Sub(n.loadReports.lastReport(s.Service).At) >= loadRefreshAge {
+		n.fetchLoad(s.Service, reserved, now)
 	}
 	return n.loadReports.lastReport(s.Service)
 }
@@ -330,13 +333,14 @@
 	if !entry.fetching && now.Sub(entry.requestedAt) >= loadRefreshAge {
 		entry.fetching, entry.requestedAt = true, now
 		n.loadReports.byService[service] = entry
-		go n.fetchLoad(service, now)
+		go n.fetchLoad(service, 0, now)
 	}
 	return entry.load
 }
 
-func (n *Node) fetchLoad(service medlarwheel.ServiceName, requestedAt time.Time) {
-	response, err := n.queryOwner(peerPathLoad, peerRequest{Service: service})
+// fetchLoad fetches a load report, and lets the owner keep the given memory free.
+func (n *Node) fetchLoad(service medlarwheel.ServiceName, memory int64, requestedAt time.Time) {
+	response, err := n.queryOwner(peerPathLoad, peerRequest{Service: service, Memory: memory})
 	if err != nil {
 		n.log.Warn().Str("event", "load-unknown").Str("service", string(service)).Err(err).
 			Msg("cannot get the load from the owner; keeping the last report")
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -103,8 +103,11 @@
 	meanWork map[string]float64
 	loads    map[medlarwheel.ServiceName]*serviceLoad
 	// shortTaskSize is the usual size of short urgent tasks by service, in thousandths of a core.
-	shortTaskSize     map[medlarwheel.ServiceName]float64
-	loadMeasuredAt    time.Time
+	shortTaskSize  map[medlarwheel.ServiceName]float64
+	loadMeasuredAt time.Time
+	// heldMemory is the estimated memory of all submissions, in bytes.
+	heldMemory        int64
+	reservations      []memoryReservation
 	interferenceModel *medlarinterference.Model
 	modelFittedAt     time.Time
 	// loadDeviations is the distribution of the deviations of serving runs from the load of their step.
--- a/internal/scheduling/medlarcell/config.go
+++ b/internal/scheduling/medlarcell/config.go
@@ -40,6 +40,8 @@
 	KeepFinished time.Duration
 	// MaxRowBytes is the largest size of a record of progress, and MaxBatchBytes that of all records in a batch, but for the last.
 	MaxRowBytes, MaxBatchBytes int
+	// MaxHeldMemory is the estimated memory of all submissions, in bytes, from which no further one should be accepted.
+	MaxHeldMemory int64
 	// FailuresToSuspend is the number of consecutive failed runs, of different submissions, after which a worker is
 	// suspended.
 	FailuresToSuspend int
@@ -67,7 +69,7 @@
 		Lease: 7 * time.Second, MaxLease: 10 * time.Second, LeaseTail: 6 * time.Second, RenewalWait: 600 * time.Millisecond, RenewalRetryDelay: 150 * time.Millisecond,
 		AckWaitTimeout: 200 * time.Millisecond,
 		ContactTimeout: 1300 * time.Millisecond, ResponseTimeout: 150 * time.Millisecond, ClockDrift: 0.02, LeaseMargin: 200 * time.Millisecond,
-		StopRetry: time.Second, KeepFinished: 2 * time.Minute, MaxRowBytes: 48 << 10, MaxBatchBytes: 512 << 10,
+		StopRetry: time.Second, KeepFinished: 2 * time.Minute, MaxRowBytes: 48 << 10, MaxBatchBytes: 512 << 10, MaxHeldMemory: 64 << 20,
 		FailuresToSuspend: 2, SuspendDuration: 4 * time.Second,
 		UnhealthyPause: 200 * time.Millisecond, LongRunningCPUShare: 0.5, HardDeadlineFactor: 3,
 		Rank: medlarrank.DefaultConfig(), RunTimes: medlarforecast.DefaultConfig(), Interference: DefaultInterferenceConfig(),
--- a/internal/scheduling/medlarcell/load.go
+++ b/internal/scheduling/medlarcell/load.go
@@ -50,6 +50,7 @@
 		return
 	}
 	c.loadMeasuredAt = now
+	c.measureMemory()
 	before := c.loads
 	c.loads = map[medlarwheel.ServiceName]*serviceLoad{}
 	for _, w := range c.workers {
@@ -129,15 +130,16 @@
 	l.releaseRate = before.releaseRate + weight*(released-before.releaseRate)
 }
 
-// Load returns the load of a service for admission control. It is zero until the cell is reconciled, and for services
-// without usable capacity.
+// Load returns the load of a service for admission control. Its headroom is unlimited until the cell is reconciled, and for
+// services without usable capacity.
 func (c *Cell) Load(now time.Time, service medlarwheel.ServiceName) medlaradmission.Load {
 	l := c.loads[service]
 	if l == nil || l.capacity == 0 || !c.reconciled {
-		return medlaradmission.Load{}
+		return medlaradmission.Load{At: now, LongRunningHeadroom: math.MaxInt64, HeldMemory: c.heldAndReserved(now), MaxHeldMemory: c.config.MaxHeldMemory}
 	}
 	reserve := max(c.config.Load.MinReserve*l.capacity, c.config.Load.ReserveFactor*l.shortPeak)
 	return medlaradmission.Load{
 		At: now, LongRunningHeadroom: l.capacity - l.longRunning - l.longRunningWaiting - l.fragmented - reserve, LongRunningReleaseRate: l.releaseRate,
+		HeldMemory: c.heldAndReserved(now), MaxHeldMemory: c.config.MaxHeldMemory,
 	}
 }
--- a/internal/scheduling/medlarcell/schedule.go
+++ b/internal/scheduling/medlarcell/schedule.go
@@ -2,16 +2,13 @@
 
 import (
 	"time"
-)
 
-const (
-	// occurrenceLead is how long before its due time an occurrence is created.
-	occurrenceLead = time.Second
-	// maxCreatedTasks is the number of tasks of created occurrences of one submission from which no further occurrence is created,
-	// as many as the largest submission without occurrences has.
-	maxCreatedTasks = 20000
+	"medlarwheel/internal/acceptance/medlarsubmission"
 )
 
+// occurrenceLead is how long before its due time an occurrence is created.
+const occurrenceLead = time.Second
+
 // schedule creates the occurrences of a job as they come due, because all of them together may need more memory than an
 // instance has.
 type schedule struct {
@@ -20,8 +17,8 @@
 	// done holds one bit for each occurrence that is done, and remaining is the number of the others.
 	done      []uint64
 	remaining int
-	// createdTasks is the number of tasks of the occurrences that exist.
-	createdTasks int
+	// created is the number of occurrences that exist.
+	created int
 	// predictedRunTimes holds the predicted run time of the tasks of each step.
 	predictedRunTimes []time.Duration
 	// unqueued holds occurrences that were created and whose steps are not in the queue yet.
@@ -53,7 +50,7 @@
 	if j.occurrences[k] == nil {
 		o := newOccurrence(j, k, j.schedule.predictedRunTimes)
 		j.occurrences[k] = o
-		j.schedule.createdTasks += j.tasksPerOccurrence
+		j.schedule.created++
 		j.schedule.unqueued = append(j.schedule.unqueued, o)
 	}
 	return j.occurrences[k]
@@ -70,7 +67,7 @@
 		return
 	}
 	j.occurrences[o.index] = nil
-	c.createdTasks -= j.tasksPerOccurrence
+	c.created--
 	if last := len(c.unqueued) - 1; last >= 0 && c.unqueued[last] == o {
 		c.unqueued = c.unqueued[:last]
 	}
@@ -87,10 +84,10 @@
 	return created
 }
 
-// createDueOccurrences creates the occurrences that are due soon, up to maxCreatedTasks, and queues their steps.
+// createDueOccurrences creates the occurrences that are due soon, up to the limit of tasks that exist, and queues their steps.
 func (c *Cell) createDueOccurrences(now time.Time, j *job) {
 	for ; j.schedule.next < len(j.occurrences) && !j.state.IsFinal(); j.schedule.next++ {
-		if j.schedule.createdTasks >= maxCreatedTasks || now.Add(occurrenceLead).Before(j.submission.Due(j.schedule.next)) {
+		if j.schedule.created*j.tasksPerOccurrence >= medlarsubmission.MaxCreatedTasks || now.Add(occurrenceLead).Before(j.submission.Due(j.schedule.next)) {
 			break
 		}
 		j.occurrence(j.schedule.next)
--- a/internal/scheduling/medlarcell/schedule_test.go
+++ b/internal/scheduling/medlarcell/schedule_test.go
@@ -89,7 +89,7 @@
 		r.cell.HandleStartResponse(r.now, s.Worker, s.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
 	}
 	if j := r.cell.jobs[r.submission.ID]; j != nil {
-		r.mostCreated = max(r.mostCreated, j.schedule.createdTasks)
+		r.mostCreated = max(r.mostCreated, j.schedule.created*j.tasksPerOccurrence)
 	}
 }
 
@@ -130,8 +130,9 @@
 	for range 100 {
 		c.Tick(simEpoch.Add(time.Hour))
 	}
-	if created := c.jobs[s.ID].schedule.createdTasks; created < maxCreatedTasks || created > maxCreatedTasks+c.jobs[s.ID].tasksPerOccurrence {
-		t.Errorf("%d tasks are created of %d that are due, want about %d", created, 200000, maxCreatedTasks)
+	j, limit := c.jobs[s.ID], medlarsubmission.MaxCreatedTasks
+	if created := j.schedule.created * j.tasksPerOccurrence; created < limit || created > limit+j.tasksPerOccurrence {
+		t.Errorf("%d tasks are created of %d that are due, want about %d", created, 200000, limit)
 	}
 }
 
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -345,9 +345,13 @@
 // recordOutageLeases publishes the end of the outage leases for calls from other goroutines.
 func (o *Owner) recordOutageLeases() { o.outageLeases.Store(o.cell.OutageLeasesEnd().UnixNano()) }
 
-// Load returns the load of a service.
-func (o *Owner) Load(ctx context.Context, service medlarwheel.ServiceName) (load medlaradmission.Load, err error) {
-	err = o.callControl(ctx, func() { load = o.cell.Load(o.Clock.Now(), service) })
+// Load returns the load of a service, and keeps the given memory, in bytes, free for a submission.
+func (o *Owner) Load(ctx context.Context, service medlarwheel.ServiceName, memory int64) (load medlaradmission.Load, err error) {
+	err = o.callControl(ctx, func() {
+		now := o.Clock.Now()
+		load = o.cell.Load(now, service)
+		o.cell.ReserveMemory(now, memory)
+	})
 	return load, err
 }
 
