Let accepted submissions follow their queue to another service

Cause: the service was copied from the queue at acceptance, and the owner never looked at the configuration.

Change: the owner gets the services of all queues with each version of the configuration. Waiting tasks, later steps and restarts follow; what runs ends where it runs. A submission that was accepted by a newer version keeps its service, an older version has no effect, and a move is stored with the progress, so that it outlasts the deletion of the queue and a change of owner.

--- a/internal/acceptance/medlarroute/route.go
+++ b/internal/acceptance/medlarroute/route.go
@@ -22,6 +22,8 @@
 	PathPrefix string
 	Service    medlarwheel.ServiceName
 	Policy     medlarsubmission.Policy `json:"Terms"`
+	// Version is that of the table.
+	Version medlarwheel.ConfigVersion `json:"-"`
 }
 
 // Service is a pool of workers that run the tasks of routes.
@@ -56,6 +58,7 @@
 	}
 	for i := range routes {
 		r := &routes[i]
+		r.Version = version
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
 	for _, s := range services {
@@ -64,6 +67,15 @@
 	return t
 }
 
+// RouteServices returns the services of the routes by their names.
+func (t *Table) RouteServices() map[string]medlarwheel.ServiceName {
+	services := make(map[string]medlarwheel.ServiceName, len(t.Routes))
+	for i := range t.Routes {
+		services[t.Routes[i].Name] = t.Routes[i].Service
+	}
+	return services
+}
+
 // Match returns the route with the given host and the longest matching path prefix, and the rest of the path.
 func (t *Table) Match(host, path string) (route *Route, rest string, ok bool) {
 	for _, r := range t.byHost[host] {
--- a/internal/acceptance/medlarsubmission/submission.go
+++ b/internal/acceptance/medlarsubmission/submission.go
@@ -128,8 +128,10 @@
 	ID ID `json:"id"`
 	// Route is the name of the route that received the submission.
 	Route string `json:"route"`
-	// Service is the pool of workers that run the tasks, as configured at the time of acceptance.
-	Service medlarwheel.ServiceName `json:"service"`
+	// Service is the pool of workers that run the tasks, as configured at the time of acceptance by ConfigVersion. Rows of earlier
+	// builds state no version.
+	Service       medlarwheel.ServiceName   `json:"service"`
+	ConfigVersion medlarwheel.ConfigVersion `json:"config-version,omitempty"`
 	// Policy is the policy of the route at the time of acceptance.
 	Policy Policy `json:"terms"`
 	// AcceptedAt is the wall-clock time of acceptance.
--- a/internal/operation/medlarnode/config.go
+++ b/internal/operation/medlarnode/config.go
@@ -48,6 +48,9 @@
 		return
 	}
 	n.routes.Store(table)
+	if owner := n.owner.Load(); owner != nil {
+		owner.SetRoutes(table.Version, table.RouteServices())
+	}
 	n.meter.Gauge("config.version", int64(table.Version))
 	n.log.Info().Str("event", "config-in-force").Uint64("version", uint64(table.Version)).Int("routes", len(table.Routes)).Msg("")
 }
--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -364,6 +364,10 @@
 		Clock: n.clock, Log: n.log, Meter: n.meter,
 	}, term, claimedAt, predecessor)
 	n.owner.Store(owner)
+	if table := n.routes.Load(); table != nil {
+		// A newer table, which is stored at this moment, follows.
+		owner.SetRoutes(table.Version, table.RouteServices())
+	}
 	n.meter.Count("owner.started")
 	n.log.Info().Str("event", "owner-started").Uint64("term", term.Number).Str("process", term.Process).Msg("")
 	go func() {
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -44,6 +44,9 @@
 	// Work.
 
 	jobs map[medlarsubmission.ID]*job
+	// routeServices holds the services of the routes by version routesVersion of the configuration.
+	routeServices map[string]medlarwheel.ServiceName
+	routesVersion medlarwheel.ConfigVersion
 	// queueLengths counts the submissions of each route of which no task has started.
 	queueLengths map[string]int
 	// queue holds the steps with tasks that wait for a worker, by rank. unranked holds those that are still to be
@@ -142,9 +145,15 @@
 		return nil
 	}
 	j := c.add(s, true)
+	if p.Service != "" {
+		c.moveTo(j, p.Service, p.ConfigVersion)
+	}
 	if err := j.restoreProgress(p); err != nil {
 		return err
 	}
+	if c.followRoute(j) {
+		c.markDirty(j)
+	}
 	if !p.State.IsFinal() {
 		// Earlier builds have stored the progress of all segments in the row of the first one.
 		for i := 1; i < len(j.segments); i++ {
@@ -173,6 +182,9 @@
 		return
 	}
 	j := c.add(s, c.inGrace)
+	if c.followRoute(j) {
+		c.markDirty(j)
+	}
 	c.createDueOccurrences(now, j)
 	c.emit(Event{Kind: EventAccepted, Submission: s.ID, Route: s.Route, Age: now.Sub(s.AcceptedAt)})
 	if _, cancelled := c.earlyCancellations[s.ID]; cancelled {
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -62,6 +62,7 @@
 	EventCompleted           EventKind = "submission-completed"
 	EventFailed              EventKind = "submission-failed"
 	EventFirstStart          EventKind = "submission-started"
+	EventRouteMoved          EventKind = "queue-moved"
 	EventTaskFailed          EventKind = "task-failed"
 	EventTaskLost            EventKind = "task-lost"
 	EventTaskRestarted       EventKind = "lost-task-restarted"
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -30,7 +30,9 @@
 	// remainingWork is the part of totalWork whose tasks are not done.
 	remainingWork float64
 	started       bool
-	finishedAt    time.Time
+	// moved is true once the job has followed its route to another service.
+	moved      bool
+	finishedAt time.Time
 	// inherited is true for jobs that may have runs of an earlier owner, on workers that have not reported yet.
 	inherited bool
 	// segments divides the tasks, segmentTasks in each, into rows of progress. dirtySegments counts those that are to be stored.
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -19,6 +19,9 @@
 type Progress struct {
 	// State is set once it is final. The other fields are then empty.
 	State medlarsubmission.State `json:"state,omitempty"`
+	// Service is the service to which the route of the submission has moved by ConfigVersion, if it has.
+	Service       medlarwheel.ServiceName   `json:"service,omitempty"`
+	ConfigVersion medlarwheel.ConfigVersion `json:"config-version,omitempty"`
 	// Done holds one bit for each completed task, by occurrence and step, and by the offset of the first byte if it is not 0.
 	Done map[string]string `json:"done,omitempty"`
 	// Failed holds the numbers of the failed runs, by occurrence, step and task.
@@ -177,6 +180,9 @@
 		return Progress{State: g.job.state}
 	}
 	p := Progress{Done: map[string]string{}, Failed: map[string][]medlarorder.RunNumber{}, Checkpoints: map[string]string{}, Crashes: map[string][]Crash{}, SuspectRuns: map[string]Crash{}}
+	if g.index == 0 && g.job.moved {
+		p.Service, p.ConfigVersion = g.job.submission.Service, g.job.submission.ConfigVersion
+	}
 	done := map[*step]*doneTasks{}
 	g.forEachTask(func(s *step, index int) {
 		if !s.tasks[index].done {
@@ -285,6 +291,9 @@
 	if later.State != "" {
 		p.State = later.State
 	}
+	if later.Service != "" {
+		p.Service, p.ConfigVersion = later.Service, later.ConfigVersion
+	}
 	return nil
 }
 
--- a/internal/scheduling/medlarcell/segment.go
+++ b/internal/scheduling/medlarcell/segment.go
@@ -143,8 +143,8 @@
 
 // bytes returns the largest size of the progress in JSON.
 func (p *Progress) bytes() int {
-	const names = 100
-	n := names + len(p.State)
+	const names = 160
+	n := names + len(p.State) + textBytes(string(p.Service))
 	for key, bits := range p.Done {
 		n += len(key) + len(bits) + len(`"":"",`)
 	}
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -194,6 +194,8 @@
 // Run runs the scheduler until the context ends or another instance owns the cell.
 func (o *Owner) Run(ctx context.Context) error {
 	defer close(o.done)
+	// Routes that are set before the load apply to what is loaded.
+	o.drainControlFuncs()
 	renewal, err := o.loadWhileRenewing(ctx)
 	if err != nil {
 		return err
@@ -345,6 +347,11 @@
 // recordOutageLeases publishes the end of the outage leases for calls from other goroutines.
 func (o *Owner) recordOutageLeases() { o.outageLeases.Store(o.cell.OutageLeasesEnd().UnixNano()) }
 
+// SetRoutes passes the services of the routes, by a version of the configuration, to the scheduler.
+func (o *Owner) SetRoutes(version medlarwheel.ConfigVersion, services map[string]medlarwheel.ServiceName) {
+	o.postToControl(func(now time.Time) { o.cell.SetRoutes(now, version, services) })
+}
+
 // Load returns the load of a service, and keeps the given memory, in bytes, free for a submission.
 func (o *Owner) Load(ctx context.Context, service medlarwheel.ServiceName, memory int64) (load medlaradmission.Load, err error) {
 	err = o.callControl(ctx, func() {
