Repeat pace orders that were lost

Callers of best-effort work could see it halted for ever after a change of owner.

Cause: the pace of a run was taken for what was last ordered. An order without a response was logged and not repeated, and an adopted run counted as one at full pace.

Evidence: TestLostPaceOrderIsRepeated, TestResponseToEarlierPaceConfirmsNothing, TestLostPaceOrderIsNotRepeatedWithoutPause and TestAdoptedRunGetsItsPace failed before, each with no order where one was due.

The worker's token is raised after an order without a response, so that a late copy of it does not undo a later one.

--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -159,6 +159,8 @@
 	// pace is the CPU throttle of the run, in percent of full speed, and pacedAt when it was set.
 	pace    int
 	pacedAt time.Time
+	// paceUncertain is true while the worker may have another pace for the run.
+	paceUncertain bool
 	// fullPaceRunTime is the run time up to runTimeUpdatedAt, scaled to full pace.
 	fullPaceRunTime  time.Duration
 	runTimeUpdatedAt time.Time
--- a/internal/scheduling/medlarcell/pace.go
+++ b/internal/scheduling/medlarcell/pace.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"medlarwheel"
 	"medlarwheel/internal/execution/medlarorder"
 )
 
@@ -122,9 +123,13 @@
 	return best
 }
 
-// setPace orders a new pace for a run, in percent. It lowers the pace at once and raises it after RaiseInterval.
+// setPace orders a new pace for a run, in percent. It lowers the pace at once and raises it after RaiseInterval. If the pace of
+// the run is not known, the order is repeated after RaiseInterval.
 func (c *Cell) setPace(now time.Time, r *run, percent int) {
-	if percent == r.pace || r.phase != runConfirmed || percent > r.pace && now.Sub(r.pacedAt) < c.config.Interference.RaiseInterval {
+	if r.phase != runConfirmed || percent == r.pace && !r.paceUncertain {
+		return
+	}
+	if percent >= r.pace && now.Sub(r.pacedAt) < c.config.Interference.RaiseInterval {
 		return
 	}
 	r.updateRunTime(now)
@@ -135,3 +140,28 @@
 		Pace: medlarorder.Pace{Task: r.name(), Run: r.number, Fence: r.worker.fence, Percent: percent},
 	})
 }
+
+// HandlePaceResponse handles the response to a pace order. One without a response may still be carried out, after later ones, so
+// that the worker's token is raised before the next.
+func (c *Cell) HandlePaceResponse(now time.Time, id medlarwheel.WorkerID, p medlarorder.Pace, response medlarorder.Response, err error) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	r := w.findRun(p.Task, p.Run)
+	switch {
+	case r == nil:
+	case err != nil:
+		if !medlarwheel.HasNoEffect(err) && p.Fence == w.fence {
+			w.fence++
+		}
+		r.paceUncertain = true
+	case response.Verdict == medlarorder.VerdictFenced:
+		c.handleFenced(now, w, p.Fence)
+		r.paceUncertain = true
+	case response.Verdict != medlarorder.VerdictAccepted:
+		r.paceUncertain = true
+	case p.Percent == r.pace:
+		r.paceUncertain = false
+	}
+}
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -316,7 +316,7 @@
 	t.lastRun = max(t.lastRun, running.Run)
 	t.inheritedRun = nil
 	r := newRun(now, w, s, running.Task.Index, running.Run)
-	r.adopted = true
+	r.adopted, r.paceUncertain = true, s.spec.BestEffort
 	c.attach(r)
 	if c.reconciled {
 		c.emit(Event{Kind: EventTaskAdopted, Task: running.Task, Run: running.Run, Worker: w.info.ID})
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -89,12 +89,14 @@
 	o.postToControl(func(now time.Time) { o.cell.HandleStopResponse(now, c.Worker, c.Stop, response, err) })
 }
 
+// pace sends a pace order and passes the response to the scheduler, which repeats it if it was lost.
 func (o *Owner) pace(agent Agent, c medlarcell.Command) {
-	if _, err := agent.Pace(c.Pace); err != nil {
-		// The order is not retried: the scheduler sends the next one when the reports of the worker require another pace.
-		o.Log.Warn().Str("event", "pace-failed").Str("worker", string(c.Worker)).Stringer("task", c.Pace.Task).Err(err).
-			Msg("pace order not confirmed by the worker; the run may keep its previous pace until the scheduler sets another")
+	response, err := agent.Pace(c.Pace)
+	if err != nil {
+		o.Log.Warn().Str("event", "pace-failed").Str("worker", string(c.Worker)).Stringer("task", c.Pace.Task).Int("percent", c.Pace.Percent).Err(err).
+			Msg("pace order not confirmed by the worker; the run may keep its previous pace until the order is repeated")
 	}
+	o.postToControl(func(now time.Time) { o.cell.HandlePaceResponse(now, c.Worker, c.Pace, response, err) })
 }
 
 // renewLease sends a lease renewal after the delay of the command and passes the report to the scheduler.
