Do not refuse the retry of a submission that is stored

Cause: admission control, and whether the table answers, were asked before whether the submission is known.

Evidence: TestRetryOfAcceptedSubmissionIsNotRefused failed before, for want of room and of a table: "outcome 1, want 0".

Change: before a refusal the owner is asked for the submission, and the table if it answers; a known one is answered with 200. The refusal waits 50 ms for that at most.

--- a/internal/operation/medlarnode/submissions.go
+++ b/internal/operation/medlarnode/submissions.go
@@ -8,6 +8,7 @@
 	"medlarwheel/internal/acceptance/medlargroupcommit"
 	"medlarwheel/internal/acceptance/medlarroute"
 	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/operation/medlarrecover"
 	"medlarwheel/internal/state/medlarcellstore"
 	"medlarwheel/internal/state/medlartable"
 	"medlarwheel/platform"
@@ -27,11 +28,41 @@
 func (n *Node) Submit(s medlarsubmission.Submission, deadline time.Time) platform.Reply {
 	began := n.clock.Now()
 	reply, reason := n.submit(&s, deadline)
+	if reply.Outcome == platform.OutcomeRefused && n.isKnown(s.ID, reply.Overloaded) {
+		// An earlier request, whose response was lost, has stored it.
+		reply, reason = platform.Reply{Outcome: platform.OutcomeOK}, "stored before, would be refused: "+reason
+	}
 	n.meter.Time("submit", n.clock.Now().Sub(began))
 	n.logReply("submit", s.ID, s.Route, reply, reason, n.clock.Now().Sub(began))
 	return reply
 }
 
+// knownTimeout bounds how long a refusal waits for the answer to whether the submission is known. A refused client should come back
+// soon.
+const knownTimeout = 50 * time.Millisecond
+
+// isKnown reports whether the owner knows a submission or, if the table responds, whether it is stored. It reports false if the
+// answer does not come within knownTimeout.
+func (n *Node) isKnown(id medlarsubmission.ID, tableResponds bool) bool {
+	answer := make(chan bool, 1)
+	go func() {
+		// After a panic there is no answer.
+		_ = medlarrecover.RunAndLog(n.log, n.meter, "known-submission", func() error {
+			_, known := n.queryState(id)
+			answer <- known || tableResponds && n.stateFromTable(id).Outcome == platform.OutcomeOK
+			return nil
+		})
+	}()
+	timer := time.NewTimer(knownTimeout)
+	defer timer.Stop()
+	select {
+	case known := <-answer:
+		return known
+	case <-timer.C:
+		return false
+	}
+}
+
 func (n *Node) submit(s *medlarsubmission.Submission, deadline time.Time) (platform.Reply, string) {
 	row, err := medlarcellstore.SubmissionRow(n.config.Owner.Part, s)
 	if err != nil {
