Reach every waiting step in some placement pass

Cause: a placement pass ended after 60 steps without a worker, and each pass began at the top of the queue.

Evidence: TestHopelessStepsDoNotHideOthers failed before, with 70 and with 700 such steps: no start within 2 s.

Change: after 60 failures a pass goes on where the last one has ended, for 30 further failures.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -53,6 +53,8 @@
 	// inserted.
 	queue, unranked []*step
 	rankedAt        time.Time
+	// resumeStep is the step at which the last placement pass has ended, or nil if it has reached the end of the queue.
+	resumeStep *step
 	// passStartedAt is when the latest placement pass started.
 	passStartedAt time.Time
 	// needsCompaction is true if the queue may hold steps without waiting tasks.
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -21,38 +21,65 @@
 	c.updateQueue(now)
 	c.updateOpportunityCosts(now)
 	c.failureCache.beginPass(now)
-	var usable []*worker
-	failed := 0
-	for _, s := range c.queue {
-		if failed >= maxFailedStepsPerPass {
+	p := placementPass{cell: c, now: now}
+	first, last := 0, len(c.queue)
+	for ; first < last && p.failed < maxFailedStepsPerPass; first++ {
+		p.try(c.queue[first])
+	}
+	// The rest of the pass goes on where the last one has ended, so that the first steps of the queue do not hide the others.
+	resume := max(first, slices.Index(c.queue, c.resumeStep))
+	c.resumeStep = nil
+	for i := range last - first {
+		s := c.queue[first+(resume-first+i)%(last-first)]
+		if p.failed >= maxFailedStepsPerPass+maxFurtherFailedSteps {
+			c.resumeStep = s
 			break
 		}
-		isKnown := s.failure.appliesTo(s, c.failureCache.scan)
-		if isKnown && s.failure.changesSeen == len(c.failureCache.changes) || s.isDrained() || !c.isEligible(now, s) {
-			continue
-		}
-		workers := usable
-		if isKnown && !s.spec.Gang {
-			workers = c.workersChangedSince(now, s.failure.changesSeen)
-		} else if usable == nil {
-			usable = c.listUsableWorkers(now)
-			workers = usable
-		}
-		if s.spec.Gang {
-			c.placeGang(now, s, workers)
-		} else {
-			c.placeStep(now, s, workers)
-		}
-		if len(s.ready) > 0 {
-			failed++
-			c.failureCache.recordFailure(s)
-		}
+		p.try(s)
 	}
 	c.placeOnSuspended(now)
 }
 
-// maxFailedStepsPerPass bounds the number of steps without a feasible worker that one pass considers.
-const maxFailedStepsPerPass = 60
+// placementPass is one pass over the queue.
+type placementPass struct {
+	cell *Cell
+	now  time.Time
+	// usable holds the usable workers once a step has been tried on all of them. failed counts the steps that still wait.
+	usable []*worker
+	failed int
+}
+
+// try starts the waiting tasks of a step, unless they have failed on all workers that have not changed since.
+func (p *placementPass) try(s *step) {
+	c := p.cell
+	isKnown := s.failure.appliesTo(s, c.failureCache.scan)
+	if isKnown && s.failure.changesSeen == len(c.failureCache.changes) || s.isDrained() || !c.isEligible(p.now, s) {
+		return
+	}
+	workers := p.usable
+	if isKnown && !s.spec.Gang {
+		workers = c.workersChangedSince(p.now, s.failure.changesSeen)
+	} else if p.usable == nil {
+		p.usable = c.listUsableWorkers(p.now)
+		workers = p.usable
+	}
+	if s.spec.Gang {
+		c.placeGang(p.now, s, workers)
+	} else {
+		c.placeStep(p.now, s, workers)
+	}
+	if len(s.ready) > 0 {
+		p.failed++
+		c.failureCache.recordFailure(s)
+	}
+}
+
+// maxFailedStepsPerPass bounds the number of steps without a feasible worker that one pass considers in the order of the queue, and
+// maxFurtherFailedSteps that of the others, by turns.
+const (
+	maxFailedStepsPerPass = 60
+	maxFurtherFailedSteps = 30
+)
 
 func (c *Cell) isEligible(now time.Time, s *step) bool {
 	if s.occurrence.job.inherited && !c.reconciled {
--- a/internal/scheduling/medlarcell/placement_failures_test.go
+++ b/internal/scheduling/medlarcell/placement_failures_test.go
@@ -171,3 +171,35 @@
 		t.Errorf("%d starts after both runs on the worker have ended, want 1", len(sc.starts))
 	}
 }
+
+// TestHopelessStepsDoNotHideOthers guards against tasks that never start beside free workers, because each placement pass ends at
+// steps of a higher rank that no worker can run.
+func TestHopelessStepsDoNotHideOthers(t *testing.T) {
+	for _, hopeless := range []int{70, 700} {
+		sc := newScriptedCell(t, 4, Ownership{Fence: 1 << 12, Term: 1})
+		for _, r := range sc.renewals {
+			sc.report(r, medlarorder.Report{})
+		}
+		for n := range hopeless {
+			spec := testStep()
+			spec.MaxPerWorker, spec.Size.MilliCPU = 1, 1_000_000
+			sc.cell.Accept(sc.now, testSubmissionWithID(n, spec, 0))
+		}
+		sc.cell.Accept(sc.now, testSubmissionWithID(9999, testStep(), 2))
+		began := sc.now
+		for started := false; !started; {
+			sc.advance(50 * time.Millisecond)
+			// Each worker has changed since the last pass.
+			for _, w := range sc.cell.workersByID() {
+				sc.report(Command{Worker: w.info.ID}, medlarorder.Report{})
+				sc.cell.failureCache.workerChanged(w)
+			}
+			sc.dispatch()
+			started = len(sc.starts) > 0
+			if waited := sc.now.Sub(began); waited > 2*time.Second {
+				t.Errorf("beside %d hopeless steps the task has waited for %v, want a start within 2s", hopeless, waited)
+				break
+			}
+		}
+	}
+}
