--- a/internal/scheduling/medlarcell/interference_load_test.go
+++ b/internal/scheduling/medlarcell/interference_load_test.go
@@ -200,7 +200,7 @@
 		f.cell.SetWorker(f.now, w)
 	}
 	for i := range loadServingJobs {
-		f.accept(fmt.Sprintf("serving-%d", i), 0, medlarsubmission.Step{
+		f.accept(medlarsubmission.ID(fmt.Sprintf("serving-%d", i)), 0, medlarsubmission.Step{
 			Count: loadServingTasks, Size: medlarsubmission.Size{MilliCPU: loadServingCPU}, LongRunning: true, TailLatencyTarget: loadTarget,
 			Image: fmt.Sprintf("serving-%d", i%4),
 		})
@@ -208,9 +208,9 @@
 	return f
 }
 
-func (f *loadFleet) accept(id string, priority int, steps ...medlarsubmission.Step) {
+func (f *loadFleet) accept(id medlarsubmission.ID, priority int, steps ...medlarsubmission.Step) {
 	s := testSubmission(steps...)
-	s.ID, s.AcceptedAt, s.Route, s.Policy.Priority = medlarsubmission.ID(id), f.now, fmt.Sprintf("q%d", priority), priority
+	s.ID, s.AcceptedAt, s.Route, s.Policy.Priority = id, f.now, fmt.Sprintf("q%d", priority), priority
 	f.cell.Accept(f.now, s)
 }
 
@@ -219,6 +219,11 @@
 	if at := f.elapsed(); at > 25*time.Second && at < 32*time.Second {
 		rate *= 1.8
 	}
+	return f.arrivalsAt(rate)
+}
+
+// arrivalsAt returns the number of submissions that arrive in a tick at a rate in submissions per second.
+func (f *loadFleet) arrivalsAt(rate float64) int {
 	n := 0
 	for f.rng.Float64() < rate*loadTick.Seconds()/float64(n+1) {
 		n++
@@ -229,31 +234,20 @@
 // play plays the load and returns the share of best-effort submissions that were done in time.
 func (f *loadFleet) play(rate float64) (inTime float64) {
 	count, good := 0, 0
-	for tick := 0; f.elapsed() < loadDuration+10*time.Second; tick++ {
+	for f.elapsed() < loadDuration+10*time.Second {
 		if f.elapsed() > 3*time.Second && f.elapsed() < loadDuration {
 			for range f.arrivals(rate) {
 				count++
-				f.accept(fmt.Sprintf("filling-%d", count), 2, medlarsubmission.Step{
+				f.accept(bestEffortID(count), 2, medlarsubmission.Step{
 					Count: loadTasks, Size: medlarsubmission.Size{MilliCPU: loadTaskCPU}, Estimate: 1900 * time.Millisecond, BestEffort: true,
 					Image: fmt.Sprintf("filling-%d", f.rng.IntN(6)),
 				})
 			}
 		}
-		f.now = f.now.Add(loadTick)
-		for w := range f.runs {
-			f.advance(w)
-			f.respond(w)
-		}
-		for f.cell.HasFlush() {
-			f.cell.FlushSucceeded(f.now, f.cell.TakeFlush(100))
-		}
-		f.cell.Tick(f.now)
-		f.cell.Place(f.now)
-		f.carryOut()
-		f.cell.TakeEvents()
+		f.playTick()
 	}
 	for i := range count {
-		j := f.cell.jobs[medlarsubmission.ID(fmt.Sprintf("filling-%d", i+1))]
+		j := f.cell.jobs[bestEffortID(i+1)]
 		if j.state == medlarsubmission.StateCompleted && !j.finishedAt.After(j.softDeadline) {
 			good++
 		}
@@ -261,6 +255,26 @@
 	return float64(good) / float64(count)
 }
 
+func bestEffortID(n int) medlarsubmission.ID {
+	return medlarsubmission.ID(fmt.Sprintf("filling-%d", n))
+}
+
+// playTick plays one tick on all workers and in the cell.
+func (f *loadFleet) playTick() {
+	f.now = f.now.Add(loadTick)
+	for w := range f.runs {
+		f.advance(w)
+		f.respond(w)
+	}
+	for f.cell.HasFlush() {
+		f.cell.FlushSucceeded(f.now, f.cell.TakeFlush(100))
+	}
+	f.cell.Tick(f.now)
+	f.cell.Place(f.now)
+	f.carryOut()
+	f.cell.TakeEvents()
+}
+
 // The targets of TestColocationLoad, over all seeds.
 const (
 	maxHarmedShare = 0.007
