Log the table's version of each claim and of the one it replaces

The lines of a change of owner named the term, so that two claims of one term, by two instances, could not be told apart, nor which of them other instances had seen. cell-claimed, owner-changed and owner-superseded have the version of the claim now, cell-claimed that of the claim that it replaces, and cell-loaded the version up to which submissions were read.

--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -172,7 +172,8 @@
 	if term.Process != n.process || term.Released || term.Number != unresolved.term.Number || n.owner.Load() != nil {
 		return
 	}
-	n.log.Info().Str("event", "cell-claimed").Uint64("term", term.Number).Str("reason", "answer lost").Msg("")
+	n.log.Info().Str("event", "cell-claimed").Uint64("term", term.Number).Uint64("version", uint64(term.Version)).
+		Str("reason", "answer lost").Msg("")
 	n.startOwner(ctx, term, unresolved.claimedAt, unresolved.predecessor)
 }
 
@@ -211,7 +212,7 @@
 		return
 	}
 	n.term.Store(&t)
-	n.log.Info().Str("event", "owner-changed").Uint64("term", t.Number).Str("owner", string(t.Instance)).
+	n.log.Info().Str("event", "owner-changed").Uint64("term", t.Number).Uint64("version", uint64(t.Version)).Str("owner", string(t.Instance)).
 		Bool("released", t.Released).Msg("")
 	if t.Instance != n.config.Settings.Instance && !t.Released {
 		go n.watchProcess(ctx, t)
@@ -311,7 +312,8 @@
 		return
 	}
 	next.Version = commit.Version
-	n.log.Info().Str("event", "cell-claimed").Uint64("term", next.Number).Str("from", string(current.Instance)).
+	n.log.Info().Str("event", "cell-claimed").Uint64("term", next.Number).Uint64("version", uint64(next.Version)).
+		Str("from", string(current.Instance)).Uint64("replaced-version", uint64(t.Require[0].Version)).
 		Bool("asked", receivedRequests).Int64("outage-leases-ms", claim.predecessor.OutageLeases.Milliseconds()).Msg("")
 	n.withMonitor(func(m *medlarownership.Monitor) { m.RecordClaim(next) })
 	n.setTerm(ctx, next)
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -125,7 +125,8 @@
 		o.handleInvalidBatch(now, batch)
 		return
 	case medlarcellstore.OutcomeSuperseded:
-		o.Log.Warn().Str("event", "owner-superseded").Uint64("term", o.term.Number).Dur("flush-age", now.Sub(sentAt)).
+		o.Log.Warn().Str("event", "owner-superseded").Uint64("term", o.term.Number).Uint64("version", uint64(o.term.Version)).
+			Dur("flush-age", now.Sub(sentAt)).
 			Msg("another instance has claimed the cell; ending the ownership")
 		o.superseded = true
 		return
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -117,7 +117,8 @@
 	o.restoreSubmissions(now, submissions, progress)
 	o.cell.SetWorkers(now, o.decodeWorkers(workers))
 	o.cell.RestoreWorkers(now, o.decodeRecordedWorkers(recordedWorkers))
-	o.Log.Info().Str("event", "cell-loaded").Uint64("term", o.term.Number).Int("submission-rows", len(submissions)).
+	o.Log.Info().Str("event", "cell-loaded").Uint64("term", o.term.Number).Uint64("version", uint64(o.submissionsVersion)).
+		Int("submission-rows", len(submissions)).
 		Int("workers", len(workers)).Dur("took", now.Sub(began)).Msg("")
 	return nil
 }
