Prepare a claim from one view of the table

Cause: an instance read the number of the current term, decided to claim the cell, and later took the versions that the claim requires from its monitor, each under the lock but not together. If the claim of another instance became known in between, this one required that claim, replaced it while its owner had just begun, and stored its own under the same number. So two instances owned one term, with the same run numbers and the same name in the chain of batches, and all others kept the first one as the owner, since they compared numbers: they asked it and got 503.

Change: decision, required versions and number of a claim come from one view, under one lock, and the number is that of the required claim plus one. The owner that an instance knows is compared by the version of the claim. A claim found in a conflict is taken as it is stored.

--- /dev/null
+++ b/internal/operation/medlarnode/claim.go
@@ -0,0 +1,186 @@
+package medlarnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"medlarwheel"
+	"medlarwheel/internal/operation/medlarclock"
+	"medlarwheel/internal/state/medlarcellstore"
+	"medlarwheel/internal/state/medlarownership"
+	"medlarwheel/internal/state/medlartable"
+)
+
+// beginTerm reports whether the owner of a term is still to be started. Both the response to a claim and the rows of the
+// table may show a claim first, on different goroutines; only the first one starts the owner.
+func (s *ownershipState) beginTerm(number uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if number <= s.startedTerm {
+		return false
+	}
+	s.startedTerm = number
+	if s.unresolved != nil && s.unresolved.term.Number <= number {
+		s.unresolved = nil
+	}
+	return true
+}
+
+// unresolvedClaim is a claim whose outcome is unknown.
+type unresolvedClaim struct {
+	term        medlarownership.Term
+	claimedAt   time.Time
+	predecessor medlarownership.Predecessor
+}
+
+// repeating returns the claim as a repetition of an earlier attempt with an unknown outcome, which may be the one that took
+// effect: other instances count the owner's time-out from it. What the predecessor may still do is counted from the last
+// attempt.
+func (c unresolvedClaim) repeating(first *unresolvedClaim) unresolvedClaim {
+	if first == nil || first.term.Number != c.term.Number || !first.claimedAt.Before(c.claimedAt) {
+		return c
+	}
+	repeatedAfter := c.claimedAt.Sub(first.claimedAt)
+	c.claimedAt = first.claimedAt
+	c.predecessor.Expired = c.predecessor.Expired && first.predecessor.Expired
+	c.predecessor.Grace = max(c.predecessor.Grace+repeatedAfter, first.predecessor.Grace)
+	if c.predecessor.OutageLeases > 0 {
+		c.predecessor.OutageLeases += repeatedAfter
+	}
+	c.predecessor.OutageLeases = max(c.predecessor.OutageLeases, first.predecessor.OutageLeases)
+	return c
+}
+
+// sinceFirstAttempt returns a claim with the time of its first unresolved attempt.
+func (s *ownershipState) sinceFirstAttempt(c unresolvedClaim) unresolvedClaim {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.repeating(s.unresolved)
+}
+
+// keepUnresolved keeps a claim without a response until the table shows its outcome, unless that has happened meanwhile.
+func (s *ownershipState) keepUnresolved(c unresolvedClaim) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.term.Number > s.startedTerm {
+		c = c.repeating(s.unresolved)
+		s.unresolved = &c
+	}
+}
+
+// claimAfterDelay claims the cell if its owner is gone and no other instance has claimed it within the delay.
+func (n *Node) claimAfterDelay(ctx context.Context, delay func() time.Duration) {
+	if !n.shouldClaim() || !n.ownership.waitingToClaim.CompareAndSwap(false, true) {
+		return
+	}
+	defer n.ownership.waitingToClaim.Store(false)
+	if !medlarclock.Sleep(ctx, delay()) {
+		return
+	}
+	n.ownership.claimLock.Lock()
+	defer n.ownership.claimLock.Unlock()
+	n.claimCell(ctx)
+}
+
+func (n *Node) shouldClaim() bool {
+	now := n.clock.Now()
+	n.ownership.mu.Lock()
+	defer n.ownership.mu.Unlock()
+	return n.mayClaim(n.ownership.monitor, now)
+}
+
+// mayClaim reports whether this instance may claim the cell by what the monitor has seen. The caller holds the lock of the monitor.
+func (n *Node) mayClaim(m *medlarownership.Monitor, now time.Time) bool {
+	if !m.ShouldClaim(now) || n.stopping.Load() || n.owner.Load() != nil {
+		return false
+	}
+	return !m.Predecessor(now, false).Expired || n.registration.isContinuousFor(now, minRegistrationTime)
+}
+
+// preparedClaim is a claim with the transaction that stores it, both from one view of the table.
+type preparedClaim struct {
+	unresolvedClaim
+	transaction medlartable.Transaction
+	// previous is the claim that this one replaces.
+	previous medlarownership.Term
+	// receivedRequests is true if this instance has received the promise requests of all owners that have recently gone on without
+	// the table.
+	receivedRequests bool
+}
+
+// prepareClaim returns a claim of the cell, or false if this instance may not claim it. The decision, the required versions and the
+// number of the term come from one view: if another claim became known between them, this one would replace it, under its number.
+func (n *Node) prepareClaim() (claim preparedClaim, ok bool, err error) {
+	claim.claimedAt = n.clock.Now()
+	claim.receivedRequests = n.registration.isContinuousFor(claim.claimedAt, n.config.Owner.Ownership.MinRegisteredTime(maxTrustedRegistryAge))
+	n.withMonitor(func(m *medlarownership.Monitor) {
+		if !n.mayClaim(m, claim.claimedAt) {
+			return
+		}
+		ok, claim.previous = true, m.Term()
+		claim.predecessor = m.Predecessor(claim.claimedAt, claim.receivedRequests)
+		claim.term, claim.transaction, err = m.Claim(medlarownership.Term{
+			Instance: n.config.Settings.Instance, Address: n.config.Settings.Peer, Process: n.process,
+			Lease: n.config.Owner.Cell.Lease, LeaseTail: n.config.Owner.Cell.LeaseTail,
+		}, n.config.Owner.Part)
+	})
+	if !ok || err != nil {
+		return claim, ok, err
+	}
+	chainRow, err := medlarcellstore.FirstChainRow(n.config.Owner.Part, claim.term.Number)
+	claim.transaction.Put = append(claim.transaction.Put, chainRow)
+	return claim, true, err
+}
+
+// claimCell makes this instance the owner of the cell, unless the cell has an owner or another instance claims it first.
+func (n *Node) claimCell(ctx context.Context) {
+	claim, ok, err := n.prepareClaim()
+	if err != nil {
+		n.log.Error().Str("event", "claim-failed").Err(err).Msg("cannot encode the claim; the cell is not claimed")
+		return
+	}
+	if !ok {
+		return
+	}
+	commit, err := n.store.Transact(claim.transaction)
+	claim.term.Version = commit.Version
+	var conflict *medlartable.ConflictError
+	if errors.As(err, &conflict) {
+		if own, found := n.ownClaim(conflict); found {
+			claim.term = own
+			claim.unresolvedClaim, err = n.ownership.sinceFirstAttempt(claim.unresolvedClaim), nil
+		} else {
+			n.observeOwnership(ctx, conflict.Rows)
+		}
+	}
+	if err != nil {
+		n.log.Warn().Str("event", "claim-failed").Uint64("term", claim.term.Number).Err(err).
+			Msg("claim of the cell failed or its outcome is unknown; continuing to watch the claim row")
+		if conflict == nil && !medlarwheel.HasNoEffect(err) {
+			n.ownership.keepUnresolved(claim.unresolvedClaim)
+		}
+		return
+	}
+	n.log.Info().Str("event", "cell-claimed").Uint64("term", claim.term.Number).Uint64("version", uint64(claim.term.Version)).
+		Str("from", string(claim.previous.Instance)).Uint64("replaced-version", uint64(claim.previous.Version)).
+		Bool("asked", claim.receivedRequests).Int64("outage-leases-ms", claim.predecessor.OutageLeases.Milliseconds()).Msg("")
+	n.withMonitor(func(m *medlarownership.Monitor) { m.RecordClaim(claim.term) })
+	n.setTerm(ctx, claim.term)
+	n.startOwner(ctx, claim.term, claim.claimedAt, claim.predecessor)
+}
+
+// ownClaim returns the claim by this process whose response was lost, unless the conflict is with another claim.
+func (n *Node) ownClaim(conflict *medlartable.ConflictError) (t medlarownership.Term, found bool) {
+	row, found := conflict.Find(medlarownership.Table, medlarownership.KeyTerm)
+	if !found {
+		return t, false
+	}
+	t, err := medlarownership.DecodeTerm(row)
+	if err != nil || t.Process != n.process || t.Released {
+		return t, false
+	}
+	current := n.term.Load()
+	return t, current == nil || current.Number < t.Number
+}
--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"medlarwheel"
 	"medlarwheel/internal/operation/medlarmetrics"
 	"medlarwheel/internal/state/medlarownership"
 	"medlarwheel/internal/state/medlartable"
@@ -51,38 +53,10 @@
 // that row.
 func newClaimingNode(t *testing.T, log *eventLog) (*Node, medlartable.Row) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	n, err := New(DefaultConfig(platform.Settings{
-		Instance: "a", Peer: "10.0.0.1:80", StoreAddress: listener.Addr().String(), MaxLease: 10 * time.Second,
-	}), zerolog.New(log), medlarmetrics.New())
-	if err != nil {
-		t.Fatal(err)
-	}
-	value, err := json.Marshal(medlarownership.Term{Number: 2, Instance: "a", Address: "10.0.0.1:80", Process: n.process})
-	if err != nil {
-		t.Fatal(err)
-	}
-	stored := medlartable.Row{Table: medlarownership.Table, Part: "c0", Key: medlarownership.KeyTerm, Value: value, Version: 9}
-	conflict, err := json.Marshal(map[string]any{"ver": 9, "rows": []any{map[string]any{
-		"table": stored.Table, "part": stored.Part, "key": stored.Key, "ver": stored.Version, "value": base64.StdEncoding.EncodeToString(value),
-	}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		_ = fasthttp.Serve(listener, func(ctx *fasthttp.RequestCtx) {
-			if ctx.IsPost() {
-				ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
-				ctx.SetBody(conflict)
-				return
-			}
-			ctx.SetBodyString(`{"ver":9,"rows":[]}`)
-		})
-	}()
+	table := &claimTable{}
+	n := newNodeOnTable(t, log, table.serve)
+	stored := termRow(t, medlarownership.Term{Number: 2, Instance: "a", Address: "10.0.0.1:80", Process: n.process}, 9)
+	table.set(stored)
 	return n, stored
 }
 
@@ -97,8 +71,9 @@
 	n.ownership.unresolved = &unresolvedClaim{
 		term: medlarownership.Term{Number: 2, Instance: "a", Process: n.process}, claimedAt: n.clock.Now(),
 	}
+	n.observeOwnership(ctx, []medlartable.Row{termRow(t, first, 8)})
 	log.hook = func() { n.observeOwnership(ctx, []medlartable.Row{stored}) }
-	n.claimCell(ctx, first)
+	n.claimCell(ctx)
 	if got := log.count("owner-started"); got != 1 {
 		t.Errorf("owners started for one term: got %d, want 1", got)
 	}
@@ -117,7 +92,9 @@
 	n.ownership.unresolved = &unresolvedClaim{
 		term: medlarownership.Term{Number: 2, Instance: "a", Process: n.process}, claimedAt: firstAttempt,
 	}
-	n.claimCell(ctx, medlarownership.Term{Number: 1, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Released: true})
+	first := medlarownership.Term{Number: 1, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Released: true}
+	n.observeOwnership(ctx, []medlartable.Row{termRow(t, first, 8)})
+	n.claimCell(ctx)
 	owner := n.owner.Load()
 	if owner == nil {
 		t.Fatal("the claim that the table shows has started no owner")
@@ -139,3 +116,126 @@
 		t.Error("the claim counts as unresolved although its owner was started")
 	}
 }
+
+// hookClock runs a hook at one of its calls.
+type hookClock struct {
+	medlarwheel.Clock
+	calls, hookAt int
+	hook          func()
+}
+
+func (c *hookClock) Now() time.Time {
+	if c.calls++; c.calls == c.hookAt {
+		c.hook()
+	}
+	return c.Clock.Now()
+}
+
+// claimTable is a table that holds the row of a claim, and accepts a transaction only if it requires that row.
+type claimTable struct {
+	mu       sync.Mutex
+	stored   medlartable.Row
+	accepted int
+}
+
+func (t *claimTable) set(r medlartable.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stored = r
+}
+
+// hasReplaced reports whether a transaction was accepted that required the given version of the row.
+func (t *claimTable) hasReplaced(version medlarwheel.RowVersion) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.accepted > 0 && t.stored.Version == version
+}
+
+func (t *claimTable) serve(ctx *fasthttp.RequestCtx) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !ctx.IsPost() {
+		ctx.SetBodyString(fmt.Sprintf(`{"ver":%d,"rows":[]}`, t.stored.Version))
+		return
+	}
+	var body struct {
+		Precondition []struct {
+			Key string
+			Ver medlarwheel.RowVersion
+		}
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	for _, p := range body.Precondition {
+		if p.Key == t.stored.Key && p.Ver != t.stored.Version {
+			ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+			ctx.SetBodyString(fmt.Sprintf(`{"ver":%d,"rows":[{"table":%q,"part":%q,"key":%q,"ver":%d,"value":%q}]}`, t.stored.Version,
+				t.stored.Table, t.stored.Part, t.stored.Key, t.stored.Version, base64.StdEncoding.EncodeToString(t.stored.Value)))
+			return
+		}
+	}
+	t.accepted++
+	ctx.SetBodyString(fmt.Sprintf(`{"ver":%d}`, t.stored.Version+1))
+}
+
+// TestClaimDoesNotReplaceClaimSeenMeanwhile guards against two owners of one term: the claim of another instance becomes known
+// between the decision to claim the cell and the claim.
+func TestClaimDoesNotReplaceClaimSeenMeanwhile(t *testing.T) {
+	for hookAt := 1; hookAt <= 10; hookAt++ {
+		t.Run(fmt.Sprintf("seen-at-call-%d-of-the-clock", hookAt), func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			table := &claimTable{}
+			n := newNodeOnTable(t, &eventLog{counts: map[string]int{}}, table.serve)
+			released := termRow(t, medlarownership.Term{Number: 1, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Released: true}, 8)
+			table.set(released)
+			n.observeOwnership(ctx, []medlartable.Row{released})
+			clock := &hookClock{Clock: n.clock, hookAt: hookAt}
+			clock.hook = func() {
+				if !n.ownership.mu.TryLock() {
+					// The claim is being prepared, so that the follower has to wait.
+					return
+				}
+				n.ownership.mu.Unlock()
+				other := termRow(t, medlarownership.Term{Number: 2, Instance: "c", Address: "10.0.0.3:80", Process: "c-1"}, 9)
+				table.set(other)
+				n.observeOwnership(ctx, []medlartable.Row{other})
+			}
+			n.clock = clock
+			n.claimAfterDelay(ctx, func() time.Duration { return 0 })
+			if table.hasReplaced(9) {
+				t.Error("the instance has replaced the claim of a live owner")
+			}
+		})
+	}
+}
+
+// termRow returns the row of a claim.
+func termRow(t *testing.T, term medlarownership.Term, version medlarwheel.RowVersion) medlartable.Row {
+	t.Helper()
+	value, err := json.Marshal(term)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return medlartable.Row{Table: medlarownership.Table, Part: "c0", Key: medlarownership.KeyTerm, Value: value, Version: version}
+}
+
+// newNodeOnTable returns a node whose table is served by the handler.
+func newNodeOnTable(t *testing.T, log *eventLog, table fasthttp.RequestHandler) *Node {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	n, err := New(DefaultConfig(platform.Settings{
+		Instance: "a", Peer: "10.0.0.1:80", StoreAddress: listener.Addr().String(), MaxLease: 10 * time.Second,
+	}), zerolog.New(log), medlarmetrics.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = fasthttp.Serve(listener, table) }()
+	return n
+}
--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -15,7 +15,6 @@
 	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/operation/medlarrecover"
 	"medlarwheel/internal/scheduling/medlarowner"
-	"medlarwheel/internal/state/medlarcellstore"
 	"medlarwheel/internal/state/medlarownership"
 	"medlarwheel/internal/state/medlartable"
 	"medlarwheel/platform"
@@ -41,63 +40,6 @@
 	startedTerm uint64
 }
 
-// beginTerm reports whether the owner of a term is still to be started. Both the response to a claim and the rows of the
-// table may show a claim first, on different goroutines; only the first one starts the owner.
-func (s *ownershipState) beginTerm(number uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if number <= s.startedTerm {
-		return false
-	}
-	s.startedTerm = number
-	if s.unresolved != nil && s.unresolved.term.Number <= number {
-		s.unresolved = nil
-	}
-	return true
-}
-
-// unresolvedClaim is a claim whose outcome is unknown.
-type unresolvedClaim struct {
-	term        medlarownership.Term
-	claimedAt   time.Time
-	predecessor medlarownership.Predecessor
-}
-
-// repeating returns the claim as a repetition of an earlier attempt with an unknown outcome, which may be the one that took
-// effect: other instances count the owner's time-out from it. What the predecessor may still do is counted from the last
-// attempt.
-func (c unresolvedClaim) repeating(first *unresolvedClaim) unresolvedClaim {
-	if first == nil || first.term.Number != c.term.Number || !first.claimedAt.Before(c.claimedAt) {
-		return c
-	}
-	repeatedAfter := c.claimedAt.Sub(first.claimedAt)
-	c.claimedAt = first.claimedAt
-	c.predecessor.Expired = c.predecessor.Expired && first.predecessor.Expired
-	c.predecessor.Grace = max(c.predecessor.Grace+repeatedAfter, first.predecessor.Grace)
-	if c.predecessor.OutageLeases > 0 {
-		c.predecessor.OutageLeases += repeatedAfter
-	}
-	c.predecessor.OutageLeases = max(c.predecessor.OutageLeases, first.predecessor.OutageLeases)
-	return c
-}
-
-// sinceFirstAttempt returns a claim with the time of its first unresolved attempt.
-func (s *ownershipState) sinceFirstAttempt(c unresolvedClaim) unresolvedClaim {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return c.repeating(s.unresolved)
-}
-
-// keepUnresolved keeps a claim without a response until the table shows its outcome, unless that has happened meanwhile.
-func (s *ownershipState) keepUnresolved(c unresolvedClaim) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.term.Number > s.startedTerm {
-		c = c.repeating(s.unresolved)
-		s.unresolved = &c
-	}
-}
-
 // withMonitor calls use with the monitor under the lock. The lock is released after a panic too, so that a restarted loop
 // does not deadlock.
 func (n *Node) withMonitor(use func(m *medlarownership.Monitor)) {
@@ -177,38 +119,10 @@
 	n.startOwner(ctx, term, unresolved.claimedAt, unresolved.predecessor)
 }
 
-// claimAfterDelay claims the cell if its owner is gone and no other instance has claimed it within the delay.
-func (n *Node) claimAfterDelay(ctx context.Context, delay func() time.Duration) {
-	if !n.shouldClaim() || !n.ownership.waitingToClaim.CompareAndSwap(false, true) {
-		return
-	}
-	defer n.ownership.waitingToClaim.Store(false)
-	if !medlarclock.Sleep(ctx, delay()) {
-		return
-	}
-	n.ownership.claimLock.Lock()
-	defer n.ownership.claimLock.Unlock()
-	var term medlarownership.Term
-	n.withMonitor(func(m *medlarownership.Monitor) { term = m.Term() })
-	if n.shouldClaim() {
-		n.claimCell(ctx, term)
-	}
-}
-
-func (n *Node) shouldClaim() bool {
-	now := n.clock.Now()
-	n.ownership.mu.Lock()
-	defer n.ownership.mu.Unlock()
-	if !n.ownership.monitor.ShouldClaim(now) || n.stopping.Load() || n.owner.Load() != nil {
-		return false
-	}
-	return !n.ownership.monitor.Predecessor(now, false).Expired || n.registration.isContinuousFor(now, minRegistrationTime)
-}
-
 // setTerm records who owns the cell, and watches the process of a new owner.
 func (n *Node) setTerm(ctx context.Context, t medlarownership.Term) {
 	current := n.term.Load()
-	if t.Number == 0 || current != nil && current.Number >= t.Number && current.Released == t.Released {
+	if t.Number == 0 || current != nil && current.Version >= t.Version {
 		return
 	}
 	n.term.Store(&t)
@@ -269,74 +183,6 @@
 	_ = conn.Close()
 }
 
-// claimCell makes this instance the owner of the cell, unless another instance claims it first.
-func (n *Node) claimCell(ctx context.Context, current medlarownership.Term) {
-	next := medlarownership.Term{
-		Number: current.Number + 1, Instance: n.config.Settings.Instance, Address: n.config.Settings.Peer, Process: n.process,
-		Lease: max(n.config.Owner.Cell.Lease, current.Lease), LeaseTail: max(n.config.Owner.Cell.LeaseTail, current.LeaseTail),
-	}
-	chainRow, err := medlarcellstore.FirstChainRow(n.config.Owner.Part, next.Number)
-	if err != nil {
-		n.log.Error().Str("event", "claim-failed").Err(err).
-			Msg("cannot encode the first chain row of the new term; the cell is not claimed")
-		return
-	}
-	claimedAt := n.clock.Now()
-	receivedRequests := n.registration.isContinuousFor(claimedAt, n.config.Owner.Ownership.MinRegisteredTime(maxTrustedRegistryAge))
-	var predecessor medlarownership.Predecessor
-	var t medlartable.Transaction
-	n.withMonitor(func(m *medlarownership.Monitor) {
-		predecessor = m.Predecessor(claimedAt, receivedRequests)
-		t, err = m.Claim(next, n.config.Owner.Part, chainRow)
-	})
-	if err != nil {
-		n.log.Error().Str("event", "claim-failed").Err(err).Msg("cannot encode the claim; the cell is not claimed")
-		return
-	}
-	claim := unresolvedClaim{term: next, claimedAt: claimedAt, predecessor: predecessor}
-	commit, err := n.store.Transact(t)
-	var conflict *medlartable.ConflictError
-	if errors.As(err, &conflict) {
-		if commit.Version = n.ownClaimVersion(conflict); commit.Version != 0 {
-			claim, err = n.ownership.sinceFirstAttempt(claim), nil
-		} else {
-			n.observeOwnership(ctx, conflict.Rows)
-		}
-	}
-	if err != nil {
-		n.log.Warn().Str("event", "claim-failed").Uint64("term", next.Number).Err(err).
-			Msg("claim of the cell failed or its outcome is unknown; continuing to watch the claim row")
-		if conflict == nil && !medlarwheel.HasNoEffect(err) {
-			n.ownership.keepUnresolved(claim)
-		}
-		return
-	}
-	next.Version = commit.Version
-	n.log.Info().Str("event", "cell-claimed").Uint64("term", next.Number).Uint64("version", uint64(next.Version)).
-		Str("from", string(current.Instance)).Uint64("replaced-version", uint64(t.Require[0].Version)).
-		Bool("asked", receivedRequests).Int64("outage-leases-ms", claim.predecessor.OutageLeases.Milliseconds()).Msg("")
-	n.withMonitor(func(m *medlarownership.Monitor) { m.RecordClaim(next) })
-	n.setTerm(ctx, next)
-	n.startOwner(ctx, next, claim.claimedAt, claim.predecessor)
-}
-
-// ownClaimVersion returns the row version of a claim by this process whose response was lost, or zero if the conflict is
-// with another claim.
-func (n *Node) ownClaimVersion(conflict *medlartable.ConflictError) medlarwheel.RowVersion {
-	row, found := conflict.Find(medlarownership.Table, medlarownership.KeyTerm)
-	if !found {
-		return 0
-	}
-	t, err := medlarownership.DecodeTerm(row)
-	if err != nil || t.Process != n.process || t.Released {
-		return 0
-	}
-	if current := n.term.Load(); current != nil && current.Number >= t.Number {
-		return 0
-	}
-	return t.Version
-}
-
 // ownerGCPercent lets the heap of an owner grow to four times its live memory, within the memory limit. With the
 // default, garbage collection took about a tenth of the CPU time of an owner with 890 workers. Other instances keep the
 // default and use less memory.
--- a/internal/operation/medlarnode/registry_test.go
+++ b/internal/operation/medlarnode/registry_test.go
@@ -64,12 +64,7 @@
 func TestOwnerOrClaimantRefusesPromise(t *testing.T) {
 	node := func() *Node {
 		n := &Node{clock: bootClock(t), ownership: ownershipState{monitor: medlarownership.NewMonitor(medlarownership.DefaultConfig())}}
-		claim, err := n.ownership.monitor.Claim(medlarownership.Term{Number: 2, Instance: "a", Address: "10.0.0.1:80", Process: "a-1"}, "c0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		row := claim.Put[0]
-		row.Version = 9
+		row := termRow(t, medlarownership.Term{Number: 2, Instance: "a", Address: "10.0.0.1:80", Process: "a-1"}, 9)
 		if err := n.ownership.monitor.Observe(n.clock.Now(), []medlartable.Row{row}); err != nil {
 			t.Fatal(err)
 		}
@@ -109,12 +104,8 @@
 // last. It learns of these leases from the promise request, even if it refuses the promise.
 func TestPromiseRequestRecordsOutageLease(t *testing.T) {
 	n := &Node{clock: bootClock(t), ownership: ownershipState{monitor: medlarownership.NewMonitor(medlarownership.DefaultConfig())}}
-	claim, err := n.ownership.monitor.Claim(medlarownership.Term{Number: 2, Instance: "a", Address: "10.0.0.1:80", Process: "a-1"}, "c0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	claim.Put[0].Version = 9
-	if err := n.ownership.monitor.Observe(n.clock.Now(), claim.Put[:1]); err != nil {
+	row := termRow(t, medlarownership.Term{Number: 2, Instance: "a", Address: "10.0.0.1:80", Process: "a-1"}, 9)
+	if err := n.ownership.monitor.Observe(n.clock.Now(), []medlartable.Row{row}); err != nil {
 		t.Fatal(err)
 	}
 	const lease = 8 * time.Second
--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -385,18 +385,23 @@
 	return m.TimeUntilClaim() == 0 && now.After(m.promisedUntil)
 }
 
-// Claim returns the transaction that makes next the owner. The transaction fails if another instance has claimed the cell
-// meanwhile, or if the owner has renewed its claim: the responses of a slow table may be out of date when they arrive.
-func (m *Monitor) Claim(next Term, part string, extra ...medlartable.Row) (medlartable.Transaction, error) {
+// Claim returns the next term, owned by the claimant, and the transaction that stores it. Both follow from one view of the table: the
+// number of the term is one above that of the claim that the transaction requires. The transaction fails if another instance has
+// claimed the cell meanwhile, or if the owner has renewed its claim: the responses of a slow table may be out of date when they
+// arrive.
+func (m *Monitor) Claim(claimant Term, part string) (Term, medlartable.Transaction, error) {
+	next := claimant
+	next.Number = m.term.Number + 1
+	next.Lease, next.LeaseTail = max(next.Lease, m.term.Lease), max(next.LeaseTail, m.term.LeaseTail)
 	value, err := json.Marshal(next)
 	if err != nil {
-		return medlartable.Transaction{}, errors.Wrapf(err, "encode the claim of cell %s for term %d", part, next.Number)
+		return next, medlartable.Transaction{}, errors.Wrapf(err, "encode the claim of cell %s for term %d", part, next.Number)
 	}
-	return medlartable.Transaction{
+	return next, medlartable.Transaction{
 		Require: []medlartable.Row{
 			{Table: Table, Part: part, Key: KeyTerm, Version: m.term.Version},
 			{Table: Table, Part: part, Key: KeyRenewal, Version: m.renewalVersion},
 		},
-		Put: append([]medlartable.Row{{Table: Table, Part: part, Key: KeyTerm, Value: value}}, extra...),
+		Put: []medlartable.Row{{Table: Table, Part: part, Key: KeyTerm, Value: value}},
 	}, nil
 }
--- a/internal/state/medlarownership/ownership_test.go
+++ b/internal/state/medlarownership/ownership_test.go
@@ -1,6 +1,7 @@
 package medlarownership
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -12,13 +13,11 @@
 
 func termRow(t *testing.T, term Term) medlartable.Row {
 	t.Helper()
-	tx, err := NewMonitor(DefaultConfig()).Claim(term, "c0")
+	value, err := json.Marshal(term)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := tx.Put[0]
-	r.Version = term.Version
-	return r
+	return medlartable.Row{Table: Table, Part: "c0", Key: KeyTerm, Value: value, Version: term.Version}
 }
 
 func newTestMonitor(t *testing.T) *Monitor {
@@ -143,10 +142,13 @@
 	if err := m.Observe(start, []medlartable.Row{renewal}); err != nil {
 		t.Fatal(err)
 	}
-	tx, err := m.Claim(Term{Number: 4, Address: "10.0.0.2:80"}, "c0")
+	next, tx, err := m.Claim(Term{Address: "10.0.0.2:80"}, "c0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	if next.Number != 4 {
+		t.Errorf("the claim after term 3 has the number %d, want 4", next.Number)
+	}
 	versions := map[string]int{}
 	for _, r := range tx.Require {
 		versions[r.Key] = int(r.Version)
