Tell the batches of two claims under one term number apart

Cause: the conflict of a batch counts as success if the chain row names the same term and the same number of batches, since an earlier copy of the batch may have been stored.

Evidence: TestBatchOfAnotherClaimIsNotTakenForOwn failed before.

Change: the chain row names the version of the owner's claim too. Rows of earlier builds have none and are never taken for own ones.

--- a/internal/state/medlarcellstore/cellstore.go
+++ b/internal/state/medlarcellstore/cellstore.go
@@ -204,16 +204,20 @@
 	return snapshot, errors.Wrapf(snapshot.Check().Err(), "model snapshot in row %s/%s is invalid", r.Part, r.Key)
 }
 
-// chainValue is the value of the chain row: the term of the owner and the number of batches that it has stored.
+// chainValue is the value of the chain row: the term of the owner, the version of its claim and the number of batches that it has
+// stored. The row that is written with the claim has no version yet.
 type chainValue struct {
-	Term uint64 `json:"term"`
-	Next uint64 `json:"next"`
+	Term  uint64                 `json:"term"`
+	Claim medlarwheel.RowVersion `json:"claim,omitempty"`
+	Next  uint64                 `json:"next"`
 }
 
 // Chain makes the batches of one owner take effect in order, each at most once, and only during the term of the owner.
 type Chain struct {
-	part    string
-	term    uint64
+	part string
+	term uint64
+	// claim is the version of the owner's claim, which tells its batches from those of another owner under the same term number.
+	claim   medlarwheel.RowVersion
 	next    uint64
 	version medlarwheel.RowVersion
 	// unresolved is true while the outcome of the last batch is unknown.
@@ -226,7 +230,7 @@
 
 // NewChain returns the chain of an owner whose claim has written the first chain row at the given version.
 func NewChain(part string, term uint64, version medlarwheel.RowVersion) *Chain {
-	return &Chain{part: part, term: term, version: version}
+	return &Chain{part: part, term: term, claim: version, version: version}
 }
 
 // FirstChainRow returns the chain row that is written together with a claim.
@@ -244,7 +248,7 @@
 	if c.unresolved {
 		return medlartable.Transaction{}, errors.WithMessagef(errUnresolvedBatch, "batch %d of cell %s", c.next+1, c.part)
 	}
-	value, err := json.Marshal(chainValue{Term: c.term, Next: c.next + 1})
+	value, err := json.Marshal(chainValue{Term: c.term, Claim: c.claim, Next: c.next + 1})
 	if err != nil {
 		return medlartable.Transaction{}, errors.Wrapf(err, "encode the chain row of cell %s for term %d", c.part, c.term)
 	}
@@ -318,7 +322,7 @@
 	if !found || json.Unmarshal(row.Value, &stored) != nil || stored.Term != c.term {
 		return OutcomeSuperseded
 	}
-	if stored.Next == c.next+1 {
+	if stored.Next == c.next+1 && stored.Claim == c.claim {
 		// An earlier attempt has stored this batch, and its response was lost.
 		c.advance(row.Version)
 		return OutcomeStored
--- a/internal/state/medlarcellstore/cellstore_test.go
+++ b/internal/state/medlarcellstore/cellstore_test.go
@@ -94,6 +94,20 @@
 	}
 }
 
+// TestBatchOfAnotherClaimIsNotTakenForOwn guards against ends that are acknowledged although their records are lost: the batch of
+// another owner under the same term number is taken for the own one.
+func TestBatchOfAnotherClaimIsNotTakenForOwn(t *testing.T) {
+	m := &memoryTable{rows: map[string]medlartable.Row{}}
+	first := m.claim(t, 2)
+	second := m.claim(t, 2)
+	if got := second.Resolve(m.transact(batch(t, second, medlarsubmission.StateCompleted))); got != OutcomeStored {
+		t.Fatal(got)
+	}
+	if got := first.Resolve(m.transact(batch(t, first, medlarsubmission.StateFailed))); got != OutcomeSuperseded {
+		t.Errorf("outcome of the first owner's batch: got %d, want OutcomeSuperseded", got)
+	}
+}
+
 // TestLateBatchIsRejected guards against progress that is overwritten with older progress, because the table applies a
 // batch seconds late: after a newer batch or after the claim of another owner.
 func TestLateBatchIsRejected(t *testing.T) {
