Keep a promise to an owner beyond the end of a later one

What callers could see: a task that runs twice. Suspected by reading, not seen: an owner that cannot reach the table goes on while all others promise not to claim the cell. If the table then carries out a claim late whose process has ended meanwhile, that end voided the promises to the first owner, and the next claim came while that one still sent orders.

Evidence: TestPromiseOutlivesLaterOwner failed before.

Change: a promise names the term that it was made to. Only the end of that owner ends it before its time.

--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -167,8 +167,9 @@
 	// sinceRenewal is the time without a renewal, counted only while the table has responded.
 	sinceRenewal time.Duration
 	lastResponse time.Time
-	// promisedUntil is the time before which this instance has promised the owner not to claim the cell.
+	// promisedUntil is the time before which this instance has promised the owner of promisedTerm not to claim the cell.
 	promisedUntil time.Time
+	promisedTerm  uint64
 	// hasRead is true once the table has been read.
 	hasRead bool
 	// ownerDead is true if the owner is known to have ended or stopped, and ownerSuspected if its address refuses
@@ -276,7 +277,7 @@
 	if m.renewal.Term == m.term.Number {
 		p.LeaseEnds = m.leaseEnds()
 	}
-	if m.term.Number == 0 || m.ownerDead || m.term.Released {
+	if m.isVacant() {
 		return p
 	}
 	p.Expired = true
@@ -369,20 +370,29 @@
 	if !m.hasRead || m.term.Number != number || m.term.Released || m.ownerDead {
 		return false
 	}
-	m.promisedUntil = now.Add(m.config.OwnerTimeout + m.config.ClaimMargin)
+	m.promisedUntil, m.promisedTerm = now.Add(m.config.OwnerTimeout+m.config.ClaimMargin), number
 	return true
 }
 
 // ShouldClaim reports whether this instance may claim the cell: it has no owner, or its owner has stopped renewing and no
 // promise is in force.
 func (m *Monitor) ShouldClaim(now time.Time) bool {
-	if !m.hasRead {
+	if !m.hasRead || m.isBound(now) {
 		return false
 	}
-	if m.term.Number == 0 || m.term.Released || m.ownerDead {
-		return true
+	return m.isVacant() || m.TimeUntilClaim() == 0
+}
+
+// isVacant reports whether the cell has no owner.
+func (m *Monitor) isVacant() bool { return m.term.Number == 0 || m.term.Released || m.ownerDead }
+
+// isBound reports whether a promise is in force. The end of the current owner ends the promise to that owner, but not one to an
+// earlier owner: if the table has carried out a later claim late, the earlier owner may still send orders.
+func (m *Monitor) isBound(now time.Time) bool {
+	if now.After(m.promisedUntil) {
+		return false
 	}
-	return m.TimeUntilClaim() == 0 && now.After(m.promisedUntil)
+	return m.promisedTerm != m.term.Number || !m.isVacant()
 }
 
 // Claim returns the next term, owned by the claimant, and the transaction that stores it. Both follow from one view of the table: the
--- a/internal/state/medlarownership/ownership_test.go
+++ b/internal/state/medlarownership/ownership_test.go
@@ -309,3 +309,24 @@
 		})
 	}
 }
+
+// TestPromiseOutlivesLaterOwner guards against a claim while the owner to whom this instance has made a promise still gives orders: a
+// claim that the table carried out late has become known, and its process has ended.
+func TestPromiseOutlivesLaterOwner(t *testing.T) {
+	c := DefaultConfig()
+	m := newTestMonitor(t)
+	if !m.Promise(start, 3) {
+		t.Fatal("got no promise to the owner of term 3")
+	}
+	late := Term{Number: 4, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Version: 60}
+	if err := m.Observe(start, []medlartable.Row{termRow(t, late)}); err != nil {
+		t.Fatal(err)
+	}
+	m.OwnerDied(late)
+	if m.ShouldClaim(start.Add(c.OwnerTimeout)) {
+		t.Error("ShouldClaim is true while the promise to the owner of term 3 is in force")
+	}
+	if !m.ShouldClaim(start.Add(c.OwnerTimeout + c.ClaimMargin + time.Millisecond)) {
+		t.Error("ShouldClaim is false after the promise has expired")
+	}
+}
