Take the timeout of an owner from its last renewal

What callers could see: a task that runs twice. Suspected by reading, not seen: after the table has dropped its history, one read shows the renewal and the claim of an owner by their keys, the renewal first. The claim then set the timeout back to 1.2 s, although the owner of a slow table had asked for up to 3 s, so that another instance could claim the cell while it still sent orders.

Evidence: TestTimeoutIsThatOfTheLastRenewal failed before.

Change: rows take effect in the order of their versions.

--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -17,7 +17,9 @@
 package medlarownership
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -197,6 +199,8 @@
 		m.sinceRenewal += gap
 	}
 	m.lastResponse, m.hasRead = now, true
+	// A read of the whole table lists the rows by key. The last renewal may be newer than the claim.
+	rows = slices.SortedStableFunc(slices.Values(rows), func(a, b medlartable.Row) int { return cmp.Compare(a.Version, b.Version) })
 	for _, r := range rows {
 		if err := m.observeRow(r); err != nil {
 			return err
--- a/internal/state/medlarownership/ownership_test.go
+++ b/internal/state/medlarownership/ownership_test.go
@@ -330,3 +330,17 @@
 		t.Error("ShouldClaim is false after the promise has expired")
 	}
 }
+
+// TestTimeoutIsThatOfTheLastRenewal guards against a claim while an owner on a slow table still sends orders: a read of the whole
+// table shows its last renewal before its claim.
+func TestTimeoutIsThatOfTheLastRenewal(t *testing.T) {
+	c := DefaultConfig()
+	m := newTestMonitor(t)
+	next := Term{Number: 4, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Version: 60}
+	if err := m.Observe(start, []medlartable.Row{renewalRow(t, c.MaxOwnerTimeout, 70), termRow(t, next)}); err != nil {
+		t.Fatal(err)
+	}
+	if now := observeFor(t, m, start, c.OwnerTimeout+c.ClaimMargin, 100*time.Millisecond); m.ShouldClaim(now) {
+		t.Errorf("ShouldClaim is true %v after a renewal that lets the owner send orders for %v", now.Sub(start), c.MaxOwnerTimeout)
+	}
+}
