Pass on how long an earlier owner may still send orders

What callers could see: a task that runs twice. Suspected by reading, not seen: an instance claims the cell from an owner whose address refuses connections and which may live, and waits for the submissions that this one may still start. If the claimant ends or releases the cell within that time, its successor claimed at once and knew nothing of the first owner.

Evidence: TestGraceOutlivesLaterOwner failed before.

Change: a claim and a release state how long an earlier owner may still send orders; all instances take it into account.

--- a/internal/operation/medlarnode/claim.go
+++ b/internal/operation/medlarnode/claim.go
@@ -123,7 +123,7 @@
 		claim.predecessor = m.Predecessor(claim.claimedAt, claim.receivedRequests)
 		claim.term, claim.transaction, err = m.Claim(medlarownership.Term{
 			Instance: n.config.Settings.Instance, Address: n.config.Settings.Peer, Process: n.process,
-			Lease: n.config.Owner.Cell.Lease, LeaseTail: n.config.Owner.Cell.LeaseTail,
+			Lease: n.config.Owner.Cell.Lease, LeaseTail: n.config.Owner.Cell.LeaseTail, Grace: claim.predecessor.Grace,
 		}, n.config.Owner.Part)
 	})
 	if !ok || err != nil {
@@ -166,7 +166,7 @@
 	n.log.Info().Str("event", "cell-claimed").Uint64("term", claim.term.Number).Uint64("version", uint64(claim.term.Version)).
 		Str("from", string(claim.previous.Instance)).Uint64("replaced-version", uint64(claim.previous.Version)).
 		Bool("asked", claim.receivedRequests).Int64("outage-leases-ms", claim.predecessor.OutageLeases.Milliseconds()).Msg("")
-	n.withMonitor(func(m *medlarownership.Monitor) { m.RecordClaim(claim.term) })
+	n.withMonitor(func(m *medlarownership.Monitor) { m.RecordClaim(n.clock.Now(), claim.term) })
 	n.setTerm(ctx, claim.term)
 	n.startOwner(ctx, claim.term, claim.claimedAt, claim.predecessor)
 }
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -176,6 +176,7 @@
 func (o *Owner) releaseTerm() error {
 	term := o.term
 	term.Released, term.OutageLeases = true, o.OutageLeases()
+	term.Grace = max(0, o.claimedAt.Add(o.grace).Sub(o.Clock.Now()))
 	value, err := json.Marshal(term)
 	if err != nil {
 		return errors.Wrapf(err, "encoding the release of cell %s in term %d", o.config.Part, o.term.Number)
--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -98,6 +98,8 @@
 	// account. They are zero in claims of builds that grant 3 s and 2.2 s.
 	Lease     time.Duration `json:"lease-ns,omitempty"`
 	LeaseTail time.Duration `json:"lease-tail-ns,omitempty"`
+	// Grace is how long after the claim, or the release, an earlier owner may still send orders.
+	Grace time.Duration `json:"grace-ns,omitempty"`
 	// Version is the version of the row.
 	Version medlarwheel.RowVersion `json:"-"`
 }
@@ -177,6 +179,8 @@
 	// ownerDead is true if the owner is known to have ended or stopped, and ownerSuspected if its address refuses
 	// connections.
 	ownerDead, ownerSuspected bool
+	// graceEnd is when the owners before the current one send no more orders.
+	graceEnd time.Time
 	// leasesReported is true once the owner has stopped and reported how long its leases remain valid.
 	leasesReported bool
 	// outageLeasesEnd is the latest end of the outage leases that owners have announced with their requests for promises or
@@ -217,7 +221,7 @@
 		if err != nil {
 			return err
 		}
-		m.setTerm(t)
+		m.setTerm(m.lastResponse, t)
 	case r.Key == KeyRenewal && r.Version > m.renewalVersion:
 		m.renewalVersion, m.sinceRenewal = r.Version, 0
 		renewal, err := DecodeRenewal(r)
@@ -232,16 +236,19 @@
 	return nil
 }
 
-// setTerm replaces the current claim with a newer one.
-func (m *Monitor) setTerm(t Term) {
+// setTerm replaces the current claim with a newer one, which was seen now.
+func (m *Monitor) setTerm(now time.Time, t Term) {
 	m.term, m.ownerTimeout, m.sinceRenewal, m.ownerDead, m.ownerSuspected = t, m.config.OwnerTimeout, 0, false, false
 	m.leasesReported = false
+	if end := now.Add(min(t.Grace, m.config.MaxOwnerTimeout)); end.After(m.graceEnd) {
+		m.graceEnd = end
+	}
 }
 
 // RecordClaim records a claim by this instance.
-func (m *Monitor) RecordClaim(t Term) {
+func (m *Monitor) RecordClaim(now time.Time, t Term) {
 	if t.Version > m.term.Version {
-		m.setTerm(t)
+		m.setTerm(now, t)
 	}
 }
 
@@ -276,7 +283,7 @@
 	// No worker accepts a longer lease than MaxLease, whatever the row says.
 	p := Predecessor{
 		Lease: min(m.term.Lease, m.config.MaxLease), LeaseTail: min(m.term.LeaseTail, m.config.MaxLease),
-		OutageLeases: m.outageLeasesAt(now, receivedRequests),
+		OutageLeases: m.outageLeasesAt(now, receivedRequests), Grace: max(0, m.graceEnd.Sub(now)),
 	}
 	if m.renewal.Term == m.term.Number {
 		p.LeaseEnds = m.leaseEnds()
@@ -286,7 +293,7 @@
 	}
 	p.Expired = true
 	if m.sinceRenewal < m.claimTimeout() {
-		p.Grace = m.ownerTimeout
+		p.Grace = max(p.Grace, m.ownerTimeout)
 	}
 	return p
 }
@@ -346,7 +353,7 @@
 	// Expired is true if the previous owner has stopped renewing, so that its authority has ended or ends with Grace.
 	// Otherwise the previous owner has sent no orders since the claim, and its authority may have lasted longer.
 	Expired bool
-	// Grace is how long after the claim the previous owner may still send orders.
+	// Grace is how long after the claim the previous owner, or one before it, may still send orders.
 	Grace time.Duration
 	// Lease and LeaseTail are those of the claim before.
 	Lease, LeaseTail time.Duration
--- a/internal/state/medlarownership/ownership_test.go
+++ b/internal/state/medlarownership/ownership_test.go
@@ -271,7 +271,7 @@
 // settings or of the build.
 func TestPredecessorReportsItsLeases(t *testing.T) {
 	m := newTestMonitor(t)
-	m.RecordClaim(Term{Number: 9, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Lease: 9 * time.Second, LeaseTail: time.Hour, Version: 900})
+	m.RecordClaim(start, Term{Number: 9, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Lease: 9 * time.Second, LeaseTail: time.Hour, Version: 900})
 	if got := m.Predecessor(start, true); got.Lease != 9*time.Second || got.LeaseTail != DefaultConfig().MaxLease {
 		t.Errorf("predecessor is %+v, want leases of 9s with a tail of the longest lease that workers accept", got)
 	}
@@ -344,3 +344,32 @@
 		t.Errorf("ShouldClaim is true %v after a renewal that lets the owner send orders for %v", now.Sub(start), c.MaxOwnerTimeout)
 	}
 }
+
+// TestGraceOutlivesLaterOwner guards against a task that runs twice because an owner that has claimed the cell from a live one ends at
+// once, and the next owner does not know that the first one may still send orders.
+func TestGraceOutlivesLaterOwner(t *testing.T) {
+	claiming, waiting := newTestMonitor(t), newTestMonitor(t)
+	c := DefaultConfig()
+	claimedAt := observeFor(t, claiming, start, c.SuspectTimeout, 100*time.Millisecond)
+	claiming.OwnerSuspected(claiming.Term())
+	grace := claiming.Predecessor(claimedAt, true).Grace
+	if grace != c.OwnerTimeout {
+		t.Fatalf("grace after a claim from an owner that refuses connections: got %v, want %v", grace, c.OwnerTimeout)
+	}
+	next, tx, err := claiming.Claim(Term{Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Grace: grace}, "c0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	row := tx.Put[0]
+	row.Version = 60
+	if err := waiting.Observe(claimedAt, []medlartable.Row{row}); err != nil {
+		t.Fatal(err)
+	}
+	waiting.OwnerDied(next)
+	if got := waiting.Predecessor(claimedAt.Add(200*time.Millisecond), true).Grace; got != grace-200*time.Millisecond {
+		t.Errorf("grace 200 ms after a claim with a grace of %v whose owner has ended: got %v", grace, got)
+	}
+	if got := waiting.Predecessor(claimedAt.Add(2*grace), true).Grace; got != 0 {
+		t.Errorf("grace after its end: got %v, want 0", got)
+	}
+}
