See the claim that comes with a row that cannot be decoded

What callers could see: requests for the state of submissions that go to an instance which is no longer the owner, and a claim by an old view. Found by reading for rows that are dropped: the first row of a response that could not be decoded hid those after it for good.

Evidence: TestClaimAfterUnreadableRowIsSeen failed before.

Change: only the row itself is left out.

--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -94,7 +94,7 @@
 	})
 	if err != nil {
 		n.log.Error().Str("event", "row-refused").Str("table", medlarownership.Table).Err(err).
-			Msg("cannot decode a claim or renewal row; ignoring it and the rows after it")
+			Msg("cannot decode a claim or renewal row; ignoring it")
 	}
 	n.setTerm(ctx, term)
 	n.adoptUnresolvedClaim(ctx, term)
--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -194,8 +194,9 @@
 // Term returns the current claim. Its number is zero if none has been seen.
 func (m *Monitor) Term() Term { return m.term }
 
-// Observe processes a response of the table with the changed rows.
-func (m *Monitor) Observe(now time.Time, rows []medlartable.Row) error {
+// Observe processes a response of the table with the changed rows. It leaves out a row that it cannot decode, and returns the error of
+// the first one.
+func (m *Monitor) Observe(now time.Time, rows []medlartable.Row) (firstErr error) {
 	if gap := now.Sub(m.lastResponse); m.lastResponse.IsZero() || gap > m.config.MaxResponseGap {
 		// The table was unavailable. The owner gets the full timeout again to renew.
 		m.sinceRenewal = 0
@@ -206,11 +207,11 @@
 	// A read of the whole table lists the rows by key. The last renewal may be newer than the claim.
 	rows = slices.SortedStableFunc(slices.Values(rows), func(a, b medlartable.Row) int { return cmp.Compare(a.Version, b.Version) })
 	for _, r := range rows {
-		if err := m.observeRow(r); err != nil {
-			return err
+		if err := m.observeRow(r); err != nil && firstErr == nil {
+			firstErr = err
 		}
 	}
-	return nil
+	return firstErr
 }
 
 func (m *Monitor) observeRow(r medlartable.Row) error {
--- a/internal/state/medlarownership/ownership_test.go
+++ b/internal/state/medlarownership/ownership_test.go
@@ -373,3 +373,18 @@
 		t.Errorf("grace after its end: got %v, want 0", got)
 	}
 }
+
+// TestClaimAfterUnreadableRowIsSeen guards against an instance that does not know the owner for a whole term, because a row that it
+// cannot decode came in the same response.
+func TestClaimAfterUnreadableRowIsSeen(t *testing.T) {
+	m := newTestMonitor(t)
+	unreadable := renewalRow(t, DefaultConfig().OwnerTimeout, 55)
+	unreadable.Value = []byte("?")
+	next := Term{Number: 4, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Version: 60}
+	if err := m.Observe(start, []medlartable.Row{unreadable, termRow(t, next)}); err == nil {
+		t.Error("got no error for a row that cannot be decoded")
+	}
+	if got := m.Term().Number; got != next.Number {
+		t.Errorf("the current term is %d, want %d", got, next.Number)
+	}
+}
