Load a cell from rows that are not older than the claim

What callers could see: tasks that run again after they are done, and submissions that a new owner does not know. Suspected, not seen: a read that returns rows from before the claim lacks what the previous owner has stored last. The platform's pages rule such reads out; the owner relied on it without a check, although each response names its version.

Evidence: TestLoadIsNotOlderThanClaim failed before. The stand-ins of the other tests returned reads of version 1 after a claim of version 9; they return version 10 now, and the test of the grace period counts from there.

Change: a read with a version below that of the claim is repeated, with a line table-read-failed.

--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -130,10 +131,17 @@
 	})
 }
 
-// readAll reads a range of the table. It retries until the read succeeds or the context ends.
+// errStaleRead means that the table has returned rows from before the claim of this owner. Ends and submissions that the previous owner
+// has stored may be missing in them.
+var errStaleRead = errors.New("rows are older than the claim of the cell")
+
+// readAll reads a range of the table. It retries until the read succeeds and is not older than the claim, or the context ends.
 func (o *Owner) readAll(ctx context.Context, r medlartable.Range) ([]medlartable.Row, medlarwheel.RowVersion, error) {
 	for {
 		rows, version, err := medlartable.ReadAll(o.Store, r)
+		if err == nil && version < o.term.Version {
+			err = errors.WithMessagef(errStaleRead, "version %d, claim has version %d", version, o.term.Version)
+		}
 		if err == nil {
 			return rows, version, nil
 		}
--- a/internal/scheduling/medlarowner/load_test.go
+++ b/internal/scheduling/medlarowner/load_test.go
@@ -48,7 +48,7 @@
 
 func (s *slowStore) Read(medlartable.Range) (medlartable.Page, error) {
 	time.Sleep(s.readTime)
-	return medlartable.Page{Version: 1}, nil
+	return medlartable.Page{Version: 10}, nil
 }
 
 func (s *slowStore) Follow(medlartable.FollowRequest) (medlartable.Page, error) {
@@ -176,12 +176,12 @@
 		t.Errorf("the version is read %v after the claim, want at least %v", waited, o.grace)
 	}
 	(<-o.controlFuncs)(now)
-	// The table has version 1 after the grace period.
+	// The table has version 10 after the grace period.
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	o.submissionsVersion = 1
+	o.submissionsVersion = 10
 	go func() { _ = o.followSubmissions(ctx) }()
-	for want, version := range []medlarwheel.RowVersion{1, 2} {
+	for want, version := range []medlarwheel.RowVersion{10, 11} {
 		id := medlarsubmission.ID(fmt.Sprintf("%016x", version))
 		row, err := medlarcellstore.SubmissionRow(testPart, &medlarsubmission.Submission{
 			ID: id, Route: "q", Service: "svc", AcceptedAt: now, Policy: medlarsubmission.Policy{MaxAttempts: 1, Stretch: 2, Allowance: time.Second},
@@ -221,3 +221,40 @@
 		ID: id, Incarnation: 1, Service: "svc", Address: "10.0.0.1:80", Capacity: medlarsubmission.Size{MilliCPU: 8000, MemoryMB: 8000},
 	}
 }
+
+// staleStore returns rows from before the claim in its first read of each range.
+type staleStore struct {
+	slowStore
+	mu   sync.Mutex
+	read map[medlartable.Range]int
+}
+
+func (s *staleStore) Read(r medlartable.Range) (medlartable.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.read[r]++; s.read[r] == 1 {
+		return medlartable.Page{Version: 8}, nil
+	}
+	return medlartable.Page{Version: 10}, nil
+}
+
+// TestLoadIsNotOlderThanClaim guards against tasks that run again because a new owner has read rows from before its claim.
+func TestLoadIsNotOlderThanClaim(t *testing.T) {
+	store := &staleStore{read: map[medlartable.Range]int{}}
+	clock := medlarwheel.SystemClock{}
+	c := DefaultConfig()
+	c.FollowRetry = time.Millisecond
+	o := New(c, Dependencies{Store: store, Clock: clock, Log: zerolog.Nop(), Meter: medlarmetrics.New()},
+		medlarownership.Term{Number: 2, Version: 9}, clock.Now(), medlarownership.Predecessor{})
+	if err := o.load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if len(store.read) == 0 {
+		t.Error("the load has read nothing")
+	}
+	for r, reads := range store.read {
+		if reads != 2 {
+			t.Errorf("reads of table %s, part %q: got %d, want 2, of which the first is older than the claim", r.Table, r.Part, reads)
+		}
+	}
+}
--- a/internal/scheduling/medlarowner/renewal_test.go
+++ b/internal/scheduling/medlarowner/renewal_test.go
@@ -60,7 +60,7 @@
 
 func (s *responseLossTable) Read(medlartable.Range) (medlartable.Page, error) {
 	<-s.readable
-	return medlartable.Page{Version: 1}, nil
+	return medlartable.Page{Version: 10}, nil
 }
 
 func (s *responseLossTable) apply(t medlartable.Transaction) (medlartable.Commit, error) {
