Acknowledge ended runs only right after a report of their worker

Cause: every renewal repeated the number up to which the worker may forget ended runs. A worker that starts again under its id counts its ends anew, and forgot those of its new life up to that number before the owner had seen them. The owner found the runs missing, and started their tasks again. The crash has to stay unnoticed: connections that fall silent, and starts that reach the new life.

Change: an acknowledgement is sent once, within 100 ms after a report of the incarnation that listed the ends. If storing them has taken longer, a renewal without a wait asks for another report first.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -354,7 +354,7 @@
 		r.phase, r.resolveFence = runUncertain, w.fence
 	}
 	c.emit(Event{Kind: EventWorkerRestarted, Worker: w.info.ID, Count: lost, Reason: fmt.Sprintf("uncertain runs: %d", len(w.runs))})
-	w.lastProcessedEnd, w.lastAckedEnd, w.reported = 0, 0, false
+	w.lastProcessedEnd, w.lastAckedEnd, w.confirmedAck, w.reported = 0, 0, 0, false
 	w.clockAt = time.Time{}
 	// The lease in an order for the previous incarnation is in the far future on the clock of the next one, which shortens
 	// it to the maximum.
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -51,7 +51,7 @@
 	if outOfBand {
 		return
 	}
-	if err == nil && w.lastProcessedEnd > w.lastAckedEnd {
+	if err == nil && w.lastProcessedEnd > w.lastAckedEnd && !w.hasPendingAck() {
 		c.deferredRenewals = append(c.deferredRenewals, w)
 		// A worker with ended runs to report responds at once, so the next renewal waits until they are acknowledged.
 		w.renewalDue = now.Add(c.config.AckWaitTimeout)
@@ -132,11 +132,22 @@
 	})
 }
 
+// maxAckAge is the longest time after a report in which its ended runs are acknowledged. A worker that has restarted since would take the
+// acknowledgement for one of its own ends, which have the same numbers. No restart and run is as short.
+const maxAckAge = 100 * time.Millisecond
+
 func (c *Cell) newRenewal(now time.Time, w *worker) medlarorder.Renew {
 	renewal := medlarorder.Renew{Fence: w.fence}
 	if w.reported && !w.incarnationUncertain {
-		// Ended runs are acknowledged only to the incarnation that has reported them.
-		renewal.AckedUpTo, renewal.Wait = w.lastAckedEnd, c.config.RenewalWait
+		renewal.Wait = c.config.RenewalWait
+		switch {
+		case !w.hasPendingAck():
+		case now.Sub(w.reportedAt) <= maxAckAge:
+			renewal.AckedUpTo = w.lastAckedEnd
+		default:
+			// The report shows whether the worker has restarted, and the next renewal acknowledges its ends.
+			renewal.Wait = 0
+		}
 	}
 	switch {
 	case c.isLeaseFixed(now, w):
@@ -175,6 +186,8 @@
 	}
 	if report.Incarnation != w.incarnation && report.Incarnation != 0 {
 		c.handleRestart(now, w, report.Incarnation)
+	} else {
+		w.confirmedAck = max(w.confirmedAck, renewal.AckedUpTo)
 	}
 	if now.Sub(w.lastContact) >= c.config.ContactTimeout && !w.lastContact.IsZero() {
 		c.emit(Event{Kind: EventWorkerResponsive, Worker: w.info.ID, Age: now.Sub(w.lastContact)})
@@ -182,6 +195,7 @@
 	c.recordResponse(now, w)
 	c.silenceChanged = c.silenceChanged || c.isLeaseStored(w)
 	w.recordClock(now, report.Clock)
+	w.reportedAt = now
 	w.incarnationUncertain = false
 	mayReconcile := !w.reported || w.endsTruncated || w.hasUnknownTasks
 	w.hasStrayRuns, w.hasUnknownTasks = false, !c.processEnds(now, w, report.Ended)
--- a/internal/scheduling/medlarcell/restart_test.go
+++ b/internal/scheduling/medlarcell/restart_test.go
@@ -197,3 +197,38 @@
 		t.Errorf("got %d open intervals for one run, want 1", open)
 	}
 }
+
+// TestOldEndsAreNotAcknowledged guards against a task that runs again after it is done: the end of its run is acknowledged to a restarted
+// worker under the number of an end of the previous incarnation.
+func TestOldEndsAreNotAcknowledged(t *testing.T) {
+	sc, start, renewal := startOnRestartingWorker(t)
+	accepted := medlarorder.Response{Verdict: medlarorder.VerdictAccepted, Clock: time.Second}
+	sc.cell.HandleStartResponse(sc.now, start.Worker, start.Start, accepted, nil)
+	done := medlarorder.Ended{Number: 1, Task: start.Start.Task, Run: 1, Kind: medlarorder.EndDone}
+	sc.report(renewal, medlarorder.Report{Ended: []medlarorder.Ended{done}})
+	// The table takes a second to store the end.
+	sc.now = sc.now.Add(time.Second)
+	sc.flush()
+	renewalOf := func() medlarorder.Renew {
+		sc.dispatch()
+		for _, r := range sc.renewals {
+			if r.Worker == start.Worker {
+				renewal = r
+				return r.Renew
+			}
+		}
+		t.Fatal("the worker gets no renewal")
+		return medlarorder.Renew{}
+	}
+	if got := renewalOf(); got.AckedUpTo != 0 {
+		t.Errorf("ends up to %d are acknowledged a second after the last report, want none", got.AckedUpTo)
+	}
+	sc.report(renewal, medlarorder.Report{Ended: []medlarorder.Ended{done}})
+	if got := renewalOf(); got.AckedUpTo != 1 {
+		t.Errorf("ends up to %d are acknowledged after a report of the same incarnation, want up to 1", got.AckedUpTo)
+	}
+	sc.report(renewal, medlarorder.Report{})
+	if got := renewalOf(); got.AckedUpTo != 0 {
+		t.Errorf("ends up to %d are acknowledged again, want none", got.AckedUpTo)
+	}
+}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -45,6 +45,9 @@
 	// lastProcessedEnd is the number of the last ended run that was processed, and lastAckedEnd that of the last one
 	// that the worker may discard.
 	lastProcessedEnd, lastAckedEnd medlarorder.EndNumber
+	// confirmedAck is the number up to which the worker has confirmed an acknowledgement, and reportedAt when its last report came.
+	confirmedAck medlarorder.EndNumber
+	reportedAt   time.Time
 	// inUnackedList is true while the worker is in the cell's unackedWorkers.
 	inUnackedList bool
 	// visitMark equals the cell's mark if the worker is already in the list of changed workers that is being built.
@@ -143,6 +146,9 @@
 	return !w.registered && len(w.runs) == 0 && now.Sub(w.lastContact) > unregisteredRetention && (w.allRunsKnown || now.After(w.leaseEnd))
 }
 
+// hasPendingAck reports whether ended runs that the worker may discard are not confirmed as discarded.
+func (w *worker) hasPendingAck() bool { return w.lastAckedEnd > w.confirmedAck }
+
 // isUsable reports whether the worker may get new tasks.
 func (c *Cell) isUsable(now time.Time, w *worker) bool {
 	return !w.isSuspended(now) && c.isAvailable(now, w)
