Notice the restart of a worker by its clock

Cause: a start names the end of the lease on the worker's clock. A worker that has started again under its id has a clock that begins anew, on which that end lies far ahead, and grants its longest lease, 10 s. The owner, which had not heard of the restart, assumed 7.3 s, and started the task elsewhere when the worker fell silent.

Change: the response to a start shows the worker's clock. If it is lower than that of the last incarnation can be, the owner waits for the longest lease and asks for a report at once.

--- a/internal/scheduling/medlarcell/responses.go
+++ b/internal/scheduling/medlarcell/responses.go
@@ -25,6 +25,7 @@
 	if response.Clock > 0 {
 		c.recordResponse(now, w)
 	}
+	c.checkIncarnation(now, w, r, response.Clock)
 	switch response.Verdict {
 	case medlarorder.VerdictAccepted:
 		if r.phase == runSent {
@@ -49,6 +50,17 @@
 	c.handleRejectedStart(now, r, string(response.Verdict))
 }
 
+// checkIncarnation requests a report of a worker whose clock shows that it has restarted since the last one. On its new clock, the lease
+// in the order for its previous incarnation lasts for the maximum.
+func (c *Cell) checkIncarnation(now time.Time, w *worker, r *run, reading time.Duration) {
+	if w.incarnationUncertain || !w.isClockBehind(r.sentAt, reading, &c.config) {
+		return
+	}
+	w.incarnationUncertain = true
+	w.extendLeaseBound(now.Add(c.leaseDurationBound(c.config.MaxLease)))
+	c.requestReport(now, w, r)
+}
+
 const (
 	// invalidOrderPause is the pause of a step after its orders were rejected as invalid. It doubles with each further round, up
 	// to maxInvalidOrderPause.
--- a/internal/scheduling/medlarcell/restart_test.go
+++ b/internal/scheduling/medlarcell/restart_test.go
@@ -198,6 +198,27 @@
 	}
 }
 
+// TestStartOnUnnoticedIncarnationLengthensLeaseBound guards against a second run of a task beside the first: the clock in the response to
+// its start shows that the worker has restarted, so that its lease lasts for the maximum.
+func TestStartOnUnnoticedIncarnationLengthensLeaseBound(t *testing.T) {
+	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	report := medlarorder.Report{Verdict: medlarorder.VerdictAccepted, Incarnation: 1, Clock: time.Minute}
+	sc.cell.HandleRenewResponse(sc.now, sc.renewals[0].Worker, false, sc.now, sc.renewals[0].Renew, report, nil)
+	sc.cell.Accept(sc.now, testSubmission(testStep()))
+	sc.dispatch()
+	start := sc.starts[0]
+	sc.now = sc.now.Add(10 * time.Millisecond)
+	sc.cell.HandleStartResponse(sc.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted, Clock: time.Second}, nil)
+	w := sc.cell.workers[start.Worker]
+	if got, want := w.leaseEnd.Sub(sc.now), DefaultConfig().MaxLease; got < want {
+		t.Errorf("leases of the restarted worker end after %v, want at least %v", got, want)
+	}
+	sc.dispatch()
+	if len(sc.renewals) != 1 || !sc.renewals[0].OutOfBand || sc.renewals[0].Renew.AckedUpTo != 0 {
+		t.Errorf("renewals after the response: got %+v, want a request for a report that acknowledges nothing", sc.renewals)
+	}
+}
+
 // TestOldEndsAreNotAcknowledged guards against a task that runs again after it is done: the end of its run is acknowledged to a restarted
 // worker under the number of an end of the previous incarnation.
 func TestOldEndsAreNotAcknowledged(t *testing.T) {
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -149,6 +149,22 @@
 // hasPendingAck reports whether ended runs that the worker may discard are not confirmed as discarded.
 func (w *worker) hasPendingAck() bool { return w.lastAckedEnd > w.confirmedAck }
 
+// clockTolerance covers the rounding of clock readings.
+const clockTolerance = 10 * time.Millisecond
+
+// isClockBehind reports whether the reading of the worker's clock in the response to an order that was sent at sentAt is lower than
+// its incarnation can show after its last report.
+func (w *worker) isClockBehind(sentAt time.Time, reading time.Duration, c *Config) bool {
+	if w.clockAt.IsZero() || reading <= 0 {
+		return false
+	}
+	elapsed := sentAt.Sub(w.clockAt)
+	if elapsed > 0 {
+		elapsed = time.Duration(float64(elapsed) * (1 - c.ClockDrift))
+	}
+	return reading+clockTolerance < w.clock+elapsed
+}
+
 // isUsable reports whether the worker may get new tasks.
 func (c *Cell) isUsable(now time.Time, w *worker) bool {
 	return !w.isSuspended(now) && c.isAvailable(now, w)
