Let the test of competing claims count what it names

What was seen: TestClaimDoesNotReplaceClaimSeenMeanwhile failed with -race -count=40 -cpu 1,2: on by a data race on the counter of hookClock, and with an atomic counter by 'the instance has replaced the claim of a live owner' at the fourth call of the clock.

Cause: the owner that the claim starts reads the same clock on its own goroutines. It raced with the counter, and could run the hook after the claim; hasReplaced then took the claim accepted before, which required version 8, for one that required version 9. Batches of the owner, which do not require the row, counted as well.

Change: the counter is atomic, and the table keeps the versions that accepted transactions have required.

--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,12 +122,14 @@
 // hookClock runs a hook at one of its calls.
 type hookClock struct {
 	medlarwheel.Clock
-	calls, hookAt int
-	hook          func()
+	// calls is atomic because the owner that a claim starts reads the clock on other goroutines.
+	calls  atomic.Int64
+	hookAt int64
+	hook   func()
 }
 
 func (c *hookClock) Now() time.Time {
-	if c.calls++; c.calls == c.hookAt {
+	if c.calls.Add(1) == c.hookAt {
 		c.hook()
 	}
 	return c.Clock.Now()
@@ -133,9 +137,10 @@
 
 // claimTable is a table that holds the row of a claim, and accepts a transaction only if it requires that row.
 type claimTable struct {
-	mu       sync.Mutex
-	stored   medlartable.Row
-	accepted int
+	mu     sync.Mutex
+	stored medlartable.Row
+	// replaced holds the versions of the row that accepted transactions have required.
+	replaced []medlarwheel.RowVersion
 }
 
 func (t *claimTable) set(r medlartable.Row) {
@@ -148,7 +153,7 @@
 func (t *claimTable) hasReplaced(version medlarwheel.RowVersion) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.accepted > 0 && t.stored.Version == version
+	return slices.Contains(t.replaced, version)
 }
 
 func (t *claimTable) serve(ctx *fasthttp.RequestCtx) {
@@ -176,14 +181,18 @@
 			return
 		}
 	}
-	t.accepted++
+	for _, p := range body.Precondition {
+		if p.Key == t.stored.Key {
+			t.replaced = append(t.replaced, p.Ver)
+		}
+	}
 	ctx.SetBodyString(fmt.Sprintf(`{"ver":%d}`, t.stored.Version+1))
 }
 
 // TestClaimDoesNotReplaceClaimSeenMeanwhile guards against two owners of one term: the claim of another instance becomes known
 // between the decision to claim the cell and the claim.
 func TestClaimDoesNotReplaceClaimSeenMeanwhile(t *testing.T) {
-	for hookAt := 1; hookAt <= 10; hookAt++ {
+	for hookAt := int64(1); hookAt <= 10; hookAt++ {
 		t.Run(fmt.Sprintf("seen-at-call-%d-of-the-clock", hookAt), func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
