Forget a claim that a later renewal has ruled out

What callers could see: an owner that loses its authority in an outage of the table, so that the leases of its workers lapse. Found by reading, not seen in a record: a claim whose response was lost counted as unresolved until the number of the term changed. If the owner renewed first, as on a slow table, that claim can never take effect; the instance nevertheless refused all promises for the rest of the term, and one refusal suffices.

Cause: the outcome of a claim was taken from the number of the term alone, although the claim requires the last renewal too.

Evidence: TestClaimOutrunByRenewalIsResolved failed before: no promise after the renewal.

Change: an unresolved claim keeps the rows that it requires, and is forgotten once a later renewal of the same claim row is seen. No such renewal can follow the claim: it writes the chain row, which every renewal requires.

--- a/internal/operation/medlarnode/claim.go
+++ b/internal/operation/medlarnode/claim.go
@@ -33,6 +33,8 @@
 	term        medlarownership.Term
 	claimedAt   time.Time
 	predecessor medlarownership.Predecessor
+	// required holds the rows that the claim requires.
+	required []medlartable.Row
 }
 
 // repeating returns the claim as a repetition of an earlier attempt with an unknown outcome, which may be the one that took
@@ -129,6 +131,7 @@
 	if !ok || err != nil {
 		return claim, ok, err
 	}
+	claim.required = claim.transaction.Require
 	chainRow, err := medlarcellstore.FirstChainRow(n.config.Owner.Part, claim.term.Number)
 	claim.transaction.Put = append(claim.transaction.Put, chainRow)
 	return claim, true, err
--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -119,6 +119,29 @@
 	}
 }
 
+// TestClaimOutrunByRenewalIsResolved guards against an owner that loses its authority in an outage, because an instance refuses every
+// promise over a claim that can no longer take effect.
+func TestClaimOutrunByRenewalIsResolved(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n := newNodeOnTable(t, &eventLog{counts: map[string]int{}}, (&claimTable{}).serve)
+	owner := medlarownership.Term{Number: 1, Instance: "b", Address: "10.0.0.2:80", Process: "b-1"}
+	n.observeOwnership(ctx, []medlartable.Row{termRow(t, owner, 8), renewalRow(t, 9)})
+	next, transaction, err := n.ownership.monitor.Claim(medlarownership.Term{Instance: "a", Process: n.process}, "c0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.ownership.keepUnresolved(unresolvedClaim{term: next, claimedAt: n.clock.Now(), required: transaction.Require})
+	n.observeOwnership(ctx, []medlartable.Row{renewalRow(t, 9)})
+	if n.grantPromise(owner.Number, 0) {
+		t.Error("got a promise while the table may still carry out the claim")
+	}
+	n.observeOwnership(ctx, []medlartable.Row{renewalRow(t, 10)})
+	if !n.grantPromise(owner.Number, 0) {
+		t.Error("got no promise although the owner has renewed since the claim, which therefore cannot take effect")
+	}
+}
+
 // hookClock runs a hook at one of its calls.
 type hookClock struct {
 	medlarwheel.Clock
@@ -231,6 +254,17 @@
 	return medlartable.Row{Table: medlarownership.Table, Part: "c0", Key: medlarownership.KeyTerm, Value: value, Version: version}
 }
 
+// renewalRow returns the row of a renewal.
+func renewalRow(t *testing.T, version medlarwheel.RowVersion) medlartable.Row {
+	t.Helper()
+	row, err := medlarownership.RenewalRow("c0", medlarownership.Renewal{Timeout: time.Second, Term: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	row.Version = version
+	return row
+}
+
 // newNodeOnTable returns a node whose table is served by the handler.
 func newNodeOnTable(t *testing.T, log *eventLog, table fasthttp.RequestHandler) *Node {
 	t.Helper()
--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -101,11 +101,14 @@
 }
 
 // adoptUnresolvedClaim starts the scheduler for a claim whose response was lost, once the table shows that it was
-// carried out.
+// carried out. It forgets a claim that can no longer take effect.
 func (n *Node) adoptUnresolvedClaim(ctx context.Context, term medlarownership.Term) {
 	n.ownership.mu.Lock()
 	unresolved := n.ownership.unresolved
 	if unresolved == nil || term.Number < unresolved.term.Number {
+		if unresolved != nil && n.ownership.monitor.HasRenewedSince(unresolved.required) {
+			n.ownership.unresolved = nil
+		}
 		n.ownership.mu.Unlock()
 		return
 	}
--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -427,3 +427,14 @@
 		Put: []medlartable.Row{{Table: Table, Part: part, Key: KeyTerm, Value: value}},
 	}, nil
 }
+
+// HasRenewedSince reports whether the owner has renewed since a claim that requires the given rows was prepared. The table then never
+// carries the claim out: it requires the renewal before, and once it is carried out, the owner that it replaces cannot renew.
+func (m *Monitor) HasRenewedSince(required []medlartable.Row) bool {
+	for _, r := range required {
+		if r.Key == KeyTerm && r.Version != m.term.Version {
+			return false
+		}
+	}
+	return slices.ContainsFunc(required, func(r medlartable.Row) bool { return r.Key == KeyRenewal && r.Version < m.renewalVersion })
+}
