Release a cell whose claim was stored while the instance stops

What callers could see: no state and no starts until the renewals are missing (1.5 s), in a planned stop. Found by reading, not seen in a record: an instance that is told to stop while its claim is on its way finds no owner to release. The claim then starts one, which owns the cell until the process ends and releases nothing.

Cause: the decision to claim and the search for an owner to release look at two moments.

Evidence: both cases of TestClaimStoredWhileStoppingIsReleased failed before: no release within 5 s, and an owner was started by an instance that was stopping already.

Change: an instance that is stopping releases the claim and starts no owner; by then it may have left the registry, so that an earlier owner need not have asked it for a promise. If it stops while the owner is being started, that owner releases the cell.

--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -142,6 +142,44 @@
 	}
 }
 
+// TestClaimStoredWhileStoppingIsReleased guards against a cell without an owner until the renewals are missing, because an instance
+// whose claim is on its way when it stops does not release the cell.
+func TestClaimStoredWhileStoppingIsReleased(t *testing.T) {
+	for stopAt, wantStarted := range map[string]int{"cell-claimed": 0, "owner-started": 1} {
+		t.Run("stopped-at-"+stopAt, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			table := &claimTable{}
+			before := termRow(t, medlarownership.Term{Number: 1, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Released: true}, 8)
+			table.set(before)
+			released := make(chan struct{})
+			log := &eventLog{counts: map[string]int{}, hookAt: stopAt}
+			n := newNodeOnTable(t, log, func(ctx *fasthttp.RequestCtx) {
+				term, found := storedTerm(t, ctx)
+				table.serve(ctx)
+				switch {
+				case !found || ctx.Response.StatusCode() != fasthttp.StatusOK:
+				case term.Released:
+					close(released)
+				default:
+					table.set(termRow(t, term, 9))
+				}
+			})
+			log.hook = func() { n.stopping.Store(true) }
+			n.observeOwnership(ctx, []medlartable.Row{before})
+			n.claimAfterDelay(ctx, func() time.Duration { return 0 })
+			select {
+			case <-released:
+			case <-time.After(5 * time.Second):
+				t.Error("the cell was not released within 5 s")
+			}
+			if got := log.count("owner-started"); got != wantStarted {
+				t.Errorf("owners started: got %d, want %d", got, wantStarted)
+			}
+		})
+	}
+}
+
 // hookClock runs a hook at one of its calls.
 type hookClock struct {
 	medlarwheel.Clock
@@ -254,6 +292,32 @@
 	return medlartable.Row{Table: medlarownership.Table, Part: "c0", Key: medlarownership.KeyTerm, Value: value, Version: version}
 }
 
+// storedTerm returns the claim or release that a request stores, if any.
+func storedTerm(t *testing.T, ctx *fasthttp.RequestCtx) (term medlarownership.Term, found bool) {
+	t.Helper()
+	if !ctx.IsPost() {
+		return term, false
+	}
+	var body struct {
+		Puts []struct {
+			Key   string
+			Value []byte
+		}
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		t.Error(err)
+	}
+	for _, put := range body.Puts {
+		if put.Key == medlarownership.KeyTerm {
+			if err := json.Unmarshal(put.Value, &term); err != nil {
+				t.Error(err)
+			}
+			return term, true
+		}
+	}
+	return term, false
+}
+
 // renewalRow returns the row of a renewal.
 func renewalRow(t *testing.T, version medlarwheel.RowVersion) medlartable.Row {
 	t.Helper()
--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -214,6 +214,11 @@
 		},
 		Clock: n.clock, Log: n.log, Meter: n.meter,
 	}, term, claimedAt, predecessor)
+	if n.stopping.Load() {
+		// It sends no orders: an earlier owner need not have asked this instance for a promise since it left the registry.
+		go func() { n.logRelease(owner.Decline()) }()
+		return
+	}
 	n.owner.Store(owner)
 	if table := n.routes.Load(); table != nil {
 		// A newer table, which is stored at this moment, follows.
@@ -233,4 +238,8 @@
 		}
 		n.log.Info().Str("event", "ownership-ended").Uint64("term", term.Number).Err(err).Msg("")
 	}()
+	if n.stopping.Load() {
+		// The instance may have looked for an owner to release before this one was started.
+		go n.releaseCell(ctx, owner)
+	}
 }
--- a/internal/operation/medlarnode/registry.go
+++ b/internal/operation/medlarnode/registry.go
@@ -184,7 +184,11 @@
 
 // releaseCell releases the claim. If that fails, the others claim the cell once the renewals are missing.
 func (n *Node) releaseCell(ctx context.Context, owner *medlarowner.Owner) {
-	if err := owner.Release(ctx); err != nil {
+	n.logRelease(owner.Release(ctx))
+}
+
+func (n *Node) logRelease(err error) {
+	if err != nil {
 		n.log.Warn().Str("event", "release-failed").Err(err).
 			Msg("cannot release the cell; other instances claim it when the renewals are missing")
 	}
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -157,6 +157,9 @@
 	return o.releaseTerm()
 }
 
+// Decline gives up the cell in the place of Run.
+func (o *Owner) Decline() error { return o.releaseTerm() }
+
 // Stop ends the ownership. Once it has returned true, the owner sends no more orders.
 func (o *Owner) Stop(ctx context.Context) bool {
 	stopped := make(chan struct{})
