Keep a promise to an owner beyond one to a later owner

What callers could see: a task that runs twice. Found by reading, not seen: a promise outlives a later owner since, but not a promise to that owner. An instance that has promised the owner of a late claim as well forgot the first promise, and the end of the later owner's process let it claim the cell while the first one might still give orders.

Evidence: TestPromiseOutlivesPromiseToLaterOwner failed before.

Change: the end of an earlier promise is kept when one to another term takes its place.

--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -172,8 +172,9 @@
 	sinceRenewal time.Duration
 	lastResponse time.Time
 	// promisedUntil is the time before which this instance has promised the owner of promisedTerm not to claim the cell.
-	promisedUntil time.Time
-	promisedTerm  uint64
+	// earlierPromisesEnd is when the promises to owners before that one have ended.
+	promisedUntil, earlierPromisesEnd time.Time
+	promisedTerm                      uint64
 	// hasRead is true once the table has been read.
 	hasRead bool
 	// ownerDead is true if the owner is known to have ended or stopped, and ownerSuspected if its address refuses
@@ -382,6 +383,9 @@
 	if !m.hasRead || m.term.Number != number || m.term.Released || m.ownerDead {
 		return false
 	}
+	if number != m.promisedTerm && m.promisedUntil.After(m.earlierPromisesEnd) {
+		m.earlierPromisesEnd = m.promisedUntil
+	}
 	m.promisedUntil, m.promisedTerm = now.Add(m.config.OwnerTimeout+m.config.ClaimMargin), number
 	return true
 }
@@ -401,6 +405,9 @@
 // isBound reports whether a promise is in force. The end of the current owner ends the promise to that owner, but not one to an
 // earlier owner: if the table has carried out a later claim late, the earlier owner may still send orders.
 func (m *Monitor) isBound(now time.Time) bool {
+	if !now.After(m.earlierPromisesEnd) {
+		return true
+	}
 	if now.After(m.promisedUntil) {
 		return false
 	}
--- a/internal/state/medlarownership/ownership_test.go
+++ b/internal/state/medlarownership/ownership_test.go
@@ -388,3 +388,27 @@
 		t.Errorf("the current term is %d, want %d", got, next.Number)
 	}
 }
+
+// TestPromiseOutlivesPromiseToLaterOwner guards against a claim while the owner to whom this instance has made a promise still gives
+// orders: it has made another one to a later owner, whose process has ended.
+func TestPromiseOutlivesPromiseToLaterOwner(t *testing.T) {
+	c := DefaultConfig()
+	m := newTestMonitor(t)
+	if !m.Promise(start, 3) {
+		t.Fatal("got no promise to the owner of term 3")
+	}
+	late := Term{Number: 4, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Version: 60}
+	if err := m.Observe(start, []medlartable.Row{termRow(t, late)}); err != nil {
+		t.Fatal(err)
+	}
+	if !m.Promise(start.Add(time.Millisecond), 4) {
+		t.Fatal("got no promise to the owner of term 4")
+	}
+	m.OwnerDied(late)
+	if m.ShouldClaim(start.Add(c.OwnerTimeout)) {
+		t.Error("ShouldClaim is true while the promise to the owner of term 3 is in force")
+	}
+	if !m.ShouldClaim(start.Add(c.OwnerTimeout + c.ClaimMargin + time.Millisecond)) {
+		t.Error("ShouldClaim is false after that promise has expired")
+	}
+}
