Keep a stopping instance out of the registry

What callers could see: an owner that loses its authority in an outage within 12 s of the planned stop of another instance, so that leases lapse. Found by reading, not seen in a record: an instance that stops removes its row from the registry, and goes on renewing it every 5 s while it drains. The row then outlives the process, and an owner asks it in vain for a promise.

Cause: the removal and the renewals are two loops that do not know of each other.

Change: an instance that stops renews no more, and a renewal on its way ends before the removal.

--- a/internal/operation/medlarnode/registry.go
+++ b/internal/operation/medlarnode/registry.go
@@ -36,13 +36,10 @@
 	}
 	for {
 		pause := n.config.Registry.RenewInterval
-		sentAt := n.clock.Now()
-		if _, err := n.store.Transact(medlartable.Transaction{Put: []medlartable.Row{row}}); err != nil {
+		if err := n.register(row); err != nil {
 			n.log.Warn().Str("event", "registration-failed").Err(err).
 				Msg("cannot renew the registration of this instance; retrying")
 			pause = n.config.Registry.RetryInterval
-		} else {
-			n.registration.recordRenewal(sentAt, n.clock.Now())
 		}
 		if !medlarclock.Sleep(ctx, pause) {
 			return ctx.Err()
@@ -50,10 +47,27 @@
 	}
 }
 
+// register stores the row of this instance, unless it is stopping.
+func (n *Node) register(row medlartable.Row) error {
+	n.registration.writeLock.Lock()
+	defer n.registration.writeLock.Unlock()
+	if n.stopping.Load() {
+		return nil
+	}
+	sentAt := n.clock.Now()
+	if _, err := n.store.Transact(medlartable.Transaction{Put: []medlartable.Row{row}}); err != nil {
+		return err
+	}
+	n.registration.recordRenewal(sentAt, n.clock.Now())
+	return nil
+}
+
 // registration records since when this instance has been in the registry without a gap.
 type registration struct {
 	mu                           sync.Mutex
 	continuousSince, lastRenewal time.Time
+	// writeLock serialises the writes of the row, so that no renewal follows its removal.
+	writeLock sync.Mutex
 }
 
 // minRegistrationTime is how long an instance must have been registered before it claims the cell because the owner's
@@ -418,6 +432,8 @@
 
 // unregister removes the row of this instance from the registry.
 func (n *Node) unregister() {
+	n.registration.writeLock.Lock()
+	defer n.registration.writeLock.Unlock()
 	if _, err := n.store.Transact(medlarinstance.Remove(n.config.Owner.Part, n.config.Settings.Instance)); err != nil {
 		n.log.Warn().Str("event", "unregister-failed").Err(errors.WithMessage(err, "remove the registry row of this instance")).
 			Msg("cannot remove the registration of this instance; its row expires")
--- a/internal/operation/medlarnode/registry_test.go
+++ b/internal/operation/medlarnode/registry_test.go
@@ -1,9 +1,14 @@
 package medlarnode
 
 import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
@@ -192,3 +197,35 @@
 		t.Error("a machine back at full speed still counts as throttled")
 	}
 }
+
+// TestStoppingInstanceStaysOutOfRegistry guards against an owner that loses its authority in an outage, because it asks an instance that
+// has stopped for a promise.
+func TestStoppingInstanceStaysOutOfRegistry(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var renewals, renewalsAfterRemoval atomic.Int64
+	var removed atomic.Bool
+	n := newNodeOnTable(t, &eventLog{counts: map[string]int{}}, func(ctx *fasthttp.RequestCtx) {
+		var body struct{ Puts, Remove []struct{} }
+		if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+			t.Error(err)
+		}
+		if len(body.Remove) > 0 {
+			removed.Store(true)
+		} else if renewals.Add(1); removed.Load() {
+			renewalsAfterRemoval.Add(1)
+		}
+		ctx.SetBodyString(`{"ver":9}`)
+	})
+	n.config.Registry.RenewInterval = time.Millisecond
+	go func() { _ = n.renewRegistration(ctx) }()
+	for renewals.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	n.stopping.Store(true)
+	n.unregister()
+	time.Sleep(200 * time.Millisecond)
+	if got := renewalsAfterRemoval.Load(); !removed.Load() || got > 0 {
+		t.Errorf("removed %v, with %d renewals after it; want a removal and none after it", removed.Load(), got)
+	}
+}
