Remove only the registration that this process has written

What callers could see: a task that runs twice. Suspected by reading, not seen: the removal of an instance from the registry named the instance only. If the table carries it out seconds late, it removes the row of the next process of that instance. An owner that goes on without the table then does not ask this instance, which counts itself as registered and may claim the cell.

Cause: identity by a name that two processes share, and a call whose outcome is unknown.

Evidence: TestLateRemovalSparesNextProcess failed before: the removal had no condition.

Change: the removal requires the row as this process has last written it. If that write has no confirmed version, the row expires as before. Without any confirmed write nothing is removed.

--- a/internal/operation/medlarnode/registry.go
+++ b/internal/operation/medlarnode/registry.go
@@ -55,9 +55,11 @@
 		return nil
 	}
 	sentAt := n.clock.Now()
-	if _, err := n.store.Transact(medlartable.Transaction{Put: []medlartable.Row{row}}); err != nil {
+	commit, err := n.store.Transact(medlartable.Transaction{Put: []medlartable.Row{row}})
+	if err != nil {
 		return err
 	}
+	n.registration.version = commit.Version
 	n.registration.recordRenewal(sentAt, n.clock.Now())
 	return nil
 }
@@ -68,6 +70,8 @@
 	continuousSince, lastRenewal time.Time
 	// writeLock serialises the writes of the row, so that no renewal follows its removal.
 	writeLock sync.Mutex
+	// version is that of the last confirmed write, or zero.
+	version medlarwheel.RowVersion
 }
 
 // minRegistrationTime is how long an instance must have been registered before it claims the cell because the owner's
@@ -434,7 +438,11 @@
 func (n *Node) unregister() {
 	n.registration.writeLock.Lock()
 	defer n.registration.writeLock.Unlock()
-	if _, err := n.store.Transact(medlarinstance.Remove(n.config.Owner.Part, n.config.Settings.Instance)); err != nil {
+	if n.registration.version == 0 {
+		return
+	}
+	removal := medlarinstance.Remove(n.config.Owner.Part, n.config.Settings.Instance, n.registration.version)
+	if _, err := n.store.Transact(removal); err != nil {
 		n.log.Warn().Str("event", "unregister-failed").Err(errors.WithMessage(err, "remove the registry row of this instance")).
 			Msg("cannot remove the registration of this instance; its row expires")
 	}
--- a/internal/operation/medlarnode/registry_test.go
+++ b/internal/operation/medlarnode/registry_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"medlarwheel"
 	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
@@ -229,3 +231,39 @@
 		t.Errorf("removed %v, with %d renewals after it; want a removal and none after it", removed.Load(), got)
 	}
 }
+
+// TestLateRemovalSparesNextProcess guards against an owner that goes on without the table and does not ask an instance that may claim
+// the cell: the removal by its previous process took effect late, and the owner's copy of the registry lacks it.
+func TestLateRemovalSparesNextProcess(t *testing.T) {
+	const registered = 9
+	removals := make(chan medlarwheel.RowVersion, 1)
+	n := newNodeOnTable(t, &eventLog{counts: map[string]int{}}, func(ctx *fasthttp.RequestCtx) {
+		var body struct {
+			Precondition []struct{ Ver medlarwheel.RowVersion }
+			Remove       []struct{}
+		}
+		if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+			t.Error(err)
+		}
+		if len(body.Remove) > 0 && len(body.Precondition) == 1 {
+			removals <- body.Precondition[0].Ver
+		}
+		ctx.SetBodyString(fmt.Sprintf(`{"ver":%d}`, registered))
+	})
+	row, err := medlarinstance.Row("c0", medlarinstance.Instance{ID: "a", Address: "10.0.0.1:80", Process: n.process})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.register(row); err != nil {
+		t.Fatal(err)
+	}
+	n.unregister()
+	select {
+	case got := <-removals:
+		if got != registered {
+			t.Errorf("the removal requires version %d of the row, want %d, as this process has written it", got, registered)
+		}
+	default:
+		t.Error("the removal does not require the row that this process has written")
+	}
+}
--- a/internal/state/medlarinstance/instance.go
+++ b/internal/state/medlarinstance/instance.go
@@ -80,9 +80,12 @@
 	return row, errors.Wrapf(err, "encode the registry row of instance %s", i.ID)
 }
 
-// Remove returns the transaction that removes an instance from the registry.
-func Remove(cell string, id medlarwheel.InstanceID) medlartable.Transaction {
-	return medlartable.Transaction{Remove: []medlartable.Row{keyRow(cell, id)}}
+// Remove returns the transaction that removes an instance from the registry, if its row still has the given version. The table may carry
+// it out late, when the next process of the instance has registered.
+func Remove(cell string, id medlarwheel.InstanceID, version medlarwheel.RowVersion) medlartable.Transaction {
+	row := keyRow(cell, id)
+	row.Version = version
+	return medlartable.Transaction{Require: []medlartable.Row{row}, Remove: []medlartable.Row{keyRow(cell, id)}}
 }
 
 // Read returns the rows of all instances of a cell.
