Let a new instance wait for the end of an authority by an old registry

What callers could see: a task that runs twice. Found by reading, not seen in a record: an owner that goes on without the table trusts its copy of the registry for 8 s, and sends orders for 1.2 s more, which take up to 0.3 s to leave it. An instance that registered just after that copy was read is not asked for a promise, and could claim the cell after 9 s, up to 0.5 s too early.

Cause: the time counted the age of the copy, and not the authority that it gives.

Evidence: TestNewInstanceWaitsForAuthorityOfOldRegistryCopy failed before.

Change: such an instance claims after 9.5 s.

--- a/internal/operation/medlarnode/registry.go
+++ b/internal/operation/medlarnode/registry.go
@@ -76,8 +76,9 @@
 
 // minRegistrationTime is how long an instance must have been registered before it claims the cell because the owner's
 // renewals are missing. The owner may go on without the table if the instances in its copy of the registry promise not
-// to claim the cell, so that copy must be recent enough to include this instance.
-const minRegistrationTime = maxTrustedRegistryAge + time.Second
+// to claim the cell, so that copy must be recent enough to include this instance. An owner that has gone on by an older copy
+// sends orders for its timeout, and they take up to the claim margin to leave it.
+const minRegistrationTime = maxTrustedRegistryAge + 1500*time.Millisecond
 
 // maxRegistrationRenewalAge is the maximum age of the last renewal at which every copy of the registry still includes
 // the instance. It is below the lifetime of a registry row by more than the age that a copy may have.
--- a/internal/operation/medlarnode/registry_test.go
+++ b/internal/operation/medlarnode/registry_test.go
@@ -66,6 +66,24 @@
 	}
 }
 
+// TestNewInstanceWaitsForAuthorityOfOldRegistryCopy guards against two owners at a time: one that goes on without the table by the oldest
+// copy of the registry that it trusts, and an instance that has registered just after that copy was read.
+func TestNewInstanceWaitsForAuthorityOfOldRegistryCopy(t *testing.T) {
+	readAt := time.Unix(1_700_000_000, 0)
+	var g registration
+	for _, at := range []time.Duration{0, 5 * time.Second} {
+		g.recordRenewal(readAt.Add(at), readAt.Add(at))
+	}
+	if _, ok := canExtendAuthority([]promiseReply{{promised: true}}, maxTrustedRegistryAge); !ok {
+		t.Fatal("the owner does not go on by the oldest copy of the registry")
+	}
+	c := medlarownership.DefaultConfig()
+	lastOrderAt := readAt.Add(maxTrustedRegistryAge + c.OwnerTimeout + c.ClaimMargin)
+	if g.isContinuousFor(lastOrderAt.Add(-time.Millisecond), minRegistrationTime) {
+		t.Error("the instance may claim the cell while orders of the owner may be on their way")
+	}
+}
+
 // TestOwnerOrClaimantRefusesPromise guards against a promise of an instance that owns the cell or may own it at any
 // moment. An owner that comes back from a partition would otherwise go on beside its successor.
 func TestOwnerOrClaimantRefusesPromise(t *testing.T) {
