--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,15 +119,78 @@
 	}
 }
 
+// TestClaimOutrunByRenewalIsResolved guards against an owner that loses its authority in an outage, because an instance refuses every
+// promise over a claim that can no longer take effect.
+func TestClaimOutrunByRenewalIsResolved(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n := newNodeOnTable(t, &eventLog{counts: map[string]int{}}, (&claimTable{}).serve)
+	owner := medlarownership.Term{Number: 1, Instance: "b", Address: "10.0.0.2:80", Process: "b-1"}
+	n.observeOwnership(ctx, []medlartable.Row{termRow(t, owner, 8), renewalRow(t, 9)})
+	next, transaction, err := n.ownership.monitor.Claim(medlarownership.Term{Instance: "a", Process: n.process}, "c0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.ownership.keepUnresolved(unresolvedClaim{term: next, claimedAt: n.clock.Now(), required: transaction.Require})
+	n.observeOwnership(ctx, []medlartable.Row{renewalRow(t, 9)})
+	if n.grantPromise(owner.Number, 0) {
+		t.Error("got a promise while the table may still carry out the claim")
+	}
+	n.observeOwnership(ctx, []medlartable.Row{renewalRow(t, 10)})
+	if !n.grantPromise(owner.Number, 0) {
+		t.Error("got no promise although the owner has renewed since the claim, which therefore cannot take effect")
+	}
+}
+
+// TestClaimStoredWhileStoppingIsReleased guards against a cell without an owner until the renewals are missing, because an instance
+// whose claim is on its way when it stops does not release the cell.
+func TestClaimStoredWhileStoppingIsReleased(t *testing.T) {
+	for stopAt, wantStarted := range map[string]int{"cell-claimed": 0, "owner-started": 1} {
+		t.Run("stopped-at-"+stopAt, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			table := &claimTable{}
+			before := termRow(t, medlarownership.Term{Number: 1, Instance: "b", Address: "10.0.0.2:80", Process: "b-1", Released: true}, 8)
+			table.set(before)
+			released := make(chan struct{})
+			log := &eventLog{counts: map[string]int{}, hookAt: stopAt}
+			n := newNodeOnTable(t, log, func(ctx *fasthttp.RequestCtx) {
+				term, found := storedTerm(t, ctx)
+				table.serve(ctx)
+				switch {
+				case !found || ctx.Response.StatusCode() != fasthttp.StatusOK:
+				case term.Released:
+					close(released)
+				default:
+					table.set(termRow(t, term, 9))
+				}
+			})
+			log.hook = func() { n.stopping.Store(true) }
+			n.observeOwnership(ctx, []medlartable.Row{before})
+			n.claimAfterDelay(ctx, func() time.Duration { return 0 })
+			select {
+			case <-released:
+			case <-time.After(5 * time.Second):
+				t.Error("the cell was not released within 5 s")
+			}
+			if got := log.count("owner-started"); got != wantStarted {
+				t.Errorf("owners started: got %d, want %d", got, wantStarted)
+			}
+		})
+	}
+}
+
 // hookClock runs a hook at one of its calls.
 type hookClock struct {
 	medlarwheel.Clock
-	calls, hookAt int
-	hook          func()
+	// calls is atomic because the owner that a claim starts reads the clock on other goroutines.
+	calls  atomic.Int64
+	hookAt int64
+	hook   func()
 }
 
 func (c *hookClock) Now() time.Time {
-	if c.calls++; c.calls == c.hookAt {
+	if c.calls.Add(1) == c.hookAt {
 		c.hook()
 	}
 	return c.Clock.Now()
@@ -133,9 +198,10 @@
 
 // claimTable is a table that holds the row of a claim, and accepts a transaction only if it requires that row.
 type claimTable struct {
-	mu       sync.Mutex
-	stored   medlartable.Row
-	accepted int
+	mu     sync.Mutex
+	stored medlartable.Row
+	// replaced holds the versions of the row that accepted transactions have required.
+	replaced []medlarwheel.RowVersion
 }
 
 func (t *claimTable) set(r medlartable.Row) {
@@ -148,7 +214,7 @@
 func (t *claimTable) hasReplaced(version medlarwheel.RowVersion) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.accepted > 0 && t.stored.Version == version
+	return slices.Contains(t.replaced, version)
 }
 
 func (t *claimTable) serve(ctx *fasthttp.RequestCtx) {
@@ -176,14 +242,18 @@
 			return
 		}
 	}
-	t.accepted++
+	for _, p := range body.Precondition {
+		if p.Key == t.stored.Key {
+			t.replaced = append(t.replaced, p.Ver)
+		}
+	}
 	ctx.SetBodyString(fmt.Sprintf(`{"ver":%d}`, t.stored.Version+1))
 }
 
 // TestClaimDoesNotReplaceClaimSeenMeanwhile guards against two owners of one term: the claim of another instance becomes known
 // between the decision to claim the cell and the claim.
 func TestClaimDoesNotReplaceClaimSeenMeanwhile(t *testing.T) {
-	for hookAt := 1; hookAt <= 10; hookAt++ {
+	for hookAt := int64(1); hookAt <= 10; hookAt++ {
 		t.Run(fmt.Sprintf("seen-at-call-%d-of-the-clock", hookAt), func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
@@ -222,6 +292,43 @@
 	return medlartable.Row{Table: medlarownership.Table, Part: "c0", Key: medlarownership.KeyTerm, Value: value, Version: version}
 }
 
+// storedTerm returns the claim or release that a request stores, if any.
+func storedTerm(t *testing.T, ctx *fasthttp.RequestCtx) (term medlarownership.Term, found bool) {
+	t.Helper()
+	if !ctx.IsPost() {
+		return term, false
+	}
+	var body struct {
+		Puts []struct {
+			Key   string
+			Value []byte
+		}
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		t.Error(err)
+	}
+	for _, put := range body.Puts {
+		if put.Key == medlarownership.KeyTerm {
+			if err := json.Unmarshal(put.Value, &term); err != nil {
+				t.Error(err)
+			}
+			return term, true
+		}
+	}
+	return term, false
+}
+
+// renewalRow returns the row of a renewal.
+func renewalRow(t *testing.T, version medlarwheel.RowVersion) medlartable.Row {
+	t.Helper()
+	row, err := medlarownership.RenewalRow("c0", medlarownership.Renewal{Timeout: time.Second, Term: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	row.Version = version
+	return row
+}
+
 // newNodeOnTable returns a node whose table is served by the handler.
 func newNodeOnTable(t *testing.T, log *eventLog, table fasthttp.RequestHandler) *Node {
 	t.Helper()
--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -101,11 +101,14 @@
 }
 
 // adoptUnresolvedClaim starts the scheduler for a claim whose response was lost, once the table shows that it was
-// carried out.
+// carried out. It forgets a claim that can no longer take effect.
 func (n *Node) adoptUnresolvedClaim(ctx context.Context, term medlarownership.Term) {
 	n.ownership.mu.Lock()
 	unresolved := n.ownership.unresolved
 	if unresolved == nil || term.Number < unresolved.term.Number {
+		if unresolved != nil && n.ownership.monitor.HasRenewedSince(unresolved.required) {
+			n.ownership.unresolved = nil
+		}
 		n.ownership.mu.Unlock()
 		return
 	}
@@ -211,6 +214,11 @@
 		},
 		Clock: n.clock, Log: n.log, Meter: n.meter,
 	}, term, claimedAt, predecessor)
+	if n.stopping.Load() {
+		// It sends no orders: an earlier owner need not have asked this instance for a promise since it left the registry.
+		go func() { n.logRelease(owner.Decline()) }()
+		return
+	}
 	n.owner.Store(owner)
 	if table := n.routes.Load(); table != nil {
 		// A newer table, which is stored at this moment, follows.
@@ -230,4 +238,8 @@
 		}
 		n.log.Info().Str("event", "ownership-ended").Uint64("term", term.Number).Err(err).Msg("")
 	}()
+	if n.stopping.Load() {
+		// The instance may have looked for an owner to release before this one was started.
+		go n.releaseCell(ctx, owner)
+	}
 }
--- a/internal/operation/medlarnode/registry.go
+++ b/internal/operation/medlarnode/registry.go
@@ -36,13 +36,10 @@
 	}
 	for {
 		pause := n.config.Registry.RenewInterval
-		sentAt := n.clock.Now()
-		if _, err := n.store.Transact(medlartable.Transaction{Put: []medlartable.Row{row}}); err != nil {
+		if err := n.register(row); err != nil {
 			n.log.Warn().Str("event", "registration-failed").Err(err).
 				Msg("cannot renew the registration of this instance; retrying")
 			pause = n.config.Registry.RetryInterval
-		} else {
-			n.registration.recordRenewal(sentAt, n.clock.Now())
 		}
 		if !medlarclock.Sleep(ctx, pause) {
 			return ctx.Err()
@@ -50,16 +47,38 @@
 	}
 }
 
+// register stores the row of this instance, unless it is stopping.
+func (n *Node) register(row medlartable.Row) error {
+	n.registration.writeLock.Lock()
+	defer n.registration.writeLock.Unlock()
+	if n.stopping.Load() {
+		return nil
+	}
+	sentAt := n.clock.Now()
+	commit, err := n.store.Transact(medlartable.Transaction{Put: []medlartable.Row{row}})
+	if err != nil {
+		return err
+	}
+	n.registration.version = commit.Version
+	n.registration.recordRenewal(sentAt, n.clock.Now())
+	return nil
+}
+
 // registration records since when this instance has been in the registry without a gap.
 type registration struct {
 	mu                           sync.Mutex
 	continuousSince, lastRenewal time.Time
+	// writeLock serialises the writes of the row, so that no renewal follows its removal.
+	writeLock sync.Mutex
+	// version is that of the last confirmed write, or zero.
+	version medlarwheel.RowVersion
 }
 
 // minRegistrationTime is how long an instance must have been registered before it claims the cell because the owner's
 // renewals are missing. The owner may go on without the table if the instances in its copy of the registry promise not
-// to claim the cell, so that copy must be recent enough to include this instance.
-const minRegistrationTime = maxTrustedRegistryAge + time.Second
+// to claim the cell, so that copy must be recent enough to include this instance. An owner that has gone on by an older copy
+// sends orders for its timeout, and they take up to the claim margin to leave it.
+const minRegistrationTime = maxTrustedRegistryAge + 1500*time.Millisecond
 
 // maxRegistrationRenewalAge is the maximum age of the last renewal at which every copy of the registry still includes
 // the instance. It is below the lifetime of a registry row by more than the age that a copy may have.
@@ -184,7 +203,11 @@
 
 // releaseCell releases the claim. If that fails, the others claim the cell once the renewals are missing.
 func (n *Node) releaseCell(ctx context.Context, owner *medlarowner.Owner) {
-	if err := owner.Release(ctx); err != nil {
+	n.logRelease(owner.Release(ctx))
+}
+
+func (n *Node) logRelease(err error) {
+	if err != nil {
 		n.log.Warn().Str("event", "release-failed").Err(err).
 			Msg("cannot release the cell; other instances claim it when the renewals are missing")
 	}
@@ -414,7 +437,13 @@
 
 // unregister removes the row of this instance from the registry.
 func (n *Node) unregister() {
-	if _, err := n.store.Transact(medlarinstance.Remove(n.config.Owner.Part, n.config.Settings.Instance)); err != nil {
+	n.registration.writeLock.Lock()
+	defer n.registration.writeLock.Unlock()
+	if n.registration.version == 0 {
+		return
+	}
+	removal := medlarinstance.Remove(n.config.Owner.Part, n.config.Settings.Instance, n.registration.version)
+	if _, err := n.store.Transact(removal); err != nil {
 		n.log.Warn().Str("event", "unregister-failed").Err(errors.WithMessage(err, "remove the registry row of this instance")).
 			Msg("cannot remove the registration of this instance; its row expires")
 	}
--- a/internal/operation/medlarnode/registry_test.go
+++ b/internal/operation/medlarnode/registry_test.go
@@ -1,9 +1,16 @@
 package medlarnode
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"medlarwheel"
 	"medlarwheel/internal/operation/medlarclock"
 	"medlarwheel/internal/scheduling/medlarowner"
 	"medlarwheel/internal/state/medlarinstance"
@@ -59,6 +66,24 @@
 	}
 }
 
+// TestNewInstanceWaitsForAuthorityOfOldRegistryCopy guards against two owners at a time: one that goes on without the table by the oldest
+// copy of the registry that it trusts, and an instance that has registered just after that copy was read.
+func TestNewInstanceWaitsForAuthorityOfOldRegistryCopy(t *testing.T) {
+	readAt := time.Unix(1_700_000_000, 0)
+	var g registration
+	for _, at := range []time.Duration{0, 5 * time.Second} {
+		g.recordRenewal(readAt.Add(at), readAt.Add(at))
+	}
+	if _, ok := canExtendAuthority([]promiseReply{{promised: true}}, maxTrustedRegistryAge); !ok {
+		t.Fatal("the owner does not go on by the oldest copy of the registry")
+	}
+	c := medlarownership.DefaultConfig()
+	lastOrderAt := readAt.Add(maxTrustedRegistryAge + c.OwnerTimeout + c.ClaimMargin)
+	if g.isContinuousFor(lastOrderAt.Add(-time.Millisecond), minRegistrationTime) {
+		t.Error("the instance may claim the cell while orders of the owner may be on their way")
+	}
+}
+
 // TestOwnerOrClaimantRefusesPromise guards against a promise of an instance that owns the cell or may own it at any
 // moment. An owner that comes back from a partition would otherwise go on beside its successor.
 func TestOwnerOrClaimantRefusesPromise(t *testing.T) {
@@ -192,3 +217,71 @@
 		t.Error("a machine back at full speed still counts as throttled")
 	}
 }
+
+// TestStoppingInstanceStaysOutOfRegistry guards against an owner that loses its authority in an outage, because it asks an instance that
+// has stopped for a promise.
+func TestStoppingInstanceStaysOutOfRegistry(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var renewals, renewalsAfterRemoval atomic.Int64
+	var removed atomic.Bool
+	n := newNodeOnTable(t, &eventLog{counts: map[string]int{}}, func(ctx *fasthttp.RequestCtx) {
+		var body struct{ Puts, Remove []struct{} }
+		if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+			t.Error(err)
+		}
+		if len(body.Remove) > 0 {
+			removed.Store(true)
+		} else if renewals.Add(1); removed.Load() {
+			renewalsAfterRemoval.Add(1)
+		}
+		ctx.SetBodyString(`{"ver":9}`)
+	})
+	n.config.Registry.RenewInterval = time.Millisecond
+	go func() { _ = n.renewRegistration(ctx) }()
+	for renewals.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	n.stopping.Store(true)
+	n.unregister()
+	time.Sleep(200 * time.Millisecond)
+	if got := renewalsAfterRemoval.Load(); !removed.Load() || got > 0 {
+		t.Errorf("removed %v, with %d renewals after it; want a removal and none after it", removed.Load(), got)
+	}
+}
+
+// TestLateRemovalSparesNextProcess guards against an owner that goes on without the table and does not ask an instance that may claim
+// the cell: the removal by its previous process took effect late, and the owner's copy of the registry lacks it.
+func TestLateRemovalSparesNextProcess(t *testing.T) {
+	const registered = 9
+	removals := make(chan medlarwheel.RowVersion, 1)
+	n := newNodeOnTable(t, &eventLog{counts: map[string]int{}}, func(ctx *fasthttp.RequestCtx) {
+		var body struct {
+			Precondition []struct{ Ver medlarwheel.RowVersion }
+			Remove       []struct{}
+		}
+		if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+			t.Error(err)
+		}
+		if len(body.Remove) > 0 && len(body.Precondition) == 1 {
+			removals <- body.Precondition[0].Ver
+		}
+		ctx.SetBodyString(fmt.Sprintf(`{"ver":%d}`, registered))
+	})
+	row, err := medlarinstance.Row("c0", medlarinstance.Instance{ID: "a", Address: "10.0.0.1:80", Process: n.process})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.register(row); err != nil {
+		t.Fatal(err)
+	}
+	n.unregister()
+	select {
+	case got := <-removals:
+		if got != registered {
+			t.Errorf("the removal requires version %d of the row, want %d, as this process has written it", got, registered)
+		}
+	default:
+		t.Error("the removal does not require the row that this process has written")
+	}
+}
