Count the wait of a new owner from the claim that took effect

Cause: a claim was recorded as unresolved only after it had failed, and stayed so while its predecessor renewed and gave orders for seconds more. When a later claim of the same term succeeded and the table showed it before its response came, the loop that follows the table took up the old attempt: how long to wait for workers that do not respond was counted from that one. So the wait was over at once, and tasks that ran on workers out of reach were started again.

TestClaimSeenBeforeItsResponseCountsFromItself failed before: 9 s before the claim.

Change: a claim is recorded before it is sent, as a repetition of an earlier attempt if that may still take effect; an attempt without effect is withdrawn.

--- a/internal/operation/medlarnode/claim.go
+++ b/internal/operation/medlarnode/claim.go
@@ -62,13 +62,26 @@
 	return c.repeating(s.unresolved)
 }
 
-// keepUnresolved keeps a claim without a response until the table shows its outcome, unless that has happened meanwhile.
-func (s *ownershipState) keepUnresolved(c unresolvedClaim) {
+// keepUnresolved keeps a claim until the table shows its outcome, unless that has happened. It returns what it has kept, and the earlier
+// attempt that this one replaces.
+func (s *ownershipState) keepUnresolved(c unresolvedClaim) (kept, earlier *unresolvedClaim) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.term.Number > s.startedTerm {
-		c = c.repeating(s.unresolved)
-		s.unresolved = &c
+	if c.term.Number <= s.startedTerm {
+		return nil, s.unresolved
+	}
+	earlier = s.unresolved
+	c = c.repeating(earlier)
+	s.unresolved = &c
+	return &c, earlier
+}
+
+// withdraw replaces a claim that has no effect by the earlier attempt, unless the table has shown an outcome meanwhile.
+func (s *ownershipState) withdraw(kept, earlier *unresolvedClaim) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if kept != nil && s.unresolved == kept {
+		s.unresolved = earlier
 	}
 }
 
@@ -147,6 +160,8 @@
 	if !ok {
 		return
 	}
+	// The table may show the claim before the response comes.
+	kept, earlier := n.ownership.keepUnresolved(claim.unresolvedClaim)
 	commit, err := n.store.Transact(claim.transaction)
 	claim.term.Version = commit.Version
 	var conflict *medlartable.ConflictError
@@ -161,8 +176,8 @@
 	if err != nil {
 		n.log.Warn().Str("event", "claim-failed").Uint64("term", claim.term.Number).Err(err).
 			Msg("claim of the cell failed or its outcome is unknown; continuing to watch the claim row")
-		if conflict == nil && !medlarwheel.HasNoEffect(err) {
-			n.ownership.keepUnresolved(claim.unresolvedClaim)
+		if conflict != nil || medlarwheel.HasNoEffect(err) {
+			n.ownership.withdraw(kept, earlier)
 		}
 		return
 	}
--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -180,6 +180,60 @@
 	}
 }
 
+// TestClaimSeenBeforeItsResponseCountsFromItself guards against tasks that run twice: the table shows a claim before its response comes,
+// and the wait for workers that do not respond is counted from an attempt long before it.
+func TestClaimSeenBeforeItsResponseCountsFromItself(t *testing.T) {
+	for name, renewedSince := range map[string]bool{"owner-has-renewed-since-the-attempt": true, "attempt-may-take-effect": false} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var n *Node
+			log := &eventLog{counts: map[string]int{}}
+			shown := make(chan unresolvedClaim, 1)
+			n = newNodeOnTable(t, log, func(request *fasthttp.RequestCtx) {
+				term, found := storedTerm(t, request)
+				if !found {
+					request.SetBodyString(`{"ver":20,"rows":[]}`)
+					return
+				}
+				n.ownership.mu.Lock()
+				if n.ownership.unresolved != nil {
+					shown <- *n.ownership.unresolved
+				}
+				n.ownership.mu.Unlock()
+				n.observeOwnership(ctx, []medlartable.Row{termRow(t, term, 20)})
+				request.SetBodyString(`{"ver":20}`)
+			})
+			owner := medlarownership.Term{Number: 1, Instance: "b", Address: "10.0.0.2:80", Process: "b-1"}
+			n.observeOwnership(ctx, []medlartable.Row{termRow(t, owner, 8), renewalRow(t, 9)})
+			claimedAt := n.clock.Now()
+			attempt := unresolvedClaim{claimedAt: claimedAt.Add(-9 * time.Second), predecessor: medlarownership.Predecessor{Expired: true}}
+			next, transaction, err := n.ownership.monitor.Claim(medlarownership.Term{Instance: "a", Process: n.process}, "c0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			attempt.term, attempt.required = next, transaction.Require
+			n.ownership.keepUnresolved(attempt)
+			if renewedSince {
+				n.observeOwnership(ctx, []medlartable.Row{renewalRow(t, 10)})
+			}
+			n.withMonitor(func(m *medlarownership.Monitor) { m.OwnerDied(m.Term()) })
+			n.claimCell(ctx)
+			if got := log.count("owner-started"); got != 1 {
+				t.Fatalf("owners started: got %d, want 1", got)
+			}
+			select {
+			case claim := <-shown:
+				if until := claim.claimedAt.Add(claim.predecessor.Grace); until.Before(claimedAt) {
+					t.Errorf("the wait is counted from %v before the claim, want from the claim on", claimedAt.Sub(until))
+				}
+			default:
+				t.Error("the claim is not known while it is on its way")
+			}
+		})
+	}
+}
+
 // hookClock runs a hook at one of its calls.
 type hookClock struct {
 	medlarwheel.Clock
