--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -79,6 +79,9 @@
 	crashingStarts map[medlarsubmission.TaskName]int
 	// crashes counts the workers that have crashed under a task.
 	crashes map[medlarsubmission.TaskName]int
+	// inFlight is the batch that is being written, or nil. check is called after each event of the owner, unless it is nil.
+	inFlight *Batch
+	check    func()
 }
 
 var simEpoch = time.Unix(1_700_000_000, 0)
@@ -136,7 +139,7 @@
 	sim.owner++
 	sim.tableUnreachable = false
 	sim.term++
-	sim.flushing = false
+	sim.flushing, sim.inFlight = false, nil
 	config := DefaultConfig()
 	cell := New(config)
 	sim.cell = cell
@@ -187,6 +190,9 @@
 	if !sim.flushing {
 		sim.flush()
 	}
+	if sim.check != nil {
+		sim.check()
+	}
 }
 
 func (sim *simCluster) flush() {
@@ -203,7 +209,7 @@
 		leasesLeft = sim.cell.TakeLeasesLeft(sim.time())
 	}
 	owner := sim.owner
-	sim.flushing = true
+	sim.flushing, sim.inFlight = true, batch
 	sim.after(sim.latency()*3, func() {
 		if owner != sim.owner {
 			return // The claim of the next owner has invalidated this write.
@@ -221,7 +227,7 @@
 		}
 		sim.after(sim.latency(), func() {
 			if owner == sim.owner {
-				sim.flushing = false
+				sim.flushing, sim.inFlight = false, nil
 				sim.cell.FlushSucceeded(sim.time(), batch)
 				if renew {
 					sim.cell.ConfirmLeasesLeft(sim.time(), leasesLeft)
--- a/internal/scheduling/medlarcell/sim_worker_test.go
+++ b/internal/scheduling/medlarcell/sim_worker_test.go
@@ -35,8 +35,18 @@
 	speed       float64
 	// maxRunTime bounds the run time of a task.
 	maxRunTime time.Duration
+	// longRunning holds the submissions whose tasks do not end by themselves. It may be nil.
+	longRunning map[medlarsubmission.ID]bool
+	// failsAll is true while every run fails right after its start.
+	failsAll bool
 }
 
+// simFailDelay is the run time on a worker that fails all runs, and simNever later than the end of every simulation.
+const (
+	simFailDelay = 30 * time.Millisecond
+	simNever     = 24 * time.Hour
+)
+
 func newSimWorker(index int, capacity int64) *simWorker {
 	w := &simWorker{maxRunTime: time.Second, info: medlarorder.Worker{
 		ID: medlarwheel.WorkerID(fmt.Sprintf("w%d", index)), Service: "svc", Address: fmt.Sprintf("10.0.0.%d:80", index),
@@ -110,9 +120,14 @@
 	default:
 		w.leaseEnd = max(w.leaseEnd, s.LeaseEnd)
 		fails := rng.Float64() < simFailShare
-		w.runs[s.Task] = &simRun{
-			number: s.Run, endsAt: now + 200*time.Millisecond + time.Duration(rng.Int64N(int64(w.maxRunTime))), fails: fails,
+		r := &simRun{number: s.Run, endsAt: now + 200*time.Millisecond + time.Duration(rng.Int64N(int64(w.maxRunTime))), fails: fails}
+		if w.longRunning[s.Task.Submission] && !fails {
+			r.endsAt = simNever
+		}
+		if w.failsAll {
+			r.endsAt, r.fails = now+simFailDelay, true
 		}
+		w.runs[s.Task] = r
 	}
 	return response
 }
