Tell in the log what holds a waiting task

A task in no queue, held until its crashes are stored, or of a step whose orders workers reject, left no line.

Change: `task-waits` names each of these, counts the workers that fit by themselves, and has a line for held tasks. Only reasons that occur are written.

Placement does not change.

--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		suspects = append(suspects, r)
-		c.recordCrash(r.step, r.index, crash, now.Sub(r.sentAt))
+		c.recordCrash(now, r.step, r.index, crash, now.Sub(r.sentAt))
 	}
 	// The task with the strongest evidence is assessed first, because that may clear the others.
 	slices.SortFunc(suspects, func(a, b *run) int {
@@ -102,7 +102,7 @@
 func (r *run) isPrompt() bool { return !r.adopted && r.reportedFor() < promptCrashTime }
 
 // recordCrash records a crash under a run that was started the given time ago, or zero if that is unknown.
-func (c *Cell) recordCrash(s *step, index int, crash Crash, age time.Duration) {
+func (c *Cell) recordCrash(now time.Time, s *step, index int, crash Crash, age time.Duration) {
 	t := &s.tasks[index]
 	if slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Run == crash.Run }) {
 		return
@@ -113,7 +113,7 @@
 	if t.isSuspect() {
 		c.markTaskDirty(s, index)
 		if len(t.crashes) > 1 || t.crashes[0].Confirmed && t.crashes[0].Started {
-			c.holdUntilStored(s, index)
+			c.holdUntilStored(now, s, index)
 		}
 	}
 	if len(t.crashes) > 1 {
@@ -180,7 +180,7 @@
 				}
 				crash.Confirmed = true
 			}
-			c.recordCrash(s, index, crash, 0)
+			c.recordCrash(now, s, index, crash, 0)
 			c.assess(now, s, index)
 		})
 	}
@@ -272,10 +272,10 @@
 
 // holdUntilStored keeps a suspect from being started until its crashes are stored, since the next owner would not know
 // their count.
-func (c *Cell) holdUntilStored(s *step, index int) {
+func (c *Cell) holdUntilStored(now time.Time, s *step, index int) {
 	j, t := s.occurrence.job, &s.tasks[index]
 	c.markTaskDirty(s, index)
-	t.waiting, t.crashesUnstored, j.crashesUnstored = false, true, true
+	t.waiting, t.crashesUnstored, t.heldSince, j.crashesUnstored = false, true, now, true
 	s.removeReady(index)
 	c.needsCompaction = true
 }
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -110,8 +110,9 @@
 	// inheritedRun is the crash to record if the run of the task that an earlier owner has stored neither runs nor has
 	// ended.
 	inheritedRun *Crash
-	// crashesUnstored is true while the task waits for its crashes to be stored.
+	// crashesUnstored is true while the task waits, since heldSince, for its crashes to be stored.
 	crashesUnstored bool
+	heldSince       time.Time
 	// avoidWorker is the worker on which the last run failed or from which the task was moved.
 	avoidWorker medlarwheel.WorkerID
 }
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -377,7 +377,7 @@
 // markLost removes a run that cannot be running any more, and requeues its task.
 func (c *Cell) markLost(now time.Time, r *run, reason string) {
 	if r.pendingCrash != nil {
-		c.recordCrash(r.step, r.index, *r.pendingCrash, now.Sub(r.sentAt))
+		c.recordCrash(now, r.step, r.index, *r.pendingCrash, now.Sub(r.sentAt))
 		c.assess(now, r.step, r.index)
 	}
 	c.detach(now, r)
--- a/internal/scheduling/medlarcell/wait_reasons.go
+++ b/internal/scheduling/medlarcell/wait_reasons.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -20,41 +21,105 @@
 	c.waitEventsAt = now
 	c.emit(c.loadEvent())
 	for _, s := range c.queue {
-		if s.occurrence.job.submission.Policy.Priority > 0 || now.Sub(s.readySince) < waitEventDelay || !c.isEligible(now, s) || len(s.ready) == 0 {
+		if s.occurrence.job.submission.Policy.Priority > 0 || now.Sub(s.readySince) < waitEventDelay || len(s.ready) == 0 {
 			continue
 		}
-		c.emit(Event{
-			Kind: EventTaskWaiting, Task: s.name(s.ready[0]), Reason: c.waitReasons(now, s), Age: now.Sub(s.readySince), Count: len(s.ready),
+		switch {
+		case c.isEligible(now, s):
+			c.emit(Event{
+				Kind: EventTaskWaiting, Task: s.name(s.ready[0]), Reason: c.waitReasons(now, s), Age: now.Sub(s.readySince), Count: len(s.ready),
+			})
+		case now.Before(s.pausedUntil):
+			c.emit(Event{
+				Kind: EventTaskWaiting, Task: s.name(s.ready[0]), Reason: "workers reject its orders as invalid", Age: now.Sub(s.readySince), Count: len(s.ready),
+			})
+		}
+	}
+	c.emitHeldTasks(now)
+}
+
+// emitHeldTasks emits which tasks are in no queue, since their crashes are not stored.
+func (c *Cell) emitHeldTasks(now time.Time) {
+	for _, j := range c.jobs {
+		if !j.crashesUnstored || j.state.IsFinal() {
+			continue
+		}
+		j.forEachTask(func(s *step, index int) {
+			if t := &s.tasks[index]; t.crashesUnstored && now.Sub(t.heldSince) >= waitEventDelay {
+				c.emit(Event{Kind: EventTaskWaiting, Task: s.name(index), Reason: "its crashes are not stored", Age: now.Sub(t.heldSince), Count: 1})
+			}
 		})
 	}
 }
 
-// waitReasons counts the workers by the first reason for which they cannot run a task of the step.
+// exclusions lists the reasons for which a worker does not run a task, in the order of the event. Those of workers that may not
+// get any task come first. A step that waits beside workers that fit is not reached by the placement passes.
+var exclusions = []string{
+	"away", "fenced", "silent", "draining", "lease stated", "stray runs", "outdated", "paused", "unsuited", "spread", "processors", "memory",
+	"suspended", "other", "fit",
+}
+
+// waitReasons counts the workers by the first reason for which they do not run a task of the step.
 func (c *Cell) waitReasons(now time.Time, s *step) string {
-	var unavailable, unresponsive, paused, draining, atTaskLimit, processors, memory, other int
+	counts := map[string]int{}
 	for _, w := range c.workers {
-		free := w.freeCapacity()
-		switch {
-		case !w.registered || !w.reported || w.clockAt.IsZero():
-			unavailable++
-		case now.Sub(w.lastContact) >= c.config.ContactTimeout || w.isUnresponsive(now, &c.config):
-			unresponsive++
-		case w.info.Draining:
-			draining++
-		case now.Before(w.pausedUntil) || w.isSuspended(now):
-			paused++
-		case s.spec.MaxPerWorker > 0 && s.tasksPerWorker[w] >= s.spec.MaxPerWorker:
-			atTaskLimit++
-		case !s.spec.BestEffort && s.spec.Size.MilliCPU > free.MilliCPU:
-			processors++
-		case s.spec.Size.MemoryMB > free.MemoryMB:
-			memory++
-		default:
-			other++
+		reason := c.unavailability(now, w)
+		if reason == "" {
+			reason = c.misfit(now, s, w)
+		}
+		counts[reason]++
+	}
+	var reasons []string
+	for _, reason := range exclusions {
+		if counts[reason] > 0 {
+			reasons = append(reasons, fmt.Sprintf("%s %d", reason, counts[reason]))
 		}
 	}
-	return fmt.Sprintf("away %d, silent %d, draining %d, paused %d, spread %d, processors %d, memory %d, other %d",
-		unavailable, unresponsive, draining, paused, atTaskLimit, processors, memory, other)
+	return strings.Join(reasons, ", ")
+}
+
+// unavailability returns why the worker gets no tasks at all, or nothing if it may get some. It follows isAvailable.
+func (c *Cell) unavailability(now time.Time, w *worker) string {
+	switch {
+	case !w.registered || !w.recorded || !w.reported || w.clockAt.IsZero():
+		return "away"
+	case w.fenced:
+		return "fenced"
+	case now.Sub(w.lastContact) >= c.config.ContactTimeout || w.isUnresponsive(now, &c.config):
+		return "silent"
+	case w.info.Draining:
+		return "draining"
+	case c.isLeaseFixed(now, w):
+		return "lease stated"
+	case w.hasStrayRuns:
+		return "stray runs"
+	case !w.isRegistrationCurrent(now):
+		return "outdated"
+	case now.Before(w.pausedUntil):
+		return "paused"
+	}
+	return ""
+}
+
+// misfit returns why an available worker does not run the first waiting task of the step.
+func (c *Cell) misfit(now time.Time, s *step, w *worker) string {
+	free := w.freeCapacity()
+	switch {
+	case w.info.Service != s.occurrence.job.submission.Service || s.spec.RequiredLabel != "" && !w.info.HasLabel(s.spec.RequiredLabel):
+		return "unsuited"
+	case s.spec.MaxPerWorker > 0 && s.tasksPerWorker[w] >= s.spec.MaxPerWorker:
+		return "spread"
+	case !s.spec.BestEffort && s.spec.Size.MilliCPU > free.MilliCPU || s.spec.Size.GPU > free.GPU:
+		return "processors"
+	case s.spec.Size.MemoryMB > free.MemoryMB:
+		return "memory"
+	case w.isSuspended(now):
+		return "suspended"
+	}
+	if _, ok := c.evaluate(s, &s.tasks[s.ready[0]], w); !ok {
+		return "other"
+	}
+	return "fit"
 }
 
 // loadEvent returns a summary of the load of the cell.
