Start all long-running tasks on a suspended worker that runs one

Callers would see long-running tasks that were lost together wait for longer than the rule allows (LOST: 6 s and 3 s) if the only worker with room is suspended, although it runs tasks again.

Cause: a suspended worker took one long-running task a second, whether the last one ran or had failed, and the first one only a second after the lease of the lost worker had ended.

Evidence: TestLostTasksShareOnlySuspendedWorker failed before: four tasks of one lost worker; three ran again 9.35 s, 10.35 s and 11.35 s after the loss, want 9 s at most.

Change: the wait for the first trial counts from the loss, which is 7 s before. Once the task that was tried is reported to have run for 250 ms, others follow without a pause, until a run fails there. On a worker that fails every run, one task a second is started, as before: TestFailingWorkerGetsOneTrialAtATime (new) and TestLongRunningTaskIsTriedOnSuspendedWorker.

--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -72,8 +72,10 @@
 	opportunityCost float64
 	shareHistory    shareHistory
 	pausedUntil     time.Time
-	// suspendedUntil is set after too many failed runs. triedAt is when a task was last started there nevertheless.
+	// suspendedUntil is set after too many failed runs. triedAt is when a task was last tried there nevertheless, and trialRun its
+	// run, or nil once a run has failed.
 	suspendedUntil, triedAt time.Time
+	trialRun                *run
 	// recentFailedJobs lists the submissions of the latest consecutive failed runs.
 	recentFailedJobs []medlarsubmission.ID
 	suspensions      int
