Return the result of a read on the control goroutine by a channel

What callers could see: nothing wrong was seen. With several processors, a request for a state or a load whose caller had given up after 300 ms wrote its result while the caller returned.

Change: the read hands its result over by a channel that holds it.

--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -295,26 +295,34 @@
 	}
 }
 
-// callControl runs a read of the scheduler on the control goroutine and waits until it has finished.
-func (o *Owner) callControl(ctx context.Context, read func()) error {
-	finished := make(chan struct{})
-	if !o.postToControl(func(time.Time) { read(); close(finished) }) {
-		return ErrSuperseded
+// callControl runs a read of the scheduler on the control goroutine and returns its result. The read may still run after the context has
+// ended, and then has no one to return to.
+func callControl[T any](ctx context.Context, o *Owner, read func() T) (result T, err error) {
+	finished := make(chan T, 1)
+	if !o.postToControl(func(time.Time) { finished <- read() }) {
+		return result, ErrSuperseded
 	}
 	select {
-	case <-finished:
-		return nil
+	case result = <-finished:
+		return result, nil
 	case <-o.done:
-		return ErrSuperseded
+		return result, ErrSuperseded
 	case <-ctx.Done():
-		return ctx.Err()
+		return result, ctx.Err()
 	}
 }
 
 // State returns the state of a submission, if the owner knows it.
 func (o *Owner) State(ctx context.Context, id medlarsubmission.ID) (state medlarsubmission.State, known bool, err error) {
-	err = o.callControl(ctx, func() { state, known = o.cell.State(id) })
-	return state, known, err
+	type answer struct {
+		state medlarsubmission.State
+		known bool
+	}
+	a, err := callControl(ctx, o, func() (a answer) {
+		a.state, a.known = o.cell.State(id)
+		return a
+	})
+	return a.state, a.known, err
 }
 
 // ClaimedAt returns when the cell was claimed.
@@ -353,17 +361,16 @@
 }
 
 // Load returns the load of a service, and keeps the given memory, in bytes, free for a submission.
-func (o *Owner) Load(ctx context.Context, service medlarwheel.ServiceName, memory int64) (load medlaradmission.Load, err error) {
-	err = o.callControl(ctx, func() {
+func (o *Owner) Load(ctx context.Context, service medlarwheel.ServiceName, memory int64) (medlaradmission.Load, error) {
+	return callControl(ctx, o, func() medlaradmission.Load {
 		now := o.Clock.Now()
-		load = o.cell.Load(now, service)
+		load := o.cell.Load(now, service)
 		o.cell.ReserveMemory(now, memory)
+		return load
 	})
-	return load, err
 }
 
 // QueueLength returns the number of submissions of a route of which no task has started yet.
-func (o *Owner) QueueLength(ctx context.Context, route string) (n int, err error) {
-	err = o.callControl(ctx, func() { n = o.cell.QueueLength(route) })
-	return n, err
+func (o *Owner) QueueLength(ctx context.Context, route string) (int, error) {
+	return callControl(ctx, o, func() int { return o.cell.QueueLength(route) })
 }
