Tell a crash after silence from one under a run

Cause: the owner took the last response of a worker for the time of its crash, so that a crash after a run counted as one under it.

Change: calls whose connection the worker's system has closed or refused are marked, and the owner notes when the first one fails. The scripted crashes of the tests now close connections, and confirm a start within 200 ms of its order instead of seconds later; half of the simulated workers close connections, the others stay silent.

--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -27,6 +27,9 @@
 	// submission was started there at that time.
 	Prompt bool `json:"prompt,omitempty"`
 	Alone  bool `json:"alone,omitempty"`
+	// Closed is true if the worker's connections were closed right after the start of the run was sent. A worker that falls
+	// silent may end the run before it crashes.
+	Closed bool `json:"closed,omitempty"`
 }
 
 const (
@@ -63,7 +66,7 @@
 			continue
 		}
 		crash := r.crashOf(incarnation)
-		crash.Confirmed, crash.Prompt, crash.Alone = restarted, r.isPrompt(), r.isPrompt() && len(submissions) == 1
+		crash.Confirmed, crash.Prompt, crash.Alone, crash.Closed = restarted, r.isPrompt(), r.isPrompt() && len(submissions) == 1, r.isClosedPromptly()
 		if restarted && !r.isReported() {
 			// The new incarnation may have accepted the run.
 			r.pendingCrash = &crash
@@ -101,6 +104,20 @@
 // isPrompt reports whether the start of the run may be what its worker has crashed of.
 func (r *run) isPrompt() bool { return !r.adopted && r.reportedFor() < promptCrashTime }
 
+// isClosedPromptly reports whether the worker's connections were closed right after the start of the run was sent. The time is
+// counted from the order, since a slow owner may process its response late.
+func (r *run) isClosedPromptly() bool {
+	closedAt := r.worker.disconnectedAt
+	return r.phase == runConfirmed && !closedAt.Before(r.sentAt) && closedAt.Sub(r.sentAt) < promptCrashTime
+}
+
+// recordDisconnect records that a call to a worker has failed because its connections are closed.
+func (w *worker) recordDisconnect(now time.Time, err error) {
+	if w.disconnectedAt.IsZero() && medlarwheel.IsDisconnect(err) {
+		w.disconnectedAt = now
+	}
+}
+
 // recordCrash records a crash under a run that was started the given time ago, or zero if that is unknown.
 func (c *Cell) recordCrash(s *step, index int, crash Crash, age time.Duration) {
 	t := &s.tasks[index]
@@ -211,17 +228,35 @@
 	return len(t.crashes) > 1 || len(t.crashes) == 1 && t.crashes[0].Prompt
 }
 
-// isBlamed reports whether the task is the cause of the crashes, or of so many that it may not be started again. Workers that
-// fell silent some time after a start do not count, since they may only have been unreachable.
+// isBlamed reports whether the task is the cause of the crashes, or of so many that it may not be started again. A worker that
+// fell silent before it crashed may have ended the run, and one that fell silent some time after a start may only have been
+// unreachable.
 func isBlamed(crashes []Crash) bool {
 	confirmed, prompt, alone := countCrashes(crashes)
-	lostAtStart := 0
+	closed, closedAlone, closedForGood, lostAtStart := 0, 0, 0, 0
 	for _, crash := range crashes {
-		if crash.Started && crash.Prompt {
-			lostAtStart++
+		if !crash.Started || !crash.Prompt {
+			continue
+		}
+		lostAtStart++
+		switch {
+		case crash.Closed && !crash.Confirmed:
+			closedForGood++
+		case crash.Closed:
+			closed++
+			if crash.Alone {
+				closedAlone++
+			}
 		}
 	}
-	return prompt >= certainCrashes && (alone > 0 || confirmed >= ambiguousCrashes) || max(confirmed, lostAtStart) >= maxCrashes
+	switch {
+	case closed >= certainCrashes && (closedAlone > 0 || confirmed+closedForGood >= ambiguousCrashes):
+		return true
+	case alone > 0 && prompt+closedForGood >= ambiguousCrashes:
+		return true
+	default:
+		return max(confirmed, lostAtStart) >= maxCrashes
+	}
 }
 
 // limitCrashes drops the weakest evidence, the oldest first, if there are more than maxCrashes crashes.
@@ -236,7 +271,7 @@
 
 // evidence counts the facts that point to the task as the cause of the crash.
 func (k Crash) evidence() (n int) {
-	for _, fact := range []bool{k.Confirmed, k.Started, k.Prompt} {
+	for _, fact := range []bool{k.Confirmed, k.Started, k.Prompt, k.Closed} {
 		if fact {
 			n++
 		}
--- a/internal/scheduling/medlarcell/crash_test.go
+++ b/internal/scheduling/medlarcell/crash_test.go
@@ -16,6 +16,8 @@
 	*scriptedCell
 	addresses map[medlarwheel.WorkerID]string
 	lives     int
+	// silent is true if the connections of workers that are down fall silent instead of being closed.
+	silent bool
 }
 
 func newCrashCell(t *testing.T, workers int, ownership Ownership) *crashCell {
@@ -37,28 +39,36 @@
 	c.keepAlive()
 }
 
-// keepAlive responds to the renewals of all workers that are up, and lets the others get no response.
+// keepAlive responds to the renewals of all workers that are up, and lets the others fail.
 func (c *crashCell) keepAlive() {
 	starts := c.starts
 	c.dispatch()
 	for _, renewal := range c.renewals {
 		if c.addresses[renewal.Worker] != "" {
 			c.report(renewal, medlarorder.Report{})
-		} else {
-			c.loseResponse(renewal)
+			continue
 		}
+		err := errSimNoResponse
+		if !c.silent {
+			err = errSimDisconnected
+		}
+		c.cell.HandleRenewResponse(c.now, renewal.Worker, renewal.OutOfBand, c.now, renewal.Renew, medlarorder.Report{}, err)
 	}
 	c.starts = append(starts, c.starts...)
 }
 
-// crashAtStart confirms the start of a task and lets the worker crash of it. It returns the starts that follow within the
-// time in which the lease of the worker must have ended.
+// crashAtStart confirms the start of a task and lets the worker crash of it. It returns the starts that follow once the lease
+// of the worker must have ended, those of the first 200 ms.
 func (c *crashCell) crashAtStart(start Command) []Command {
 	c.starts = nil
 	c.cell.HandleStartResponse(c.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
 	address := c.addresses[start.Worker]
 	delete(c.addresses, start.Worker)
-	for step := range 100 {
+	if !c.silent {
+		// The worker has a renewal in flight.
+		c.cell.HandleRenewResponse(c.now, start.Worker, false, c.now, medlarorder.Renew{}, medlarorder.Report{}, errSimDisconnected)
+	}
+	for step, started := 0, 0; step < 100 && started <= 2; step++ {
 		c.advance(100 * time.Millisecond)
 		switch step {
 		case 30:
@@ -68,6 +78,9 @@
 		}
 		c.flush()
 		c.keepAlive()
+		if c.cell.workers[start.Worker] == nil && len(c.starts) > 0 {
+			started++
+		}
 	}
 	return c.starts
 }
@@ -332,6 +345,7 @@
 // loseWorkers lets the worker of each start of the task fall silent for good, after it has run the task for the given time,
 // and returns how many were lost until no start followed.
 func (c *crashCell) loseWorkers(most int, ranFor time.Duration) (lost int) {
+	c.silent = true
 	starts := c.starts
 	for ; len(starts) > 0 && lost < most; lost++ {
 		start := starts[0]
@@ -388,3 +402,139 @@
 		t.Errorf("the submission is %s after %d workers were lost right after the start, want failed after %d", state, lost, maxCrashes)
 	}
 }
+
+// TestRunThatMayHaveEndedBeforeACrashIsNotBlamed guards against a submission that is shown as failed although only one worker has
+// crashed under its task: another one was silent for longer than the task runs, and crashed later.
+func TestRunThatMayHaveEndedBeforeACrashIsNotBlamed(t *testing.T) {
+	c := newCrashCell(t, 4, Ownership{Fence: 1 << 12, Term: 1})
+	c.cell.Accept(c.now, testSubmission(testStep()))
+	c.dispatch()
+	c.silent = true
+	starts := c.crashAtStart(c.starts[0])
+	c.silent = false
+	if len(starts) != 1 {
+		t.Fatalf("the task was started %d times after its worker fell silent, want once", len(starts))
+	}
+	starts = c.crashAtStart(starts[0])
+	if state, _ := c.cell.State("00000000000000aa"); state.IsFinal() || len(starts) != 1 {
+		t.Fatalf("after one crash under the task the submission is %s and has %d starts, want it running and one", state, len(starts))
+	}
+	c.crashAtStart(starts[0])
+	if state, _ := c.cell.State("00000000000000aa"); state != medlarsubmission.StateFailed {
+		t.Fatalf("after two crashes under the task the submission is %s, want failed", state)
+	}
+}
+
+// TestTaskThatSilencesItsWorkersIsGivenUp guards against a task that is started without end, because its workers lose their power
+// and close no connection.
+func TestTaskThatSilencesItsWorkersIsGivenUp(t *testing.T) {
+	c := newCrashCell(t, 4, Ownership{Fence: 1 << 12, Term: 1})
+	c.silent = true
+	c.cell.Accept(c.now, testSubmission(testStep()))
+	c.dispatch()
+	starts, crashes := c.starts, 0
+	for ; len(starts) > 0 && crashes < 6; crashes++ {
+		starts = c.crashAtStart(starts[0])
+	}
+	if state, _ := c.cell.State("00000000000000aa"); crashes != ambiguousCrashes || state != medlarsubmission.StateFailed {
+		t.Fatalf("after %d crashed workers the submission is %s, want it failed after %d", crashes, state, ambiguousCrashes)
+	}
+}
+
+// TestEvidenceAgainstTask guards against a submission that is failed for crashes which may have come after its runs had ended or
+// may have other causes, and against a task that is started on too many workers.
+func TestEvidenceAgainstTask(t *testing.T) {
+	var (
+		closed      = Crash{Confirmed: true, Started: true, Prompt: true, Alone: true, Closed: true}
+		closedNear  = Crash{Confirmed: true, Started: true, Prompt: true, Closed: true}
+		silent      = Crash{Confirmed: true, Started: true, Prompt: true, Alone: true}
+		silentNear  = Crash{Confirmed: true, Started: true, Prompt: true}
+		later       = Crash{Confirmed: true, Started: true}
+		unconfirmed = Crash{Started: true, Prompt: true, Alone: true}
+		// The worker has not registered again.
+		closedForGood = Crash{Started: true, Prompt: true, Alone: true, Closed: true}
+	)
+	for name, test := range map[string]struct {
+		crashes []Crash
+		want    bool
+	}{
+		"closed twice":                         {crashes: []Crash{closedNear, closed}, want: true},
+		"closed once, then silent":             {crashes: []Crash{closed, silent}},
+		"closed twice beside others":           {crashes: []Crash{closedNear, closedNear}},
+		"closed twice beside others, one more": {crashes: []Crash{closedNear, closedNear, later}, want: true},
+		"silent twice":                         {crashes: []Crash{silent, silent}},
+		"silent twice, one more":               {crashes: []Crash{silent, silentNear, later}},
+		"silent three times":                   {crashes: []Crash{silent, silentNear, silentNear}, want: true},
+		"silent beside others":                 {crashes: []Crash{silentNear, silentNear, later}},
+		"silent twice, closed for good":        {crashes: []Crash{silent, silentNear, closedForGood}, want: true},
+		"four crashes":                         {crashes: []Crash{silentNear, silentNear, later, later}, want: true},
+		"unconfirmed":                          {crashes: []Crash{unconfirmed, unconfirmed, unconfirmed}},
+		"four unconfirmed":                     {crashes: []Crash{unconfirmed, unconfirmed, unconfirmed, unconfirmed}, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := isBlamed(test.crashes); got != test.want {
+				t.Errorf("the task is blamed: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+// TestClosedConnectionsThatShowNoInterruptedRun guards against connections that are taken for a crash under a run, although they
+// were closed before its order, long after it, or while the worker was up, and against a crash that is not recognised.
+func TestClosedConnectionsThatShowNoInterruptedRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		// closed is when the connections are closed, processed when the owner processes the response, both since the order.
+		closed, processed time.Duration
+		// reports is true if the worker reports the run after that, and falls silent again.
+		reports bool
+		// otherIncarnation is true if an order is answered by another incarnation after that.
+		otherIncarnation bool
+		want             bool
+	}{
+		"crash":                            {processed: 5 * time.Millisecond, closed: 15 * time.Millisecond, want: true},
+		"order to the next incarnation":    {processed: 5 * time.Millisecond, closed: 15 * time.Millisecond, otherIncarnation: true, want: true},
+		"before the order":                 {closed: -50 * time.Millisecond, processed: 5 * time.Millisecond},
+		"after longer than the task takes": {processed: 5 * time.Millisecond, closed: 2 * time.Second},
+		"owner stood still":                {processed: 2 * time.Second, closed: 2 * time.Second},
+		"reconnected":                      {processed: 5 * time.Millisecond, closed: 15 * time.Millisecond, reports: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+			c.report(c.renewals[0], medlarorder.Report{Incarnation: 1})
+			fail := func(err error) {
+				c.cell.HandleRenewResponse(c.now, "w0", false, c.now, medlarorder.Renew{}, medlarorder.Report{}, err)
+			}
+			if test.closed < 0 {
+				fail(errSimDisconnected)
+				c.advance(-test.closed)
+			}
+			c.cell.Accept(c.now, testSubmission(testStep()))
+			c.dispatch()
+			start := c.starts[0]
+			c.advance(test.processed)
+			c.cell.HandleStartResponse(c.now, "w0", start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted, Clock: time.Minute}, nil)
+			if test.closed >= 0 {
+				c.advance(test.closed - test.processed)
+				fail(errSimDisconnected)
+			}
+			if test.otherIncarnation {
+				c.cell.HandleStopResponse(c.now, "w0", medlarorder.Stop{}, medlarorder.Response{Verdict: medlarorder.VerdictOtherIncarnation, Clock: time.Second}, nil)
+			}
+			if test.reports {
+				c.advance(20 * time.Millisecond)
+				c.report(Command{Worker: "w0"}, medlarorder.Report{
+					Incarnation: 1, Running: []medlarorder.Running{{Task: start.Start.Task, Run: start.Start.Run}},
+				})
+			}
+			fail(errSimNoResponse)
+			_, task := c.cell.jobs[start.Start.Task.Submission].findTask(start.Start.Task)
+			for range 100 {
+				c.advance(100 * time.Millisecond)
+				c.dispatch()
+			}
+			if len(task.crashes) != 1 || task.crashes[0].Closed != test.want {
+				t.Fatalf("crashes are %+v, want one with closed connections: %t", task.crashes, test.want)
+			}
+		})
+	}
+}
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -29,6 +29,7 @@
 	delay := time.Duration(0)
 	switch {
 	case err != nil:
+		w.recordDisconnect(now, err)
 		c.handleFailedRenewal(now, w)
 		delay = c.config.RenewalRetryDelay
 	case report.Verdict == medlarorder.VerdictFenced:
@@ -180,6 +181,7 @@
 		c.emit(Event{Kind: EventWorkerResponsive, Worker: w.info.ID, Age: now.Sub(w.lastContact)})
 	}
 	c.recordResponse(now, w)
+	w.disconnectedAt = time.Time{}
 	c.silenceChanged = c.silenceChanged || c.isLeaseStored(w)
 	w.recordClock(now, report.Clock)
 	w.incarnationUncertain = false
--- a/internal/scheduling/medlarcell/responses.go
+++ b/internal/scheduling/medlarcell/responses.go
@@ -19,6 +19,7 @@
 		return
 	}
 	if err != nil {
+		w.recordDisconnect(now, err)
 		c.handleStartError(now, w, r, err)
 		return
 	}
--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -243,13 +243,14 @@
 	}
 	sentTo := worker.info.Incarnation
 	var executedBy medlarorder.Incarnation
-	timeOut := func(report func(err error)) {
-		if owner == sim.owner {
-			report(errSimNoResponse)
+	resolved := false
+	fail := func(report func(err error), err error) {
+		if owner == sim.owner && !resolved {
+			resolved = true
+			report(err)
 			sim.processOutput()
 		}
 	}
-	resolved := false
 	respond := func(report func(err error)) {
 		if !lost && owner == sim.owner && !resolved && worker.up && !worker.partitioned && executedBy == worker.info.Incarnation {
 			resolved = true
@@ -298,6 +299,9 @@
 	sim.after(delay, func() {
 		// A restart ends the orders that the worker has held back, and not those that reach the next incarnation in time.
 		if !worker.up || worker.partitioned || late && sentTo != worker.info.Incarnation {
+			if worker.closesConnections() {
+				sim.after(sim.latency(), func() { fail(failed, errSimDisconnected) })
+			}
 			return
 		}
 		worker.advance(sim.now, sim.recordEnd)
@@ -305,15 +309,13 @@
 		report := perform()
 		sim.after(sim.latency(), func() { respond(report) })
 	})
-	sim.after(c.Delay+300*time.Millisecond, func() {
-		if !resolved {
-			resolved = true
-			timeOut(failed)
-		}
-	})
+	sim.after(c.Delay+300*time.Millisecond, func() { fail(failed, errSimNoResponse) })
 }
 
-var errSimNoResponse = fmt.Errorf("no response")
+var (
+	errSimNoResponse   = fmt.Errorf("no response")
+	errSimDisconnected = medlarwheel.WithDisconnect(fmt.Errorf("connection closed"))
+)
 
 // checkStart checks the guarantees of a start when it reaches a worker that would accept it.
 func (sim *simCluster) checkStart(on *simWorker, s medlarorder.Start) {
--- a/internal/scheduling/medlarcell/sim_worker_test.go
+++ b/internal/scheduling/medlarcell/sim_worker_test.go
@@ -55,6 +55,12 @@
 	w.ended, w.lastEnd, w.fence, w.leaseEnd = nil, 0, 0, 0
 }
 
+// closesConnections reports whether the worker is down and its system refuses connections. That of every other incarnation has
+// lost its power and is silent.
+func (w *simWorker) closesConnections() bool {
+	return !w.up && !w.removed && !w.partitioned && w.info.Incarnation%2 == 0
+}
+
 // clock returns the worker's clock, which is up to 2% slow.
 func (w *simWorker) clock(now time.Duration) time.Duration {
 	return time.Duration(float64(now-w.startedAt) * w.speed)
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -30,7 +30,10 @@
 	// leavesAt is the earliest time at which a draining worker leaves.
 	leavesAt time.Time
 	// lastContact is when the worker last responded.
-	lastContact    time.Time
+	lastContact time.Time
+	// disconnectedAt is when a call first failed since the last report because the worker's connections were closed, or zero.
+	// Responses to orders do not clear it, since they may be those of the next incarnation.
+	disconnectedAt time.Time
 	responsiveness responsiveness
 	// centreResponsiveness is that of the worker's data centre.
 	centreResponsiveness *responsiveness
