--- a/internal/operation/medlarnode/claim.go
+++ b/internal/operation/medlarnode/claim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"medlarwheel"
 	"medlarwheel/internal/operation/medlarclock"
@@ -118,8 +119,6 @@
 type preparedClaim struct {
 	unresolvedClaim
 	transaction medlartable.Transaction
-	// previous is the claim that this one replaces.
-	previous medlarownership.Term
 	// receivedRequests is true if this instance has received the promise requests of all owners that have recently gone on without
 	// the table.
 	receivedRequests bool
@@ -134,7 +133,7 @@
 		if !n.mayClaim(m, claim.claimedAt) {
 			return
 		}
-		ok, claim.previous = true, m.Term()
+		ok = true
 		claim.predecessor = m.Predecessor(claim.claimedAt, claim.receivedRequests)
 		claim.term, claim.transaction, err = m.Claim(medlarownership.Term{
 			Instance: n.config.Settings.Instance, Address: n.config.Settings.Peer, Process: n.process,
@@ -181,14 +180,19 @@
 		}
 		return
 	}
-	n.log.Info().Str("event", "cell-claimed").Uint64("term", claim.term.Number).Uint64("version", uint64(claim.term.Version)).
-		Str("from", string(claim.previous.Instance)).Uint64("replaced-version", uint64(claim.previous.Version)).
-		Bool("asked", claim.receivedRequests).Int64("outage-leases-ms", claim.predecessor.OutageLeases.Milliseconds()).Msg("")
+	n.logClaim(claim.term, claim.predecessor).Bool("asked", claim.receivedRequests).Msg("")
 	n.withMonitor(func(m *medlarownership.Monitor) { m.RecordClaim(n.clock.Now(), claim.term) })
 	n.setTerm(ctx, claim.term)
 	n.startOwner(ctx, claim.term, claim.claimedAt, claim.predecessor)
 }
 
+// logClaim begins the log line of a claim that has taken effect.
+func (n *Node) logClaim(t medlarownership.Term, p medlarownership.Predecessor) *zerolog.Event {
+	return n.log.Info().Str("event", "cell-claimed").Uint64("term", t.Number).Uint64("version", uint64(t.Version)).Str("process", t.Process).
+		Str("from", string(p.Instance)).Str("from-process", p.Process).Uint64("replaced-version", uint64(p.Version)).
+		Int64("outage-leases-ms", p.OutageLeases.Milliseconds())
+}
+
 // ownClaim returns the claim by this process whose response was lost, unless the conflict is with another claim.
 func (n *Node) ownClaim(conflict *medlartable.ConflictError) (t medlarownership.Term, found bool) {
 	row, found := conflict.Find(medlarownership.Table, medlarownership.KeyTerm)
--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -117,8 +117,7 @@
 	if term.Process != n.process || term.Released || term.Number != unresolved.term.Number || n.owner.Load() != nil {
 		return
 	}
-	n.log.Info().Str("event", "cell-claimed").Uint64("term", term.Number).Uint64("version", uint64(term.Version)).
-		Str("reason", "answer lost").Msg("")
+	n.logClaim(term, unresolved.predecessor).Str("reason", "answer lost").Msg("")
 	n.startOwner(ctx, term, unresolved.claimedAt, unresolved.predecessor)
 }
 
@@ -225,7 +224,10 @@
 		owner.SetRoutes(table.Version, table.RouteServices())
 	}
 	n.meter.Count("owner.started")
-	n.log.Info().Str("event", "owner-started").Uint64("term", term.Number).Str("process", term.Process).Msg("")
+	n.log.Info().Str("event", "owner-started").Uint64("term", term.Number).Uint64("version", uint64(term.Version)).Str("process", term.Process).
+		Int64("claim-age-ms", n.clock.Now().Sub(claimedAt).Milliseconds()).Bool("expired", predecessor.Expired).
+		Int64("grace-ms", predecessor.Grace.Milliseconds()).Int64("outage-leases-ms", predecessor.OutageLeases.Milliseconds()).
+		Int("stated-leases", len(predecessor.LeaseEnds)).Msg("")
 	go func() {
 		debug.SetGCPercent(ownerGCPercent)
 		defer debug.SetGCPercent(defaultGCPercent)
--- a/internal/operation/medlartimeline/timeline.go
+++ b/internal/operation/medlartimeline/timeline.go
@@ -29,7 +29,7 @@
 
 // contextEvents lists the events that are shown although they do not name a submission.
 var contextEvents = map[string]bool{
-	"cell-claimed": true, "cell-loaded": true, "takeover-settled": true, "ownership-ended": true, "owner-process-ended": true,
+	"cell-claimed": true, "owner-started": true, "cell-loaded": true, "takeover-settled": true, "worker-not-awaited": true, "ownership-ended": true, "owner-process-ended": true,
 	"owner-superseded": true, "authority-not-extended": true, "worker-silent": true, "worker-lease-ended": true,
 	"worker-restarted": true, "worker-suspended": true, "config-in-force": true, "log-lines-dropped": true,
 }
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -81,6 +81,7 @@
 	EventWorkerSuspended     EventKind = "worker-suspended"
 	EventLeaseEnded          EventKind = "worker-lease-ended"
 	EventTakeoverReconciled  EventKind = "takeover-settled"
+	EventWorkerNotAwaited    EventKind = "worker-not-awaited"
 	EventWorkerFenced        EventKind = "worker-fenced"
 	EventTaskWaiting         EventKind = "task-waits"
 	EventLoad                EventKind = "cell-load"
--- a/internal/scheduling/medlarcell/ownership.go
+++ b/internal/scheduling/medlarcell/ownership.go
@@ -1,7 +1,6 @@
 package medlarcell
 
 import (
-	"fmt"
 	"time"
 
 	"medlarwheel"
@@ -59,6 +58,9 @@
 	return end
 }
 
+// ReconcileDeadline returns when all leases of earlier owners have ended, whatever the workers report.
+func (c *Cell) ReconcileDeadline() time.Time { return c.reconcileDeadline }
+
 // EndGrace records that all submissions that are accepted from now on were stored after the grace period of the previous owner.
 // One that was stored earlier may have been started by it, whenever this owner hears of it.
 func (c *Cell) EndGrace() { c.inGrace = false }
@@ -114,48 +116,3 @@
 func (c *Cell) leaseDurationBound(lease time.Duration) time.Duration {
 	return time.Duration(float64(lease)*(1+2*c.config.ClockDrift)) + c.config.LeaseMargin
 }
-
-// tryReconcile records once that the cell is reconciled. Until then, workers and adopted tasks are only counted: an
-// event for each would hide the other events of a change of owner.
-func (c *Cell) tryReconcile(now time.Time) {
-	if c.reconciled || !c.isReconciled(now) {
-		return
-	}
-	c.reconciled = true
-	c.countInheritedRuns(now)
-	c.recordInheritedLosses()
-	unresponsive := 0
-	var last *worker
-	for _, w := range c.workers {
-		if w.reported {
-			continue
-		}
-		unresponsive++
-		if last == nil || w.inheritedLeaseEnd.After(last.inheritedLeaseEnd) {
-			last = w
-		}
-	}
-	event := Event{
-		Kind: EventTakeoverReconciled, Count: len(c.workers), Age: now.Sub(c.termStartedAt),
-		Reason: fmt.Sprintf("tasks adopted: %d, workers without a response: %d", c.adoptedTasks, unresponsive),
-	}
-	if last != nil {
-		// This is the worker that was waited for the longest.
-		event.Worker = last.info.ID
-	}
-	c.emit(event)
-}
-
-// isReconciled reports whether every task that no worker has reported is known not to run.
-func (c *Cell) isReconciled(now time.Time) bool {
-	if !now.Before(c.reconcileDeadline) {
-		return true
-	}
-	for _, w := range c.workers {
-		hasReported := w.reported && !w.endsTruncated && !w.hasUnknownTasks
-		if !hasReported && now.Before(w.inheritedLeaseEnd) {
-			return false
-		}
-	}
-	return len(c.workers) > 0
-}
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -120,7 +120,8 @@
 	o.cell.RestoreWorkers(now, o.decodeRecordedWorkers(recordedWorkers))
 	o.Log.Info().Str("event", "cell-loaded").Uint64("term", o.term.Number).Uint64("version", uint64(o.submissionsVersion)).
 		Int("submission-rows", len(submissions)).
-		Int("workers", len(workers)).Dur("took", now.Sub(began)).Msg("")
+		Int("workers", len(workers)).Int("recorded-workers", len(recordedWorkers)).
+		Int64("longest-wait-ms", o.cell.ReconcileDeadline().Sub(o.claimedAt).Milliseconds()).Dur("took", now.Sub(began)).Msg("")
 	return nil
 }
 
--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -284,6 +284,7 @@
 func (m *Monitor) Predecessor(now time.Time, receivedRequests bool) Predecessor {
 	// No worker accepts a longer lease than MaxLease, whatever the row says.
 	p := Predecessor{
+		Instance: m.term.Instance, Process: m.term.Process, Version: m.term.Version,
 		Lease: min(m.term.Lease, m.config.MaxLease), LeaseTail: min(m.term.LeaseTail, m.config.MaxLease),
 		OutageLeases: m.outageLeasesAt(now, receivedRequests), Grace: max(0, m.graceEnd.Sub(now)),
 	}
@@ -352,6 +353,10 @@
 
 // Predecessor is what is known about the previous owner at the time of a claim.
 type Predecessor struct {
+	// Instance, Process and Version are those of the claim before. They are zero if there is none.
+	Instance medlarwheel.InstanceID
+	Process  string
+	Version  medlarwheel.RowVersion
 	// Expired is true if the previous owner has stopped renewing, so that its authority has ended or ends with Grace.
 	// Otherwise the previous owner has sent no orders since the claim, and its authority may have lasted longer.
 	Expired bool
