Log why the oldest best-effort submissions wait

What operators saw: task-waits names urgent steps only, and cell-load how many cores wait to fill.

Change: every 2 s, best-effort-waits names the three best-effort submissions that were accepted first and have nothing running although the turn of a step has come, with the position in the queue, timeliness, shape, width and size of the step, and the number of workers by the reason that rules each out. It looks at the submissions rather than the queue, so that a step in no queue shows. The reasons of task-waits have headroom and harm instead of other for best-effort work; names and fields stay. No decision changes.

--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -83,6 +83,7 @@
 	EventTakeoverReconciled  EventKind = "takeover-settled"
 	EventWorkerFenced        EventKind = "worker-fenced"
 	EventTaskWaiting         EventKind = "task-waits"
+	EventBestEffortWaiting   EventKind = "best-effort-waits"
 	EventLoad                EventKind = "cell-load"
 	EventWorkerSpeed         EventKind = "worker-speed"
 	EventTaskMoved           EventKind = "task-moved"
--- a/internal/scheduling/medlarcell/headroom.go
+++ b/internal/scheduling/medlarcell/headroom.go
@@ -56,21 +56,27 @@
 }
 
 // interferenceCost returns the cost of the effect that a best-effort task of the step would have on the serving runs of a
-// worker, as a part of a score, and whether all of them would stay below their targets at their expected load.
+// worker, as a part of a score, and whether that effect is acceptable.
 func (c *Cell) interferenceCost(s *step, w *worker) (cost float64, ok bool) {
+	cost, harm, ok := c.interferenceOn(s, w)
+	return cost, ok && c.isHarmAcceptable(s, harm)
+}
+
+// interferenceOn returns the cost of the effect that a best-effort task of the step would have on the serving runs of a worker,
+// what is lost by those that exceed their targets because of it, in cores of best-effort work, and whether all of them would
+// stay below their targets at their expected load.
+func (c *Cell) interferenceOn(s *step, w *worker) (cost, harm float64, ok bool) {
 	if w.headroomsStale {
 		c.updateHeadrooms(w)
 	}
 	image := medlarinterference.Image(s.spec.Image)
 	share := s.cpuShareOn(w)
-	// totalRise is the rise of the utilisations of all runs, and harm what is lost by those that exceed their targets because
-	// of the task, in cores of best-effort work.
-	totalRise, harm := 0.0, 0.0
+	totalRise := 0.0
 	for i := range w.headrooms {
 		h := &w.headrooms[i]
 		rise := share * c.interferenceModel.Coefficient(image, h.image)
 		if rise > h.smallest {
-			return 0, false
+			return 0, 0, false
 		}
 		totalRise += rise * float64(len(h.runs))
 		for _, r := range h.runs {
@@ -78,7 +84,12 @@
 		}
 	}
 	harmShare := harm * milli / float64(max(1, w.info.Capacity.MilliCPU))
-	return interferencePenalty*totalRise + harmPenalty*harmShare, harm <= c.maxHarm(s)*float64(s.spec.Size.MilliCPU)/milli
+	return interferencePenalty*totalRise + harmPenalty*harmShare, harm, true
+}
+
+// isHarmAcceptable reports whether a task of the step may do that harm to serving runs.
+func (c *Cell) isHarmAcceptable(s *step, harm float64) bool {
+	return harm <= c.maxHarm(s)*float64(s.spec.Size.MilliCPU)/milli
 }
 
 // maxHarm returns the expected harm that a task of the step may do, as a share of its own CPU.
--- a/internal/scheduling/medlarcell/wait_reasons.go
+++ b/internal/scheduling/medlarcell/wait_reasons.go
@@ -36,6 +36,7 @@
 		}
 	}
 	c.emitHeldTasks(now)
+	c.emitBestEffortWaits(now)
 }
 
 // emitHeldTasks emits which tasks are in no queue, since their crashes are not stored.
@@ -56,7 +57,7 @@
 // get any task come first. A step that waits beside workers that fit is not reached by the placement passes.
 var exclusions = []string{
 	"away", "fenced", "silent", "draining", "lease stated", "stray runs", "outdated", "paused", "unsuited", "spread", "processors", "memory",
-	"suspended", "other", "fit",
+	"suspended", "headroom", "harm", "other", "fit",
 }
 
 // waitReasons counts the workers by the first reason for which they do not run a task of the step.
@@ -111,14 +112,25 @@
 		return "spread"
 	case !s.spec.BestEffort && s.spec.Size.MilliCPU > free.MilliCPU || s.spec.Size.GPU > free.GPU:
 		return "processors"
+	case s.spec.BestEffort && w.bestEffortCPU+s.spec.Size.MilliCPU > c.unusedCPU(w):
+		return "processors"
 	case s.spec.Size.MemoryMB > free.MemoryMB:
 		return "memory"
 	case w.isSuspended(now):
 		return "suspended"
 	}
-	if _, ok := c.evaluate(s, &s.tasks[s.ready[0]], w); !ok {
+	if !c.isFeasible(s, &s.tasks[s.ready[0]], w) {
 		return "other"
 	}
+	if !s.spec.BestEffort {
+		return "fit"
+	}
+	switch _, harm, ok := c.interferenceOn(s, w); {
+	case !ok:
+		return "headroom"
+	case !c.isHarmAcceptable(s, harm):
+		return "harm"
+	}
 	return "fit"
 }
 
