--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -84,6 +84,7 @@
 	EventWorkerNotAwaited    EventKind = "worker-not-awaited"
 	EventWorkerFenced        EventKind = "worker-fenced"
 	EventTaskWaiting         EventKind = "task-waits"
+	EventBestEffortWaiting   EventKind = "best-effort-waits"
 	EventLoad                EventKind = "cell-load"
 	EventWorkerSpeed         EventKind = "worker-speed"
 	EventTaskMoved           EventKind = "task-moved"
