Check in the simulation what a new owner takes for not running

The simulation now checks, when a cell is settled, that no worker which the owner has not heard runs a task for an earlier owner, that no start of an earlier owner can take effect afterwards, and that no worker is passed over whose lease may be in force.

--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -186,7 +186,7 @@
 	for _, c := range sim.cell.TakeCommands() {
 		sim.send(c, sim.owner)
 	}
-	sim.cell.TakeEvents()
+	sim.checkEvents(sim.cell.TakeEvents())
 	if !sim.flushing {
 		sim.flush()
 	}
@@ -328,6 +328,7 @@
 	if s.Fence < on.fence || on.lastStopped[s.Task] >= s.Run || s.LeaseEnd <= on.clock(sim.now) {
 		return
 	}
+	sim.checkOwnerOf(on, s)
 	for _, other := range sim.workers {
 		if !other.up {
 			continue
