Hand a cell over only if its owner has stopped

An owner that the table does not answer hands the cell to an instance which then claims it at once, as one without an owner, and counts on it that no more orders come. handOver did not look whether the owner had stopped: if the instance ends meanwhile, Stop returns before the control goroutine has seen it, and the successor was asked all the same. Both could start a submission that is new to both (TWICE); only suspected, no record shows it.

The owner that has not stopped is not handed over: the others claim the cell once its renewals are missing.

--- a/internal/operation/medlarnode/registry.go
+++ b/internal/operation/medlarnode/registry.go
@@ -401,7 +401,11 @@
 // handOver stops the owner and asks another instance to claim the cell. If that fails, the others claim it once the
 // renewals are missing.
 func (n *Node) handOver(ctx context.Context, owner *medlarowner.Owner, successor medlarinstance.Instance) {
-	owner.Stop(ctx)
+	if !owner.Stop(ctx) {
+		n.log.Warn().Str("event", "handover-failed").Uint64("term", owner.TermNumber()).Str("to", string(successor.ID)).
+			Msg("the owner has not confirmed that it sends no more orders; the cell is not handed over")
+		return
+	}
 	_, err := n.promiseClients.clientFor(successor.Address).call(successor.Address, peerPathTakeOver, peerRequest{
 		Term: owner.TermNumber(), LeasesLeft: owner.OutageLeases(),
 	})
--- a/internal/operation/medlarnode/registry_test.go
+++ b/internal/operation/medlarnode/registry_test.go
@@ -115,6 +115,28 @@
 	}
 }
 
+// TestCellOfRunningOwnerIsNotHandedOver guards against two owners side by side: the successor claims at once, while the owner has not
+// stopped yet.
+func TestCellOfRunningOwnerIsNotHandedOver(t *testing.T) {
+	requests := make(chan string, 1)
+	n := newForwardingNode(t, func(ctx *fasthttp.RequestCtx) {
+		requests <- string(ctx.Path())
+		ctx.SetBodyString("{}")
+	})
+	successor := medlarinstance.Instance{ID: "b", Address: n.term.Load().Address}
+	n.promiseClients.byAddress = map[string]*peerClient{successor.Address: n.forwardClient}
+	c := medlarowner.DefaultConfig()
+	owner := medlarowner.New(c, medlarowner.Dependencies{Clock: n.clock}, medlarownership.Term{Number: 1, Version: 1}, n.clock.Now(), medlarownership.Predecessor{})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	n.handOver(ctx, owner, successor)
+	select {
+	case path := <-requests:
+		t.Errorf("got request %s to the successor of an owner that has not stopped, want none", path)
+	default:
+	}
+}
+
 // bootClock returns the clock of an instance.
 func bootClock(t *testing.T) *medlarclock.BootClock {
 	t.Helper()
