Keep the newest claim if two goroutines see different ones

The loop that follows the table and the response to a claim both record who owns the cell. setTerm compared versions and then stored, so that the older claim could be stored last. The instance then asked the earlier owner for states and loads, and stopped to watch the process of the new one, until the next response of the table (0.5 s).

--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -336,6 +336,25 @@
 	}
 }
 
+// TestOlderClaimDoesNotHideNewerOne guards against an instance that asks and watches an earlier owner: two goroutines have seen different
+// claims, and the one with the older claim records it last.
+func TestOlderClaimDoesNotHideNewerOne(t *testing.T) {
+	const claims, rounds = 4, 20000
+	for range rounds {
+		n := &Node{log: zerolog.Nop()}
+		var group sync.WaitGroup
+		for version := range medlarwheel.RowVersion(claims) {
+			group.Go(func() {
+				n.setTerm(t.Context(), medlarownership.Term{Number: uint64(version) + 1, Instance: n.config.Settings.Instance, Version: version + 1})
+			})
+		}
+		group.Wait()
+		if got := n.term.Load().Version; got != claims {
+			t.Fatalf("version of the known claim: got %d, want that of the last one, %d", got, claims)
+		}
+	}
+}
+
 // termRow returns the row of a claim.
 func termRow(t *testing.T, term medlarownership.Term, version medlarwheel.RowVersion) medlartable.Row {
 	t.Helper()
--- a/internal/operation/medlarnode/ownership.go
+++ b/internal/operation/medlarnode/ownership.go
@@ -123,11 +123,15 @@
 
 // setTerm records who owns the cell, and watches the process of a new owner.
 func (n *Node) setTerm(ctx context.Context, t medlarownership.Term) {
-	current := n.term.Load()
-	if t.Number == 0 || current != nil && current.Version >= t.Version {
-		return
+	for {
+		current := n.term.Load()
+		if t.Number == 0 || current != nil && current.Version >= t.Version {
+			return
+		}
+		if n.term.CompareAndSwap(current, &t) {
+			break
+		}
 	}
-	n.term.Store(&t)
 	n.log.Info().Str("event", "owner-changed").Uint64("term", t.Number).Uint64("version", uint64(t.Version)).Str("owner", string(t.Instance)).
 		Bool("released", t.Released).Msg("")
 	if t.Instance != n.config.Settings.Instance && !t.Released {
