Take the owner before a late claim into account

An owner without the table goes on by promises of the instances in its copy of the registry. The table may carry out a claim after the process that sent it has ended; the next process of that instance has promised meanwhile. An instance that no owner knows yet found the owner of the late claim ended, and claimed at once, without any grace, beside the owner before it, which may send orders for 1.2 s and more. A submission that is new to both is started by both (TWICE), and outage leases of the first outlast the wait by up to 0.7 s.

The owner of the claim was there to refuse promises if it has renewed. If it never has, a new instance now states the time until every owner must know it as the grace of its predecessors, so that inherited and new submissions wait for the workers' reports or the end of the leases. It still claims at once. The next process of the instance itself is among those asked, and needs none. The limit of the grace that a claim passes on is 10 s instead of 3 s, since this one lasts up to 9.5 s.

TestNewInstanceGrantsGraceAfterLateClaim failed before in three of its seven cases (grace of 0 instead of 6.5, 6.5 and 9.5 s).

--- a/internal/operation/medlarnode/claim.go
+++ b/internal/operation/medlarnode/claim.go
@@ -135,6 +135,9 @@
 		}
 		ok = true
 		claim.predecessor = m.Predecessor(claim.claimedAt, claim.receivedRequests)
+		if m.MayBeLateClaim() && m.Term().Instance != n.config.Settings.Instance {
+			claim.predecessor.Grace = max(claim.predecessor.Grace, minRegistrationTime-n.registration.continuousFor(claim.claimedAt))
+		}
 		claim.term, claim.transaction, err = m.Claim(medlarownership.Term{
 			Instance: n.config.Settings.Instance, Address: n.config.Settings.Peer, Process: n.process,
 			Lease: n.config.Owner.Cell.Lease, LeaseTail: n.config.Owner.Cell.LeaseTail, Grace: claim.predecessor.Grace,
--- a/internal/operation/medlarnode/claim_test.go
+++ b/internal/operation/medlarnode/claim_test.go
@@ -355,6 +355,65 @@
 	}
 }
 
+// TestNewInstanceGrantsGraceAfterLateClaim guards against a second run of a task: the claim of a process that has ended is carried out
+// late, and its predecessor, which still acts on promises, has not asked this instance for one.
+func TestNewInstanceGrantsGraceAfterLateClaim(t *testing.T) {
+	const registeredFor = 3 * time.Second
+	never := medlarownership.Term{Number: 2, Instance: "b", Address: "10.0.0.2:80", Process: "b-1"}
+	own, first, released := never, never, never
+	own.Instance, first.Number, released.Released = "a", 1, true
+	for name, test := range map[string]struct {
+		term       medlarownership.Term
+		renewed    bool
+		registered time.Duration
+		want       time.Duration
+	}{
+		"owner-never-renewed":      {never, false, registeredFor, minRegistrationTime - registeredFor},
+		"released-without-renewal": {released, false, registeredFor, minRegistrationTime - registeredFor},
+		"owner-has-renewed":        {never, true, registeredFor, 0},
+		"instance-was-asked":       {never, false, minRegistrationTime, 0},
+		"claim-of-earlier-process": {own, false, registeredFor, 0},
+		"owner-had-no-predecessor": {first, false, registeredFor, 0},
+		"registered-just-now":      {never, false, 0, minRegistrationTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNodeOnTable(t, &eventLog{counts: map[string]int{}}, (&claimTable{}).serve)
+			now := n.clock.Now()
+			for _, age := range []time.Duration{test.registered, test.registered / 2} {
+				n.registration.recordRenewal(now.Add(-age), now.Add(-age))
+			}
+			rows := []medlartable.Row{renewalRow(t, 9), termRow(t, test.term, 12)}
+			if test.renewed {
+				row, err := medlarownership.RenewalRow("c0", medlarownership.Renewal{Timeout: time.Second, Term: test.term.Number})
+				if err != nil {
+					t.Fatal(err)
+				}
+				row.Version = 13
+				rows = append(rows, row)
+			}
+			if test.term.Number == 1 {
+				rows = rows[1:]
+			}
+			n.withMonitor(func(m *medlarownership.Monitor) {
+				if err := m.Observe(now, rows); err != nil {
+					t.Fatal(err)
+				}
+				m.OwnerDied(m.Term())
+			})
+			claim, ok, err := n.prepareClaim()
+			if !ok || err != nil {
+				t.Fatalf("the instance does not claim a cell whose owner has ended: %v", err)
+			}
+			if got := claim.predecessor.Grace; got > test.want || got < test.want-time.Second && test.want > 0 {
+				t.Errorf("grace of an owner that has not asked this instance: got %v, want %v", got, test.want)
+			}
+			if claim.term.Grace != claim.predecessor.Grace {
+				t.Errorf("grace in the claim: got %v, want %v", claim.term.Grace, claim.predecessor.Grace)
+			}
+		})
+	}
+}
+
 // termRow returns the row of a claim.
 func termRow(t *testing.T, term medlarownership.Term, version medlarwheel.RowVersion) medlartable.Row {
 	t.Helper()
--- a/internal/operation/medlarnode/registry.go
+++ b/internal/operation/medlarnode/registry.go
@@ -97,9 +97,17 @@
 // isContinuousFor reports whether the instance has been registered without a gap for at least the given time. After
 // minRegistrationTime every owner's copy of the registry includes it.
 func (g *registration) isContinuousFor(now time.Time, atLeast time.Duration) bool {
+	return atLeast > 0 && g.continuousFor(now) >= atLeast
+}
+
+// continuousFor returns for how long the instance has been registered without a gap.
+func (g *registration) continuousFor(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.continuousSince.IsZero() && now.Sub(g.continuousSince) >= atLeast && now.Sub(g.lastRenewal) <= maxRegistrationRenewalAge
+	if g.continuousSince.IsZero() || now.Sub(g.lastRenewal) > maxRegistrationRenewalAge {
+		return 0
+	}
+	return now.Sub(g.continuousSince)
 }
 
 // followInstances reads the registry and checks the ownership while this instance owns the cell.
--- a/internal/operation/medlarnode/registry_test.go
+++ b/internal/operation/medlarnode/registry_test.go
@@ -78,6 +78,9 @@
 		t.Fatal("the owner does not go on by the oldest copy of the registry")
 	}
 	c := medlarownership.DefaultConfig()
+	if minRegistrationTime > c.MaxGrace {
+		t.Errorf("a claim passes on a grace of %v, want up to minRegistrationTime, %v", c.MaxGrace, minRegistrationTime)
+	}
 	lastOrderAt := readAt.Add(maxTrustedRegistryAge + c.OwnerTimeout + c.ClaimMargin)
 	if g.isContinuousFor(lastOrderAt.Add(-time.Millisecond), minRegistrationTime) {
 		t.Error("the instance may claim the cell while orders of the owner may be on their way")
--- a/internal/state/medlarownership/ownership.go
+++ b/internal/state/medlarownership/ownership.go
@@ -35,6 +35,8 @@
 	// OwnerTimeout is how long after a renewal an owner may send orders to workers while the table is fast. MaxOwnerTimeout
 	// is the upper limit when the table is slow.
 	OwnerTimeout, MaxOwnerTimeout time.Duration
+	// MaxGrace limits the grace in a claim, so that one wrong row does not leave the cell without an owner.
+	MaxGrace time.Duration
 	// RenewDurationFactor times the duration of a renewal, added to RenewInterval, is the timeout that an owner requests. It
 	// covers one renewal and a retry after a lost response.
 	RenewDurationFactor float64
@@ -61,6 +63,7 @@
 func DefaultConfig() Config {
 	return Config{
 		RenewInterval: 400 * time.Millisecond, OwnerTimeout: 1200 * time.Millisecond, MaxOwnerTimeout: 3 * time.Second,
+		MaxGrace:            10 * time.Second,
 		RenewDurationFactor: 3, ClaimMargin: 300 * time.Millisecond, SuspectTimeout: 900 * time.Millisecond,
 		MaxResponseGap: 1000 * time.Millisecond, OutageLease: 8 * time.Second, MaxLease: 10 * time.Second,
 		OutageThreshold: 2 * time.Second,
@@ -242,7 +245,7 @@
 func (m *Monitor) setTerm(now time.Time, t Term) {
 	m.term, m.ownerTimeout, m.sinceRenewal, m.ownerDead, m.ownerSuspected = t, m.config.OwnerTimeout, 0, false, false
 	m.leasesReported = false
-	if end := now.Add(min(t.Grace, m.config.MaxOwnerTimeout)); end.After(m.graceEnd) {
+	if end := now.Add(min(t.Grace, m.config.MaxGrace)); end.After(m.graceEnd) {
 		m.graceEnd = end
 	}
 }
@@ -345,6 +348,11 @@
 	}
 }
 
+// MayBeLateClaim reports whether the table may have carried out the current claim long after its owner has sent it and ended. That
+// owner has then refused no promise, and an instance which the owner before it has not asked for one must take the authority of the
+// latter into account. An owner that has renewed was there to refuse.
+func (m *Monitor) MayBeLateClaim() bool { return m.term.Number > 1 && m.renewal.Term != m.term.Number }
+
 // MinRegisteredTime returns how long a process must have been in the instance registry to know all outage leases that may be
 // valid from the promise requests of owners. trust is the age up to which an owner relies on its copy of the registry.
 func (c *Config) MinRegisteredTime(trust time.Duration) time.Duration {
