Let best-effort work past its hard deadline take turns

Cause: work past its hard deadline comes last, and among itself by the value of each core-second, all tasks of a step at once. Large submissions began only once all smaller ones were done.

Change: a best-effort submission past its hard deadline that has nothing running gets room for one task before any other such submission gets a second, and the one that has been idle for longest comes first. Further tasks follow in the old order, within the same pass. Work that can still be in time comes first as before, and the limits beside serving tasks stay: unlike the two trials of docs/load-study.md, nothing is placed that was not placed before.

The price: the same work is spread over more submissions, so that fewer of those past their deadline are complete at the end.

--- a/internal/scheduling/medlarcell/bench_test.go
+++ b/internal/scheduling/medlarcell/bench_test.go
@@ -63,23 +63,34 @@
 	}
 }
 
+// BenchmarkPlaceExpired measures the same with a backlog that is past its hard deadlines.
+func BenchmarkPlaceExpired(b *testing.B) {
+	for _, workers := range []int{66, 490, 2800} {
+		b.Run(fmt.Sprintf("workers-%d", workers), func(b *testing.B) { benchmarkPlace(b, workers, time.Minute) })
+	}
+}
+
+// benchmarkPlace measures placement passes of a cell whose backlog was accepted some time before.
+func benchmarkPlace(b *testing.B, workers int, age time.Duration) {
+	c, now := loadedCell(b, workers, 2*workers)
+	now = now.Add(age)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(2 * time.Millisecond)
+		w := c.workers[workerName(i%workers)]
+		w.lastContact = now
+		w.headroomsStale = true
+		for _, other := range c.workers {
+			other.lastContact = now
+		}
+		c.Place(now)
+		c.TakeCommands()
+	}
+}
+
 // BenchmarkPlace measures one placement pass after one worker has reported, with a backlog that does not fit.
 func BenchmarkPlace(b *testing.B) {
 	for _, workers := range []int{66, 490, 2800} {
-		b.Run(fmt.Sprintf("workers-%d", workers), func(b *testing.B) {
-			c, now := loadedCell(b, workers, 2*workers)
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				now = now.Add(2 * time.Millisecond)
-				w := c.workers[workerName(i%workers)]
-				w.lastContact = now
-				w.headroomsStale = true
-				for _, other := range c.workers {
-					other.lastContact = now
-				}
-				c.Place(now)
-				c.TakeCommands()
-			}
-		})
+		b.Run(fmt.Sprintf("workers-%d", workers), func(b *testing.B) { benchmarkPlace(b, workers, 0) })
 	}
 }
--- a/internal/scheduling/medlarcell/candidates.go
+++ b/internal/scheduling/medlarcell/candidates.go
@@ -46,8 +46,13 @@
 
 // placeStep starts waiting tasks of a step on the given workers until none fits the next task.
 func (c *Cell) placeStep(now time.Time, s *step, workers []*worker) {
+	c.placeTasks(now, s, workers, len(s.ready))
+}
+
+// placeTasks does the same for up to limit tasks.
+func (c *Cell) placeTasks(now time.Time, s *step, workers []*worker, limit int) {
 	isCurrent := false
-	for len(s.ready) > 0 {
+	for ; len(s.ready) > 0 && limit > 0; limit-- {
 		index := s.ready[0]
 		t := &s.tasks[index]
 		if t.hasOwnConstraints() {
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -55,6 +55,8 @@
 	rankedAt        time.Time
 	// resumeStep is the step at which the last placement pass has ended, or nil if it has reached the end of the queue.
 	resumeStep *step
+	// deferredSteps is the memory of the deferred steps of a pass.
+	deferredSteps []*step
 	// passStartedAt is when the latest placement pass started.
 	passStartedAt time.Time
 	// needsCompaction is true if the queue may hold steps without waiting tasks.
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -30,6 +30,9 @@
 	// remainingWork is the part of totalWork whose tasks are not done.
 	remainingWork float64
 	started       bool
+	// runs is the number of runs of all tasks, and idleSince since when there is none.
+	runs      int
+	idleSince time.Time
 	// moved is true once the job has followed its route to another service.
 	moved      bool
 	finishedAt time.Time
@@ -192,6 +195,22 @@
 
 func (r *run) job() *job { return r.step.occurrence.job }
 
+// endRun records that one of the runs of the job no longer exists.
+func (j *job) endRun(now time.Time) {
+	j.runs--
+	if j.runs == 0 {
+		j.idleSince = now
+	}
+}
+
+// idle returns how long nothing of the job has run, or 0 while it has runs.
+func (j *job) idle(now time.Time) time.Duration {
+	if j.runs > 0 {
+		return 0
+	}
+	return now.Sub(j.idleSince)
+}
+
 func (r *run) name() medlarsubmission.TaskName { return r.step.name(r.index) }
 
 func (s *step) name(index int) medlarsubmission.TaskName {
@@ -206,7 +225,7 @@
 }
 
 func newJob(s medlarsubmission.Submission, inherited bool, runTimes *medlarforecast.Model, segmentTasks int) *job {
-	j := &job{submission: s, state: medlarsubmission.StateQueued, inherited: inherited}
+	j := &job{submission: s, state: medlarsubmission.StateQueued, inherited: inherited, idleSince: s.AcceptedAt}
 	expected, longestTasks := make([]time.Duration, len(s.Steps)), make([]time.Duration, len(s.Steps))
 	for i := range s.Steps {
 		expected[i] = runTimes.Predict(s.Route, s.Steps[i].Estimate)
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -21,7 +21,7 @@
 	c.updateQueue(now)
 	c.updateOpportunityCosts(now)
 	c.failureCache.beginPass(now)
-	p := placementPass{cell: c, now: now}
+	p := placementPass{cell: c, now: now, deferred: c.deferredSteps[:0]}
 	first, last := 0, len(c.queue)
 	for ; first < last && p.failed < maxFailedStepsPerPass; first++ {
 		p.try(c.queue[first])
@@ -37,6 +37,7 @@
 		}
 		p.try(s)
 	}
+	p.placeDeferred()
 	c.placeOnSuspended(now)
 }
 
@@ -47,6 +48,9 @@
 	// usable holds the usable workers once a step has been tried on all of them. failed counts the steps that still wait.
 	usable []*worker
 	failed int
+	// deferred holds the steps that get further tasks in the last round of the pass.
+	deferred    []*step
+	isLastRound bool
 }
 
 // try starts the waiting tasks of a step, unless they have failed on all workers that have not changed since.
@@ -63,9 +67,18 @@
 		p.usable = c.listUsableWorkers(p.now)
 		workers = p.usable
 	}
-	if s.spec.Gang {
+	switch {
+	case s.spec.Gang:
 		c.placeGang(p.now, s, workers)
-	} else {
+	case s.takesTurns() && !p.isLastRound:
+		if s.occurrence.job.runs == 0 {
+			c.placeTasks(p.now, s, workers, 1)
+		}
+		if s.occurrence.job.runs > 0 {
+			p.deferred = append(p.deferred, s)
+			return
+		}
+	default:
 		c.placeStep(p.now, s, workers)
 	}
 	if len(s.ready) > 0 {
@@ -74,6 +87,25 @@
 	}
 }
 
+// placeDeferred starts further tasks of the steps whose submissions have something running.
+func (p *placementPass) placeDeferred() {
+	p.isLastRound = true
+	limit := p.failed + maxFurtherFailedSteps
+	for _, s := range p.deferred {
+		if p.failed >= limit {
+			break
+		}
+		p.try(s)
+	}
+	p.cell.deferredSteps = p.deferred
+}
+
+// takesTurns reports whether the step gets no second task while submissions like its own have nothing running. Best-effort work past
+// its hard deadline is served last, so that after a burst the larger part of it would not begin for minutes.
+func (s *step) takesTurns() bool {
+	return s.spec.BestEffort && s.rank.Timeliness == medlarrank.TimelinessExpired
+}
+
 // maxFailedStepsPerPass bounds the number of steps without a feasible worker that one pass considers in the order of the queue, and
 // maxFurtherFailedSteps that of the others, by turns.
 const (
@@ -316,8 +348,13 @@
 	if s.spec.LongRunning {
 		return medlarrank.Rank{Priority: j.submission.Policy.Priority, Score: longRunningScore}
 	}
+	idle := time.Duration(0)
+	if s.spec.BestEffort {
+		idle = j.idle(now)
+	}
 	return medlarrank.Of(now, c.config.Rank, j.submission.Policy.Priority, medlarrank.Work{
 		SoftDeadline: j.softDeadline, HardDeadline: j.hardDeadline, CriticalPath: j.criticalPaths[s.index], Value: c.valueOf(j), RemainingCoreSeconds: j.remainingWork,
+		Idle: idle,
 	})
 }
 
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -352,6 +352,7 @@
 	r.step.removeReady(r.index)
 	c.needsCompaction = true
 	t.runs = append(t.runs, r)
+	r.job().runs++
 	r.worker.addRun(r)
 }
 
@@ -382,6 +383,7 @@
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			r.job().endRun(now)
 			break
 		}
 	}
--- a/internal/scheduling/medlarrank/rank.go
+++ b/internal/scheduling/medlarrank/rank.go
@@ -14,6 +14,7 @@
 package medlarrank
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -53,13 +54,17 @@
 	Value float64
 	// RemainingCoreSeconds is the work that remains to be done.
 	RemainingCoreSeconds float64
+	// Idle is how long nothing of the work has run, or 0 while a part of it runs.
+	Idle time.Duration
 }
 
 // Rank orders work. The zero Rank is in time and has no score.
 type Rank struct {
 	Priority   int
 	Timeliness Timeliness
-	Score      float64
+	// Idle is set for expired work only. Its result is of no use at any time, so that it is served by turns.
+	Idle  time.Duration
+	Score float64
 }
 
 // Compare returns a negative number if r comes before other, and a positive one if it comes after.
@@ -69,6 +74,8 @@
 		return r.Priority - other.Priority
 	case r.Timeliness != other.Timeliness:
 		return int(r.Timeliness - other.Timeliness)
+	case r.Idle != other.Idle:
+		return cmp.Compare(other.Idle, r.Idle)
 	case r.Score > other.Score:
 		return -1
 	case r.Score < other.Score:
@@ -90,7 +97,7 @@
 		rank.Timeliness, slack = TimelinessLate, w.HardDeadline.Sub(end)
 	}
 	if slack < 0 {
-		rank.Timeliness, slack = TimelinessExpired, 0
+		rank.Timeliness, rank.Idle, slack = TimelinessExpired, w.Idle, 0
 	}
 	density := w.Value / math.Pow(max(w.RemainingCoreSeconds, minCoreSeconds), c.SizeExponent)
 	rank.Score = density * c.probabilityInTime(slack, w.CriticalPath)
--- a/internal/scheduling/medlarrank/rank_test.go
+++ b/internal/scheduling/medlarrank/rank_test.go
@@ -155,3 +155,21 @@
 		}
 	}
 }
+
+// TestExpiredWorkTakesTurns guards against expired work that waits until all smaller expired work is done, and against turns that
+// delay work whose result is still of use.
+func TestExpiredWorkTakesTurns(t *testing.T) {
+	at := func(hard, idle time.Duration, coreSeconds float64) Rank {
+		return Of(epoch, DefaultConfig(), 2, Work{
+			SoftDeadline: epoch, HardDeadline: epoch.Add(hard), CriticalPath: time.Second, Value: 1, RemainingCoreSeconds: coreSeconds, Idle: idle,
+		})
+	}
+	want := []Rank{
+		at(6*time.Second, 0, 1), at(6*time.Second, time.Minute, 10), at(0, time.Minute, 100), at(0, time.Second, 1), at(0, 0, 1), at(0, 0, 10),
+	}
+	for i := range want[1:] {
+		if want[i].Compare(want[i+1]) >= 0 {
+			t.Errorf("rank %d does not compare as after rank %d", i+1, i)
+		}
+	}
+}
