Take a lease for over only if no successor can have extended it

An owner that loses the table may send orders for up to 1.2 s (3 s under a slow table) after its last renewal; another instance may claim the cell 0.9 s after it if the owner's address refuses connections, and states the rest as grace. If the leases of lost workers end in between, the first owner took them for over and started their tasks elsewhere, while the second had reached the workers and extended the leases, or acknowledged ends as done (TWICE, for all tasks of those workers at once).

A lease is now over only if it has ended before another instance can have claimed the cell: SuspectTimeout after the last stored renewal was sent, or up to the end of the authority that all instances have promised. While the table answers, this is always later than now.

The simulation lets an owner act beside its successor until its authority ends, with workers that only one of them reaches. Its check of starts after an acknowledged end follows the rule of the platform for the starts of such an owner: an acknowledgement after a lapse of the lease does not count. For all other owners it is as strict as before.

--- a/internal/scheduling/medlarcell/bench_test.go
+++ b/internal/scheduling/medlarcell/bench_test.go
@@ -17,6 +17,7 @@
 	c := New(DefaultConfig())
 	c.Begin(now, Ownership{Fence: 1 << 12, Term: 1})
 	c.Authorize(now.Add(time.Hour))
+	c.ExcludeSuccessor(now.Add(time.Hour))
 	for i := range workers {
 		c.SetWorker(now, medlarorder.Worker{
 			ID: workerName(i), Incarnation: 1, Service: "svc", Address: "10.0.0.1:80",
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -40,6 +40,8 @@
 	inGrace bool
 	// authorityEnd is the time until which this owner may send orders without a further renewal of its ownership.
 	authorityEnd time.Time
+	// noSuccessorUntil is the time before which no other instance can have claimed the cell.
+	noSuccessorUntil time.Time
 
 	// Work.
 
@@ -366,7 +368,7 @@
 func (c *Cell) Tick(now time.Time) {
 	c.tryReconcile(now)
 	for id, w := range c.workers {
-		if len(w.runs) > 0 && now.After(w.leaseEnd) {
+		if len(w.runs) > 0 && c.isLeaseOver(now, w.leaseEnd) {
 			c.emit(Event{Kind: EventLeaseEnded, Worker: id, Count: len(w.runs), Age: now.Sub(w.lastContact)})
 			c.recordCrashes(now, w, w.incarnation, lostLease)
 			for r := range w.runs {
--- a/internal/scheduling/medlarcell/doc.go
+++ b/internal/scheduling/medlarcell/doc.go
@@ -14,6 +14,7 @@
 //	cell := medlarcell.New(medlarcell.DefaultConfig())
 //	cell.Begin(now, ownership)
 //	cell.Authorize(authorityEnd)
+//	cell.ExcludeSuccessor(noClaimBefore)
 //	cell.SetWorkers(now, workers)
 //	cell.Accept(now, submission)
 //	cell.Place(now)
--- a/internal/scheduling/medlarcell/interference_load_test.go
+++ b/internal/scheduling/medlarcell/interference_load_test.go
@@ -193,6 +193,7 @@
 	}
 	f.cell.Begin(f.now, Ownership{Fence: 1 << 12, Term: 1})
 	f.cell.Authorize(f.now.Add(time.Hour))
+	f.cell.ExcludeSuccessor(f.now.Add(time.Hour))
 	for i := range loadWorkers {
 		f.runs = append(f.runs, map[medlarsubmission.TaskName]*loadRun{})
 		w := testWorker(i)
--- a/internal/scheduling/medlarcell/ownership.go
+++ b/internal/scheduling/medlarcell/ownership.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// ExcludeSuccessor records that no other instance can have claimed the cell before the given time. A lease that has ended by then was
+// not extended by a successor.
+func (c *Cell) ExcludeSuccessor(until time.Time) {
+	if until.After(c.noSuccessorUntil) {
+		c.noSuccessorUntil = until
+	}
+}
+
+// isLeaseOver reports whether a lease that this or an earlier owner has granted until end is over. While the table is away a successor
+// may have claimed the cell and extended it.
+func (c *Cell) isLeaseOver(now, end time.Time) bool {
+	return !now.Before(end) && !end.After(c.noSuccessorUntil)
+}
+
 // AuthorityEnd returns the time until which this owner may send orders to workers.
 func (c *Cell) AuthorityEnd() time.Time { return c.authorityEnd }
 
--- a/internal/scheduling/medlarcell/report_test.go
+++ b/internal/scheduling/medlarcell/report_test.go
@@ -27,6 +27,7 @@
 	sc := &scriptedCell{T: t, cell: New(config), now: simEpoch}
 	sc.cell.Begin(sc.now, ownership)
 	sc.cell.Authorize(sc.now.Add(time.Hour))
+	sc.cell.ExcludeSuccessor(sc.now.Add(time.Hour))
 	for i := range workers {
 		sc.cell.SetWorker(sc.now, testWorker(i))
 		if ownership.Term > 1 {
--- a/internal/scheduling/medlarcell/schedule_test.go
+++ b/internal/scheduling/medlarcell/schedule_test.go
@@ -48,6 +48,7 @@
 	r.scriptedCell = &scriptedCell{T: r.t, cell: New(DefaultConfig()), now: r.now}
 	r.cell.Begin(r.now, Ownership{Fence: medlarwheel.FencingToken(r.term << 12), Term: r.term})
 	r.cell.Authorize(r.now.Add(time.Hour))
+	r.cell.ExcludeSuccessor(r.now.Add(time.Hour))
 	if !isFirst {
 		if err := r.cell.Restore(r.now, r.submission, r.progress, false); err != nil {
 			r.t.Fatal(err)
--- a/internal/scheduling/medlarcell/silence_test.go
+++ b/internal/scheduling/medlarcell/silence_test.go
@@ -93,6 +93,7 @@
 	s.scriptedCell = &scriptedCell{T: s.t, cell: New(DefaultConfig()), now: now}
 	s.cell.Begin(now, Ownership{Fence: medlarwheel.FencingToken(s.term << 12), Term: s.term, Expired: expired, LeaseEnds: ends})
 	s.cell.Authorize(now.Add(time.Hour))
+	s.cell.ExcludeSuccessor(now.Add(time.Hour))
 	if err := s.cell.Restore(now, seriesSubmission(), s.stored, false); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/scheduling/medlarcell/sim_faults_test.go
+++ b/internal/scheduling/medlarcell/sim_faults_test.go
@@ -87,6 +87,7 @@
 		crashes:   map[medlarsubmission.TaskName]int{},
 		doneTasks: map[medlarsubmission.TaskName]bool{}, ackedDone: map[medlarsubmission.TaskName]bool{},
 		failures: map[medlarsubmission.TaskName]map[medlarorder.RunNumber]bool{}, faults: true,
+		superseded: map[int]*Cell{}, actedBeside: map[int]bool{}, ackedInLease: map[medlarsubmission.TaskName]bool{}, cuts: map[simCut]bool{},
 	}
 	for i := range 8 {
 		worker := newSimWorker(i, 16000)
@@ -140,6 +141,7 @@
 // the cell once the authority of the first one has ended.
 func (sim *simCluster) outage() {
 	sim.disconnectOwner()
+	sim.cell.ExcludeSuccessor(sim.time().Add(simAuthorityDuration))
 	sim.cell.AllowOutageLease(sim.time().Add(simAuthorityDuration), simOutageLease)
 	sim.outageLeasesEnd = sim.now + simAuthorityDuration + simOutageLease
 	sim.after(simAuthorityDuration*3/4, func() {
--- a/internal/scheduling/medlarcell/takeover.go
+++ b/internal/scheduling/medlarcell/takeover.go
@@ -43,11 +43,11 @@
 
 // isReconciled reports whether every task that no worker has reported is known not to run.
 func (c *Cell) isReconciled(now time.Time) bool {
-	if !now.Before(c.reconcileDeadline) {
+	if c.isLeaseOver(now, c.reconcileDeadline) {
 		return true
 	}
 	for _, w := range c.workers {
-		if !w.hasReportedAll() && now.Before(w.inheritedLeaseEnd) {
+		if !w.hasReportedAll() && !c.isLeaseOver(now, w.inheritedLeaseEnd) {
 			return false
 		}
 	}
@@ -84,7 +84,7 @@
 	switch leasesEnd = w.inheritedLeaseEnd; {
 	case leasesEnd.IsZero():
 		return basisUnrecorded, leasesEnd
-	case now.Before(leasesEnd):
+	case !c.isLeaseOver(now, leasesEnd):
 		return basisNone, leasesEnd
 	case !isStated || !leasesEnd.Before(c.reconcileDeadline):
 		return basisFullLease, leasesEnd
--- a/internal/scheduling/medlarowner/flush.go
+++ b/internal/scheduling/medlarowner/flush.go
@@ -139,6 +139,7 @@
 	if renewal.Timeout > 0 {
 		o.recordRenewal(sentAt)
 		o.cell.Authorize(sentAt.Add(renewal.Timeout))
+		o.excludeSuccessor(sentAt)
 		o.cell.ConfirmLeasesLeft(now, renewal.LeasesLeft)
 	}
 }
--- a/internal/scheduling/medlarowner/load.go
+++ b/internal/scheduling/medlarowner/load.go
@@ -43,6 +43,7 @@
 		case err := <-loaded:
 			if err == nil {
 				o.cell.Authorize(authority)
+				o.excludeSuccessor(o.RenewedAt())
 			}
 			return unconfirmed, err
 		case <-ticker.C:
--- a/internal/scheduling/medlarowner/owner.go
+++ b/internal/scheduling/medlarowner/owner.go
@@ -188,6 +188,7 @@
 	o.recordOutageLeases()
 	o.recordRenewal(claimedAt)
 	o.cell.Authorize(claimedAt.Add(c.Ownership.OwnerTimeout))
+	o.excludeSuccessor(claimedAt)
 	return o
 }
 
@@ -334,11 +335,18 @@
 // RenewedAt returns when the last renewal that the table has confirmed was sent.
 func (o *Owner) RenewedAt() time.Time { return time.Unix(0, o.renewedAt.Load()) }
 
-// ExtendAuthority lets the owner send orders until the given time without a renewal and, if lease is above zero, grant
-// leases of at least that length until then.
+// excludeSuccessor records what a renewal that was sent at sentAt, and is stored, says of a successor: no instance claims the cell before
+// it has seen none for SuspectTimeout.
+func (o *Owner) excludeSuccessor(sentAt time.Time) {
+	o.cell.ExcludeSuccessor(sentAt.Add(o.config.Ownership.SuspectTimeout))
+}
+
+// ExtendAuthority lets the owner send orders until the given time without a renewal, since no other instance claims the cell before it,
+// and, if lease is above zero, grant leases of at least that length until then.
 func (o *Owner) ExtendAuthority(until time.Time, lease time.Duration) {
 	o.postToControl(func(time.Time) {
 		o.cell.Authorize(until)
+		o.cell.ExcludeSuccessor(until)
 		if lease > 0 {
 			o.cell.AllowOutageLease(until, lease)
 			o.recordOutageLeases()
