Decide whether best-effort work can be done before it is accepted

The decision bounds the backlog by the measured drain rate. It has no clock and no network. No report states a drain rate yet, so nothing is refused that was accepted before.

--- a/internal/acceptance/medlaradmission/admission.go
+++ b/internal/acceptance/medlaradmission/admission.go
@@ -8,6 +8,9 @@
 // A scheduler that ends for want of memory is followed by others that load the same submissions. Admission control
 // therefore also refuses submissions that would need more memory than the scheduler has.
 //
+// Best-effort work that cannot be done in time earns its client nothing and delays other work. Admission control therefore bounds
+// the backlog of best-effort work by what the workers have done lately, see docs/admission.md.
+//
 // A submission is accepted if the report is too old or missing.
 //
 // # Usage
@@ -37,6 +40,8 @@
 	// need. Zero means that there is no limit.
 	HeldMemory    int64 `json:"held-memory,omitempty"`
 	MaxHeldMemory int64 `json:"max-held-memory,omitempty"`
+	// BestEffort is the state of the best-effort work.
+	BestEffort BestEffortLoad `json:"best-effort,omitzero"`
 }
 
 // Config configures admission control.
@@ -45,19 +50,31 @@
 	MaxAge time.Duration
 	// MinRetryAfter and MaxRetryAfter are the bounds of Decision.RetryAfter.
 	MinRetryAfter, MaxRetryAfter time.Duration
+	BestEffort                   BestEffortConfig
 }
 
 // DefaultConfig returns the configuration for reports that are included in the responses of the scheduler.
 func DefaultConfig() Config {
-	return Config{MaxAge: 2 * time.Second, MinRetryAfter: time.Second, MaxRetryAfter: 30 * time.Second}
+	return Config{MaxAge: 2 * time.Second, MinRetryAfter: time.Second, MaxRetryAfter: 30 * time.Second, BestEffort: DefaultBestEffortConfig()}
 }
 
+// Cause names the limit for which a submission is refused. It is part of a metric name.
+type Cause string
+
+// The causes of refusals.
+const (
+	CauseMemory      Cause = "memory"
+	CauseLongRunning Cause = "long-running"
+	CauseBacklog     Cause = "best-effort-backlog"
+)
+
 // Decision is the decision on a submission.
 type Decision struct {
 	Accept bool
 	// RetryAfter is how long the client should wait before it repeats a refused submission.
 	RetryAfter time.Duration
-	// Reason states why the submission is refused.
+	// Cause is the limit for which the submission is refused, and Reason states it with the figures.
+	Cause  Cause
 	Reason string
 	// Age is the age of the report at the time of the decision.
 	Age time.Duration
@@ -71,7 +88,7 @@
 
 // DependsOnLoad reports whether the decision on a submission depends on a recent report of the load.
 func (c Config) DependsOnLoad(s *medlarsubmission.Submission) bool {
-	return longRunningCores(s) > 0 || c.MemoryToReserve(s) > 0
+	return longRunningCores(s) > 0 || c.MemoryToReserve(s) > 0 || bestEffortWork(s, 1) > 0
 }
 
 // MemoryToReserve returns the memory in bytes that the scheduler has to keep free for a submission until it hears of it. It is
@@ -85,20 +102,33 @@
 
 // Admit decides whether a submission is accepted.
 func (c Config) Admit(now time.Time, s *medlarsubmission.Submission, load Load) Decision {
-	d := Decision{Accept: true, Age: now.Sub(load.At)}
-	if load.At.IsZero() || d.Age > c.MaxAge {
-		return d
+	d := Decision{Accept: true}
+	age := now.Sub(load.At)
+	if !load.At.IsZero() && age <= c.MaxAge {
+		d = c.admitAtOnce(s, &load)
+	}
+	if d.Accept && !load.At.IsZero() && age <= c.BestEffort.MaxAge {
+		d = c.BestEffort.admit(s, &load.BestEffort, c.MinRetryAfter)
 	}
+	d.Age = age
+	return d
+}
+
+// admitAtOnce decides by the limits that hold for the present state of the workers and the scheduler.
+func (c Config) admitAtOnce(s *medlarsubmission.Submission, load *Load) Decision {
 	if needed := s.Memory(); load.MaxHeldMemory > 0 && load.HeldMemory+needed > load.MaxHeldMemory {
-		d.Accept, d.RetryAfter = false, memoryRetryAfter
-		d.Reason = fmt.Sprintf("needs %d KB of memory, %d of %d KB are held", needed>>10, load.HeldMemory>>10, load.MaxHeldMemory>>10)
-		return d
+		return Decision{
+			RetryAfter: memoryRetryAfter, Cause: CauseMemory,
+			Reason: fmt.Sprintf("needs %d KB of memory, %d of %d KB are held", needed>>10, load.HeldMemory>>10, load.MaxHeldMemory>>10),
+		}
 	}
 	if cores := longRunningCores(s); cores > 0 && cores > load.LongRunningHeadroom {
-		d.Accept, d.Reason = false, "not enough free capacity for long-running tasks"
-		d.RetryAfter = c.retryAfter(cores-load.LongRunningHeadroom, load.LongRunningReleaseRate)
+		return Decision{
+			RetryAfter: c.retryAfter(cores-load.LongRunningHeadroom, load.LongRunningReleaseRate), Cause: CauseLongRunning,
+			Reason: "not enough free capacity for long-running tasks",
+		}
 	}
-	return d
+	return Decision{Accept: true}
 }
 
 // retryAfter returns the time in which the missing cores are released at the given rate, within the bounds.
--- /dev/null
+++ b/internal/acceptance/medlaradmission/best_effort.go
@@ -0,0 +1,237 @@
+package medlaradmission
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"time"
+
+	"medlarwheel/internal/acceptance/medlarsubmission"
+)
+
+// CoreSeconds is an amount of work: the predicted run time of tasks times their cores.
+type CoreSeconds float64
+
+// BestEffortLoad is the report on the best-effort work of one service.
+type BestEffortLoad struct {
+	// DrainRate is the number of cores for which best-effort work is done while enough of it waits. Zero means that it is not known.
+	DrainRate float64 `json:"drain-rate,omitempty"`
+	// Backlog is the accepted work that is not done, by route.
+	Backlog []RouteBacklog `json:"backlog,omitempty"`
+	// MeanWork is the mean work of a submission.
+	MeanWork CoreSeconds `json:"mean-work,omitempty"`
+	// Instances is the number of instances that accept submissions beside each other.
+	Instances int `json:"instances,omitempty"`
+}
+
+// RouteBacklog is the best-effort work of one route that is not done.
+type RouteBacklog struct {
+	Route    string      `json:"route"`
+	Priority int         `json:"priority"`
+	Work     CoreSeconds `json:"core-seconds"`
+}
+
+// Ahead returns the work of routes whose priority is at least as high as the given one.
+func (l *BestEffortLoad) Ahead(priority int) CoreSeconds {
+	total := CoreSeconds(0)
+	for _, b := range l.Backlog {
+		if b.Priority <= priority {
+			total += b.Work
+		}
+	}
+	return total
+}
+
+// add adds work to the backlog of a route.
+func (l *BestEffortLoad) add(route string, priority int, work CoreSeconds) {
+	for i := range l.Backlog {
+		if l.Backlog[i].Route == route {
+			l.Backlog[i].Work += work
+			return
+		}
+	}
+	l.Backlog = append(l.Backlog, RouteBacklog{Route: route, Priority: priority, Work: work})
+}
+
+// BestEffortConfig configures the admission of best-effort work.
+type BestEffortConfig struct {
+	// MaxWait bounds the time in which the backlog is done. Submissions with an early hard deadline are refused at a shorter one.
+	MaxWait time.Duration
+	// OpenShare is the share of the limit up to which every submission is accepted. Between it and the limit, a falling share is, so
+	// that the door neither closes nor opens for all at once.
+	OpenShare float64
+	// MaxAge is the greatest age of a report that is used. Without an owner, the last report and the work accepted since stand for
+	// the backlog.
+	MaxAge time.Duration
+	// VisibilityDelay is the time after which an accepted submission is included in the reports.
+	VisibilityDelay time.Duration
+	// HardDeadlineFactor times the objective of a submission is the time after which its result is of no use.
+	HardDeadlineFactor float64
+	// MaxRetryAfter bounds the retry delay.
+	MaxRetryAfter time.Duration
+}
+
+// DefaultBestEffortConfig returns the configuration for tasks of seconds.
+func DefaultBestEffortConfig() BestEffortConfig {
+	return BestEffortConfig{
+		MaxWait: 10 * time.Second, OpenShare: 0.6, MaxAge: 10 * time.Second, VisibilityDelay: 500 * time.Millisecond,
+		HardDeadlineFactor: 3, MaxRetryAfter: 10 * time.Second,
+	}
+}
+
+// Bounds of the work of a submission, relative to the mean, in the decision. Large submissions are refused earlier than small ones,
+// but some of them are accepted as long as some small ones are.
+const (
+	minRelativeWork = 0.25
+	maxRelativeWork = 1.5
+)
+
+// admit decides whether the best-effort work of a submission is accepted.
+func (c *BestEffortConfig) admit(s *medlarsubmission.Submission, load *BestEffortLoad, retryFrom time.Duration) Decision {
+	work := bestEffortWork(s, load.MeanWork)
+	if work == 0 || load.DrainRate <= 0 {
+		return Decision{Accept: true}
+	}
+	patience := c.patience(s)
+	limit := CoreSeconds(load.DrainRate * patience.Seconds())
+	ahead := load.Ahead(s.Policy.Priority)
+	// A submission that exceeds the limit alone is accepted beside a small backlog.
+	after := ahead + min(work, limit*CoreSeconds(c.OpenShare))
+	threshold := limit * CoreSeconds(c.threshold(s, work, load.MeanWork))
+	if after <= threshold || c.isWithinRouteShare(s, work, limit, load) {
+		return Decision{Accept: true}
+	}
+	wait := time.Duration(float64(after-threshold) / load.DrainRate * float64(time.Second))
+	return Decision{
+		RetryAfter: min(max(wait, retryFrom), c.MaxRetryAfter), Cause: CauseBacklog,
+		Reason: fmt.Sprintf("best-effort backlog is too large: %.0f core-seconds before it at %.0f a second, needs %.0f, at most %.0f in %d ms",
+			ahead, load.DrainRate, work, threshold, patience.Milliseconds()),
+	}
+}
+
+// patience returns how long the backlog before a submission may take.
+func (c *BestEffortConfig) patience(s *medlarsubmission.Submission) time.Duration {
+	path := longestPath(s.Steps)
+	objective := time.Duration(s.Policy.Stretch*float64(path)) + s.Policy.Allowance
+	if objective <= 0 {
+		return c.MaxWait
+	}
+	slack := time.Duration(c.HardDeadlineFactor*float64(objective)) - path
+	return max(min(slack, c.MaxWait), c.MaxWait/minPatienceShare)
+}
+
+// minPatienceShare bounds the patience from below, since estimates of run times are often wrong by half.
+const minPatienceShare = 5
+
+// threshold returns the share of the limit up to which a submission is accepted. It spreads submissions evenly over the range from
+// OpenShare to 1. Repeated requests and all instances get the same value, so that a submission is not accepted by trying often.
+func (c *BestEffortConfig) threshold(s *medlarsubmission.Submission, work, mean CoreSeconds) float64 {
+	exponent := 1.0
+	if mean > 0 {
+		exponent = min(max(float64(work/mean), minRelativeWork), maxRelativeWork)
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(s.ID))
+	// The finalizer of MurmurHash3 spreads ids that differ in their last digits only.
+	h := hash.Sum32()
+	h = (h ^ h>>16) * 0x85ebca6b
+	h = (h ^ h>>13) * 0xc2b2ae35
+	h ^= h >> 16
+	return c.OpenShare + (1-c.OpenShare)*math.Pow(float64(h)/math.MaxUint32, exponent)
+}
+
+// isWithinRouteShare reports whether the route of a submission has less work than its even share of OpenShare, so that the burst of
+// one route does not close the door for the others. All shares together exceed the limit by OpenShare at most.
+func (c *BestEffortConfig) isWithinRouteShare(s *medlarsubmission.Submission, work, limit CoreSeconds, load *BestEffortLoad) bool {
+	routes, ofRoute := 1, CoreSeconds(0)
+	for _, b := range load.Backlog {
+		switch {
+		case b.Route == s.Route:
+			ofRoute = b.Work
+		case b.Work > 0 && b.Priority <= s.Policy.Priority:
+			routes++
+		}
+	}
+	return routes > 1 && ofRoute+work <= limit*CoreSeconds(c.OpenShare)/CoreSeconds(routes)
+}
+
+// bestEffortWork returns the best-effort work of a submission that is to be done now. Steps without an estimate stand for a mean
+// submission.
+func bestEffortWork(s *medlarsubmission.Submission, mean CoreSeconds) CoreSeconds {
+	if s.OccurrenceCount > 0 {
+		return 0
+	}
+	total, unknown := CoreSeconds(0), false
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		if !step.BestEffort || step.LongRunning {
+			continue
+		}
+		unknown = unknown || step.Estimate <= 0
+		total += CoreSeconds(float64(step.Count) * float64(step.Size.MilliCPU) / medlarsubmission.MilliCPUPerCore * step.Estimate.Seconds())
+	}
+	if unknown {
+		total = max(total, mean)
+	}
+	return total
+}
+
+// longestPath returns the longest chain of estimated run times.
+func longestPath(steps []medlarsubmission.Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	longest := time.Duration(0)
+	for i := range steps {
+		for _, earlier := range steps[i].After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Pending holds the best-effort work that an instance has accepted and that may be missing in the report of the load.
+type Pending struct{ accepted []pendingWork }
+
+type pendingWork struct {
+	at       time.Time
+	route    string
+	priority int
+	work     CoreSeconds
+}
+
+// Add records an accepted submission.
+func (p *Pending) Add(now time.Time, c *BestEffortConfig, s *medlarsubmission.Submission, load Load) {
+	p.dropBefore(now.Add(-c.MaxAge - c.VisibilityDelay))
+	if work := bestEffortWork(s, load.BestEffort.MeanWork); work > 0 {
+		p.accepted = append(p.accepted, pendingWork{at: now, route: s.Route, priority: s.Policy.Priority, work: work})
+	}
+}
+
+// Apply returns the report with the work that may be missing in it. The other instances are taken to have accepted as much as this
+// one, but for its largest submission, so that single submissions do not count many times. All instances together exceed the limit
+// by at most two submissions each.
+func (p *Pending) Apply(c *BestEffortConfig, load Load) Load {
+	p.dropBefore(load.At.Add(-c.VisibilityDelay))
+	load.BestEffort.Backlog = append([]RouteBacklog(nil), load.BestEffort.Backlog...)
+	largest, others := 0, CoreSeconds(max(0, load.BestEffort.Instances-1))
+	for i, w := range p.accepted {
+		if w.work > p.accepted[largest].work {
+			largest = i
+		}
+	}
+	for i, w := range p.accepted {
+		work := w.work
+		if i != largest {
+			work += others * w.work
+		}
+		load.BestEffort.add(w.route, w.priority, work)
+	}
+	return load
+}
+
+func (p *Pending) dropBefore(t time.Time) {
+	for len(p.accepted) > 0 && p.accepted[0].at.Before(t) {
+		p.accepted = p.accepted[1:]
+	}
+}
