Report the backlog and the drain rate of best-effort work

Admission control needs to know whether best-effort work can be done. The owner now reports the predicted core-seconds that are accepted and not done, by route and image, and the rate at which such work is done, both in /peer/load. Reports that do not state the number of instances, and so all reports for now, refuse nothing.

- The rate falls only while as much work waits as the workers have unused cores.
- Images that press on serving tasks drain slowly and filled the backlog, so the door closed for the others.
- The bound is 7 s of the backlog, open up to 0.7 of it.
- The events best-effort-load and submission-started give the inputs and the predicted start, metrics the predicted and the real one.

--- a/internal/acceptance/medlaradmission/best_effort.go
+++ b/internal/acceptance/medlaradmission/best_effort.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 
 	"medlarwheel/internal/acceptance/medlarsubmission"
@@ -16,11 +17,13 @@
 type BestEffortLoad struct {
 	// DrainRate is the number of cores for which best-effort work is done while enough of it waits. Zero means that it is not known.
 	DrainRate float64 `json:"drain-rate,omitempty"`
-	// Backlog is the accepted work that is not done, by route.
+	// Backlog is the accepted work that is not done, by route, and Images the same by image.
 	Backlog []RouteBacklog `json:"backlog,omitempty"`
+	Images  []ImageBacklog `json:"images,omitempty"`
 	// MeanWork is the mean work of a submission.
 	MeanWork CoreSeconds `json:"mean-work,omitempty"`
-	// Instances is the number of instances that accept submissions beside each other.
+	// Instances is the number of instances that accept submissions beside each other. Zero means that it is not known; everything is
+	// then accepted.
 	Instances int `json:"instances,omitempty"`
 }
 
@@ -31,6 +34,14 @@
 	Work     CoreSeconds `json:"core-seconds"`
 }
 
+// ImageBacklog is the best-effort work of one image that is not done. Images that disturb serving tasks fit few workers, so each has
+// a drain rate of its own.
+type ImageBacklog struct {
+	Image     string      `json:"image"`
+	Work      CoreSeconds `json:"core-seconds"`
+	DrainRate float64     `json:"drain-rate"`
+}
+
 // Ahead returns the work of routes whose priority is at least as high as the given one.
 func (l *BestEffortLoad) Ahead(priority int) CoreSeconds {
 	total := CoreSeconds(0)
@@ -42,15 +53,18 @@
 	return total
 }
 
-// add adds work to the backlog of a route.
-func (l *BestEffortLoad) add(route string, priority int, work CoreSeconds) {
+// add adds a times the work of a submission to the backlogs.
+func (l *BestEffortLoad) add(w *pendingWork, times CoreSeconds) {
+	for i := range l.Images {
+		l.Images[i].Work += times * w.byImage[l.Images[i].Image]
+	}
 	for i := range l.Backlog {
-		if l.Backlog[i].Route == route {
-			l.Backlog[i].Work += work
+		if l.Backlog[i].Route == w.route {
+			l.Backlog[i].Work += times * w.work
 			return
 		}
 	}
-	l.Backlog = append(l.Backlog, RouteBacklog{Route: route, Priority: priority, Work: work})
+	l.Backlog = append(l.Backlog, RouteBacklog{Route: w.route, Priority: w.priority, Work: times * w.work})
 }
 
 // BestEffortConfig configures the admission of best-effort work.
@@ -74,7 +88,7 @@
 // DefaultBestEffortConfig returns the configuration for tasks of seconds.
 func DefaultBestEffortConfig() BestEffortConfig {
 	return BestEffortConfig{
-		MaxWait: 10 * time.Second, OpenShare: 0.6, MaxAge: 10 * time.Second, VisibilityDelay: 500 * time.Millisecond,
+		MaxWait: 7 * time.Second, OpenShare: 0.7, MaxAge: 10 * time.Second, VisibilityDelay: 500 * time.Millisecond,
 		HardDeadlineFactor: 3, MaxRetryAfter: 10 * time.Second,
 	}
 }
@@ -89,7 +103,7 @@
 // admit decides whether the best-effort work of a submission is accepted.
 func (c *BestEffortConfig) admit(s *medlarsubmission.Submission, load *BestEffortLoad, retryFrom time.Duration) Decision {
 	work := bestEffortWork(s, load.MeanWork)
-	if work == 0 || load.DrainRate <= 0 {
+	if work == 0 || load.DrainRate <= 0 || load.Instances == 0 {
 		return Decision{Accept: true}
 	}
 	patience := c.patience(s)
@@ -97,7 +111,16 @@
 	ahead := load.Ahead(s.Policy.Priority)
 	// A submission that exceeds the limit alone is accepted beside a small backlog.
 	after := ahead + min(work, limit*CoreSeconds(c.OpenShare))
-	threshold := limit * CoreSeconds(c.threshold(s, work, load.MeanWork))
+	share := c.threshold(s, work, load.MeanWork)
+	if image := c.slowestImage(s, load, patience); image != nil && float64(image.Work) > share*image.DrainRate*patience.Seconds() {
+		wait := time.Duration((float64(image.Work)/max(image.DrainRate, 1) - share*patience.Seconds()) * float64(time.Second))
+		return Decision{
+			RetryAfter: min(max(wait, retryFrom), c.MaxRetryAfter), Cause: CauseImageBacklog,
+			Reason: fmt.Sprintf("best-effort backlog of image %s is too large: %.0f core-seconds at %.1f a second, needs %.0f, at most %.0f%% of %d ms",
+				image.Image, image.Work, image.DrainRate, work, 100*share, patience.Milliseconds()),
+		}
+	}
+	threshold := limit * CoreSeconds(share)
 	if after <= threshold || c.isWithinRouteShare(s, work, limit, load) {
 		return Decision{Accept: true}
 	}
@@ -109,6 +132,39 @@
 	}
 }
 
+// slowestImage returns the backlog of the image of the submission that takes the longest, with the work of the submission, or nil if
+// none is known.
+func (c *BestEffortConfig) slowestImage(s *medlarsubmission.Submission, load *BestEffortLoad, patience time.Duration) *ImageBacklog {
+	var slowest *ImageBacklog
+	works := imageWorks(s)
+	for _, image := range load.Images {
+		work := works[image.Image]
+		if work == 0 {
+			continue
+		}
+		image.Work += min(work, CoreSeconds(c.OpenShare*image.DrainRate*patience.Seconds()))
+		if slowest == nil || float64(image.Work)*slowest.DrainRate > float64(slowest.Work)*image.DrainRate {
+			slowest = &image
+		}
+	}
+	return slowest
+}
+
+// imageWorks returns the best-effort work of a submission by image.
+func imageWorks(s *medlarsubmission.Submission) map[string]CoreSeconds {
+	works := map[string]CoreSeconds{}
+	for i := range s.Steps {
+		if step := &s.Steps[i]; step.BestEffort && !step.LongRunning {
+			works[step.Image] += stepWork(step)
+		}
+	}
+	return works
+}
+
+func stepWork(s *medlarsubmission.Step) CoreSeconds {
+	return CoreSeconds(float64(s.Count) * float64(s.Size.MilliCPU) / medlarsubmission.MilliCPUPerCore * s.Estimate.Seconds())
+}
+
 // patience returns how long the backlog before a submission may take.
 func (c *BestEffortConfig) patience(s *medlarsubmission.Submission) time.Duration {
 	path := longestPath(s.Steps)
@@ -168,7 +224,7 @@
 			continue
 		}
 		unknown = unknown || step.Estimate <= 0
-		total += CoreSeconds(float64(step.Count) * float64(step.Size.MilliCPU) / medlarsubmission.MilliCPUPerCore * step.Estimate.Seconds())
+		total += stepWork(step)
 	}
 	if unknown {
 		total = max(total, mean)
@@ -198,13 +254,14 @@
 	route    string
 	priority int
 	work     CoreSeconds
+	byImage  map[string]CoreSeconds
 }
 
 // Add records an accepted submission.
 func (p *Pending) Add(now time.Time, c *BestEffortConfig, s *medlarsubmission.Submission, load Load) {
 	p.dropBefore(now.Add(-c.MaxAge - c.VisibilityDelay))
 	if work := bestEffortWork(s, load.BestEffort.MeanWork); work > 0 {
-		p.accepted = append(p.accepted, pendingWork{at: now, route: s.Route, priority: s.Policy.Priority, work: work})
+		p.accepted = append(p.accepted, pendingWork{at: now, route: s.Route, priority: s.Policy.Priority, work: work, byImage: imageWorks(s)})
 	}
 }
 
@@ -213,19 +270,19 @@
 // by at most two submissions each.
 func (p *Pending) Apply(c *BestEffortConfig, load Load) Load {
 	p.dropBefore(load.At.Add(-c.VisibilityDelay))
-	load.BestEffort.Backlog = append([]RouteBacklog(nil), load.BestEffort.Backlog...)
+	load.BestEffort.Backlog, load.BestEffort.Images = slices.Clone(load.BestEffort.Backlog), slices.Clone(load.BestEffort.Images)
 	largest, others := 0, CoreSeconds(max(0, load.BestEffort.Instances-1))
 	for i, w := range p.accepted {
 		if w.work > p.accepted[largest].work {
 			largest = i
 		}
 	}
-	for i, w := range p.accepted {
-		work := w.work
+	for i := range p.accepted {
+		times := CoreSeconds(1)
 		if i != largest {
-			work += others * w.work
+			times += others
 		}
-		load.BestEffort.add(w.route, w.priority, work)
+		load.BestEffort.add(&p.accepted[i], times)
 	}
 	return load
 }
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -84,6 +84,7 @@
 	EventWorkerFenced        EventKind = "worker-fenced"
 	EventTaskWaiting         EventKind = "task-waits"
 	EventLoad                EventKind = "cell-load"
+	EventBestEffortLoad      EventKind = "best-effort-load"
 	EventWorkerSpeed         EventKind = "worker-speed"
 	EventTaskMoved           EventKind = "task-moved"
 	EventTaskEvacuated       EventKind = "task-evacuated"
@@ -102,6 +103,8 @@
 	// Age is the age of the submission, or of the input that caused the event.
 	Age   time.Duration
 	Count int
+	// Predicted is the time that was predicted for Age, or zero.
+	Predicted time.Duration
 }
 
 // TakeEvents returns the events since the last call.
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -64,6 +64,7 @@
 	for _, other := range append([]*run(nil), s.tasks[e.Task.Index].runs...) {
 		c.stop(now, other)
 	}
+	remaining := s.remainingTasks
 	if s.spec.Gang {
 		// The end of one member completes the whole gang.
 		for i := range s.tasks {
@@ -72,6 +73,7 @@
 		}
 	}
 	s.completeTask(e.Task.Index)
+	c.observeBestEffortDone(s, remaining-s.remainingTasks)
 	c.needsCompaction = true
 	c.markTaskDirty(s, e.Task.Index)
 	if s.remainingTasks == 0 {
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -30,6 +30,8 @@
 	// remainingWork is the part of totalWork whose tasks are not done.
 	remainingWork float64
 	started       bool
+	// predictedWait is the predicted time until the first start of a submission with best-effort work.
+	predictedWait time.Duration
 	// moved is true once the job has followed its route to another service.
 	moved      bool
 	finishedAt time.Time
--- a/internal/scheduling/medlarcell/load.go
+++ b/internal/scheduling/medlarcell/load.go
@@ -41,6 +41,7 @@
 	fragmented float64
 	// releaseRate is the rate at which long-running tasks release CPU, in cores per second.
 	releaseRate float64
+	bestEffort  bestEffortLoad
 }
 
 // measureLoad updates the loads of all services once per interval.
@@ -60,6 +61,7 @@
 		l.short += float64(w.committed.MilliCPU-w.longRunningCPU) / milli
 		if w.registered && w.reported && !w.info.Draining {
 			l.capacity += float64(w.info.Capacity.MilliCPU) / milli
+			l.bestEffort.unused += max(0, float64(c.unusedCPU(w))/milli)
 		}
 	}
 	for _, s := range c.queue {
@@ -74,9 +76,16 @@
 			l.short += cores
 		}
 	}
+	c.measureBacklogs(now)
 	for name, l := range c.loads {
 		l.carryOver(before[name], elapsed, &c.config.Load)
+		var earlier *bestEffortLoad
+		if b := before[name]; b != nil {
+			earlier = &b.bestEffort
+		}
+		l.bestEffort.carryOver(earlier, c.bestEffortDone[name], elapsed, c.reconciled)
 	}
+	clear(c.bestEffortDone)
 }
 
 // shortSizeWeight is the weight of one submission in the usual size of short urgent tasks.
@@ -133,13 +142,19 @@
 // Load returns the load of a service for admission control. Its headroom is unlimited until the cell is reconciled, and for
 // services without usable capacity.
 func (c *Cell) Load(now time.Time, service medlarwheel.ServiceName) medlaradmission.Load {
+	load := medlaradmission.Load{
+		At: now, LongRunningHeadroom: math.MaxInt64, HeldMemory: c.heldAndReserved(now), MaxHeldMemory: c.config.MaxHeldMemory,
+	}
 	l := c.loads[service]
-	if l == nil || l.capacity == 0 || !c.reconciled {
-		return medlaradmission.Load{At: now, LongRunningHeadroom: math.MaxInt64, HeldMemory: c.heldAndReserved(now), MaxHeldMemory: c.config.MaxHeldMemory}
+	if l == nil {
+		return load
 	}
-	reserve := max(c.config.Load.MinReserve*l.capacity, c.config.Load.ReserveFactor*l.shortPeak)
-	return medlaradmission.Load{
-		At: now, LongRunningHeadroom: l.capacity - l.longRunning - l.longRunningWaiting - l.fragmented - reserve, LongRunningReleaseRate: l.releaseRate,
-		HeldMemory: c.heldAndReserved(now), MaxHeldMemory: c.config.MaxHeldMemory,
+	load.BestEffort = c.bestEffortReport(l)
+	if l.capacity == 0 || !c.reconciled {
+		return load
 	}
+	reserve := max(c.config.Load.MinReserve*l.capacity, c.config.Load.ReserveFactor*l.shortPeak)
+	load.LongRunningHeadroom = l.capacity - l.longRunning - l.longRunningWaiting - l.fragmented - reserve
+	load.LongRunningReleaseRate = l.releaseRate
+	return load
 }
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -370,7 +370,7 @@
 		c.markStarted(j)
 		c.emit(Event{
 			Kind: EventFirstStart, Submission: j.submission.ID, Route: j.submission.Route, Worker: r.worker.info.ID,
-			Age: now.Sub(j.submission.AcceptedAt),
+			Age: now.Sub(j.submission.AcceptedAt), Predicted: j.predictedWait,
 		})
 	}
 }
--- a/internal/scheduling/medlarcell/wait_reasons.go
+++ b/internal/scheduling/medlarcell/wait_reasons.go
@@ -20,6 +20,7 @@
 	}
 	c.waitEventsAt = now
 	c.emit(c.loadEvent())
+	c.emitBestEffortLoad()
 	for _, s := range c.queue {
 		if s.occurrence.job.submission.Policy.Priority > 0 || now.Sub(s.readySince) < waitEventDelay || len(s.ready) == 0 {
 			continue
--- a/internal/scheduling/medlarowner/orders.go
+++ b/internal/scheduling/medlarowner/orders.go
@@ -116,6 +116,11 @@
 	for _, event := range o.cell.TakeEvents() {
 		o.Meter.Count("cell." + string(event.Kind))
 		switch event.Kind {
+		case medlarcell.EventFirstStart:
+			if event.Predicted > 0 {
+				o.Meter.Time("owner.best-effort-start", event.Age)
+				o.Meter.Time("owner.best-effort-predicted-start", event.Predicted)
+			}
 		case medlarcell.EventTaskRestarted:
 			o.Meter.Time("owner.lost-task-restart", event.Age)
 		case medlarcell.EventTakeoverReconciled:
