Start expired best-effort work in a bounded time

Callers saw accepted best-effort work that had not begun 110 s later (TestOverloadLeavesNoWorkBehind: 20 to 40 of 616 to 680 submissions). Expired work comes last; under a constant load that is never, however short the backlog is.

Expired best-effort steps of which nothing runs come first after 10 s, the oldest before the others, as long as the tasks that were started for this hold less than a tenth of the drain rate. With the bounded backlog of admission control, that bounds the wait, and its cost.

--- a/internal/scheduling/medlarcell/best_effort_load.go
+++ b/internal/scheduling/medlarcell/best_effort_load.go
@@ -217,13 +217,18 @@
 	}
 }
 
-// bestEffortReport returns the report for admission control. Its rate is zero until the cell is reconciled: until then, work waits
-// for workers whose state is not known.
-func (c *Cell) bestEffortReport(l *serviceLoad) medlaradmission.BestEffortLoad {
-	report := medlaradmission.BestEffortLoad{MeanWork: l.bestEffort.meanWork}
-	if c.reconciled && l.capacity > 0 {
-		report.DrainRate = max(min(l.bestEffort.drainRate, l.bestEffort.unused), minDrainRate*l.capacity)
+// drainRate returns the rate at which the best-effort work of a service is expected to be done. It is zero until the cell is
+// reconciled: until then, work waits for workers whose state is not known.
+func (c *Cell) drainRate(l *serviceLoad) float64 {
+	if !c.reconciled || l.capacity == 0 {
+		return 0
 	}
+	return max(min(l.bestEffort.drainRate, l.bestEffort.unused), minDrainRate*l.capacity)
+}
+
+// bestEffortReport returns the report for admission control.
+func (c *Cell) bestEffortReport(l *serviceLoad) medlaradmission.BestEffortLoad {
+	report := medlaradmission.BestEffortLoad{MeanWork: l.bestEffort.meanWork, DrainRate: c.drainRate(l)}
 	for _, b := range l.bestEffort.backlog {
 		report.Backlog = append(report.Backlog, *b)
 	}
--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -110,6 +110,8 @@
 	// shortTaskSize is the usual size of short urgent tasks by service, in thousandths of a core.
 	shortTaskSize  map[medlarwheel.ServiceName]float64
 	loadMeasuredAt time.Time
+	// overdueCPU is the CPU of the runs of overdue steps by service, in thousandths of a core.
+	overdueCPU map[medlarwheel.ServiceName]int64
 	// bestEffortDone is the best-effort work done since then, by service, in core-seconds.
 	bestEffortDone map[medlarwheel.ServiceName]float64
 	// heldMemory is the estimated memory of all submissions, in bytes.
@@ -136,7 +138,7 @@
 func New(c Config) *Cell {
 	return &Cell{
 		config: c, jobs: map[medlarsubmission.ID]*job{}, earlyCancellations: map[medlarsubmission.ID]time.Time{}, workers: map[medlarwheel.WorkerID]*worker{}, storedLeases: map[medlarwheel.WorkerID]struct{}{}, responsivenessByCentre: responsivenessMap{}, queueLengths: map[string]int{},
-		meanWork: map[string]float64{}, meanSpeed: 1, shortTaskSize: map[medlarwheel.ServiceName]float64{}, bestEffortDone: map[medlarwheel.ServiceName]float64{}, loads: map[medlarwheel.ServiceName]*serviceLoad{}, failureCache: newPlacementFailureCache(),
+		meanWork: map[string]float64{}, meanSpeed: 1, shortTaskSize: map[medlarwheel.ServiceName]float64{}, bestEffortDone: map[medlarwheel.ServiceName]float64{}, overdueCPU: map[medlarwheel.ServiceName]int64{}, loads: map[medlarwheel.ServiceName]*serviceLoad{}, failureCache: newPlacementFailureCache(),
 		runTimes:          medlarforecast.New(c.RunTimes),
 		interferenceModel: medlarinterference.New(c.Interference.Model),
 		loadDeviations:    medlarinterference.NewDeviations(c.Interference.PriorDeviation),
--- a/internal/scheduling/medlarcell/interference_load_test.go
+++ b/internal/scheduling/medlarcell/interference_load_test.go
@@ -209,9 +209,13 @@
 }
 
 func (f *loadFleet) accept(id medlarsubmission.ID, priority int, steps ...medlarsubmission.Step) {
+	f.cell.Accept(f.now, f.submission(id, priority, steps...))
+}
+
+func (f *loadFleet) submission(id medlarsubmission.ID, priority int, steps ...medlarsubmission.Step) medlarsubmission.Submission {
 	s := testSubmission(steps...)
 	s.ID, s.AcceptedAt, s.Route, s.Policy.Priority = id, f.now, fmt.Sprintf("q%d", priority), priority
-	f.cell.Accept(f.now, s)
+	return s
 }
 
 // arrivals returns the number of best-effort submissions that arrive in a tick, at a rate with a burst in the middle.
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -162,6 +162,8 @@
 	// pace is the CPU throttle of the run, in percent of full speed, and pacedAt when it was set.
 	pace    int
 	pacedAt time.Time
+	// overdue is true if the run was started before others because its step had waited for long.
+	overdue bool
 	// paceUncertain is true while the worker may have another pace for the run.
 	paceUncertain bool
 	// fullPaceRunTime is the run time up to runTimeUpdatedAt, scaled to full pace.
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -312,6 +312,12 @@
 }
 
 func (c *Cell) rankOf(now time.Time, s *step) medlarrank.Rank {
+	rank := c.rankByValue(now, s)
+	rank.Overdue = c.overdueTime(now, s, rank.Timeliness)
+	return rank
+}
+
+func (c *Cell) rankByValue(now time.Time, s *step) medlarrank.Rank {
 	j := s.occurrence.job
 	if s.spec.LongRunning {
 		return medlarrank.Rank{Priority: j.submission.Policy.Priority, Score: longRunningScore}
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -351,6 +351,8 @@
 	t.waiting = false
 	r.step.removeReady(r.index)
 	c.needsCompaction = true
+	r.overdue = r.step.rank.Overdue > 0
+	c.countOverdue(r, 1)
 	t.runs = append(t.runs, r)
 	r.worker.addRun(r)
 }
@@ -386,6 +388,7 @@
 		}
 	}
 	r.worker.removeRun(r)
+	c.countOverdue(r, -1)
 	c.storeSuspectRun(r)
 	c.failureCache.workerChanged(r.worker)
 }
--- a/internal/scheduling/medlarrank/rank.go
+++ b/internal/scheduling/medlarrank/rank.go
@@ -14,6 +14,7 @@
 package medlarrank
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -57,7 +58,9 @@
 
 // Rank orders work. The zero Rank is in time and has no score.
 type Rank struct {
-	Priority   int
+	Priority int
+	// Overdue is how long expired work has waited beyond a limit. The work that has waited the longest comes first.
+	Overdue    time.Duration
 	Timeliness Timeliness
 	Score      float64
 }
@@ -67,6 +70,8 @@
 	switch {
 	case r.Priority != other.Priority:
 		return r.Priority - other.Priority
+	case r.Overdue != other.Overdue:
+		return cmp.Compare(other.Overdue, r.Overdue)
 	case r.Timeliness != other.Timeliness:
 		return int(r.Timeliness - other.Timeliness)
 	case r.Score > other.Score:
--- a/internal/scheduling/medlarrank/rank_test.go
+++ b/internal/scheduling/medlarrank/rank_test.go
@@ -155,3 +155,17 @@
 		}
 	}
 }
+
+// TestOverdueWorkComesFirst guards against expired work that waits as long as other work arrives.
+func TestOverdueWorkComesFirst(t *testing.T) {
+	inTime := Rank{Priority: 2, Score: 5}
+	expired := Rank{Priority: 2, Timeliness: TimelinessExpired, Score: 5}
+	overdue := Rank{Priority: 2, Timeliness: TimelinessExpired, Overdue: time.Second}
+	older := Rank{Priority: 2, Timeliness: TimelinessExpired, Overdue: time.Minute}
+	urgent := Rank{Priority: 0, Timeliness: TimelinessExpired}
+	ranks := []Rank{expired, inTime, overdue, urgent, older}
+	slices.SortFunc(ranks, Rank.Compare)
+	if want := []Rank{urgent, older, overdue, inTime, expired}; !slices.Equal(ranks, want) {
+		t.Errorf("got the order %+v, want %+v", ranks, want)
+	}
+}
