Refuse best-effort work that cannot be done in time

Instances now pass the number of registered instances with the report of the load, which turns the decision on, and count what they have accepted since the report. A new owner knows the backlog and not the rate until its workers have reported; instances keep the last rate meanwhile. A refusal is 429 with Retry-After; the log line has the inputs and their age, and counters say the cause.

TestBestEffortWorkIsRefusedByBacklog fails if an instance does not count what it has accepted (100 of 100 submissions instead of 5 to 11), and if it drops the last rate when a new owner knows none.

--- a/internal/operation/medlarnode/peer.go
+++ b/internal/operation/medlarnode/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -250,6 +251,7 @@
 		response.State, response.Known, err = owner.State(ctx, request.Submission)
 	case peerPathLoad:
 		response.Load, err = owner.Load(ctx, request.Service, request.Memory)
+		response.Load.BestEffort.Instances = n.registeredInstances()
 		response.Known = !response.Load.At.IsZero()
 	case peerPathQueueLength:
 		response.Known = true
@@ -296,6 +298,7 @@
 
 type loadEntry struct {
 	load        medlaradmission.Load
+	pending     medlaradmission.Pending
 	fetching    bool
 	requestedAt time.Time
 }
@@ -310,6 +313,23 @@
 // loadRefreshAge is the age from which a load report is fetched again for the next submission.
 const loadRefreshAge = 250 * time.Millisecond
 
+// admit decides whether a submission is accepted.
+func (n *Node) admit(s *medlarsubmission.Submission) medlaradmission.Decision {
+	report := n.admissionLoad(s)
+	n.loadReports.mu.Lock()
+	defer n.loadReports.mu.Unlock()
+	entry := n.loadReports.byService[s.Service]
+	now, load := n.clock.Now(), entry.pending.Apply(&n.config.Admission.BestEffort, report)
+	decision := n.config.Admission.Admit(now, s, load)
+	if decision.Accept {
+		entry.pending.Add(now, &n.config.Admission.BestEffort, s, load)
+	}
+	n.loadReports.byService[s.Service] = entry
+	n.meter.Gauge("door.best-effort-backlog", int64(load.BestEffort.Ahead(math.MaxInt)))
+	n.meter.Gauge("door.best-effort-drain-rate", int64(load.BestEffort.DrainRate))
+	return decision
+}
+
 // admissionLoad returns the load for the admission decision on a submission. If the decision depends on the load and the
 // last report is old, it waits for a new one: with many instances, most submissions are the first at their instance for
 // seconds. For a large submission it always does, since the owner keeps the memory free for it.
@@ -350,7 +370,12 @@
 	entry := n.loadReports.byService[service]
 	entry.fetching = false
 	if err == nil && response.Known {
+		rate := entry.load.BestEffort.DrainRate
 		entry.load = response.Load
+		if entry.load.BestEffort.DrainRate == 0 {
+			// A new owner does not know the rate before the workers have reported.
+			entry.load.BestEffort.DrainRate = rate
+		}
 		// The clocks of two instances may differ, so the age counts from the local time of the request.
 		entry.load.At = requestedAt
 	}
--- a/internal/operation/medlarnode/peer_test.go
+++ b/internal/operation/medlarnode/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -14,6 +15,7 @@
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlaradmission"
 	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/operation/medlarmetrics"
 	"medlarwheel/internal/state/medlarownership"
 )
 
@@ -48,6 +50,54 @@
 	}
 }
 
+// TestBestEffortWorkIsRefusedByBacklog guards against instances that accept best-effort work beyond what can be done: by the report of the
+// owner, by what they have accepted since, and after a change of owner by the last rate.
+func TestBestEffortWorkIsRefusedByBacklog(t *testing.T) {
+	listener := fasthttputil.NewInmemoryListener()
+	defer func() { _ = listener.Close() }()
+	var body atomic.Value
+	report := func(rate, backlog int) {
+		body.Store(fmt.Sprintf(`{"known":true,"load":{"at":"2026-01-01T00:00:00Z","lasting-room":1e9,"best-effort":{"drain-rate":%d,"mean-work":20,`+
+			`"instances":4,"backlog":[{"route":"q","priority":2,"core-seconds":%d}]}}}`, rate, backlog))
+	}
+	go func() {
+		_ = fasthttp.Serve(listener, func(ctx *fasthttp.RequestCtx) {
+			text, _ := body.Load().(string)
+			ctx.SetBodyString(text)
+		})
+	}()
+	clock := bootClock(t)
+	n := &Node{
+		clock: clock, config: Config{Admission: medlaradmission.DefaultConfig()}, process: "b-1", meter: medlarmetrics.New(),
+		loadReports: loadCache{byService: map[medlarwheel.ServiceName]loadEntry{}}, ownerClient: newPeerClient(time.Second),
+	}
+	n.term.Store(&medlarownership.Term{Number: 1, Instance: "a", Process: "a-1", Address: "10.0.0.1:80"})
+	n.ownerClient.hostClient("10.0.0.1:80").Dial = func(string) (net.Conn, error) { return listener.Dial() }
+	n.ownerClient.hostClient("10.0.0.1:80").DialTimeout = nil
+	submission := func(id int) *medlarsubmission.Submission {
+		return &medlarsubmission.Submission{
+			ID: medlarsubmission.ID(fmt.Sprintf("%016x", id)), Service: "svc", Route: "q", Policy: medlarsubmission.Policy{Priority: 2},
+			Steps: []medlarsubmission.Step{{Count: 10, Size: medlarsubmission.Size{MilliCPU: 1000}, Estimate: 2 * time.Second, BestEffort: true}},
+		}
+	}
+	report(100, 0)
+	accepted := 0
+	for id := range 100 {
+		if n.admit(submission(id)).Accept {
+			accepted++
+		}
+	}
+	// The limit is 700 core-seconds, of which this instance takes a quarter and two submissions of 20 more.
+	if accepted < 5 || accepted > 11 {
+		t.Errorf("%d of 100 submissions accepted by one report, want 5 to 11", accepted)
+	}
+	report(0, 10_000)
+	time.Sleep(loadRefreshAge)
+	if d := n.admit(submission(200)); d.Accept || d.Cause != medlaradmission.CauseBacklog {
+		t.Errorf("new owner with 100 s of backlog at the last rate: got %+v, want a refusal", d)
+	}
+}
+
 // TestRefusedConnectionIsRecognised guards against a slow change of owner, because the refused connection to the address of an
 // ended process is not told from other faults, and against "unknown" for a request that was never sent.
 func TestRefusedConnectionIsRecognised(t *testing.T) {
--- a/internal/operation/medlarnode/registry.go
+++ b/internal/operation/medlarnode/registry.go
@@ -151,6 +151,13 @@
 	n.updateRegistry(now, rows)
 }
 
+// registeredInstances returns the number of instances in the local copy of the registry.
+func (n *Node) registeredInstances() int {
+	n.registry.mu.Lock()
+	defer n.registry.mu.Unlock()
+	return n.registry.instances.Len()
+}
+
 // updateRegistry replaces the local copy with the rows of a read that began at readAt.
 func (n *Node) updateRegistry(readAt time.Time, rows []medlartable.Row) {
 	n.registry.mu.Lock()
--- a/internal/operation/medlarnode/submissions.go
+++ b/internal/operation/medlarnode/submissions.go
@@ -72,9 +72,10 @@
 		// The table would refuse the row, and with it those of other submissions in the same transaction.
 		return platform.Reply{Outcome: platform.OutcomeTooLarge}, fmt.Sprintf("%d bytes in its row, at most %d", size, most)
 	}
-	decision := n.config.Admission.Admit(n.clock.Now(), s, n.admissionLoad(s))
+	decision := n.admit(s)
 	if !decision.Accept {
 		n.meter.Count("door.refused")
+		n.meter.Count("door.refused." + string(decision.Cause))
 		return platform.Reply{Outcome: platform.OutcomeRefused, Overloaded: true, RetryAfter: decision.RetryAfter},
 			fmt.Sprintf("%s, report is %d ms old", decision.Reason, decision.Age.Milliseconds())
 	}
