Refuse less best-effort work while queues are short

A bound of 7 s is near the queue of a busy hour, and single images and large submissions met theirs in the noise of small numbers.

The bound is 9 s. Images have twice that time and count once half of the limit is used; the work of the submission itself counts up to a fifth of the limit.

--- a/internal/acceptance/medlaradmission/best_effort.go
+++ b/internal/acceptance/medlaradmission/best_effort.go
@@ -88,7 +88,7 @@
 // DefaultBestEffortConfig returns the configuration for tasks of seconds.
 func DefaultBestEffortConfig() BestEffortConfig {
 	return BestEffortConfig{
-		MaxWait: 7 * time.Second, OpenShare: 0.7, MaxAge: 10 * time.Second, VisibilityDelay: 500 * time.Millisecond,
+		MaxWait: 9 * time.Second, OpenShare: 0.7, MaxAge: 10 * time.Second, VisibilityDelay: 500 * time.Millisecond,
 		HardDeadlineFactor: 3, MaxRetryAfter: 10 * time.Second,
 	}
 }
@@ -100,6 +100,16 @@
 	maxRelativeWork = 1.5
 )
 
+const (
+	// maxOwnShare bounds the work of the submission itself in the decision, as a share of the limit: what it waits for is the work
+	// before it.
+	maxOwnShare = 0.2
+	// imageCheckShare is the share of the limit from which the backlogs of images count. With less, all get what they ask for.
+	imageCheckShare = 0.5
+	// imagePatience is the time in which the backlog of an image is done, relative to that of all. The rates of images vary more.
+	imagePatience = 2
+)
+
 // admit decides whether the best-effort work of a submission is accepted.
 func (c *BestEffortConfig) admit(s *medlarsubmission.Submission, load *BestEffortLoad, retryFrom time.Duration) Decision {
 	work := bestEffortWork(s, load.MeanWork)
@@ -109,15 +119,14 @@
 	patience := c.patience(s)
 	limit := CoreSeconds(load.DrainRate * patience.Seconds())
 	ahead := load.Ahead(s.Policy.Priority)
-	// A submission that exceeds the limit alone is accepted beside a small backlog.
-	after := ahead + min(work, limit*CoreSeconds(c.OpenShare))
+	after := ahead + min(work, limit*maxOwnShare)
 	share := c.threshold(s, work, load.MeanWork)
-	if image := c.slowestImage(s, load, patience); image != nil && float64(image.Work) > share*image.DrainRate*patience.Seconds() {
-		wait := time.Duration((float64(image.Work)/max(image.DrainRate, 1) - share*patience.Seconds()) * float64(time.Second))
+	if image := c.slowestImage(s, load, imagePatience*patience); image != nil && after > limit*imageCheckShare && float64(image.Work) > share*image.DrainRate*(imagePatience*patience).Seconds() {
+		wait := time.Duration((float64(image.Work)/max(image.DrainRate, 1) - share*(imagePatience*patience).Seconds()) * float64(time.Second))
 		return Decision{
 			RetryAfter: min(max(wait, retryFrom), c.MaxRetryAfter), Cause: CauseImageBacklog,
 			Reason: fmt.Sprintf("best-effort backlog of image %s is too large: %.0f core-seconds at %.1f a second, needs %.0f, at most %.0f%% of %d ms",
-				image.Image, image.Work, image.DrainRate, work, 100*share, patience.Milliseconds()),
+				image.Image, image.Work, image.DrainRate, work, 100*share, (imagePatience * patience).Milliseconds()),
 		}
 	}
 	threshold := limit * CoreSeconds(share)
@@ -142,7 +151,7 @@
 		if work == 0 {
 			continue
 		}
-		image.Work += min(work, CoreSeconds(c.OpenShare*image.DrainRate*patience.Seconds()))
+		image.Work += min(work, CoreSeconds(maxOwnShare*image.DrainRate*patience.Seconds()))
 		if slowest == nil || float64(image.Work)*slowest.DrainRate > float64(slowest.Work)*image.DrainRate {
 			slowest = &image
 		}
