--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -86,6 +86,7 @@
 	EventTaskWaiting         EventKind = "task-waits"
 	EventBestEffortWaiting   EventKind = "best-effort-waits"
 	EventLoad                EventKind = "cell-load"
+	EventBestEffortLoad      EventKind = "best-effort-load"
 	EventWorkerSpeed         EventKind = "worker-speed"
 	EventTaskMoved           EventKind = "task-moved"
 	EventTaskEvacuated       EventKind = "task-evacuated"
@@ -104,6 +105,8 @@
 	// Age is the age of the submission, or of the input that caused the event.
 	Age   time.Duration
 	Count int
+	// Predicted is the time that was predicted for Age, or zero.
+	Predicted time.Duration
 }
 
 // TakeEvents returns the events since the last call.
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -351,6 +351,8 @@
 	t.waiting = false
 	r.step.removeReady(r.index)
 	c.needsCompaction = true
+	r.overdue = r.step.rank.Overdue > 0
+	c.countOverdue(r, 1)
 	t.runs = append(t.runs, r)
 	r.job().runs++
 	r.worker.addRun(r)
@@ -371,7 +373,7 @@
 		c.markStarted(j)
 		c.emit(Event{
 			Kind: EventFirstStart, Submission: j.submission.ID, Route: j.submission.Route, Worker: r.worker.info.ID,
-			Age: now.Sub(j.submission.AcceptedAt),
+			Age: now.Sub(j.submission.AcceptedAt), Predicted: j.predictedWait,
 		})
 	}
 }
@@ -388,6 +390,7 @@
 		}
 	}
 	r.worker.removeRun(r)
+	c.countOverdue(r, -1)
 	c.storeSuspectRun(r)
 	c.failureCache.workerChanged(r.worker)
 }
