Bound the best-effort backlog by 40 s of work, and begin what is accepted

Cause: fresh work comes before late work, so that the backlog does not say whether a submission will be in time; a bound near the queue of a busy hour refuses work that would have been. And the share of expired work that comes first went to all tasks of a few submissions, again and again.

Change: the backlog may take 40 s at the drain rate. Expired work comes first only until a submission has begun, by one task as its turn gives it; the runs remember the service that they count for, so that a queue that moves does not use up the share.

--- a/internal/acceptance/medlaradmission/admission.go
+++ b/internal/acceptance/medlaradmission/admission.go
@@ -66,8 +66,6 @@
 	CauseMemory      Cause = "memory"
 	CauseLongRunning Cause = "long-running"
 	CauseBacklog     Cause = "best-effort-backlog"
-	// CauseImageBacklog is the backlog of the image of the submission, and not that of all.
-	CauseImageBacklog Cause = "image-backlog"
 )
 
 // Decision is the decision on a submission.
--- a/internal/acceptance/medlaradmission/best_effort.go
+++ b/internal/acceptance/medlaradmission/best_effort.go
@@ -17,9 +17,8 @@
 type BestEffortLoad struct {
 	// DrainRate is the number of cores for which best-effort work is done while enough of it waits. Zero means that it is not known.
 	DrainRate float64 `json:"drain-rate,omitempty"`
-	// Backlog is the accepted work that is not done, by route, and Images the same by image.
+	// Backlog is the accepted work that is not done, by route.
 	Backlog []RouteBacklog `json:"backlog,omitempty"`
-	Images  []ImageBacklog `json:"images,omitempty"`
 	// MeanWork is the mean work of a submission.
 	MeanWork CoreSeconds `json:"mean-work,omitempty"`
 	// Instances is the number of instances that accept submissions beside each other. Zero means that it is not known; everything is
@@ -34,14 +33,6 @@
 	Work     CoreSeconds `json:"core-seconds"`
 }
 
-// ImageBacklog is the best-effort work of one image that is not done. Images that disturb serving tasks fit few workers, so each has
-// a drain rate of its own.
-type ImageBacklog struct {
-	Image     string      `json:"image"`
-	Work      CoreSeconds `json:"core-seconds"`
-	DrainRate float64     `json:"drain-rate"`
-}
-
 // Ahead returns the work of routes whose priority is at least as high as the given one.
 func (l *BestEffortLoad) Ahead(priority int) CoreSeconds {
 	total := CoreSeconds(0)
@@ -53,11 +44,8 @@
 	return total
 }
 
-// add adds a times the work of a submission to the backlogs.
+// add adds a multiple of the work of a submission to the backlog of its route.
 func (l *BestEffortLoad) add(w *pendingWork, times CoreSeconds) {
-	for i := range l.Images {
-		l.Images[i].Work += times * w.byImage[l.Images[i].Image]
-	}
 	for i := range l.Backlog {
 		if l.Backlog[i].Route == w.route {
 			l.Backlog[i].Work += times * w.work
@@ -69,7 +57,8 @@
 
 // BestEffortConfig configures the admission of best-effort work.
 type BestEffortConfig struct {
-	// MaxWait bounds the time in which the backlog is done. Submissions with an early hard deadline are refused at a shorter one.
+	// MaxWait bounds the time in which the backlog is done at the drain rate. It is several times what a client waits for: fresh
+	// work comes before work that is late, so that a shorter backlog would refuse work that can be in time.
 	MaxWait time.Duration
 	// OpenShare is the share of the limit up to which every submission is accepted. Between it and the limit, a falling share is, so
 	// that the door neither closes nor opens for all at once.
@@ -79,8 +68,6 @@
 	MaxAge time.Duration
 	// VisibilityDelay is the time after which an accepted submission is included in the reports.
 	VisibilityDelay time.Duration
-	// HardDeadlineFactor times the objective of a submission is the time after which its result is of no use.
-	HardDeadlineFactor float64
 	// MaxRetryAfter bounds the retry delay.
 	MaxRetryAfter time.Duration
 }
@@ -88,8 +75,8 @@
 // DefaultBestEffortConfig returns the configuration for tasks of seconds.
 func DefaultBestEffortConfig() BestEffortConfig {
 	return BestEffortConfig{
-		MaxWait: 9 * time.Second, OpenShare: 0.7, MaxAge: 10 * time.Second, VisibilityDelay: 500 * time.Millisecond,
-		HardDeadlineFactor: 3, MaxRetryAfter: 10 * time.Second,
+		MaxWait: 40 * time.Second, OpenShare: 0.7, MaxAge: 10 * time.Second, VisibilityDelay: 500 * time.Millisecond,
+		MaxRetryAfter: 10 * time.Second,
 	}
 }
 
@@ -100,36 +87,17 @@
 	maxRelativeWork = 1.5
 )
 
-const (
-	// maxOwnShare bounds the work of the submission itself in the decision, as a share of the limit: what it waits for is the work
-	// before it.
-	maxOwnShare = 0.2
-	// imageCheckShare is the share of the limit from which the backlogs of images count. With less, all get what they ask for.
-	imageCheckShare = 0.5
-	// imagePatience is the time in which the backlog of an image is done, relative to that of all. The rates of images vary more.
-	imagePatience = 2
-)
-
 // admit decides whether the best-effort work of a submission is accepted.
 func (c *BestEffortConfig) admit(s *medlarsubmission.Submission, load *BestEffortLoad, retryFrom time.Duration) Decision {
 	work := bestEffortWork(s, load.MeanWork)
 	if work == 0 || load.DrainRate <= 0 || load.Instances == 0 {
 		return Decision{Accept: true}
 	}
-	patience := c.patience(s)
-	limit := CoreSeconds(load.DrainRate * patience.Seconds())
+	limit := CoreSeconds(load.DrainRate * c.MaxWait.Seconds())
 	ahead := load.Ahead(s.Policy.Priority)
-	after := ahead + min(work, limit*maxOwnShare)
-	share := c.threshold(s, work, load.MeanWork)
-	if image := c.slowestImage(s, load, imagePatience*patience); image != nil && after > limit*imageCheckShare && float64(image.Work) > share*image.DrainRate*(imagePatience*patience).Seconds() {
-		wait := time.Duration((float64(image.Work)/max(image.DrainRate, 1) - share*(imagePatience*patience).Seconds()) * float64(time.Second))
-		return Decision{
-			RetryAfter: min(max(wait, retryFrom), c.MaxRetryAfter), Cause: CauseImageBacklog,
-			Reason: fmt.Sprintf("best-effort backlog of image %s is too large: %.0f core-seconds at %.1f a second, needs %.0f, at most %.0f%% of %d ms",
-				image.Image, image.Work, image.DrainRate, work, 100*share, (imagePatience * patience).Milliseconds()),
-		}
-	}
-	threshold := limit * CoreSeconds(share)
+	// A submission that exceeds the limit alone is accepted beside a small backlog.
+	after := ahead + min(work, limit*CoreSeconds(c.OpenShare))
+	threshold := limit * CoreSeconds(c.threshold(s, work, load.MeanWork))
 	if after <= threshold || c.isWithinRouteShare(s, work, limit, load) {
 		return Decision{Accept: true}
 	}
@@ -137,57 +105,14 @@
 	return Decision{
 		RetryAfter: min(max(wait, retryFrom), c.MaxRetryAfter), Cause: CauseBacklog,
 		Reason: fmt.Sprintf("best-effort backlog is too large: %.0f core-seconds before it at %.0f a second, needs %.0f, at most %.0f in %d ms",
-			ahead, load.DrainRate, work, threshold, patience.Milliseconds()),
-	}
-}
-
-// slowestImage returns the backlog of the image of the submission that takes the longest, with the work of the submission, or nil if
-// none is known.
-func (c *BestEffortConfig) slowestImage(s *medlarsubmission.Submission, load *BestEffortLoad, patience time.Duration) *ImageBacklog {
-	var slowest *ImageBacklog
-	works := imageWorks(s)
-	for _, image := range load.Images {
-		work := works[image.Image]
-		if work == 0 {
-			continue
-		}
-		image.Work += min(work, CoreSeconds(maxOwnShare*image.DrainRate*patience.Seconds()))
-		if slowest == nil || float64(image.Work)*slowest.DrainRate > float64(slowest.Work)*image.DrainRate {
-			slowest = &image
-		}
+			ahead, load.DrainRate, work, threshold, c.MaxWait.Milliseconds()),
 	}
-	return slowest
-}
-
-// imageWorks returns the best-effort work of a submission by image.
-func imageWorks(s *medlarsubmission.Submission) map[string]CoreSeconds {
-	works := map[string]CoreSeconds{}
-	for i := range s.Steps {
-		if step := &s.Steps[i]; step.BestEffort && !step.LongRunning {
-			works[step.Image] += stepWork(step)
-		}
-	}
-	return works
 }
 
 func stepWork(s *medlarsubmission.Step) CoreSeconds {
 	return CoreSeconds(float64(s.Count) * float64(s.Size.MilliCPU) / medlarsubmission.MilliCPUPerCore * s.Estimate.Seconds())
 }
 
-// patience returns how long the backlog before a submission may take.
-func (c *BestEffortConfig) patience(s *medlarsubmission.Submission) time.Duration {
-	path := longestPath(s.Steps)
-	objective := time.Duration(s.Policy.Stretch*float64(path)) + s.Policy.Allowance
-	if objective <= 0 {
-		return c.MaxWait
-	}
-	slack := time.Duration(c.HardDeadlineFactor*float64(objective)) - path
-	return max(min(slack, c.MaxWait), c.MaxWait/minPatienceShare)
-}
-
-// minPatienceShare bounds the patience from below, since estimates of run times are often wrong by half.
-const minPatienceShare = 5
-
 // threshold returns the share of the limit up to which a submission is accepted. It spreads submissions evenly over the range from
 // OpenShare to 1. Repeated requests and all instances get the same value, so that a submission is not accepted by trying often.
 func (c *BestEffortConfig) threshold(s *medlarsubmission.Submission, work, mean CoreSeconds) float64 {
@@ -241,20 +166,6 @@
 	return total
 }
 
-// longestPath returns the longest chain of estimated run times.
-func longestPath(steps []medlarsubmission.Step) time.Duration {
-	ends := make([]time.Duration, len(steps))
-	longest := time.Duration(0)
-	for i := range steps {
-		for _, earlier := range steps[i].After {
-			ends[i] = max(ends[i], ends[earlier])
-		}
-		ends[i] += steps[i].Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // Pending holds the best-effort work that an instance has accepted and that may be missing in the report of the load.
 type Pending struct{ accepted []pendingWork }
 
@@ -263,14 +174,13 @@
 	route    string
 	priority int
 	work     CoreSeconds
-	byImage  map[string]CoreSeconds
 }
 
 // Add records an accepted submission.
 func (p *Pending) Add(now time.Time, c *BestEffortConfig, s *medlarsubmission.Submission, load Load) {
 	p.dropBefore(now.Add(-c.MaxAge - c.VisibilityDelay))
 	if work := bestEffortWork(s, load.BestEffort.MeanWork); work > 0 {
-		p.accepted = append(p.accepted, pendingWork{at: now, route: s.Route, priority: s.Policy.Priority, work: work, byImage: imageWorks(s)})
+		p.accepted = append(p.accepted, pendingWork{at: now, route: s.Route, priority: s.Policy.Priority, work: work})
 	}
 }
 
@@ -279,7 +189,7 @@
 // by at most two submissions each.
 func (p *Pending) Apply(c *BestEffortConfig, load Load) Load {
 	p.dropBefore(load.At.Add(-c.VisibilityDelay))
-	load.BestEffort.Backlog, load.BestEffort.Images = slices.Clone(load.BestEffort.Backlog), slices.Clone(load.BestEffort.Images)
+	load.BestEffort.Backlog = slices.Clone(load.BestEffort.Backlog)
 	largest, others := 0, CoreSeconds(max(0, load.BestEffort.Instances-1))
 	for i, w := range p.accepted {
 		if w.work > p.accepted[largest].work {
--- a/internal/scheduling/medlarcell/best_effort_load.go
+++ b/internal/scheduling/medlarcell/best_effort_load.go
@@ -36,43 +36,6 @@
 	// meanWork is the mean work of a submission.
 	meanWork medlaradmission.CoreSeconds
 	backlog  map[string]*medlaradmission.RouteBacklog
-	images   map[string]*imageLoad
-}
-
-// imageLoad is the best-effort work of one image.
-type imageLoad struct {
-	work medlaradmission.CoreSeconds
-	// waiting and running are the cores of the tasks that wait and run.
-	waiting, running float64
-	// done is the work done since the last measurement, and drainRate the averaged rate.
-	done, drainRate float64
-}
-
-// image returns the load of an image.
-func (l *bestEffortLoad) image(name string) *imageLoad {
-	i := l.images[name]
-	if i == nil {
-		i = &imageLoad{}
-		if l.images == nil {
-			l.images = map[string]*imageLoad{}
-		}
-		l.images[name] = i
-	}
-	return i
-}
-
-// addImageWork adds the work of a job that is due and not done to that of its images.
-func (l *bestEffortLoad) addImageWork(now time.Time, j *job) {
-	for _, o := range j.occurrences {
-		if o == nil || now.Before(o.startAt) {
-			continue
-		}
-		for _, s := range o.steps {
-			if s.isMeasuredBestEffort() {
-				l.image(s.spec.Image).work += s.remainingWork()
-			}
-		}
-	}
 }
 
 func (s *step) remainingWork() medlaradmission.CoreSeconds {
@@ -102,24 +65,17 @@
 func (c *Cell) measureBacklogs(now time.Time) {
 	for _, j := range c.jobs {
 		if !j.state.IsFinal() {
-			c.addBacklog(now, j, j.bestEffortWork(now))
+			c.addBacklog(j, j.bestEffortWork(now))
 		}
 	}
 	for _, s := range c.queue {
 		if s.isMeasuredBestEffort() && s.isEligible(now) {
-			l, cores := &c.loadOf(s.occurrence.job.submission.Service).bestEffort, float64(len(s.ready))*float64(s.spec.Size.MilliCPU)/milli
-			l.waiting += cores
-			l.image(s.spec.Image).waiting += cores
-		}
-	}
-	for _, w := range c.workers {
-		for _, r := range w.bestEffortRuns() {
-			c.loadOf(w.info.Service).bestEffort.image(r.step.spec.Image).running += float64(r.step.spec.Size.MilliCPU) / milli
+			c.loadOf(s.occurrence.job.submission.Service).bestEffort.waiting += float64(len(s.ready)) * float64(s.spec.Size.MilliCPU) / milli
 		}
 	}
 }
 
-func (c *Cell) addBacklog(now time.Time, j *job, work medlaradmission.CoreSeconds) {
+func (c *Cell) addBacklog(j *job, work medlaradmission.CoreSeconds) {
 	if work <= 0 {
 		return
 	}
@@ -134,7 +90,6 @@
 	}
 	b.Priority = max(b.Priority, j.submission.Policy.Priority)
 	b.Work += work
-	l.addImageWork(now, j)
 }
 
 // observeBestEffort records an accepted submission in the load, and predicts when its first task starts.
@@ -152,15 +107,13 @@
 	if report.DrainRate > 0 {
 		j.predictedWait = time.Duration(float64(report.Ahead(j.submission.Policy.Priority)) / report.DrainRate * float64(time.Second))
 	}
-	c.addBacklog(now, j, work)
+	c.addBacklog(j, work)
 }
 
 // observeBestEffortDone records tasks of a step that are done.
 func (c *Cell) observeBestEffortDone(s *step, tasks int) {
 	if s.isMeasuredBestEffort() {
-		work, service := float64(tasks)*coreSeconds(s.predictedRunTime, s.spec), s.occurrence.job.submission.Service
-		c.bestEffortDone[service] += work
-		c.loadOf(service).bestEffort.image(s.spec.Image).done += work
+		c.bestEffortDone[s.occurrence.job.submission.Service] += float64(tasks) * coreSeconds(s.predictedRunTime, s.spec)
 	}
 }
 
@@ -171,7 +124,6 @@
 	}
 	l.meanWork = before.meanWork
 	l.drainRate = l.nextDrainRate(before, done/elapsed.Seconds(), elapsed, reconciled)
-	l.carryOverImages(before, elapsed)
 }
 
 // nextDrainRate returns the drain rate after the work of one interval was done at the given rate. It is the prior until the cell is
@@ -185,36 +137,7 @@
 	if min(l.waiting, before.waiting) < saturatedShare*l.unused {
 		rate = max(rate, prior, before.drainRate)
 	}
-	return before.drainRate + averageWeight(elapsed)*(rate-before.drainRate)
-}
-
-// averageWeight returns the weight of an interval in the averaged rates.
-func averageWeight(elapsed time.Duration) float64 {
-	return 1 - math.Exp(-elapsed.Seconds()/drainRateDecay.Seconds())
-}
-
-// carryOverImages updates the drain rates of the images. An image of which little waits may get more than it has asked for: up to
-// twice an even share of the whole rate.
-func (l *bestEffortLoad) carryOverImages(before *bestEffortLoad, elapsed time.Duration) {
-	active := 0.0
-	for _, i := range l.images {
-		if i.work > 0 {
-			active++
-		}
-	}
-	prior := l.drainRate * min(1, 2/max(1, active))
-	for name, i := range l.images {
-		i.drainRate = prior
-		earlier := before.images[name]
-		if earlier == nil || earlier.drainRate == 0 {
-			continue
-		}
-		rate := earlier.done / elapsed.Seconds()
-		if i.waiting < i.running || earlier.waiting < earlier.running || i.waiting == 0 {
-			rate = max(rate, prior)
-		}
-		i.drainRate = earlier.drainRate + averageWeight(elapsed)*(rate-earlier.drainRate)
-	}
+	return before.drainRate + (1-math.Exp(-elapsed.Seconds()/drainRateDecay.Seconds()))*(rate-before.drainRate)
 }
 
 // drainRate returns the rate at which the best-effort work of a service is expected to be done. It is zero until the cell is
@@ -232,20 +155,6 @@
 	for _, b := range l.bestEffort.backlog {
 		report.Backlog = append(report.Backlog, *b)
 	}
-	active := 0
-	for _, i := range l.bestEffort.images {
-		if i.work > 0 {
-			active++
-		}
-	}
-	for name, i := range l.bestEffort.images {
-		if report.DrainRate > 0 && i.work > 0 {
-			// The rate of an image depends on its share of the backlog. Below an even share, it would fall with each refusal.
-			rate := min(max(i.drainRate, report.DrainRate/float64(active)), report.DrainRate)
-			report.Images = append(report.Images, medlaradmission.ImageBacklog{Image: name, Work: i.work, DrainRate: rate})
-		}
-	}
-	slices.SortFunc(report.Images, func(a, b medlaradmission.ImageBacklog) int { return strings.Compare(a.Image, b.Image) })
 	slices.SortFunc(report.Backlog, func(a, b medlaradmission.RouteBacklog) int { return strings.Compare(a.Route, b.Route) })
 	return report
 }
@@ -266,9 +175,6 @@
 		for _, b := range report.Backlog {
 			text += fmt.Sprintf(" %s %.0f", b.Route, b.Work)
 		}
-		for _, i := range report.Images {
-			text += fmt.Sprintf(", %s %.0f at %.1f a second", i.Image, i.Work, i.DrainRate)
-		}
 		c.emit(Event{Kind: EventBestEffortLoad, Reason: text})
 	}
 }
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -165,8 +165,9 @@
 	// pace is the CPU throttle of the run, in percent of full speed, and pacedAt when it was set.
 	pace    int
 	pacedAt time.Time
-	// overdue is true if the run was started before others because its step had waited for long.
-	overdue bool
+	// overdueService is the service of the submission if the run was started before others because nothing of the submission had
+	// begun for long.
+	overdueService medlarwheel.ServiceName
 	// paceUncertain is true while the worker may have another pace for the run.
 	paceUncertain bool
 	// fullPaceRunTime is the run time up to runTimeUpdatedAt, scaled to full pace.
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -351,8 +351,10 @@
 	t.waiting = false
 	r.step.removeReady(r.index)
 	c.needsCompaction = true
-	r.overdue = r.step.rank.Overdue > 0
-	c.countOverdue(r, 1)
+	if r.step.rank.Overdue > 0 {
+		r.overdueService = r.job().submission.Service
+		c.overdueCPU[r.overdueService] += r.step.spec.Size.MilliCPU
+	}
 	t.runs = append(t.runs, r)
 	r.job().runs++
 	r.worker.addRun(r)
@@ -390,7 +392,9 @@
 		}
 	}
 	r.worker.removeRun(r)
-	c.countOverdue(r, -1)
+	if r.overdueService != "" {
+		c.overdueCPU[r.overdueService] -= r.step.spec.Size.MilliCPU
+	}
 	c.storeSuspectRun(r)
 	c.failureCache.workerChanged(r.worker)
 }
