--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -33,6 +33,8 @@
 	// runs is the number of runs of all tasks, and idleSince since when there is none.
 	runs      int
 	idleSince time.Time
+	// predictedWait is the predicted time until the first start of a submission with best-effort work.
+	predictedWait time.Duration
 	// moved is true once the job has followed its route to another service.
 	moved      bool
 	finishedAt time.Time
@@ -163,6 +165,9 @@
 	// pace is the CPU throttle of the run, in percent of full speed, and pacedAt when it was set.
 	pace    int
 	pacedAt time.Time
+	// overdueService is the service of the submission if the run was started before others because nothing of the submission had
+	// begun for long.
+	overdueService medlarwheel.ServiceName
 	// paceUncertain is true while the worker may have another pace for the run.
 	paceUncertain bool
 	// fullPaceRunTime is the run time up to runTimeUpdatedAt, scaled to full pace.
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -351,6 +351,10 @@
 	t.waiting = false
 	r.step.removeReady(r.index)
 	c.needsCompaction = true
+	if r.step.rank.Overdue > 0 {
+		r.overdueService = r.job().submission.Service
+		c.overdueCPU[r.overdueService] += r.step.spec.Size.MilliCPU
+	}
 	t.runs = append(t.runs, r)
 	r.job().runs++
 	r.worker.addRun(r)
@@ -371,7 +375,7 @@
 		c.markStarted(j)
 		c.emit(Event{
 			Kind: EventFirstStart, Submission: j.submission.ID, Route: j.submission.Route, Worker: r.worker.info.ID,
-			Age: now.Sub(j.submission.AcceptedAt),
+			Age: now.Sub(j.submission.AcceptedAt), Predicted: j.predictedWait,
 		})
 	}
 }
@@ -388,6 +392,9 @@
 		}
 	}
 	r.worker.removeRun(r)
+	if r.overdueService != "" {
+		c.overdueCPU[r.overdueService] -= r.step.spec.Size.MilliCPU
+	}
 	c.storeSuspectRun(r)
 	c.failureCache.workerChanged(r.worker)
 }
--- a/internal/scheduling/medlarrank/rank.go
+++ b/internal/scheduling/medlarrank/rank.go
@@ -60,7 +60,9 @@
 
 // Rank orders work. The zero Rank is in time and has no score.
 type Rank struct {
-	Priority   int
+	Priority int
+	// Overdue is how long expired work has waited beyond a limit. The work that has waited the longest comes first.
+	Overdue    time.Duration
 	Timeliness Timeliness
 	// Idle is set for expired work only. Its result is of no use at any time, so that it is served by turns.
 	Idle  time.Duration
@@ -72,6 +74,8 @@
 	switch {
 	case r.Priority != other.Priority:
 		return r.Priority - other.Priority
+	case r.Overdue != other.Overdue:
+		return cmp.Compare(other.Overdue, r.Overdue)
 	case r.Timeliness != other.Timeliness:
 		return int(r.Timeliness - other.Timeliness)
 	case r.Idle != other.Idle:
