State all outage leases of predecessors when a cell is given up within the grace

An owner that gives up the cell states how long leases that were granted without the table may still last. It counted those of its predecessors from its claim, although a predecessor may grant such a lease until the end of the grace, as its own wait assumes. The next owner, if no owner has asked it for promises, relied on that statement and waited up to 1.04 s less for a silent worker than the first one would have. A task there could run twice for that long.

TestReleaseWithinGraceKeepsOutageLeases failed before at six of its seven times of release, by 1.04 s each.

--- a/internal/scheduling/medlarcell/ownership.go
+++ b/internal/scheduling/medlarcell/ownership.go
@@ -39,9 +39,10 @@
 	c.tickedAt, c.termStartedAt = now, now
 	c.inGrace = ownership.Grace > 0
 	c.reconcileDeadline = now.Add(ownership.Grace + max(c.inheritedLeaseBound(&ownership), c.leaseDurationBound(ownership.OutageLeaseRemaining)))
-	c.outageLeasesEnd = now.Add(ownership.OutageLeaseRemaining)
+	c.outageLeasesEnd = now
 	c.inheritedLeaseEnds = ownership.LeaseEnds
 	if ownership.OutageLeaseRemaining > 0 {
+		c.outageLeasesEnd = now.Add(ownership.Grace + ownership.OutageLeaseRemaining)
 		c.inheritedOutageLeasesEnd = now.Add(ownership.Grace + c.leaseDurationBound(ownership.OutageLeaseRemaining))
 	}
 }
