Defer steps of running submissions before listing changed workers

A placement pass first serves best-effort submissions past their hard deadline that have nothing running, and defers the others to its last round. For each of the latter it listed the workers that have changed since its class had failed, and then did not use the list; deferred steps count for no limit of the pass, so that all of the backlog paid for it. Callers would see placement fall behind: the pause after a pass is four times its duration.

TestDeferredStepsCostNoScanOfChangedWorkers failed before: 1,001 lists in a pass over 1,000 submissions, want at most 120.

--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -60,6 +60,11 @@
 	if isKnown && s.failure.changesSeen == len(c.failureCache.changes) || s.isDrained() || !c.isEligible(p.now, s) {
 		return
 	}
+	takesTurn := s.takesTurns() && !p.isLastRound
+	if takesTurn && s.occurrence.job.runs > 0 && !s.spec.Gang {
+		p.deferred = append(p.deferred, s)
+		return
+	}
 	workers := p.usable
 	if isKnown && !s.spec.Gang {
 		workers = c.workersChangedSince(p.now, s.failure.changesSeen)
@@ -70,10 +75,8 @@
 	switch {
 	case s.spec.Gang:
 		c.placeGang(p.now, s, workers)
-	case s.takesTurns() && !p.isLastRound:
-		if s.occurrence.job.runs == 0 {
-			c.placeTasks(p.now, s, workers, 1)
-		}
+	case takesTurn:
+		c.placeTasks(p.now, s, workers, 1)
 		if s.occurrence.job.runs > 0 {
 			p.deferred = append(p.deferred, s)
 			return
--- a/internal/scheduling/medlarcell/turns_test.go
+++ b/internal/scheduling/medlarcell/turns_test.go
@@ -1,10 +1,12 @@
 package medlarcell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
 )
 
 const (
@@ -54,3 +56,77 @@
 		}
 	}
 }
+
+// expiredBacklog returns a cell whose workers are full of the first tasks of best-effort submissions past their hard deadline.
+func expiredBacklog(tb testing.TB, workers, submissions int) (*Cell, time.Time) {
+	tb.Helper()
+	const taskCPU = 100
+	c, now := New(DefaultConfig()), simEpoch
+	c.Begin(now, Ownership{Fence: 1 << 12, Term: 1})
+	c.Authorize(now.Add(time.Hour))
+	for n := range workers {
+		c.SetWorker(now, medlarorder.Worker{
+			ID: workerName(n), Incarnation: 1, Service: "svc", Address: "10.0.0.1:80",
+			Capacity: medlarsubmission.Size{MilliCPU: int64(submissions * taskCPU / workers), MemoryMB: 128000},
+		})
+	}
+	for c.HasFlush() {
+		c.FlushSucceeded(now, c.TakeFlush(100))
+	}
+	for id := range c.workers {
+		c.HandleRenewResponse(now, id, false, now, medlarorder.Renew{}, medlarorder.Report{Verdict: medlarorder.VerdictAccepted, Incarnation: 1, Clock: time.Second}, nil)
+	}
+	c.Tick(now)
+	for n := range submissions {
+		c.Accept(now, testSubmissionWithID(n, medlarsubmission.Step{
+			Count: 2, Size: medlarsubmission.Size{MilliCPU: taskCPU, MemoryMB: 1}, Estimate: time.Second, BestEffort: true, Image: "f0",
+		}, 2))
+	}
+	now = now.Add(time.Minute)
+	c.markResponsive(now)
+	c.Place(now)
+	c.TakeCommands()
+	c.markResponsive(now)
+	return c, now
+}
+
+// markResponsive records a response of every worker; unresponsive ones would be skipped.
+func (c *Cell) markResponsive(now time.Time) {
+	for _, w := range c.workers {
+		c.recordResponse(now, w)
+	}
+}
+
+// TestDeferredStepsCostNoScanOfChangedWorkers guards against placement passes whose time grows with the number of running best-effort
+// submissions times the number of changed workers.
+func TestDeferredStepsCostNoScanOfChangedWorkers(t *testing.T) {
+	const workers, submissions = 10, 1000
+	c, now := expiredBacklog(t, workers, submissions)
+	c.Place(now)
+	c.failureCache.workerChanged(c.workers[workerName(0)])
+	before := c.visitMark
+	c.Place(now)
+	if got, limit := c.visitMark-before, uint64(maxFailedStepsPerPass+2*maxFurtherFailedSteps); got > limit {
+		t.Errorf("lists of changed workers in a pass: got %d, want at most %d", got, limit)
+	}
+}
+
+// BenchmarkPlaceDeferred measures a placement pass after 20 workers have changed, while each submission of a backlog past its hard
+// deadline runs a task.
+func BenchmarkPlaceDeferred(b *testing.B) {
+	for _, submissions := range []int{2000, 20000} {
+		b.Run(fmt.Sprintf("submissions-%d", submissions), func(b *testing.B) {
+			const workers, changed = 50, 20
+			c, now := expiredBacklog(b, workers, submissions)
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(2 * time.Millisecond)
+				c.markResponsive(now)
+				for n := range changed {
+					c.failureCache.workerChanged(c.workers[workerName((i+n)%workers)])
+				}
+				c.Place(now)
+				c.TakeCommands()
+			}
+		})
+	}
+}
