Keep the turn of a submission whose start is rejected

Best-effort submissions past their hard deadline take turns, the one that has had nothing running for longest first. A start that a worker rejects, or that does not reach it, counted as a run until then: the submission went to the end of the line although nothing of it had run. With workers that refuse connections or are full, as after a loss of workers, a submission can lose its turn time after time.

The time without a run now counts from the end of the last confirmed run.

--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -30,7 +30,7 @@
 	// remainingWork is the part of totalWork whose tasks are not done.
 	remainingWork float64
 	started       bool
-	// runs is the number of runs of all tasks, and idleSince since when there is none.
+	// runs is the number of runs of all tasks, and idleSince when the last confirmed one has ended.
 	runs      int
 	idleSince time.Time
 	// moved is true once the job has followed its route to another service.
@@ -195,10 +195,10 @@
 
 func (r *run) job() *job { return r.step.occurrence.job }
 
-// endRun records that one of the runs of the job no longer exists.
-func (j *job) endRun(now time.Time) {
+// endRun records that one of the runs of the job no longer exists. A start that was rejected has kept nothing running.
+func (j *job) endRun(now time.Time, r *run) {
 	j.runs--
-	if j.runs == 0 {
+	if !r.confirmedAt.IsZero() {
 		j.idleSince = now
 	}
 }
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -383,7 +383,7 @@
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(t.runs[:i], t.runs[i+1:]...)
-			r.job().endRun(now)
+			r.job().endRun(now, r)
 			break
 		}
 	}
--- a/internal/scheduling/medlarcell/turns_test.go
+++ b/internal/scheduling/medlarcell/turns_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 )
@@ -111,6 +114,25 @@
 	}
 }
 
+// TestRejectedStartKeepsTurn guards against a best-effort submission past its hard deadline that goes to the end of the line whenever a
+// worker rejects its start, and so may never begin.
+func TestRejectedStartKeepsTurn(t *testing.T) {
+	c, now := expiredBacklog(t, 1, 2)
+	for _, test := range []struct {
+		response medlarorder.Response
+		err      error
+	}{{response: medlarorder.Response{Verdict: medlarorder.VerdictNoCapacity}}, {err: medlarwheel.WithoutEffect(errors.New("connection refused"))}} {
+		for r := range c.workers[workerName(0)].runs {
+			j, order := r.job(), medlarorder.Start{Task: r.name(), Run: r.number}
+			c.HandleStartResponse(now, workerName(0), order, test.response, test.err)
+			if got, want := j.idle(now), now.Sub(j.submission.AcceptedAt); got != want {
+				t.Errorf("after a rejected start, the submission has nothing running for: got %v, want %v", got, want)
+			}
+			break
+		}
+	}
+}
+
 // BenchmarkPlaceDeferred measures a placement pass after 20 workers have changed, while each submission of a backlog past its hard
 // deadline runs a task.
 func BenchmarkPlaceDeferred(b *testing.B) {
