--- a/internal/scheduling/medlarcell/crash_test.go
+++ b/internal/scheduling/medlarcell/crash_test.go
@@ -60,8 +60,13 @@
 // crashAtStart confirms the start of a task and lets the worker crash of it. It returns the starts that follow once the lease
 // of the worker must have ended, those of the first 200 ms.
 func (c *crashCell) crashAtStart(start Command) []Command {
-	c.starts = nil
 	c.cell.HandleStartResponse(c.now, start.Worker, start.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
+	return c.crash(start)
+}
+
+// crash lets the worker of a start crash, and returns the same starts as crashAtStart.
+func (c *crashCell) crash(start Command) []Command {
+	c.starts = nil
 	address := c.addresses[start.Worker]
 	delete(c.addresses, start.Worker)
 	if !c.silent {
