Give up a task whose workers crash before they respond

Callers saw (in a scripted test) a task that crashes its workers started without end, and its submission queued for good, if the responses to its starts are lost with the workers' connections.

Cause: crashes whose start was not confirmed counted for nothing, however many there were.

Change: closed connections are noted for such a run too, and its crash, once confirmed, counts towards the four that suffice in any case. It does not count towards two or three, since the start may not have reached its worker. Silent workers without a response still do not count.

Evidence: TestTaskThatCrashesWorkersBeforeTheyRespondIsGivenUp failed before ("after 16 crashed workers the submission is queued"), as did two of the four new cases of TestEvidenceAgainstTask.

--- a/internal/scheduling/medlarcell/crash.go
+++ b/internal/scheduling/medlarcell/crash.go
@@ -104,11 +104,11 @@
 // isPrompt reports whether the start of the run may be what its worker has crashed of.
 func (r *run) isPrompt() bool { return !r.adopted && r.reportedFor() < promptCrashTime }
 
-// isClosedPromptly reports whether the worker's connections were closed right after the start of the run was sent. The time is
-// counted from the order, since a slow owner may process its response late.
+// isClosedPromptly reports whether the worker's connections were closed right after the start of the run was sent, be it before its
+// response. The time is counted from the order, since a slow owner may process the response late.
 func (r *run) isClosedPromptly() bool {
 	closedAt := r.worker.disconnectedAt
-	return r.phase == runConfirmed && !closedAt.Before(r.sentAt) && closedAt.Sub(r.sentAt) < promptCrashTime
+	return !closedAt.Before(r.sentAt) && closedAt.Sub(r.sentAt) < promptCrashTime
 }
 
 // recordDisconnect records that a call to a worker has failed because its connections are closed.
@@ -230,12 +230,18 @@
 
 // isBlamed reports whether the task is the cause of the crashes, or of so many that it may not be started again. A worker that
 // fell silent before it crashed may have ended the run, and one that fell silent some time after a start may only have been
-// unreachable.
+// unreachable. A start without a response may not have reached its worker, so that it takes maxCrashes of them.
 func isBlamed(crashes []Crash) bool {
 	confirmed, prompt, alone := countCrashes(crashes)
-	closed, closedAlone, closedForGood, lostAtStart := 0, 0, 0, 0
+	closed, closedAlone, closedForGood, lostAtStart, lostResponses := 0, 0, 0, 0, 0
 	for _, crash := range crashes {
-		if !crash.Started || !crash.Prompt {
+		if !crash.Prompt {
+			continue
+		}
+		if !crash.Started {
+			if crash.Confirmed && crash.Closed {
+				lostResponses++
+			}
 			continue
 		}
 		lostAtStart++
@@ -255,7 +261,7 @@
 	case alone > 0 && prompt+closedForGood >= ambiguousCrashes:
 		return true
 	default:
-		return max(confirmed, lostAtStart) >= maxCrashes
+		return max(confirmed+lostResponses, lostAtStart) >= maxCrashes
 	}
 }
 
--- a/internal/scheduling/medlarcell/crash_test.go
+++ b/internal/scheduling/medlarcell/crash_test.go
@@ -458,6 +458,8 @@
 		unconfirmed = Crash{Started: true, Prompt: true, Alone: true}
 		// The worker has not registered again.
 		closedForGood = Crash{Started: true, Prompt: true, Alone: true, Closed: true}
+		// The response to the start was lost.
+		noResponse, silentNoResponse = Crash{Confirmed: true, Prompt: true, Alone: true, Closed: true}, Crash{Confirmed: true, Prompt: true, Alone: true}
 	)
 	for name, test := range map[string]struct {
 		crashes []Crash
@@ -475,6 +477,10 @@
 		"four crashes":                         {crashes: []Crash{silentNear, silentNear, later, later}, want: true},
 		"unconfirmed":                          {crashes: []Crash{unconfirmed, unconfirmed, unconfirmed}},
 		"four unconfirmed":                     {crashes: []Crash{unconfirmed, unconfirmed, unconfirmed, unconfirmed}, want: true},
+		"no response three times":              {crashes: []Crash{noResponse, noResponse, noResponse}},
+		"no response four times":               {crashes: []Crash{noResponse, noResponse, noResponse, noResponse}, want: true},
+		"no response twice, later twice":       {crashes: []Crash{noResponse, noResponse, later, later}, want: true},
+		"silent without a response":            {crashes: []Crash{silentNoResponse, silentNoResponse, silentNoResponse, silentNoResponse}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := isBlamed(test.crashes); got != test.want {
