--- a/internal/scheduling/medlarcell/interference_load_test.go
+++ b/internal/scheduling/medlarcell/interference_load_test.go
@@ -291,15 +291,22 @@
 // unused; best-effort work arrives for almost half of that, with a burst, and a task of half of all image pairs raises the
 // tail latency of the serving tasks beside it much more than one of the others.
 func TestColocationLoad(t *testing.T) {
+	t.Parallel()
 	const seeds = 16
+	var harmedShares, servedShares [seeds]float64
+	t.Run("seeds", func(t *testing.T) {
+		forSeeds(t, seeds, func(t *testing.T, seed uint64) {
+			f := newLoadFleet(t, seed)
+			served := f.play(4)
+			share := f.harmed.Seconds() / f.served.Seconds()
+			t.Logf("%.4f of the serving time over the target because of best-effort tasks, %.3f of the best-effort submissions in time", share, served)
+			harmedShares[seed-1], servedShares[seed-1] = share, served
+		})
+	})
 	harmed, inTime := 0.0, 0.0
-	for seed := uint64(1); seed <= seeds; seed++ {
-		f := newLoadFleet(t, seed)
-		served := f.play(4)
-		share := f.harmed.Seconds() / f.served.Seconds()
-		t.Logf("seed %d: %.4f of the serving time over the target because of best-effort tasks, %.3f of the best-effort submissions in time", seed, share, served)
-		harmed += share / seeds
-		inTime += served / seeds
+	for n := range seeds {
+		harmed += harmedShares[n] / seeds
+		inTime += servedShares[n] / seeds
 	}
 	if harmed > maxHarmedShare {
 		t.Errorf("serving tasks are over their targets because of best-effort tasks for %.4f of their time, want at most %v", harmed, maxHarmedShare)
--- a/internal/scheduling/medlarcell/placement_failures_test.go
+++ b/internal/scheduling/medlarcell/placement_failures_test.go
@@ -47,6 +47,7 @@
 // considers only workers that have changed; the test ends random runs, adds submissions of random sizes and lets time
 // pass.
 func TestNoTaskWaitsWhileAWorkerFits(t *testing.T) {
+	t.Parallel()
 	const workers, rounds = 40, 400
 	for seed := range uint64(5) {
 		rng := rand.New(rand.NewPCG(seed, 0))
