Start accepted best-effort work with a minimum share

Cause: a best-effort task starts only where serving tasks have headroom for it and where the processors that others leave are not all promised to other best-effort work. What fits nowhere in this sense never begins, and in a backlog the order of the queue alone decides how long a submission waits; turns, the share of overdue work and the bound at the door make the wait shorter, and bound nothing.

Change: a submission of which nothing has run for 2 s after its hard deadline, or for 8 s before it, gets one task on a worker with half of its memory free, at a pace of 5%. The task gets a full share once there is room for it on its worker, before further submissions take turns, and moves once another worker has room. It counts 5% in the headroom of serving tasks and nothing in the processors that are promised. A new owner adopts best-effort runs beyond the unused processors of a worker as such.

The workers of the load tests carry out stops.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -114,6 +114,9 @@
 	// shortTaskSize is the usual size of short urgent tasks by service, in thousandths of a core.
 	shortTaskSize  map[medlarwheel.ServiceName]float64
 	loadMeasuredAt time.Time
+	// minimumShareRuns lists the runs with a minimum share, the oldest first. minimumSharesAt is when the last ones were considered.
+	minimumShareRuns []*run
+	minimumSharesAt  time.Time
 	// overdueCPU is the CPU of the runs of overdue steps by service, in thousandths of a core.
 	overdueCPU map[medlarwheel.ServiceName]int64
 	// bestEffortDone is the best-effort work done since then, by service, in core-seconds.
--- a/internal/scheduling/medlarcell/headroom.go
+++ b/internal/scheduling/medlarcell/headroom.go
@@ -38,7 +38,7 @@
 func (c *Cell) headroomOf(r *run, bestEffort []*run) float64 {
 	headroom := c.limit(r) - c.config.Interference.PlaceMargin - c.expectedUtilisation(c.passStartedAt, r)
 	for _, b := range bestEffort {
-		headroom -= c.riseOf(b, r)
+		headroom -= c.riseOf(b, r) * float64(b.maxPace()) / fullPace
 	}
 	return headroom
 }
--- a/internal/scheduling/medlarcell/interference_load_test.go
+++ b/internal/scheduling/medlarcell/interference_load_test.go
@@ -98,13 +98,19 @@
 		}
 		r.left -= time.Duration(r.pace * float64(loadTick))
 		if r.left <= 0 {
-			delete(f.runs[w], name)
-			f.lastEnd[w]++
-			f.ended[w] = append(f.ended[w], medlarorder.Ended{Number: f.lastEnd[w], Task: name, Run: r.number, Kind: medlarorder.EndDone})
+			f.end(w, name, medlarorder.EndDone)
 		}
 	}
 }
 
+// end ends a run on a worker.
+func (f *loadFleet) end(w int, name medlarsubmission.TaskName, kind medlarorder.EndKind) {
+	r := f.runs[w][name]
+	delete(f.runs[w], name)
+	f.lastEnd[w]++
+	f.ended[w] = append(f.ended[w], medlarorder.Ended{Number: f.lastEnd[w], Task: name, Run: r.number, Kind: kind})
+}
+
 func (f *loadFleet) serve(w int, r *loadRun) {
 	alone := f.load(r)
 	utilisation := alone
@@ -175,6 +181,10 @@
 			}
 			f.runs[w][c.Start.Task] = run
 			f.cell.HandleStartResponse(f.now, c.Worker, c.Start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted, Clock: f.elapsed() + time.Second}, nil)
+		case CommandStop:
+			if r := f.runs[w][c.Stop.Task]; r != nil && r.number == c.Stop.Run {
+				f.end(w, c.Stop.Task, medlarorder.EndStopped)
+			}
 		case CommandPace:
 			if r := f.runs[w][c.Pace.Task]; r != nil {
 				r.pace = float64(c.Pace.Percent) / 100
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -30,9 +30,10 @@
 	// remainingWork is the part of totalWork whose tasks are not done.
 	remainingWork float64
 	started       bool
-	// runs is the number of runs of all tasks, and idleSince when the last confirmed one has ended.
-	runs      int
-	idleSince time.Time
+	// runs is the number of runs of all tasks but those with a minimum share, and idleSince when the last confirmed one has ended.
+	// minimumShareRuns is the number of the others, and minimumShareEndedAt when the last confirmed one has ended.
+	runs, minimumShareRuns         int
+	idleSince, minimumShareEndedAt time.Time
 	// predictedWait is the predicted time until the first start of a submission with best-effort work.
 	predictedWait time.Duration
 	// moved is true once the job has followed its route to another service.
@@ -170,6 +171,9 @@
 	overdueService medlarwheel.ServiceName
 	// paceUncertain is true while the worker may have another pace for the run.
 	paceUncertain bool
+	// hasMinimumShare is true if the run was started where there was no room for it but memory. It gets what the others on its
+	// worker leave.
+	hasMinimumShare bool
 	// fullPaceRunTime is the run time up to runTimeUpdatedAt, scaled to full pace.
 	fullPaceRunTime  time.Duration
 	runTimeUpdatedAt time.Time
@@ -200,14 +204,28 @@
 
 func (r *run) job() *job { return r.step.occurrence.job }
 
+// addRun counts a run of the job.
+func (j *job) addRun(r *run) { *j.runCount(r)++ }
+
 // endRun records that one of the runs of the job no longer exists. A start that was rejected has kept nothing running.
 func (j *job) endRun(now time.Time, r *run) {
-	j.runs--
-	if !r.confirmedAt.IsZero() {
+	*j.runCount(r)--
+	switch {
+	case r.confirmedAt.IsZero():
+	case r.hasMinimumShare:
+		j.minimumShareEndedAt = now
+	default:
 		j.idleSince = now
 	}
 }
 
+func (j *job) runCount(r *run) *int {
+	if r.hasMinimumShare {
+		return &j.minimumShareRuns
+	}
+	return &j.runs
+}
+
 // idle returns how long nothing of the job has run, or 0 while it has runs.
 func (j *job) idle(now time.Time) time.Duration {
 	if j.runs > 0 {
--- /dev/null
+++ b/internal/scheduling/medlarcell/minimum_share_test.go
@@ -0,0 +1,117 @@
+package medlarcell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/execution/medlarorder"
+)
+
+// minimumShareFleet returns a fleet in which every worker has serving tasks that use most of its processors.
+func minimumShareFleet(t *testing.T) *loadFleet {
+	f := newLoadFleet(t, 1)
+	const perWorker = loadWorkerCPU / loadServingCPU
+	for n := loadServingJobs; n*loadServingTasks < perWorker*loadWorkers; n++ {
+		f.accept(medlarsubmission.ID(fmt.Sprintf("serving-%d", n)), 0, medlarsubmission.Step{
+			Count: loadServingTasks, Size: medlarsubmission.Size{MilliCPU: loadServingCPU}, LongRunning: true, TailLatencyTarget: loadTarget,
+			Image: fmt.Sprintf("serving-%d", n%4),
+		})
+	}
+	for f.elapsed() < 5*time.Second {
+		f.playTick()
+	}
+	return f
+}
+
+// firstRunOf plays the fleet until a task of the submission runs, and returns how long that took.
+func (f *loadFleet) firstRunOf(id medlarsubmission.ID, limit time.Duration) time.Duration {
+	began := f.now
+	for f.now.Sub(began) < limit {
+		f.playTick()
+		for w := range f.runs {
+			for name := range f.runs[w] {
+				if name.Submission == id {
+					return f.now.Sub(began)
+				}
+			}
+		}
+	}
+	return limit
+}
+
+// TestExpiredWorkThatFitsNowhereHasSomethingRunning guards against accepted work that never begins because no worker has headroom or unused
+// processors for it, although most of the memory is free.
+func TestExpiredWorkThatFitsNowhereHasSomethingRunning(t *testing.T) {
+	const limit = 3 * time.Second
+	for name, cpu := range map[string]int64{"no headroom": 8000, "no unused processors": 15000} {
+		t.Run(name, func(t *testing.T) {
+			f := minimumShareFleet(t)
+			s := f.submission("filling-1", 2, medlarsubmission.Step{
+				Count: 1, Size: medlarsubmission.Size{MilliCPU: cpu}, Estimate: time.Second, BestEffort: true, Image: "filling-0",
+			})
+			s.AcceptedAt = f.now.Add(-time.Minute)
+			f.cell.Accept(f.now, s)
+			if got := f.firstRunOf(s.ID, 20*time.Second); got > limit {
+				t.Errorf("first run after %v, want within %v", got, limit)
+			}
+		})
+	}
+}
+
+// TestBacklogHasSomethingRunningOfEachSubmission guards against submissions with nothing running while others use all processors that serving
+// tasks leave, although most of the memory is free.
+func TestBacklogHasSomethingRunningOfEachSubmission(t *testing.T) {
+	const submissions, limit = 200, 3 * time.Second
+	f := minimumShareFleet(t)
+	idleSince := map[medlarsubmission.ID]time.Time{}
+	for n := range submissions {
+		s := f.submission(bestEffortID(n), 2, medlarsubmission.Step{
+			Count: turnsTasks, Size: medlarsubmission.Size{MilliCPU: loadTaskCPU}, Estimate: 1900 * time.Millisecond, BestEffort: true, Image: "filling-0",
+		})
+		s.AcceptedAt = f.now.Add(-time.Minute)
+		f.cell.Accept(f.now, s)
+		idleSince[s.ID] = f.now
+	}
+	longest := time.Duration(0)
+	for end := f.now.Add(20 * time.Second); f.now.Before(end); {
+		f.playTick()
+		for w := range f.runs {
+			for name := range f.runs[w] {
+				idleSince[name.Submission] = f.now
+			}
+		}
+		for n := range submissions {
+			if id := bestEffortID(n); f.cell.jobs[id].state != medlarsubmission.StateCompleted {
+				longest = max(longest, f.now.Sub(idleSince[id]))
+			}
+		}
+	}
+	if longest > limit {
+		t.Errorf("a submission has had nothing running for %v, want at most %v", longest, limit)
+	}
+}
+
+// TestMinimumShareLeavesMemoryForUrgentWork guards against a backlog that takes the memory of all workers, so that urgent work waits.
+func TestMinimumShareLeavesMemoryForUrgentWork(t *testing.T) {
+	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	sc.report(sc.renewals[0], medlarorder.Report{})
+	for n := range 20 {
+		s := testSubmissionWithID(n, medlarsubmission.Step{
+			Count: 1, Size: medlarsubmission.Size{MilliCPU: 20000, MemoryMB: 1000}, Estimate: time.Second, BestEffort: true, Image: "etl",
+		}, 2)
+		s.AcceptedAt = sc.now.Add(-time.Minute)
+		sc.cell.Accept(sc.now, s)
+	}
+	started := 0
+	for range 15 {
+		sc.cell.markResponsive(sc.now)
+		sc.advance(200 * time.Millisecond)
+		sc.dispatch()
+		started += len(sc.starts)
+	}
+	if want := 4; started != want {
+		t.Errorf("starts with a minimum share on a worker with memory for 8 tasks: got %d, want %d", started, want)
+	}
+}
--- a/internal/scheduling/medlarcell/pace.go
+++ b/internal/scheduling/medlarcell/pace.go
@@ -20,6 +20,11 @@
 	rises []float64
 }
 
+// interferenceAt returns by how much the run raises the utilisation of a serving run at a pace.
+func (p *pacedRun) interferenceAt(pace, serving int) float64 {
+	return p.rises[serving] * float64(pace) / fullPace
+}
+
 // protectedRun is a serving run beside best-effort runs.
 type protectedRun struct {
 	// headroom is how far its utilisation without interference lies below that of its tail target, and harm is what is
@@ -57,8 +62,8 @@
 	return false
 }
 
-// pacedAndProtected returns the best-effort runs on a worker and the serving runs beside them, with the interference at full
-// pace.
+// pacedAndProtected returns the best-effort runs on a worker and the serving runs beside them, with the interference at the highest
+// paces.
 func (c *Cell) pacedAndProtected(now time.Time, w *worker, bestEffort []*run) ([]pacedRun, []protectedRun) {
 	var protected []protectedRun
 	paced := make([]pacedRun, len(bestEffort))
@@ -74,7 +79,7 @@
 		for i, b := range bestEffort {
 			rise := c.riseOf(b, r)
 			paced[i].rises = append(paced[i].rises, rise)
-			p.interference += rise
+			p.interference += paced[i].interferenceAt(b.maxPace(), len(protected))
 		}
 		protected = append(protected, p)
 	}
@@ -102,23 +107,25 @@
 // paces of the others, and updates their interference.
 func (c *Cell) choosePace(p *pacedRun, protected []protectedRun) int {
 	cores := float64(p.run.step.spec.Size.MilliCPU) / milli
-	best, bestGain := 0, math.Inf(-1)
-	for pace := fullPace; pace >= 0; pace -= paceStep {
-		slowed := 1 - float64(pace)/fullPace
-		gain := cores * (1 - slowed)
+	best, bestGain, maxPace := 0, math.Inf(-1), p.run.maxPace()
+	for pace := maxPace; ; pace = max(0, pace-paceStep) {
+		gain := cores * float64(pace) / fullPace
 		for i := range protected {
 			r := &protected[i]
 			if r.headroom > 0 {
 				// A run without headroom exceeds its target with or without best-effort work.
-				gain -= r.harm * c.loadDeviations.Exceeding(r.headroom-r.interference+slowed*p.rises[i])
+				gain -= r.harm * c.loadDeviations.Exceeding(r.headroom-r.interference+p.interferenceAt(maxPace-pace, i))
 			}
 		}
 		if gain > bestGain {
 			best, bestGain = pace, gain
 		}
+		if pace == 0 {
+			break
+		}
 	}
 	for i := range protected {
-		protected[i].interference -= (1 - float64(best)/fullPace) * p.rises[i]
+		protected[i].interference -= p.interferenceAt(maxPace-best, i)
 	}
 	return best
 }
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 	"medlarwheel/internal/scheduling/medlarrank"
 )
@@ -13,7 +14,7 @@
 // Place starts waiting tasks on workers with free capacity, in the order of the queue. Steps that could not be placed
 // are tried again only on workers that have changed since, so that the cost of a pass depends on the events before it.
 func (c *Cell) Place(now time.Time) {
-	if len(c.queue)+len(c.unranked) == 0 || now.After(c.authorityEnd) {
+	if len(c.queue)+len(c.unranked)+len(c.minimumShareRuns) == 0 || now.After(c.authorityEnd) {
 		c.failureCache.reset()
 		return
 	}
@@ -37,7 +38,8 @@
 		}
 		p.try(s)
 	}
-	p.placeDeferred()
+	p.raiseMinimumShares()
+	c.updateMinimumShares(now, p.placeDeferred)
 	c.placeOnSuspended(now)
 }
 
@@ -51,6 +53,8 @@
 	// deferred holds the steps that get further tasks in the last round of the pass.
 	deferred    []*step
 	isLastRound bool
+	// hasRaised is true once runs with a minimum share have got full shares.
+	hasRaised bool
 }
 
 // try starts the waiting tasks of a step, unless they have failed on all workers that have not changed since.
@@ -61,6 +65,9 @@
 		return
 	}
 	takesTurn := s.takesTurns() && !p.isLastRound
+	if takesTurn {
+		p.raiseMinimumShares()
+	}
 	if takesTurn && s.occurrence.job.runs > 0 && !s.spec.Gang {
 		p.deferred = append(p.deferred, s)
 		return
@@ -198,19 +205,23 @@
 
 // startTask orders a worker to start a task. Number 0 stands for the task's next run number.
 func (c *Cell) startTask(now time.Time, w *worker, s *step, index int, number medlarorder.RunNumber) {
-	t := &s.tasks[index]
 	if number == 0 {
-		number = max(c.firstRun, t.lastRun+1)
+		number = max(c.firstRun, s.tasks[index].lastRun+1)
 	}
-	t.lastRun = number
+	c.start(now, newRun(now, w, s, index, number))
+}
+
+// start orders the worker of a new run to start it.
+func (c *Cell) start(now time.Time, r *run) {
+	t, w := r.task(), r.worker
+	t.lastRun = r.number
 	if !t.lostAt.IsZero() {
-		c.emit(Event{Kind: EventTaskRestarted, Task: s.name(index), Run: number, Worker: w.info.ID, Age: now.Sub(t.lostAt)})
+		c.emit(Event{Kind: EventTaskRestarted, Task: r.name(), Run: r.number, Worker: w.info.ID, Age: now.Sub(t.lostAt)})
 		t.lostAt = time.Time{}
 	}
-	r := newRun(now, w, s, index, number)
 	c.attach(r)
 	order := medlarorder.Start{
-		Task: s.name(index), Run: number, Spec: s.occurrence.job.submission.Spec, Fence: w.fence,
+		Task: r.name(), Run: r.number, Spec: r.job().submission.Spec, Fence: w.fence,
 		LeaseEnd: c.nextLeaseEnd(now, w), Checkpoint: t.checkpoint,
 	}
 	w.recordLease(order.LeaseEnd, &c.config)
@@ -220,6 +231,11 @@
 
 // isFeasible reports whether the task may run on the worker and fits its free capacity.
 func (c *Cell) isFeasible(s *step, t *task, w *worker) bool {
+	return c.isFeasibleAtMinimumShare(s, t, w) && (!s.spec.BestEffort || c.hasUnusedCPU(s, w))
+}
+
+// isFeasibleAtMinimumShare reports the same, but for the CPU of a best-effort task.
+func (c *Cell) isFeasibleAtMinimumShare(s *step, t *task, w *worker) bool {
 	spec := s.spec
 	if w.info.Service != s.occurrence.job.submission.Service || spec.RequiredLabel != "" && !w.info.HasLabel(spec.RequiredLabel) {
 		return false
@@ -235,14 +251,21 @@
 	if w.isReservedForSuspect(s.occurrence.job) {
 		return false
 	}
-	need := spec.Size
-	if spec.BestEffort {
-		need.MilliCPU = 0
-		if w.bestEffortCPU+spec.Size.MilliCPU > c.unusedCPU(w) {
-			return false
-		}
+	return s.reservedSize().Fits(w.freeCapacity())
+}
+
+// reservedSize returns the capacity that a task of the step reserves on its worker. Best-effort tasks use CPU that others leave.
+func (s *step) reservedSize() medlarsubmission.Size {
+	size := s.spec.Size
+	if s.spec.BestEffort {
+		size.MilliCPU = 0
 	}
-	return need.Fits(w.freeCapacity())
+	return size
+}
+
+// hasUnusedCPU reports whether the CPU that a best-effort task of the step asks for is left on the worker.
+func (c *Cell) hasUnusedCPU(s *step, w *worker) bool {
+	return w.bestEffortCPU+s.spec.Size.MilliCPU <= c.unusedCPU(w)
 }
 
 // unusedCPU estimates the CPU of a worker that tasks other than best-effort ones leave unused.
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -333,6 +333,7 @@
 	t.inheritedRun = nil
 	r := newRun(now, w, s, running.Task.Index, running.Run)
 	r.adopted, r.paceUncertain = true, s.spec.BestEffort
+	r.hasMinimumShare = s.spec.BestEffort && !c.hasUnusedCPU(s, w)
 	c.attach(r)
 	if c.reconciled {
 		c.emit(Event{Kind: EventTaskAdopted, Task: running.Task, Run: running.Run, Worker: w.info.ID})
@@ -356,8 +357,11 @@
 		c.overdueCPU[r.overdueService] += r.step.spec.Size.MilliCPU
 	}
 	t.runs = append(t.runs, r)
-	r.job().runs++
+	r.job().addRun(r)
 	r.worker.addRun(r)
+	if r.hasMinimumShare {
+		c.minimumShareRuns = append(c.minimumShareRuns, r)
+	}
 }
 
 // confirm records that the worker has confirmed the run.
@@ -369,6 +373,9 @@
 	if r.step.spec.BestEffort {
 		r.worker.shareHistory.startInterval(now, r)
 	}
+	if r.hasMinimumShare {
+		c.setPace(now, r, minimumPace)
+	}
 	c.storeSuspectRun(r)
 	j := r.job()
 	if !j.started {
@@ -392,6 +399,9 @@
 		}
 	}
 	r.worker.removeRun(r)
+	if r.hasMinimumShare {
+		c.minimumShareRuns = slices.DeleteFunc(c.minimumShareRuns, func(other *run) bool { return other == r })
+	}
 	if r.overdueService != "" {
 		c.overdueCPU[r.overdueService] -= r.step.spec.Size.MilliCPU
 	}
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -58,7 +58,7 @@
 	runs      map[*run]struct{}
 	// committed is the reserved capacity. It includes the memory but not the CPU of best-effort tasks.
 	committed medlarsubmission.Size
-	// bestEffortCPU is the CPU that best-effort tasks ask for, in thousandths of a core.
+	// bestEffortCPU is the CPU that best-effort tasks ask for, but for those with a minimum share, in thousandths of a core.
 	bestEffortCPU int64
 	// longRunningCPU is the part of the committed CPU that long-running tasks have reserved.
 	longRunningCPU int64
@@ -225,7 +225,9 @@
 	size := r.step.spec.Size
 	w.headroomsStale = true
 	if r.step.spec.BestEffort {
-		w.bestEffortCPU += sign * size.MilliCPU
+		if !r.hasMinimumShare {
+			w.bestEffortCPU += sign * size.MilliCPU
+		}
 		size.MilliCPU = 0
 	} else if r.step.spec.LongRunning {
 		w.longRunningCPU += sign * size.MilliCPU
