Bound the rounds of starts, raises and moves with a minimum share, and log them

A round of starts looks at no more than 20 submissions that no worker has memory for, one of moves at 5 runs that fit nowhere else, and a pass raises runs on workers that have changed only, so that a pass does not grow with the backlog times the workers. The log has minimum-share-started, minimum-share-raised and minimum-share-moved.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -114,9 +114,12 @@
 	// shortTaskSize is the usual size of short urgent tasks by service, in thousandths of a core.
 	shortTaskSize  map[medlarwheel.ServiceName]float64
 	loadMeasuredAt time.Time
-	// minimumShareRuns lists the runs with a minimum share, the oldest first. minimumSharesAt is when the last ones were considered.
-	minimumShareRuns []*run
-	minimumSharesAt  time.Time
+	// minimumShareRuns lists the runs with a minimum share. minimumSharesAt is when the last round of starts was, and
+	// minimumSharesRaisedAt and minimumSharesMovedAt when those of raises and moves were. nextMinimumShare and nextMove are where the
+	// next rounds begin.
+	minimumShareRuns                                             []*run
+	minimumSharesAt, minimumSharesRaisedAt, minimumSharesMovedAt time.Time
+	nextMinimumShare, nextMove                                   int
 	// overdueCPU is the CPU of the runs of overdue steps by service, in thousandths of a core.
 	overdueCPU map[medlarwheel.ServiceName]int64
 	// bestEffortDone is the best-effort work done since then, by service, in core-seconds.
--- a/internal/scheduling/medlarcell/interference_load_test.go
+++ b/internal/scheduling/medlarcell/interference_load_test.go
@@ -198,17 +198,12 @@
 func newLoadFleet(t *testing.T, seed uint64) *loadFleet {
 	f := &loadFleet{
 		T: t, rng: rand.New(rand.NewPCG(seed, 1)), cell: New(DefaultConfig()), now: simEpoch,
-		ended: make([][]medlarorder.Ended, loadWorkers), lastEnd: make([]medlarorder.EndNumber, loadWorkers),
-		renewals: make([]*Command, loadWorkers), asked: make([]time.Time, loadWorkers),
 	}
 	f.cell.Begin(f.now, Ownership{Fence: 1 << 12, Term: 1})
 	f.cell.Authorize(f.now.Add(time.Hour))
 	f.cell.ExcludeSuccessor(f.now.Add(time.Hour))
 	for i := range loadWorkers {
-		f.runs = append(f.runs, map[medlarsubmission.TaskName]*loadRun{})
-		w := testWorker(i)
-		w.Capacity = medlarsubmission.Size{MilliCPU: loadWorkerCPU, MemoryMB: 1 << 20}
-		f.cell.SetWorker(f.now, w)
+		f.addWorker(i)
 	}
 	for i := range loadServingJobs {
 		f.accept(medlarsubmission.ID(fmt.Sprintf("serving-%d", i)), 0, medlarsubmission.Step{
@@ -219,6 +214,16 @@
 	return f
 }
 
+// addWorker adds a worker. They are numbered from 0.
+func (f *loadFleet) addWorker(i int) {
+	f.runs = append(f.runs, map[medlarsubmission.TaskName]*loadRun{})
+	f.ended, f.lastEnd = append(f.ended, nil), append(f.lastEnd, 0)
+	f.renewals, f.asked = append(f.renewals, nil), append(f.asked, time.Time{})
+	w := testWorker(i)
+	w.Capacity = medlarsubmission.Size{MilliCPU: loadWorkerCPU, MemoryMB: 1 << 20}
+	f.cell.SetWorker(f.now, w)
+}
+
 func (f *loadFleet) accept(id medlarsubmission.ID, priority int, steps ...medlarsubmission.Step) {
 	f.cell.Accept(f.now, f.submission(id, priority, steps...))
 }
--- a/internal/scheduling/medlarcell/minimum_share.go
+++ b/internal/scheduling/medlarcell/minimum_share.go
@@ -18,56 +18,59 @@
 	// minimumShareDelay is how long nothing of a submission past its hard deadline has run before it gets a minimum share. Others wait
 	// for InterferenceConfig.MaxDeferral, since the task can't go to the worker on which there is room first.
 	minimumShareDelay = 2 * time.Second
-	// minimumSharesInterval is the time between two rounds. A worker gets at most one task in each.
+	// minimumSharesInterval is the time between two rounds of starts. A worker gets at most one task in each.
 	minimumSharesInterval = 100 * time.Millisecond
+	// maxMinimumShareFailures bounds the number of submissions in a round that no worker has memory for. A round begins after
+	// those of the last one.
+	maxMinimumShareFailures = 20
+	// moveInterval is the time between two rounds of moves, and maxMoveFailures bounds the number of runs in one for which there is no
+	// room elsewhere: each takes a look at all workers.
+	moveInterval    = 250 * time.Millisecond
+	maxMoveFailures = 5
 	// minimumPace is the pace of such a task, in percent. Twenty of them interfere as much as one task with a full share.
 	minimumPace = 5
 	// minimumShareMemory is the share of a worker's memory that these tasks leave free for others.
 	minimumShareMemory = 0.5
 )
 
-// updateMinimumShares places the deferred steps, and once per interval moves and starts tasks with a minimum share. Those that move have
-// been idle for longer than the submissions of deferred steps.
-func (c *Cell) updateMinimumShares(now time.Time, placeDeferred func()) {
-	isDue := now.Sub(c.minimumSharesAt) >= minimumSharesInterval
-	if isDue {
-		c.minimumSharesAt = now
-		c.moveMinimumShares(now)
-	}
-	placeDeferred()
-	if isDue {
-		c.placeAtMinimumShare(now)
-	}
-}
-
 // moveMinimumShares stops runs with a minimum share for which there is room on other workers.
 func (c *Cell) moveMinimumShares(now time.Time) {
-	if len(c.minimumShareRuns) == 0 {
+	if len(c.minimumShareRuns) == 0 || now.Sub(c.minimumSharesMovedAt) < moveInterval {
 		return
 	}
+	c.minimumSharesMovedAt = now
 	usable := slices.Clone(c.listUsableWorkers(now))
 	failed := 0
-	for _, r := range c.minimumShareRuns {
-		if len(usable) == 0 || failed == maxFailedStepsPerPass {
-			return
-		}
+	for n := range c.minimumShareRuns {
+		r := c.minimumShareRuns[(c.nextMove+n)%len(c.minimumShareRuns)]
 		if r.phase != runConfirmed || r.stopping || now.Sub(r.confirmedAt) < minimumShareDelay {
 			continue
 		}
 		w := c.bestWorker(r.step, r.task(), usable)
 		if w == nil {
-			failed++
+			if failed++; failed == maxMoveFailures {
+				c.nextMove += n + 1
+				return
+			}
 			continue
 		}
+		c.emitMinimumShare(now, EventMinimumShareMoved, r, r.sentAt)
 		c.stop(now, r)
 		usable = slices.DeleteFunc(usable, func(other *worker) bool { return other == w })
 	}
+	c.nextMove = 0
 }
 
 // placeAtMinimumShare starts tasks with a minimum share.
 func (c *Cell) placeAtMinimumShare(now time.Time) {
+	if now.Sub(c.minimumSharesAt) < minimumSharesInterval {
+		return
+	}
+	c.minimumSharesAt = now
 	var workers []*worker
-	for _, s := range c.queue {
+	failed := 0
+	for n := range c.queue {
+		s := c.queue[(c.nextMinimumShare+n)%len(c.queue)]
 		if !c.needsMinimumShare(now, s) {
 			continue
 		}
@@ -77,42 +80,89 @@
 		if len(workers) == 0 {
 			return
 		}
-		t := &s.tasks[s.ready[0]]
-		i := slices.IndexFunc(workers, func(w *worker) bool {
-			return t.avoidWorker != w.info.ID && c.isFeasibleAtMinimumShare(s, t, w) && c.leavesMemory(s, w)
-		})
-		if i >= 0 {
-			r := newRun(now, workers[i], s, s.ready[0], max(c.firstRun, t.lastRun+1))
-			r.hasMinimumShare = true
-			c.start(now, r)
+		if i := c.minimumShareWorker(s, workers); i >= 0 {
+			c.startAtMinimumShare(now, workers[i], s)
 			workers = slices.Delete(workers, i, i+1)
+		} else if failed++; failed == maxMinimumShareFailures {
+			c.nextMinimumShare += n + 1
+			return
 		}
 	}
+	c.nextMinimumShare = 0
+}
+
+// minimumShareWorker returns the index of the first worker for a task of the step, or -1.
+func (c *Cell) minimumShareWorker(s *step, workers []*worker) int {
+	t := &s.tasks[s.ready[0]]
+	return slices.IndexFunc(workers, func(w *worker) bool {
+		return t.avoidWorker != w.info.ID && c.isFeasibleAtMinimumShare(s, t, w) && w.leavesMemory(s.spec.Size.MemoryMB)
+	})
+}
+
+func (c *Cell) startAtMinimumShare(now time.Time, w *worker, s *step) {
+	index := s.ready[0]
+	r := newRun(now, w, s, index, max(c.firstRun, s.tasks[index].lastRun+1))
+	r.hasMinimumShare = true
+	c.emitMinimumShare(now, EventMinimumShare, r, s.readySince)
+	c.start(now, r)
 }
 
 // raiseMinimumShares gives a full share to each run for which there is room on its worker, the one of the submission that has been idle
 // for longest first. It does so before further submissions take turns.
 func (p *placementPass) raiseMinimumShares() {
-	if p.hasRaised {
+	c := p.cell
+	if p.hasRaised || len(c.minimumShareRuns) == 0 {
 		return
 	}
 	p.hasRaised = true
-	c := p.cell
-	slices.SortStableFunc(c.minimumShareRuns, func(a, b *run) int { return a.job().idleSince.Compare(b.job().idleSince) })
-	c.minimumShareRuns = slices.DeleteFunc(c.minimumShareRuns, func(r *run) bool {
+	runs := c.minimumSharesToRaise(p.now)
+	slices.SortStableFunc(runs, func(a, b *run) int { return a.job().idleSince.Compare(b.job().idleSince) })
+	for _, r := range runs {
 		if r.phase != runConfirmed || r.stopping || !c.hasUnusedCPU(r.step, r.worker) {
-			return false
+			continue
 		}
-		if _, ok := c.interferenceCost(r.step, r.worker); !ok {
-			return false
+		if _, ok := c.interferenceCost(r.step, r.worker); ok {
+			c.emitMinimumShare(p.now, EventMinimumShareRaised, r, r.sentAt)
+			c.raiseMinimumShare(r)
 		}
-		r.worker.removeRun(r)
-		r.job().minimumShareRuns--
-		r.hasMinimumShare = false
-		r.job().addRun(r)
-		r.worker.addRun(r)
-		return true
-	})
+	}
+}
+
+// minimumSharesToRaise returns the runs with a minimum share on workers that have changed since the last pass, and once per interval
+// all of them.
+func (c *Cell) minimumSharesToRaise(now time.Time) []*run {
+	if now.Sub(c.minimumSharesRaisedAt) >= minimumSharesInterval {
+		c.minimumSharesRaisedAt = now
+		return slices.Clone(c.minimumShareRuns)
+	}
+	var runs []*run
+	for _, w := range c.failureCache.changesSinceLastPass() {
+		if w.minimumShareRuns == 0 {
+			continue
+		}
+		for r := range w.runs {
+			if r.hasMinimumShare && !slices.Contains(runs, r) {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
+
+// raiseMinimumShare gives a run with a minimum share a full one.
+func (c *Cell) raiseMinimumShare(r *run) {
+	c.removeMinimumShare(r)
+	r.worker.removeRun(r)
+	r.job().minimumShareRuns--
+	r.hasMinimumShare = false
+	r.job().addRun(r)
+	r.worker.addRun(r)
+}
+
+func (c *Cell) removeMinimumShare(r *run) {
+	if i := slices.Index(c.minimumShareRuns, r); i >= 0 {
+		c.minimumShareRuns = slices.Delete(c.minimumShareRuns, i, i+1)
+	}
 }
 
 // needsMinimumShare reports whether nothing of the step's submission has run for so long that it gets a minimum share.
@@ -133,14 +183,27 @@
 	return true
 }
 
-// workersForMinimumShares returns the usable workers, those without serving tasks above their targets first, and among them those with
-// the most CPU that no task asks for.
+// workersForMinimumShares returns the usable workers with free memory, those without serving tasks above their targets first, and among
+// them those with the most CPU that no task asks for.
 func (c *Cell) workersForMinimumShares(now time.Time) []*worker {
-	workers := slices.Clone(c.listUsableWorkers(now))
-	slices.SortStableFunc(workers, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.servingRunsOverTarget(), b.servingRunsOverTarget()),
-			cmp.Compare(c.unusedCPU(b)-b.bestEffortCPU, c.unusedCPU(a)-a.bestEffortCPU))
+	type option struct {
+		worker     *worker
+		overTarget int
+		unusedCPU  int64
+	}
+	var options []option
+	for _, w := range c.listUsableWorkers(now) {
+		if w.leavesMemory(0) {
+			options = append(options, option{worker: w, overTarget: w.servingRunsOverTarget(), unusedCPU: c.unusedCPU(w) - w.bestEffortCPU})
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.overTarget, b.overTarget), cmp.Compare(b.unusedCPU, a.unusedCPU))
 	})
+	workers := make([]*worker, len(options))
+	for i := range options {
+		workers[i] = options[i].worker
+	}
 	return workers
 }
 
@@ -154,9 +217,9 @@
 	return n
 }
 
-// leavesMemory reports whether a task of the step leaves enough of the worker's memory to others.
-func (c *Cell) leavesMemory(s *step, w *worker) bool {
-	return float64(w.committed.MemoryMB+s.spec.Size.MemoryMB) <= (1-minimumShareMemory)*float64(w.info.Capacity.MemoryMB)
+// leavesMemory reports whether a best-effort task of that size leaves enough of the worker's memory to others.
+func (w *worker) leavesMemory(memoryMB int64) bool {
+	return float64(w.committed.MemoryMB+memoryMB) <= (1-minimumShareMemory)*float64(w.info.Capacity.MemoryMB)
 }
 
 // maxPace returns the highest pace, in percent, that the run may get.
@@ -166,3 +229,11 @@
 	}
 	return fullPace
 }
+
+// emitMinimumShare emits a decision on a run with a minimum share, with the timeliness of its submission and the number of such runs.
+func (c *Cell) emitMinimumShare(now time.Time, kind EventKind, r *run, since time.Time) {
+	c.emit(Event{
+		Kind: kind, Task: r.name(), Run: r.number, Worker: r.worker.info.ID, Reason: timelinessName(r.step.rank.Timeliness),
+		Age: now.Sub(since), Count: len(c.minimumShareRuns),
+	})
+}
--- a/internal/scheduling/medlarcell/minimum_share_test.go
+++ b/internal/scheduling/medlarcell/minimum_share_test.go
@@ -115,3 +115,67 @@
 		t.Errorf("starts with a minimum share on a worker with memory for 8 tasks: got %d, want %d", started, want)
 	}
 }
+
+// TestMinimumShareEndsOnceThereIsRoom guards against a task that stays at the minimum pace although its worker or another one has room for it.
+func TestMinimumShareEndsOnceThereIsRoom(t *testing.T) {
+	f := minimumShareFleet(t)
+	s := f.submission("filling-1", 2, medlarsubmission.Step{
+		Count: 1, Size: medlarsubmission.Size{MilliCPU: 12000}, Estimate: 2 * time.Second, BestEffort: true, Image: "filling-0",
+	})
+	s.AcceptedAt = f.now.Add(-time.Minute)
+	f.cell.Accept(f.now, s)
+	f.firstRunOf(s.ID, 5*time.Second)
+	if got := f.cell.jobs[s.ID].minimumShareRuns; got != 1 {
+		t.Fatalf("runs with a minimum share: got %d, want 1", got)
+	}
+	f.addWorker(loadWorkers)
+	for began := f.now; f.cell.jobs[s.ID].state != medlarsubmission.StateCompleted; f.playTick() {
+		if limit := 6 * time.Second; f.now.Sub(began) > limit {
+			t.Fatalf("not done %v after an empty worker has joined", limit)
+		}
+	}
+}
+
+// TestNewOwnerDoesNotPromiseProcessorsTwice guards against a new owner that places nothing on workers whose best-effort runs, with
+// those that have a minimum share, ask for more processors than are left.
+func TestNewOwnerDoesNotPromiseProcessorsTwice(t *testing.T) {
+	sc := newScriptedCell(t, 1, Ownership{Fence: 2 << 12, Term: 2})
+	var running []medlarorder.Running
+	for n := range 3 {
+		s := testSubmissionWithID(n, medlarsubmission.Step{
+			Count: 1, Size: medlarsubmission.Size{MilliCPU: 3000, MemoryMB: 10}, Estimate: time.Second, BestEffort: true, Image: "etl",
+		}, 2)
+		if err := sc.cell.Restore(sc.now, s, Progress{}, false); err != nil {
+			t.Fatal(err)
+		}
+		running = append(running, medlarorder.Running{Task: medlarsubmission.TaskName{Submission: s.ID}, Run: 1})
+	}
+	sc.report(sc.renewals[0], medlarorder.Report{Running: running})
+	w := sc.cell.workers["w0"]
+	if want := int64(6000); w.bestEffortCPU != want || len(w.runs) != 3 {
+		t.Errorf("processors promised to %d best-effort runs on a worker with 8000: got %d, want %d", len(w.runs), w.bestEffortCPU, want)
+	}
+}
+
+// BenchmarkPlaceAtMinimumShare measures a placement pass in which no worker has memory for any of the submissions that wait, beside runs with
+// a minimum share that fit nowhere else.
+func BenchmarkPlaceAtMinimumShare(b *testing.B) {
+	for _, workers := range []int{66, 490, 2800} {
+		b.Run(fmt.Sprintf("workers-%d", workers), func(b *testing.B) {
+			const submissionsPerWorker, waiting, memoryMB = 4, 3000, 20000
+			c, now := expiredBacklog(b, workers, workers)
+			for n := range submissionsPerWorker*workers + waiting {
+				c.Accept(now, testSubmissionWithID(workers+n, medlarsubmission.Step{
+					Count: 1, Size: medlarsubmission.Size{MilliCPU: 64000, MemoryMB: memoryMB}, Estimate: time.Second, BestEffort: true, Image: "f1",
+				}, 2))
+			}
+			for b.Loop() {
+				now = now.Add(minimumSharesInterval)
+				c.markResponsive(now)
+				c.Place(now)
+				c.TakeCommands()
+				c.TakeEvents()
+			}
+		})
+	}
+}
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -39,7 +39,9 @@
 		p.try(s)
 	}
 	p.raiseMinimumShares()
-	c.updateMinimumShares(now, p.placeDeferred)
+	c.moveMinimumShares(now)
+	p.placeDeferred()
+	c.placeAtMinimumShare(now)
 	c.placeOnSuspended(now)
 }
 
--- a/internal/scheduling/medlarcell/placement_failures.go
+++ b/internal/scheduling/medlarcell/placement_failures.go
@@ -62,6 +62,11 @@
 	p.previousPassStart, p.currentPassStart = p.currentPassStart, len(p.changes)
 }
 
+// changesSinceLastPass returns the workers that have changed since the last pass began, unless a scan has begun since.
+func (p *placementFailureCache) changesSinceLastPass() []*worker {
+	return p.changes[min(p.previousPassStart, len(p.changes)):]
+}
+
 // reset discards all failures.
 func (p *placementFailureCache) reset() {
 	p.scan++
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -400,7 +400,7 @@
 	}
 	r.worker.removeRun(r)
 	if r.hasMinimumShare {
-		c.minimumShareRuns = slices.DeleteFunc(c.minimumShareRuns, func(other *run) bool { return other == r })
+		c.removeMinimumShare(r)
 	}
 	if r.overdueService != "" {
 		c.overdueCPU[r.overdueService] -= r.step.spec.Size.MilliCPU
--- a/internal/scheduling/medlarcell/worker.go
+++ b/internal/scheduling/medlarcell/worker.go
@@ -62,8 +62,8 @@
 	bestEffortCPU int64
 	// longRunningCPU is the part of the committed CPU that long-running tasks have reserved.
 	longRunningCPU int64
-	// suspectRuns counts the runs of tasks that are suspected to crash their workers.
-	suspectRuns int
+	// suspectRuns counts the runs of tasks that are suspected to crash their workers, and minimumShareRuns those with a minimum share.
+	suspectRuns, minimumShareRuns int
 	// hasStrayRuns is true while the worker lists runs that are not needed and are being stopped. They use capacity.
 	hasStrayRuns bool
 	// hasUnknownTasks is true while the worker lists runs or ends of submissions that are not known. The previous owner may have
@@ -225,7 +225,9 @@
 	size := r.step.spec.Size
 	w.headroomsStale = true
 	if r.step.spec.BestEffort {
-		if !r.hasMinimumShare {
+		if r.hasMinimumShare {
+			w.minimumShareRuns += int(sign)
+		} else {
 			w.bestEffortCPU += sign * size.MilliCPU
 		}
 		size.MilliCPU = 0
