Keep something running between two turns of a submission

Past their hard deadline submissions take turns, one task at a time.

A submission past its hard deadline with a single run gets a second one, with a minimum share, and one with none waits for 1 s instead of 2 s.

--- a/internal/scheduling/medlarcell/minimum_share.go
+++ b/internal/scheduling/medlarcell/minimum_share.go
@@ -17,16 +17,17 @@
 const (
 	// minimumShareDelay is how long nothing of a submission past its hard deadline has run before it gets a minimum share. Others wait
 	// for InterferenceConfig.MaxDeferral, since the task can't go to the worker on which there is room first.
-	minimumShareDelay = 2 * time.Second
+	minimumShareDelay = time.Second
 	// minimumSharesInterval is the time between two rounds of starts. A worker gets at most one task in each.
 	minimumSharesInterval = 100 * time.Millisecond
 	// maxMinimumShareFailures bounds the number of submissions in a round that no worker has memory for. A round begins after
 	// those of the last one.
 	maxMinimumShareFailures = 20
 	// moveInterval is the time between two rounds of moves, and maxMoveFailures bounds the number of runs in one for which there is no
-	// room elsewhere: each takes a look at all workers.
+	// room elsewhere: each takes a look at all workers. A run is not moved before minMoveAge.
 	moveInterval    = 250 * time.Millisecond
 	maxMoveFailures = 5
+	minMoveAge      = 2 * time.Second
 	// minimumPace is the pace of such a task, in percent. Twenty of them interfere as much as one task with a full share.
 	minimumPace = 5
 	// minimumShareMemory is the share of a worker's memory that these tasks leave free for others.
@@ -43,7 +44,7 @@
 	failed := 0
 	for n := range c.minimumShareRuns {
 		r := c.minimumShareRuns[(c.nextMove+n)%len(c.minimumShareRuns)]
-		if r.phase != runConfirmed || r.stopping || now.Sub(r.confirmedAt) < minimumShareDelay {
+		if r.phase != runConfirmed || r.stopping || now.Sub(r.confirmedAt) < minMoveAge {
 			continue
 		}
 		w := c.bestWorker(r.step, r.task(), usable)
@@ -165,22 +166,25 @@
 	}
 }
 
-// needsMinimumShare reports whether nothing of the step's submission has run for so long that it gets a minimum share.
+// needsMinimumShare reports whether nothing of the step's submission has run for so long that it gets a minimum share. A submission
+// past its hard deadline with a single run gets one beside it, so that something runs between two of its turns.
 func (c *Cell) needsMinimumShare(now time.Time, s *step) bool {
 	j := s.occurrence.job
-	if !s.isMeasuredBestEffort() || s.spec.Gang || j.runs+j.minimumShareRuns > 0 || s.isDrained() || !c.isEligible(now, s) {
+	if !s.isMeasuredBestEffort() || s.spec.Gang || j.minimumShareRuns > 0 || j.runs > 1 || s.isDrained() || !c.isEligible(now, s) {
 		return false
 	}
 	delay := minimumShareDelay
 	if s.rank.Timeliness != medlarrank.TimelinessExpired {
 		delay = c.config.Interference.MaxDeferral
+	} else if j.runs == 1 {
+		return true
 	}
 	for _, since := range []time.Time{j.idleSince, j.minimumShareEndedAt, s.occurrence.startAt} {
 		if now.Sub(since) < delay {
 			return false
 		}
 	}
-	return true
+	return j.runs == 0
 }
 
 // workersForMinimumShares returns the usable workers with free memory, those without serving tasks above their targets first, and among
--- a/internal/scheduling/medlarcell/minimum_share_test.go
+++ b/internal/scheduling/medlarcell/minimum_share_test.go
@@ -179,3 +179,44 @@
 		})
 	}
 }
+
+// TestSubmissionWithSingleRunGetsMinimumShare guards against submissions past their deadline that run one task at a time by turns, with nothing
+// running between two turns.
+func TestSubmissionWithSingleRunGetsMinimumShare(t *testing.T) {
+	const submissions, interval = 200, 3 * time.Second
+	f := minimumShareFleet(t)
+	for n := range submissions {
+		s := f.submission(bestEffortID(n), 2, medlarsubmission.Step{
+			Count: 4 * turnsTasks, Size: medlarsubmission.Size{MilliCPU: loadTaskCPU}, Estimate: 700 * time.Millisecond, BestEffort: true, Image: "filling-0",
+		})
+		s.AcceptedAt = f.now.Add(-time.Minute)
+		f.cell.Accept(f.now, s)
+	}
+	var idle []map[medlarsubmission.ID]bool
+	began, twice := f.now, 0
+	for f.now.Sub(began) < 20*time.Second {
+		f.playTick()
+		now := map[medlarsubmission.ID]bool{}
+		for n := range submissions {
+			if j := f.cell.jobs[bestEffortID(n)]; j.state != medlarsubmission.StateCompleted {
+				now[j.submission.ID] = true
+			}
+		}
+		for w := range f.runs {
+			for name := range f.runs[w] {
+				delete(now, name.Submission)
+			}
+		}
+		idle = append(idle, now)
+		if earlier := len(idle) - 1 - int(interval/loadTick); f.now.Sub(began) > 10*time.Second {
+			for id := range now {
+				if idle[earlier][id] {
+					twice++
+				}
+			}
+		}
+	}
+	if twice > 0 {
+		t.Errorf("submissions with nothing running at a moment and %v before: got %d cases, want none", interval, twice)
+	}
+}
