--- a/internal/scheduling/medlarcell/wait_reasons.go
+++ b/internal/scheduling/medlarcell/wait_reasons.go
@@ -135,6 +135,8 @@
 	return "fit"
 }
 
+const mebibytesPerGibibyte = 1024
+
 // loadEvent returns a summary of the load of the cell.
 func (c *Cell) loadEvent() Event {
 	var waiting, waitingLongRunning, waitingBestEffort, running, longRunning, runningBestEffort, throttled int64
@@ -149,7 +151,7 @@
 			waiting += cores
 		}
 	}
-	var capacity, unused int64
+	var capacity, unused, memory, memoryInUse int64
 	usable := 0
 	for _, w := range c.workers {
 		if !w.registered || !w.reported {
@@ -158,6 +160,8 @@
 		usable++
 		capacity += w.info.Capacity.MilliCPU / milli
 		unused += c.unusedCPU(w) / milli
+		memory += w.info.Capacity.MemoryMB
+		memoryInUse += w.committed.MemoryMB
 		running += w.committed.MilliCPU / milli
 		longRunning += w.longRunningCPU / milli
 		runningBestEffort += w.bestEffortCPU / milli
@@ -167,6 +171,7 @@
 	}
 	return Event{Kind: EventLoad, Count: usable, Reason: fmt.Sprintf(
 		"cores: capacity %d, committed %d, lasting %d, leftover %d, filling %d, slowed away %d, waiting %d, waiting to last %d, "+
-			"waiting to fill %d",
-		capacity, running, longRunning, unused, runningBestEffort, throttled, waiting, waitingLongRunning, waitingBestEffort)}
+			"waiting to fill %d; memory: %d of %d GB in use; minimum shares %d",
+		capacity, running, longRunning, unused, runningBestEffort, throttled, waiting, waitingLongRunning, waitingBestEffort,
+		memoryInUse/mebibytesPerGibibyte, memory/mebibytesPerGibibyte, len(c.minimumShareRuns))}
 }
