Rank each occurrence of a scheduled submission by its own time

What callers saw: the occurrences of a scheduled submission after the first began late in a busy service, one behind the other, while submissions that were accepted at their due time began at once. The submission has nothing running meanwhile, although its turn has come.

Cause: all occurrences had the deadlines of the first one, so that the later ones counted as late and then as past their hard deadline when they came due.

Evidence: TestLaterOccurrencesAreRankedByTheirOwnTime failed before, from occurrence 1 on (late from 2, past the hard deadline from 6).

Change: the deadlines and the remaining work are those of the occurrence. Single submissions are ranked as before. The test of the overload sums the remaining work over the occurrences, which is the same for submissions that run once.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -212,7 +212,7 @@
 
 func (c *Cell) add(s medlarsubmission.Submission, inherited bool) *job {
 	j := newJob(s, inherited, c.runTimes, c.config.segmentTasks(&s))
-	j.hardDeadline = s.AcceptedAt.Add(time.Duration(c.config.HardDeadlineFactor * float64(j.softDeadline.Sub(s.AcceptedAt))))
+	j.hardDeadline = s.Due(0).Add(time.Duration(c.config.HardDeadlineFactor * float64(j.softDeadline.Sub(s.Due(0)))))
 	c.jobs[s.ID] = j
 	c.observeWork(j)
 	c.observeShortTaskSize(&s)
--- a/internal/scheduling/medlarcell/end.go
+++ b/internal/scheduling/medlarcell/end.go
@@ -96,10 +96,11 @@
 }
 
 func completionTimeliness(now time.Time, j *job) string {
+	lag := j.lag(j.submission.Occurrences() - 1)
 	switch {
-	case !now.After(j.softDeadline):
+	case !now.After(j.softDeadline.Add(lag)):
 		return "in time"
-	case !now.After(j.hardDeadline):
+	case !now.After(j.hardDeadline.Add(lag)):
 		return "late"
 	default:
 		return "too late"
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -19,17 +19,15 @@
 	durableState medlarsubmission.State
 	// occurrences holds the occurrences that have tasks to run. The others are nil: they are not due yet, or are done.
 	occurrences []*occurrence
-	// softDeadline is when the submission should be complete. After hardDeadline, its result is of no use to the client.
+	// softDeadline is when the first occurrence should be complete. After hardDeadline, its result is of no use to the client.
 	softDeadline, hardDeadline time.Time
 	// criticalPaths holds, by step, the longest chain of estimated run times from that step to the end.
 	criticalPaths []time.Duration
 	// failedTime is the longest total time that the failed runs of one task have taken. It lengthens the critical path.
 	failedTime time.Duration
-	// totalWork is the estimated work of all tasks in core-seconds.
+	// totalWork is the estimated work of all tasks of one occurrence in core-seconds.
 	totalWork float64
-	// remainingWork is the part of totalWork whose tasks are not done.
-	remainingWork float64
-	started       bool
+	started   bool
 	// runs is the number of runs of all tasks but those with a minimum share, and idleSince when the last confirmed one has ended.
 	// minimumShareRuns is the number of the others, and minimumShareEndedAt when the last confirmed one has ended.
 	runs, minimumShareRuns         int
@@ -59,6 +57,8 @@
 	startAt        time.Time
 	steps          []*step
 	remainingSteps int
+	// remainingWork is the part of the job's totalWork whose tasks are not done.
+	remainingWork float64
 }
 
 // step is one step of an occurrence.
@@ -265,14 +265,10 @@
 	}
 	j.segmentTasks = segmentTasks
 	j.segments = newSegments(j, j.tasksPerOccurrence*s.Occurrences(), segmentTasks)
-	j.remainingWork = j.totalWork
 	objective := time.Duration(s.Policy.Stretch*float64(longest)) + s.Policy.Allowance
-	j.softDeadline = s.AcceptedAt.Add(objective)
+	j.softDeadline = s.Due(0).Add(objective)
 	j.occurrences = make([]*occurrence, s.Occurrences())
 	j.schedule = newSchedule(s.Occurrences(), expected)
-	if s.OccurrenceCount > 0 {
-		j.softDeadline = s.Due(0).Add(objective)
-	}
 	return j
 }
 
@@ -297,7 +293,7 @@
 }
 
 func newOccurrence(j *job, index int, expected []time.Duration) *occurrence {
-	o := &occurrence{job: j, index: index, startAt: j.submission.Due(index), remainingSteps: len(j.submission.Steps)}
+	o := &occurrence{job: j, index: index, startAt: j.submission.Due(index), remainingSteps: len(j.submission.Steps), remainingWork: j.totalWork}
 	firstTask := index * j.tasksPerOccurrence
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
--- a/internal/scheduling/medlarcell/overload_test.go
+++ b/internal/scheduling/medlarcell/overload_test.go
@@ -91,12 +91,21 @@
 	}
 	for _, n := range ids {
 		if j := f.cell.jobs[bestEffortID(n)]; j != nil {
-			o.done += j.totalWork - j.remainingWork
+			o.done += j.totalWork - remainingWork(j)
 		}
 	}
 	return o
 }
 
+// remainingWork returns the estimated work of the tasks of a job that are not done.
+func remainingWork(j *job) float64 {
+	sum := 0.0
+	for _, o := range j.created() {
+		sum += o.remainingWork
+	}
+	return sum
+}
+
 // forSeeds runs a test for the seeds from 1 on, in parallel.
 func forSeeds(t *testing.T, count int, test func(t *testing.T, seed uint64)) {
 	for seed := uint64(1); seed <= uint64(count); seed++ {
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -355,7 +355,7 @@
 	if d := a.rank.Compare(b.rank); d != 0 {
 		return d
 	}
-	return a.occurrence.job.softDeadline.Compare(b.occurrence.job.softDeadline)
+	return a.occurrence.softDeadline().Compare(b.occurrence.softDeadline())
 }
 
 // mergeSteps merges two sorted lists.
@@ -387,8 +387,9 @@
 		idle = j.idle(now)
 	}
 	return medlarrank.Of(now, c.config.Rank, j.submission.Policy.Priority, medlarrank.Work{
-		SoftDeadline: j.softDeadline, HardDeadline: j.hardDeadline, CriticalPath: j.criticalPaths[s.index], Value: c.valueOf(j), RemainingCoreSeconds: j.remainingWork,
-		Idle: idle,
+		SoftDeadline: s.occurrence.softDeadline(), HardDeadline: s.occurrence.hardDeadline(), CriticalPath: j.criticalPaths[s.index], Value: c.valueOf(j),
+		RemainingCoreSeconds: s.occurrence.remainingWork,
+		Idle:                 idle,
 	})
 }
 
--- a/internal/scheduling/medlarcell/progress.go
+++ b/internal/scheduling/medlarcell/progress.go
@@ -428,7 +428,7 @@
 		return
 	}
 	t.done, t.waiting = true, false
-	s.occurrence.job.remainingWork -= coreSeconds(s.predictedRunTime, s.spec)
+	s.occurrence.remainingWork -= coreSeconds(s.predictedRunTime, s.spec)
 	s.removeReady(index)
 	s.remainingTasks--
 	if s.remainingTasks > 0 {
--- a/internal/scheduling/medlarcell/schedule_test.go
+++ b/internal/scheduling/medlarcell/schedule_test.go
@@ -1,6 +1,7 @@
 package medlarcell
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -187,3 +188,25 @@
 		t.Errorf("the submission is %q, want cancelled", state)
 	}
 }
+
+// TestLaterOccurrencesAreRankedByTheirOwnTime guards against occurrences of a scheduled submission that count as past their deadline when
+// they come due, and wait until all other work is done.
+func TestLaterOccurrencesAreRankedByTheirOwnTime(t *testing.T) {
+	const times, interval = 8, 3 * time.Second
+	sc := newScriptedCell(t, 0, Ownership{Fence: 1 << 12, Term: 1})
+	scheduled := scheduledSubmission(times, interval)
+	sc.cell.Accept(sc.now, scheduled)
+	j := sc.cell.jobs[scheduled.ID]
+	for k := range times {
+		now := scheduled.Due(k)
+		fresh := testSubmission(scheduled.Steps...)
+		fresh.ID, fresh.AcceptedAt = medlarsubmission.ID(fmt.Sprintf("%016x", k)), now
+		sc.cell.Accept(now, fresh)
+		first := j.occurrence(k).steps[0]
+		got, want := sc.cell.rankOf(now, first), sc.cell.rankOf(now, sc.cell.jobs[fresh.ID].occurrences[0].steps[0])
+		if got.Compare(want) != 0 {
+			t.Errorf("rank of occurrence %d when it is due: got %+v, want %+v as that of a submission accepted then", k, got, want)
+		}
+		first.completeTask(0)
+	}
+}
--- a/internal/scheduling/medlarcell/wait_reasons_best_effort.go
+++ b/internal/scheduling/medlarcell/wait_reasons_best_effort.go
@@ -21,7 +21,7 @@
 	}
 	expired := 0
 	for _, s := range waiting {
-		if now.After(s.occurrence.job.hardDeadline) {
+		if now.After(s.occurrence.hardDeadline()) {
 			expired++
 		}
 	}
