Keep failures of fresh steps from hiding deferred ones

What callers saw: none known. A step of the same class that is fresh, late as well and ranked before it was tried first with its lower limit, and its failure was shared with the deferred step, which then was not tried.

Cause: a shared placement failure held the timeliness of the step, but not the harm that the step might do.

Change: the failure holds the harm. The tests of internal/scheduling and internal/acceptance pass.

--- a/internal/scheduling/medlarcell/placement_failures.go
+++ b/internal/scheduling/medlarcell/placement_failures.go
@@ -5,7 +5,6 @@
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
-	"medlarwheel/internal/scheduling/medlarrank"
 )
 
 // fullScanInterval is how often all workers are considered again for steps that could not be placed. In between, only
@@ -25,9 +24,10 @@
 // again on the same workers. Steps of one class share it.
 type placementFailure struct {
 	// scan is the full scan in which the step was tried. Later scans ignore the failure.
-	scan       uint64
-	size       medlarsubmission.Size
-	timeliness medlarrank.Timeliness
+	scan uint64
+	size medlarsubmission.Size
+	// maxHarm is the harm that the step might do to serving runs, see Cell.maxHarm.
+	maxHarm float64
 	// changesSeen is the number of worker changes, since the scan began, that the step was tried on.
 	changesSeen int
 }
@@ -100,13 +100,15 @@
 	return shared
 }
 
-// appliesTo reports whether a step that asks for no more than s has failed in this scan.
-func (p *placementFailure) appliesTo(s *step, scan uint64) bool {
-	return p.scan == scan && p.size.Fits(s.spec.Size) && s.rank.Timeliness >= p.timeliness
+// hasFailed reports whether a step that asks for no more than s has failed in this scan.
+func (c *Cell) hasFailed(s *step) bool {
+	f := s.failure
+	return f.scan == c.failureCache.scan && f.size.Fits(s.spec.Size) && c.maxHarm(s) <= f.maxHarm
 }
 
 // recordFailure records that a step could not be placed on any worker.
-func (p *placementFailureCache) recordFailure(s *step) {
+func (c *Cell) recordFailure(s *step) {
+	p := &c.failureCache
 	if len(s.tasks[s.ready[0]].runs) > 0 {
 		// A speculative copy may not run where the first run is, which says nothing about other tasks.
 		return
@@ -115,11 +117,12 @@
 	known := s.failure
 	// A failure of a step that asks for less is more general, as long as that step is still being tried.
 	isCurrent := known.scan == p.scan && known.changesSeen >= p.previousPassStart
-	asksLess := s.spec.Size.Fits(known.size) && s.rank.Timeliness <= known.timeliness
+	maxHarm := c.maxHarm(s)
+	asksLess := s.spec.Size.Fits(known.size) && maxHarm >= known.maxHarm
 	if isCurrent && !asksLess {
 		return
 	}
-	*known = placementFailure{scan: p.scan, size: s.spec.Size, timeliness: s.rank.Timeliness, changesSeen: len(p.changes)}
+	*known = placementFailure{scan: p.scan, size: s.spec.Size, maxHarm: maxHarm, changesSeen: len(p.changes)}
 }
 
 // workersChangedSince returns the usable workers that have changed after the first seen changes of this scan, each once.
--- a/internal/scheduling/medlarcell/placement_failures_test.go
+++ b/internal/scheduling/medlarcell/placement_failures_test.go
@@ -204,3 +204,43 @@
 		}
 	}
 }
+
+// TestFailureOfFreshStepDoesNotHideDeferredOne guards against best-effort work that waits beside loaded serving tasks for ever, since a
+// step that has waited for less, and may do less harm, is tried on the same workers before it.
+func TestFailureOfFreshStepDoesNotHideDeferredOne(t *testing.T) {
+	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
+	sc.report(sc.renewals[0], medlarorder.Report{})
+	sc.cell.Accept(sc.now, testSubmission(medlarsubmission.Step{
+		Count: 1, Size: medlarsubmission.Size{MilliCPU: 3000}, LongRunning: true, TailLatencyTarget: loadTarget, Image: "web",
+	}))
+	sc.dispatch()
+	start := sc.starts[0].Start
+	sc.cell.HandleStartResponse(sc.now, "w0", start, medlarorder.Response{Verdict: medlarorder.VerdictAccepted}, nil)
+	serving := medlarorder.Running{Task: start.Task, Run: start.Run, Percent: fullPace, HasUsage: true}
+	serve := func(tail time.Duration) {
+		serving.Usage = tail.Milliseconds()
+		sc.report(Command{Worker: "w0"}, medlarorder.Report{Running: []medlarorder.Running{serving}})
+		sc.advance(400 * time.Millisecond)
+		sc.dispatch()
+	}
+	serve(loadBaseLatency)
+	for range 20 {
+		serve(3 * loadBaseLatency)
+	}
+	filling := medlarsubmission.Step{Count: 1, Size: medlarsubmission.Size{MilliCPU: 1000}, Estimate: 10 * time.Second, BestEffort: true, Image: "etl"}
+	deferred := testSubmissionWithID(1, filling, 0)
+	deferred.AcceptedAt = sc.now.Add(-15 * time.Second)
+	sc.cell.Accept(sc.now, deferred)
+	began, deferral := sc.now, sc.cell.config.Interference.MaxDeferral
+	for n := 2; len(sc.starts) == 0 && sc.now.Sub(began) < 2*deferral; n++ {
+		// Its step is fresh, as that of a submission of which an earlier step has ended.
+		fresh := testSubmissionWithID(n, filling, 0)
+		fresh.AcceptedAt = sc.now.Add(-12 * time.Second)
+		sc.cell.Accept(sc.now, fresh)
+		serve(3 * loadBaseLatency)
+		sc.cell.Cancel(sc.now, fresh.ID)
+	}
+	if waited := sc.now.Sub(began); len(sc.starts) != 1 || waited < deferral || sc.starts[0].Start.Task.Submission != deferred.ID || waited > deferral+2*time.Second {
+		t.Errorf("%d starts after %v, want that of the deferred step within 2s after %v", len(sc.starts), waited, deferral)
+	}
+}
