Keep workers free for the gang that has waited the longest

What callers saw: none known; no open site has gangs. A best-effort gang does the same where the serving tasks tolerate only so much best-effort work.

Change: once a gang has waited for 3 s, workers are chosen on which it fits when the short work there has ended, and work that would take that capacity is not started there, until 5 s after the expected end. Work that leaves enough, that is expected to end before the gang can start, that comes before it by priority and long-running work is started (as with backfill in batch schedulers). A gang that does not fit at all reserves nothing. Cells without gangs do one comparison more for a worker. Failures of work that yields to a gang are not shared with work that does not, which would wait for the next full scan (the test for that failed first). The event workers-reserved names the gang, and task-waits counts the workers that are kept free.

Weighed against it: preempting runs, which throws work away; a place for the oldest gang at the head of the queue only, which does not keep small work of other classes from the gaps.

Open: a best-effort gang for which the serving tasks have no headroom on any set of workers still waits; and gangs are not tried on suspended workers.

--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -60,7 +60,8 @@
 	// deferredSteps is the memory of the deferred steps of a pass.
 	deferredSteps []*step
 	// passStartedAt is when the latest placement pass started.
-	passStartedAt time.Time
+	passStartedAt   time.Time
+	gangReservation gangReservation
 	// needsCompaction is true if the queue may hold steps without waiting tasks.
 	needsCompaction bool
 	failureCache    placementFailureCache
--- a/internal/scheduling/medlarcell/command.go
+++ b/internal/scheduling/medlarcell/command.go
@@ -84,6 +84,7 @@
 	EventWorkerNotAwaited    EventKind = "worker-not-awaited"
 	EventWorkerFenced        EventKind = "worker-fenced"
 	EventTaskWaiting         EventKind = "task-waits"
+	EventGangReserved        EventKind = "workers-reserved"
 	EventBestEffortWaiting   EventKind = "best-effort-waits"
 	EventLoad                EventKind = "cell-load"
 	EventBestEffortLoad      EventKind = "best-effort-load"
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -89,6 +89,8 @@
 	completedRuns    int
 	totalRunTime     time.Duration
 	longestRunTime   time.Duration
+	// reservedAt is when workers were last considered to be kept free for the gang.
+	reservedAt time.Time
 	// invalidRounds counts the rounds in a row in which workers have rejected orders of the step as invalid. It gets no further
 	// starts until pausedUntil.
 	invalidRounds int
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -22,6 +22,7 @@
 	c.updateQueue(now)
 	c.updateOpportunityCosts(now)
 	c.failureCache.beginPass(now)
+	c.releaseGangReservation(now)
 	p := placementPass{cell: c, now: now, deferred: c.deferredSteps[:0]}
 	first, last := 0, len(c.queue)
 	for ; first < last && p.failed < maxFailedStepsPerPass; first++ {
@@ -38,6 +39,7 @@
 		}
 		p.try(s)
 	}
+	p.reserveForWaitingGang()
 	p.raiseMinimumShares()
 	c.moveMinimumShares(now)
 	p.placeDeferred()
@@ -57,6 +59,8 @@
 	isLastRound bool
 	// hasRaised is true once runs with a minimum share have got full shares.
 	hasRaised bool
+	// waitingGang is the gang that has waited the longest of those that could not be placed.
+	waitingGang *step
 }
 
 // try starts the waiting tasks of a step, unless they have failed on all workers that have not changed since.
@@ -84,6 +88,7 @@
 	switch {
 	case s.spec.Gang:
 		c.placeGang(p.now, s, workers)
+		p.noteWaitingGang(s)
 	case takesTurn:
 		c.placeTasks(p.now, s, workers, 1)
 		if s.occurrence.job.runs > 0 {
@@ -173,16 +178,9 @@
 	return c.usableWorkers
 }
 
-// placeGang starts all tasks of a step or none.
-func (c *Cell) placeGang(now time.Time, s *step, usable []*worker) {
-	if len(s.ready) < len(s.tasks) {
-		return
-	}
+// chooseForGang returns runs of the tasks of a gang that fit together, fewer than the gang has tasks if not all of them do.
+func (c *Cell) chooseForGang(now time.Time, s *step, usable []*worker, number medlarorder.RunNumber) []*run {
 	var chosen []*run
-	number := c.firstRun
-	for i := range s.tasks {
-		number = max(number, s.tasks[i].lastRun+1)
-	}
 	for i := range s.tasks {
 		w := c.bestWorker(s, &s.tasks[i], usable)
 		if w == nil {
@@ -195,6 +193,19 @@
 	for _, r := range chosen {
 		r.worker.removeRun(r)
 	}
+	return chosen
+}
+
+// placeGang starts all tasks of a step or none.
+func (c *Cell) placeGang(now time.Time, s *step, usable []*worker) {
+	if len(s.ready) < len(s.tasks) {
+		return
+	}
+	number := c.firstRun
+	for i := range s.tasks {
+		number = max(number, s.tasks[i].lastRun+1)
+	}
+	chosen := c.chooseForGang(now, s, usable, number)
 	if len(chosen) < len(s.tasks) {
 		return
 	}
@@ -250,7 +261,7 @@
 			return false
 		}
 	}
-	if w.isReservedForSuspect(s.occurrence.job) {
+	if w.isReservedForSuspect(s.occurrence.job) || c.isReservedForGang(s, w) {
 		return false
 	}
 	return s.reservedSize().Fits(w.freeCapacity())
--- a/internal/scheduling/medlarcell/placement_failures.go
+++ b/internal/scheduling/medlarcell/placement_failures.go
@@ -28,6 +28,8 @@
 	size medlarsubmission.Size
 	// maxHarm is the harm that the step might do to serving runs, see Cell.maxHarm.
 	maxHarm float64
+	// yieldsToGang is true if the step had to leave capacity to a gang.
+	yieldsToGang bool
 	// changesSeen is the number of worker changes, since the scan began, that the step was tried on.
 	changesSeen int
 }
@@ -103,7 +105,7 @@
 // hasFailed reports whether a step that asks for no more than s has failed in this scan.
 func (c *Cell) hasFailed(s *step) bool {
 	f := s.failure
-	return f.scan == c.failureCache.scan && f.size.Fits(s.spec.Size) && c.maxHarm(s) <= f.maxHarm
+	return f.scan == c.failureCache.scan && f.size.Fits(s.spec.Size) && c.maxHarm(s) <= f.maxHarm && (!f.yieldsToGang || c.yieldsToGang(s))
 }
 
 // recordFailure records that a step could not be placed on any worker.
@@ -117,12 +119,12 @@
 	known := s.failure
 	// A failure of a step that asks for less is more general, as long as that step is still being tried.
 	isCurrent := known.scan == p.scan && known.changesSeen >= p.previousPassStart
-	maxHarm := c.maxHarm(s)
-	asksLess := s.spec.Size.Fits(known.size) && maxHarm >= known.maxHarm
+	maxHarm, yields := c.maxHarm(s), c.yieldsToGang(s)
+	asksLess := s.spec.Size.Fits(known.size) && maxHarm >= known.maxHarm && (!yields || known.yieldsToGang)
 	if isCurrent && !asksLess {
 		return
 	}
-	*known = placementFailure{scan: p.scan, size: s.spec.Size, maxHarm: maxHarm, changesSeen: len(p.changes)}
+	*known = placementFailure{scan: p.scan, size: s.spec.Size, maxHarm: maxHarm, yieldsToGang: yields, changesSeen: len(p.changes)}
 }
 
 // workersChangedSince returns the usable workers that have changed after the first seen changes of this scan, each once.
--- a/internal/scheduling/medlarcell/wait_reasons.go
+++ b/internal/scheduling/medlarcell/wait_reasons.go
@@ -58,7 +58,7 @@
 // get any task come first. A step that waits beside workers that fit is not reached by the placement passes.
 var exclusions = []string{
 	"away", "fenced", "silent", "draining", "lease stated", "stray runs", "outdated", "paused", "unsuited", "spread", "processors", "memory",
-	"suspended", "headroom", "harm", "other", "fit",
+	"suspended", "gang", "headroom", "harm", "other", "fit",
 }
 
 // waitReasons counts the workers by the first reason for which they do not run a task of the step.
@@ -119,6 +119,8 @@
 		return "memory"
 	case w.isSuspended(now):
 		return "suspended"
+	case c.isReservedForGang(s, w):
+		return "gang"
 	}
 	if !c.isFeasible(s, &s.tasks[s.ready[0]], w) {
 		return "other"
