Compare timeliness rather than harm in shared placement failures

A failure holds the timeliness by which the harm was limited, as before, and steps that were deferred count as in time. An occurrence holds how much later than the first one it is due.

--- a/internal/scheduling/medlarcell/headroom.go
+++ b/internal/scheduling/medlarcell/headroom.go
@@ -94,9 +94,13 @@
 
 // maxHarm returns the expected harm that a task of the step may do, as a share of its own CPU.
 func (c *Cell) maxHarm(s *step) float64 {
-	config := &c.config.Interference
-	if c.passStartedAt.Sub(s.readySince) > config.MaxDeferral {
-		return config.MaxHarm[medlarrank.TimelinessInTime]
+	return c.config.Interference.MaxHarm[c.harmTimeliness(s)]
+}
+
+// harmTimeliness returns the timeliness by which the harm of the step is limited. A step that has waited for MaxDeferral counts as in time.
+func (c *Cell) harmTimeliness(s *step) medlarrank.Timeliness {
+	if c.passStartedAt.Sub(s.readySince) > c.config.Interference.MaxDeferral {
+		return medlarrank.TimelinessInTime
 	}
-	return config.MaxHarm[s.rank.Timeliness]
+	return s.rank.Timeliness
 }
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -52,9 +52,11 @@
 
 // occurrence is one execution of all steps of a submission.
 type occurrence struct {
-	job            *job
-	index          int
-	startAt        time.Time
+	job     *job
+	index   int
+	startAt time.Time
+	// lag is how much later than the first occurrence it is due.
+	lag            time.Duration
 	steps          []*step
 	remainingSteps int
 	// remainingWork is the part of the job's totalWork whose tasks are not done.
@@ -295,7 +297,7 @@
 }
 
 func newOccurrence(j *job, index int, expected []time.Duration) *occurrence {
-	o := &occurrence{job: j, index: index, startAt: j.submission.Due(index), remainingSteps: len(j.submission.Steps), remainingWork: j.totalWork}
+	o := &occurrence{job: j, index: index, startAt: j.submission.Due(index), lag: j.lag(index), remainingSteps: len(j.submission.Steps), remainingWork: j.totalWork}
 	firstTask := index * j.tasksPerOccurrence
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
--- a/internal/scheduling/medlarcell/placement_failures.go
+++ b/internal/scheduling/medlarcell/placement_failures.go
@@ -5,6 +5,7 @@
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
+	"medlarwheel/internal/scheduling/medlarrank"
 )
 
 // fullScanInterval is how often all workers are considered again for steps that could not be placed. In between, only
@@ -26,8 +27,8 @@
 	// scan is the full scan in which the step was tried. Later scans ignore the failure.
 	scan uint64
 	size medlarsubmission.Size
-	// maxHarm is the harm that the step might do to serving runs, see Cell.maxHarm.
-	maxHarm float64
+	// timeliness is that by which the harm of the step was limited, see Cell.harmTimeliness.
+	timeliness medlarrank.Timeliness
 	// yieldsToGang is true if the step had to leave capacity to a gang.
 	yieldsToGang bool
 	// changesSeen is the number of worker changes, since the scan began, that the step was tried on.
@@ -105,7 +106,10 @@
 // hasFailed reports whether a step that asks for no more than s has failed in this scan.
 func (c *Cell) hasFailed(s *step) bool {
 	f := s.failure
-	return f.scan == c.failureCache.scan && f.size.Fits(s.spec.Size) && c.maxHarm(s) <= f.maxHarm && (!f.yieldsToGang || c.yieldsToGang(s))
+	if f.scan != c.failureCache.scan || !f.size.Fits(s.spec.Size) || f.yieldsToGang && !c.yieldsToGang(s) {
+		return false
+	}
+	return f.timeliness == medlarrank.TimelinessInTime || c.harmTimeliness(s) >= f.timeliness
 }
 
 // recordFailure records that a step could not be placed on any worker.
@@ -119,12 +123,12 @@
 	known := s.failure
 	// A failure of a step that asks for less is more general, as long as that step is still being tried.
 	isCurrent := known.scan == p.scan && known.changesSeen >= p.previousPassStart
-	maxHarm, yields := c.maxHarm(s), c.yieldsToGang(s)
-	asksLess := s.spec.Size.Fits(known.size) && maxHarm >= known.maxHarm && (!yields || known.yieldsToGang)
+	timeliness, yields := c.harmTimeliness(s), c.yieldsToGang(s)
+	asksLess := s.spec.Size.Fits(known.size) && timeliness <= known.timeliness && (!yields || known.yieldsToGang)
 	if isCurrent && !asksLess {
 		return
 	}
-	*known = placementFailure{scan: p.scan, size: s.spec.Size, maxHarm: maxHarm, yieldsToGang: yields, changesSeen: len(p.changes)}
+	*known = placementFailure{scan: p.scan, size: s.spec.Size, timeliness: timeliness, yieldsToGang: yields, changesSeen: len(p.changes)}
 }
 
 // workersChangedSince returns the usable workers that have changed after the first seen changes of this scan, each once.
--- a/internal/scheduling/medlarcell/schedule.go
+++ b/internal/scheduling/medlarcell/schedule.go
@@ -63,10 +63,10 @@
 func (j *job) lag(k int) time.Duration { return j.submission.Due(k).Sub(j.submission.Due(0)) }
 
 // softDeadline is when the occurrence should be complete.
-func (o *occurrence) softDeadline() time.Time { return o.job.softDeadline.Add(o.job.lag(o.index)) }
+func (o *occurrence) softDeadline() time.Time { return o.job.softDeadline.Add(o.lag) }
 
 // hardDeadline is when the result of the occurrence is of no use any more.
-func (o *occurrence) hardDeadline() time.Time { return o.job.hardDeadline.Add(o.job.lag(o.index)) }
+func (o *occurrence) hardDeadline() time.Time { return o.job.hardDeadline.Add(o.lag) }
 
 // completeOccurrence records that an occurrence is done. Those of a repeated submission are dropped.
 func (j *job) completeOccurrence(o *occurrence) {
