Share the failures of steps with a limit of tasks per worker

What callers saw: none known. One whose tasks are limited per worker (antiAffinity) does: each step had a failure of its own, so that each was tried by itself, 30 in a pass beyond the first 60, and work of a later rank waited beside free workers until its turn came.

Change: a failure of another step of the class applies to a step with a limit as well, and one of such a step applies to the class while it has no runs, since its limit has excluded no worker then.

--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -97,8 +97,8 @@
 	// starts until pausedUntil.
 	invalidRounds int
 	pausedUntil   time.Time
-	// failure is set once the step has been in the queue.
-	failure *placementFailure
+	// failure is set once the step has been in the queue. classFailure is that of its class if it has one of its own.
+	failure, classFailure *placementFailure
 }
 
 // task is one task of a step.
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -66,8 +66,8 @@
 // try starts the waiting tasks of a step, unless they have failed on all workers that have not changed since.
 func (p *placementPass) try(s *step) {
 	c := p.cell
-	isKnown := c.hasFailed(s)
-	if isKnown && s.failure.changesSeen == len(c.failureCache.changes) || s.isDrained() || !c.isEligible(p.now, s) {
+	known := c.knownFailure(s)
+	if known != nil && known.changesSeen == len(c.failureCache.changes) || s.isDrained() || !c.isEligible(p.now, s) {
 		return
 	}
 	takesTurn := s.takesTurns() && !p.isLastRound
@@ -79,8 +79,8 @@
 		return
 	}
 	workers := p.usable
-	if isKnown && !s.spec.Gang {
-		workers = c.workersChangedSince(p.now, s.failure.changesSeen)
+	if known != nil && !s.spec.Gang {
+		workers = c.workersChangedSince(p.now, known.changesSeen)
 	} else if p.usable == nil {
 		p.usable = c.listUsableWorkers(p.now)
 		workers = p.usable
--- a/internal/scheduling/medlarcell/placement_failures.go
+++ b/internal/scheduling/medlarcell/placement_failures.go
@@ -88,12 +88,21 @@
 	}
 }
 
-// forStep returns the failure entry that a step shares. Failures of a gang, and of a step with a limit per worker, say
-// nothing about other steps.
-func (p *placementFailureCache) forStep(s *step) *placementFailure {
-	if s.spec.MaxPerWorker > 0 || s.spec.Gang {
-		return &placementFailure{}
+// setEntries sets the failure entries of a step. Failures of a gang, and of a step with a limit per worker, say nothing about other
+// steps, but those of other steps apply to a step with a limit.
+func (p *placementFailureCache) setEntries(s *step) {
+	switch {
+	case s.spec.Gang:
+		s.failure = &placementFailure{}
+	case s.spec.MaxPerWorker > 0:
+		s.failure, s.classFailure = &placementFailure{}, p.forClass(s)
+	default:
+		s.failure = p.forClass(s)
 	}
+}
+
+// forClass returns the failure entry that steps of a class share.
+func (p *placementFailureCache) forClass(s *step) *placementFailure {
 	key := placementClass{service: s.occurrence.job.submission.Service, image: s.spec.Image, bestEffort: s.spec.BestEffort, requires: s.spec.RequiredLabel}
 	shared := p.byClass[key]
 	if shared == nil {
@@ -103,13 +112,24 @@
 	return shared
 }
 
-// hasFailed reports whether a step that asks for no more than s has failed in this scan.
-func (c *Cell) hasFailed(s *step) bool {
-	f := s.failure
-	if f.scan != c.failureCache.scan || !f.size.Fits(s.spec.Size) || f.yieldsToGang && !c.yieldsToGang(s) {
-		return false
+// knownFailure returns the latest failure in this scan of a step that asks for no more than s, or nil.
+func (c *Cell) knownFailure(s *step) *placementFailure {
+	known := c.ifApplies(s.failure, s)
+	if shared := c.ifApplies(s.classFailure, s); known == nil || shared != nil && shared.changesSeen > known.changesSeen {
+		known = shared
+	}
+	return known
+}
+
+// ifApplies returns the failure if it is that of a step that asks for no more than s in this scan, or nil.
+func (c *Cell) ifApplies(f *placementFailure, s *step) *placementFailure {
+	if f == nil || f.scan != c.failureCache.scan || !f.size.Fits(s.spec.Size) || f.yieldsToGang && !c.yieldsToGang(s) {
+		return nil
 	}
-	return f.timeliness == medlarrank.TimelinessInTime || c.harmTimeliness(s) >= f.timeliness
+	if f.timeliness == medlarrank.TimelinessInTime || c.harmTimeliness(s) >= f.timeliness {
+		return f
+	}
+	return nil
 }
 
 // recordFailure records that a step could not be placed on any worker.
@@ -120,7 +140,15 @@
 		return
 	}
 	p.changesTried = len(p.changes)
-	known := s.failure
+	c.updateFailure(s.failure, s)
+	if s.classFailure != nil && !s.hasRuns() {
+		// Its limit of tasks per worker has excluded no worker.
+		c.updateFailure(s.classFailure, s)
+	}
+}
+
+func (c *Cell) updateFailure(known *placementFailure, s *step) {
+	p := &c.failureCache
 	// A failure of a step that asks for less is more general, as long as that step is still being tried.
 	isCurrent := known.scan == p.scan && known.changesSeen >= p.previousPassStart
 	timeliness, yields := c.harmTimeliness(s), c.yieldsToGang(s)
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -441,7 +441,7 @@
 	}
 	s.queued, s.readySince = true, now
 	if s.failure == nil {
-		s.failure = c.failureCache.forStep(s)
+		c.failureCache.setEntries(s)
 	}
 	c.unranked = append(c.unranked, s)
 }
--- a/internal/scheduling/medlarcell/routes.go
+++ b/internal/scheduling/medlarcell/routes.go
@@ -45,7 +45,7 @@
 		for _, s := range o.steps {
 			if s.failure != nil {
 				// The step has failed on workers of the former service.
-				s.failure = c.failureCache.forStep(s)
+				c.failureCache.setEntries(s)
 			}
 		}
 	}
--- a/internal/scheduling/medlarcell/schedule_test.go
+++ b/internal/scheduling/medlarcell/schedule_test.go
@@ -210,3 +210,34 @@
 		first.completeTask(0)
 	}
 }
+
+// TestScheduleAtItsLimitDoesNotHideOthers guards against work that waits beside free workers, because the occurrences of a scheduled
+// submission fill the queue, and each is tried by itself.
+func TestScheduleAtItsLimitDoesNotHideOthers(t *testing.T) {
+	sc := newScriptedCell(t, 4, Ownership{Fence: 1 << 12, Term: 1})
+	for _, renewal := range sc.renewals {
+		sc.report(renewal, medlarorder.Report{})
+	}
+	s := scheduledSubmission(medlarsubmission.MaxCreatedTasks, time.Microsecond)
+	s.FirstDue = time.Duration(simEpoch.UnixNano())
+	s.Steps = s.Steps[:1]
+	s.Steps[0].MaxPerWorker, s.Steps[0].RequiredLabel = 1, "missing"
+	sc.cell.Accept(sc.now, s)
+	sc.cell.Accept(sc.now, testSubmissionWithID(9999, testStep(), 2))
+	const limit = 2 * time.Second
+	for began := sc.now; ; {
+		sc.advance(50 * time.Millisecond)
+		for _, w := range sc.cell.workersByID() {
+			sc.report(Command{Worker: w.info.ID}, medlarorder.Report{})
+			sc.cell.failureCache.workerChanged(w)
+		}
+		sc.dispatch()
+		waited := sc.now.Sub(began)
+		if len(sc.starts) > 0 {
+			return
+		}
+		if waited > limit {
+			t.Fatalf("beside %d occurrences that no worker can run, the task has waited for %v, want a start within %v", s.OccurrenceCount, waited, limit)
+		}
+	}
+}
