--- a/internal/scheduling/medlarcell/minimum_share.go
+++ b/internal/scheduling/medlarcell/minimum_share.go
@@ -119,7 +119,7 @@
 	runs := c.minimumSharesToRaise(p.now)
 	slices.SortStableFunc(runs, func(a, b *run) int { return a.job().idleSince.Compare(b.job().idleSince) })
 	for _, r := range runs {
-		if r.phase != runConfirmed || r.stopping || !c.hasUnusedCPU(r.step, r.worker) {
+		if r.phase != runConfirmed || r.stopping || !c.hasUnusedCPU(r.step, r.worker) || c.isReservedForGang(r.step, r.worker) {
 			continue
 		}
 		if _, ok := c.interferenceCost(r.step, r.worker); ok {
