--- a/internal/scheduling/medlarcell/cell.go
+++ b/internal/scheduling/medlarcell/cell.go
@@ -60,7 +60,8 @@
 	// deferredSteps is the memory of the deferred steps of a pass.
 	deferredSteps []*step
 	// passStartedAt is when the latest placement pass started.
-	passStartedAt time.Time
+	passStartedAt   time.Time
+	gangReservation gangReservation
 	// needsCompaction is true if the queue may hold steps without waiting tasks.
 	needsCompaction bool
 	failureCache    placementFailureCache
@@ -114,6 +115,12 @@
 	// shortTaskSize is the usual size of short urgent tasks by service, in thousandths of a core.
 	shortTaskSize  map[medlarwheel.ServiceName]float64
 	loadMeasuredAt time.Time
+	// minimumShareRuns lists the runs with a minimum share. minimumSharesAt is when the last round of starts was, and
+	// minimumSharesRaisedAt and minimumSharesMovedAt when those of raises and moves were. nextMinimumShare and nextMove are where the
+	// next rounds begin.
+	minimumShareRuns                                             []*run
+	minimumSharesAt, minimumSharesRaisedAt, minimumSharesMovedAt time.Time
+	nextMinimumShare, nextMove                                   int
 	// overdueCPU is the CPU of the runs of overdue steps by service, in thousandths of a core.
 	overdueCPU map[medlarwheel.ServiceName]int64
 	// bestEffortDone is the best-effort work done since then, by service, in core-seconds.
@@ -206,7 +213,7 @@
 
 func (c *Cell) add(s medlarsubmission.Submission, inherited bool) *job {
 	j := newJob(s, inherited, c.runTimes, c.config.segmentTasks(&s))
-	j.hardDeadline = s.AcceptedAt.Add(time.Duration(c.config.HardDeadlineFactor * float64(j.softDeadline.Sub(s.AcceptedAt))))
+	j.hardDeadline = s.Due(0).Add(time.Duration(c.config.HardDeadlineFactor * float64(j.softDeadline.Sub(s.Due(0)))))
 	c.jobs[s.ID] = j
 	c.observeWork(j)
 	c.observeShortTaskSize(&s)
--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -19,20 +19,19 @@
 	durableState medlarsubmission.State
 	// occurrences holds the occurrences that have tasks to run. The others are nil: they are not due yet, or are done.
 	occurrences []*occurrence
-	// softDeadline is when the submission should be complete. After hardDeadline, its result is of no use to the client.
+	// softDeadline is when the first occurrence should be complete. After hardDeadline, its result is of no use to the client.
 	softDeadline, hardDeadline time.Time
 	// criticalPaths holds, by step, the longest chain of estimated run times from that step to the end.
 	criticalPaths []time.Duration
 	// failedTime is the longest total time that the failed runs of one task have taken. It lengthens the critical path.
 	failedTime time.Duration
-	// totalWork is the estimated work of all tasks in core-seconds.
+	// totalWork is the estimated work of all tasks of one occurrence in core-seconds.
 	totalWork float64
-	// remainingWork is the part of totalWork whose tasks are not done.
-	remainingWork float64
-	started       bool
-	// runs is the number of runs of all tasks, and idleSince when the last confirmed one has ended.
-	runs      int
-	idleSince time.Time
+	started   bool
+	// runs is the number of runs of all tasks but those with a minimum share, and idleSince when the last confirmed one has ended.
+	// minimumShareRuns is the number of the others, and minimumShareEndedAt when the last confirmed one has ended.
+	runs, minimumShareRuns         int
+	idleSince, minimumShareEndedAt time.Time
 	// predictedWait is the predicted time until the first start of a submission with best-effort work.
 	predictedWait time.Duration
 	// moved is true once the job has followed its route to another service.
@@ -53,11 +52,15 @@
 
 // occurrence is one execution of all steps of a submission.
 type occurrence struct {
-	job            *job
-	index          int
-	startAt        time.Time
+	job     *job
+	index   int
+	startAt time.Time
+	// lag is how much later than the first occurrence it is due.
+	lag            time.Duration
 	steps          []*step
 	remainingSteps int
+	// remainingWork is the part of the job's totalWork whose tasks are not done.
+	remainingWork float64
 }
 
 // step is one step of an occurrence.
@@ -75,7 +78,9 @@
 	remainingTasks    int
 	queued            bool
 	// readySince is when the step last became ready.
-	readySince     time.Time
+	readySince time.Time
+	// triedAt is when a task of the step was last started on a suspended worker.
+	triedAt        time.Time
 	rank           medlarrank.Rank
 	tasksPerWorker map[*worker]int
 	// load is the utilisation of the serving tasks of the step without interference. They share the load evenly.
@@ -86,12 +91,14 @@
 	completedRuns    int
 	totalRunTime     time.Duration
 	longestRunTime   time.Duration
+	// reservedAt is when workers were last considered to be kept free for the gang.
+	reservedAt time.Time
 	// invalidRounds counts the rounds in a row in which workers have rejected orders of the step as invalid. It gets no further
 	// starts until pausedUntil.
 	invalidRounds int
 	pausedUntil   time.Time
-	// failure is set once the step has been in the queue.
-	failure *placementFailure
+	// failure is set once the step has been in the queue. classFailure is that of its class if it has one of its own.
+	failure, classFailure *placementFailure
 }
 
 // task is one task of a step.
@@ -170,6 +177,9 @@
 	overdueService medlarwheel.ServiceName
 	// paceUncertain is true while the worker may have another pace for the run.
 	paceUncertain bool
+	// hasMinimumShare is true if the run was started where there was no room for it but memory. It gets what the others on its
+	// worker leave.
+	hasMinimumShare bool
 	// fullPaceRunTime is the run time up to runTimeUpdatedAt, scaled to full pace.
 	fullPaceRunTime  time.Duration
 	runTimeUpdatedAt time.Time
@@ -200,14 +210,28 @@
 
 func (r *run) job() *job { return r.step.occurrence.job }
 
+// addRun counts a run of the job.
+func (j *job) addRun(r *run) { *j.runCount(r)++ }
+
 // endRun records that one of the runs of the job no longer exists. A start that was rejected has kept nothing running.
 func (j *job) endRun(now time.Time, r *run) {
-	j.runs--
-	if !r.confirmedAt.IsZero() {
+	*j.runCount(r)--
+	switch {
+	case r.confirmedAt.IsZero():
+	case r.hasMinimumShare:
+		j.minimumShareEndedAt = now
+	default:
 		j.idleSince = now
 	}
 }
 
+func (j *job) runCount(r *run) *int {
+	if r.hasMinimumShare {
+		return &j.minimumShareRuns
+	}
+	return &j.runs
+}
+
 // idle returns how long nothing of the job has run, or 0 while it has runs.
 func (j *job) idle(now time.Time) time.Duration {
 	if j.runs > 0 {
@@ -245,14 +269,10 @@
 	}
 	j.segmentTasks = segmentTasks
 	j.segments = newSegments(j, j.tasksPerOccurrence*s.Occurrences(), segmentTasks)
-	j.remainingWork = j.totalWork
 	objective := time.Duration(s.Policy.Stretch*float64(longest)) + s.Policy.Allowance
-	j.softDeadline = s.AcceptedAt.Add(objective)
+	j.softDeadline = s.Due(0).Add(objective)
 	j.occurrences = make([]*occurrence, s.Occurrences())
 	j.schedule = newSchedule(s.Occurrences(), expected)
-	if s.OccurrenceCount > 0 {
-		j.softDeadline = s.Due(0).Add(objective)
-	}
 	return j
 }
 
@@ -277,7 +297,7 @@
 }
 
 func newOccurrence(j *job, index int, expected []time.Duration) *occurrence {
-	o := &occurrence{job: j, index: index, startAt: j.submission.Due(index), remainingSteps: len(j.submission.Steps)}
+	o := &occurrence{job: j, index: index, startAt: j.submission.Due(index), lag: j.lag(index), remainingSteps: len(j.submission.Steps), remainingWork: j.totalWork}
 	firstTask := index * j.tasksPerOccurrence
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/execution/medlarorder"
 	"medlarwheel/internal/scheduling/medlarrank"
 )
@@ -13,7 +14,7 @@
 // Place starts waiting tasks on workers with free capacity, in the order of the queue. Steps that could not be placed
 // are tried again only on workers that have changed since, so that the cost of a pass depends on the events before it.
 func (c *Cell) Place(now time.Time) {
-	if len(c.queue)+len(c.unranked) == 0 || now.After(c.authorityEnd) {
+	if len(c.queue)+len(c.unranked)+len(c.minimumShareRuns) == 0 || now.After(c.authorityEnd) {
 		c.failureCache.reset()
 		return
 	}
@@ -21,6 +22,7 @@
 	c.updateQueue(now)
 	c.updateOpportunityCosts(now)
 	c.failureCache.beginPass(now)
+	c.releaseGangReservation(now)
 	p := placementPass{cell: c, now: now, deferred: c.deferredSteps[:0]}
 	first, last := 0, len(c.queue)
 	for ; first < last && p.failed < maxFailedStepsPerPass; first++ {
@@ -37,7 +39,11 @@
 		}
 		p.try(s)
 	}
+	p.reserveForWaitingGang()
+	p.raiseMinimumShares()
+	c.moveMinimumShares(now)
 	p.placeDeferred()
+	c.placeAtMinimumShare(now)
 	c.placeOnSuspended(now)
 }
 
@@ -51,23 +57,30 @@
 	// deferred holds the steps that get further tasks in the last round of the pass.
 	deferred    []*step
 	isLastRound bool
+	// hasRaised is true once runs with a minimum share have got full shares.
+	hasRaised bool
+	// waitingGang is the gang that has waited the longest of those that could not be placed.
+	waitingGang *step
 }
 
 // try starts the waiting tasks of a step, unless they have failed on all workers that have not changed since.
 func (p *placementPass) try(s *step) {
 	c := p.cell
-	isKnown := s.failure.appliesTo(s, c.failureCache.scan)
-	if isKnown && s.failure.changesSeen == len(c.failureCache.changes) || s.isDrained() || !c.isEligible(p.now, s) {
+	known := c.knownFailure(s)
+	if known != nil && known.changesSeen == len(c.failureCache.changes) || s.isDrained() || !c.isEligible(p.now, s) {
 		return
 	}
 	takesTurn := s.takesTurns() && !p.isLastRound
+	if takesTurn {
+		p.raiseMinimumShares()
+	}
 	if takesTurn && s.occurrence.job.runs > 0 && !s.spec.Gang {
 		p.deferred = append(p.deferred, s)
 		return
 	}
 	workers := p.usable
-	if isKnown && !s.spec.Gang {
-		workers = c.workersChangedSince(p.now, s.failure.changesSeen)
+	if known != nil && !s.spec.Gang {
+		workers = c.workersChangedSince(p.now, known.changesSeen)
 	} else if p.usable == nil {
 		p.usable = c.listUsableWorkers(p.now)
 		workers = p.usable
@@ -75,6 +88,7 @@
 	switch {
 	case s.spec.Gang:
 		c.placeGang(p.now, s, workers)
+		p.noteWaitingGang(s)
 	case takesTurn:
 		c.placeTasks(p.now, s, workers, 1)
 		if s.occurrence.job.runs > 0 {
@@ -86,7 +100,7 @@
 	}
 	if len(s.ready) > 0 {
 		p.failed++
-		c.failureCache.recordFailure(s)
+		c.recordFailure(s)
 	}
 }
 
@@ -164,16 +178,9 @@
 	return c.usableWorkers
 }
 
-// placeGang starts all tasks of a step or none.
-func (c *Cell) placeGang(now time.Time, s *step, usable []*worker) {
-	if len(s.ready) < len(s.tasks) {
-		return
-	}
+// chooseForGang returns runs of the tasks of a gang that fit together, fewer than the gang has tasks if not all of them do.
+func (c *Cell) chooseForGang(now time.Time, s *step, usable []*worker, number medlarorder.RunNumber) []*run {
 	var chosen []*run
-	number := c.firstRun
-	for i := range s.tasks {
-		number = max(number, s.tasks[i].lastRun+1)
-	}
 	for i := range s.tasks {
 		w := c.bestWorker(s, &s.tasks[i], usable)
 		if w == nil {
@@ -186,6 +193,19 @@
 	for _, r := range chosen {
 		r.worker.removeRun(r)
 	}
+	return chosen
+}
+
+// placeGang starts all tasks of a step or none.
+func (c *Cell) placeGang(now time.Time, s *step, usable []*worker) {
+	if len(s.ready) < len(s.tasks) {
+		return
+	}
+	number := c.firstRun
+	for i := range s.tasks {
+		number = max(number, s.tasks[i].lastRun+1)
+	}
+	chosen := c.chooseForGang(now, s, usable, number)
 	if len(chosen) < len(s.tasks) {
 		return
 	}
@@ -198,19 +218,23 @@
 
 // startTask orders a worker to start a task. Number 0 stands for the task's next run number.
 func (c *Cell) startTask(now time.Time, w *worker, s *step, index int, number medlarorder.RunNumber) {
-	t := &s.tasks[index]
 	if number == 0 {
-		number = max(c.firstRun, t.lastRun+1)
+		number = max(c.firstRun, s.tasks[index].lastRun+1)
 	}
-	t.lastRun = number
+	c.start(now, newRun(now, w, s, index, number))
+}
+
+// start orders the worker of a new run to start it.
+func (c *Cell) start(now time.Time, r *run) {
+	t, w := r.task(), r.worker
+	t.lastRun = r.number
 	if !t.lostAt.IsZero() {
-		c.emit(Event{Kind: EventTaskRestarted, Task: s.name(index), Run: number, Worker: w.info.ID, Age: now.Sub(t.lostAt)})
+		c.emit(Event{Kind: EventTaskRestarted, Task: r.name(), Run: r.number, Worker: w.info.ID, Age: now.Sub(t.lostAt)})
 		t.lostAt = time.Time{}
 	}
-	r := newRun(now, w, s, index, number)
 	c.attach(r)
 	order := medlarorder.Start{
-		Task: s.name(index), Run: number, Spec: s.occurrence.job.submission.Spec, Fence: w.fence,
+		Task: r.name(), Run: r.number, Spec: r.job().submission.Spec, Fence: w.fence,
 		LeaseEnd: c.nextLeaseEnd(now, w), Checkpoint: t.checkpoint,
 	}
 	w.recordLease(order.LeaseEnd, &c.config)
@@ -220,6 +244,11 @@
 
 // isFeasible reports whether the task may run on the worker and fits its free capacity.
 func (c *Cell) isFeasible(s *step, t *task, w *worker) bool {
+	return c.isFeasibleAtMinimumShare(s, t, w) && (!s.spec.BestEffort || c.hasUnusedCPU(s, w))
+}
+
+// isFeasibleAtMinimumShare reports the same, but for the CPU of a best-effort task.
+func (c *Cell) isFeasibleAtMinimumShare(s *step, t *task, w *worker) bool {
 	spec := s.spec
 	if w.info.Service != s.occurrence.job.submission.Service || spec.RequiredLabel != "" && !w.info.HasLabel(spec.RequiredLabel) {
 		return false
@@ -232,17 +261,24 @@
 			return false
 		}
 	}
-	if w.isReservedForSuspect(s.occurrence.job) {
+	if w.isReservedForSuspect(s.occurrence.job) || c.isReservedForGang(s, w) {
 		return false
 	}
-	need := spec.Size
-	if spec.BestEffort {
-		need.MilliCPU = 0
-		if w.bestEffortCPU+spec.Size.MilliCPU > c.unusedCPU(w) {
-			return false
-		}
+	return s.reservedSize().Fits(w.freeCapacity())
+}
+
+// reservedSize returns the capacity that a task of the step reserves on its worker. Best-effort tasks use CPU that others leave.
+func (s *step) reservedSize() medlarsubmission.Size {
+	size := s.spec.Size
+	if s.spec.BestEffort {
+		size.MilliCPU = 0
 	}
-	return need.Fits(w.freeCapacity())
+	return size
+}
+
+// hasUnusedCPU reports whether the CPU that a best-effort task of the step asks for is left on the worker.
+func (c *Cell) hasUnusedCPU(s *step, w *worker) bool {
+	return w.bestEffortCPU+s.spec.Size.MilliCPU <= c.unusedCPU(w)
 }
 
 // unusedCPU estimates the CPU of a worker that tasks other than best-effort ones leave unused.
@@ -330,7 +366,7 @@
 	if d := a.rank.Compare(b.rank); d != 0 {
 		return d
 	}
-	return a.occurrence.job.softDeadline.Compare(b.occurrence.job.softDeadline)
+	return a.occurrence.softDeadline().Compare(b.occurrence.softDeadline())
 }
 
 // mergeSteps merges two sorted lists.
@@ -362,8 +398,9 @@
 		idle = j.idle(now)
 	}
 	return medlarrank.Of(now, c.config.Rank, j.submission.Policy.Priority, medlarrank.Work{
-		SoftDeadline: j.softDeadline, HardDeadline: j.hardDeadline, CriticalPath: j.criticalPaths[s.index], Value: c.valueOf(j), RemainingCoreSeconds: j.remainingWork,
-		Idle: idle,
+		SoftDeadline: s.occurrence.softDeadline(), HardDeadline: s.occurrence.hardDeadline(), CriticalPath: j.criticalPaths[s.index], Value: c.valueOf(j),
+		RemainingCoreSeconds: s.occurrence.remainingWork,
+		Idle:                 idle,
 	})
 }
 
--- a/internal/scheduling/medlarcell/placement_failures.go
+++ b/internal/scheduling/medlarcell/placement_failures.go
@@ -25,9 +25,12 @@
 // again on the same workers. Steps of one class share it.
 type placementFailure struct {
 	// scan is the full scan in which the step was tried. Later scans ignore the failure.
-	scan       uint64
-	size       medlarsubmission.Size
+	scan uint64
+	size medlarsubmission.Size
+	// timeliness is that by which the harm of the step was limited, see Cell.harmTimeliness.
 	timeliness medlarrank.Timeliness
+	// yieldsToGang is true if the step had to leave capacity to a gang.
+	yieldsToGang bool
 	// changesSeen is the number of worker changes, since the scan began, that the step was tried on.
 	changesSeen int
 }
@@ -62,6 +65,11 @@
 	p.previousPassStart, p.currentPassStart = p.currentPassStart, len(p.changes)
 }
 
+// changesSinceLastPass returns the workers that have changed since the last pass began, unless a scan has begun since.
+func (p *placementFailureCache) changesSinceLastPass() []*worker {
+	return p.changes[min(p.previousPassStart, len(p.changes)):]
+}
+
 // reset discards all failures.
 func (p *placementFailureCache) reset() {
 	p.scan++
@@ -80,12 +88,21 @@
 	}
 }
 
-// forStep returns the failure entry that a step shares. Failures of a gang, and of a step with a limit per worker, say
-// nothing about other steps.
-func (p *placementFailureCache) forStep(s *step) *placementFailure {
-	if s.spec.MaxPerWorker > 0 || s.spec.Gang {
-		return &placementFailure{}
+// setEntries sets the failure entries of a step. Failures of a gang, and of a step with a limit per worker, say nothing about other
+// steps, but those of other steps apply to a step with a limit.
+func (p *placementFailureCache) setEntries(s *step) {
+	switch {
+	case s.spec.Gang:
+		s.failure = &placementFailure{}
+	case s.spec.MaxPerWorker > 0:
+		s.failure, s.classFailure = &placementFailure{}, p.forClass(s)
+	default:
+		s.failure = p.forClass(s)
 	}
+}
+
+// forClass returns the failure entry that steps of a class share.
+func (p *placementFailureCache) forClass(s *step) *placementFailure {
 	key := placementClass{service: s.occurrence.job.submission.Service, image: s.spec.Image, bestEffort: s.spec.BestEffort, requires: s.spec.RequiredLabel}
 	shared := p.byClass[key]
 	if shared == nil {
@@ -95,26 +112,51 @@
 	return shared
 }
 
-// appliesTo reports whether a step that asks for no more than s has failed in this scan.
-func (p *placementFailure) appliesTo(s *step, scan uint64) bool {
-	return p.scan == scan && p.size.Fits(s.spec.Size) && s.rank.Timeliness >= p.timeliness
+// knownFailure returns the latest failure in this scan of a step that asks for no more than s, or nil.
+func (c *Cell) knownFailure(s *step) *placementFailure {
+	known := c.ifApplies(s.failure, s)
+	if shared := c.ifApplies(s.classFailure, s); known == nil || shared != nil && shared.changesSeen > known.changesSeen {
+		known = shared
+	}
+	return known
+}
+
+// ifApplies returns the failure if it is that of a step that asks for no more than s in this scan, or nil.
+func (c *Cell) ifApplies(f *placementFailure, s *step) *placementFailure {
+	if f == nil || f.scan != c.failureCache.scan || !f.size.Fits(s.spec.Size) || f.yieldsToGang && !c.yieldsToGang(s) {
+		return nil
+	}
+	if f.timeliness == medlarrank.TimelinessInTime || c.harmTimeliness(s) >= f.timeliness {
+		return f
+	}
+	return nil
 }
 
 // recordFailure records that a step could not be placed on any worker.
-func (p *placementFailureCache) recordFailure(s *step) {
+func (c *Cell) recordFailure(s *step) {
+	p := &c.failureCache
 	if len(s.tasks[s.ready[0]].runs) > 0 {
 		// A speculative copy may not run where the first run is, which says nothing about other tasks.
 		return
 	}
 	p.changesTried = len(p.changes)
-	known := s.failure
+	c.updateFailure(s.failure, s)
+	if s.classFailure != nil && !s.hasRuns() {
+		// Its limit of tasks per worker has excluded no worker.
+		c.updateFailure(s.classFailure, s)
+	}
+}
+
+func (c *Cell) updateFailure(known *placementFailure, s *step) {
+	p := &c.failureCache
 	// A failure of a step that asks for less is more general, as long as that step is still being tried.
 	isCurrent := known.scan == p.scan && known.changesSeen >= p.previousPassStart
-	asksLess := s.spec.Size.Fits(known.size) && s.rank.Timeliness <= known.timeliness
+	timeliness, yields := c.harmTimeliness(s), c.yieldsToGang(s)
+	asksLess := s.spec.Size.Fits(known.size) && timeliness <= known.timeliness && (!yields || known.yieldsToGang)
 	if isCurrent && !asksLess {
 		return
 	}
-	*known = placementFailure{scan: p.scan, size: s.spec.Size, timeliness: s.rank.Timeliness, changesSeen: len(p.changes)}
+	*known = placementFailure{scan: p.scan, size: s.spec.Size, timeliness: timeliness, yieldsToGang: yields, changesSeen: len(p.changes)}
 }
 
 // workersChangedSince returns the usable workers that have changed after the first seen changes of this scan, each once.
