Give late submissions and those that can be in time a minimum share as well

A submission that is late now gets a minimum share after 1 s, and one that can be in time after 2 s.

TestWorkThatFitsNowhereHasSomethingRunning plays the three cases; "in time" and "late" failed before (8 s, want 3 s).

--- a/internal/scheduling/medlarcell/minimum_share.go
+++ b/internal/scheduling/medlarcell/minimum_share.go
@@ -15,9 +15,10 @@
 // Such a task runs at minimumPace until there is room for it on its worker, where it then gets a full share, or on another one, to which
 // it moves.
 const (
-	// minimumShareDelay is how long nothing of a submission past its hard deadline has run before it gets a minimum share. Others wait
-	// for InterferenceConfig.MaxDeferral, since the task can't go to the worker on which there is room first.
-	minimumShareDelay = time.Second
+	// minimumShareDelay is how long nothing of a late submission has run before it gets a minimum share. One that can be in time waits
+	// for minimumShareDelayInTime, since the task can't go to the worker on which there is room first.
+	minimumShareDelay       = time.Second
+	minimumShareDelayInTime = 2 * time.Second
 	// minimumSharesInterval is the time between two rounds of starts. A worker gets at most one task in each.
 	minimumSharesInterval = 100 * time.Millisecond
 	// maxMinimumShareFailures bounds the number of submissions in a round that no worker has memory for. A round begins after
@@ -166,16 +167,16 @@
 	}
 }
 
-// needsMinimumShare reports whether nothing of the step's submission has run for so long that it gets a minimum share. A submission
-// past its hard deadline with a single run gets one beside it, so that something runs between two of its turns.
+// needsMinimumShare reports whether nothing of the step's submission has run for so long that it gets a minimum share. A late submission
+// with a single run gets one beside it, so that something runs between two of its turns.
 func (c *Cell) needsMinimumShare(now time.Time, s *step) bool {
 	j := s.occurrence.job
 	if !s.isMeasuredBestEffort() || s.spec.Gang || j.minimumShareRuns > 0 || j.runs > 1 || s.isDrained() || !c.isEligible(now, s) {
 		return false
 	}
 	delay := minimumShareDelay
-	if s.rank.Timeliness != medlarrank.TimelinessExpired {
-		delay = c.config.Interference.MaxDeferral
+	if s.rank.Timeliness == medlarrank.TimelinessInTime {
+		delay = minimumShareDelayInTime
 	} else if j.runs == 1 {
 		return true
 	}
--- a/internal/scheduling/medlarcell/minimum_share_test.go
+++ b/internal/scheduling/medlarcell/minimum_share_test.go
@@ -41,22 +41,25 @@
 	return limit
 }
 
-// TestExpiredWorkThatFitsNowhereHasSomethingRunning guards against accepted work that never begins because no worker has headroom or unused
+// TestWorkThatFitsNowhereHasSomethingRunning guards against accepted work that never begins because no worker has headroom or unused
 // processors for it, although most of the memory is free.
-func TestExpiredWorkThatFitsNowhereHasSomethingRunning(t *testing.T) {
+func TestWorkThatFitsNowhereHasSomethingRunning(t *testing.T) {
 	const limit = 3 * time.Second
-	for name, cpu := range map[string]int64{"no headroom": 8000, "no unused processors": 15000} {
-		t.Run(name, func(t *testing.T) {
-			f := minimumShareFleet(t)
-			s := f.submission("filling-1", 2, medlarsubmission.Step{
-				Count: 1, Size: medlarsubmission.Size{MilliCPU: cpu}, Estimate: time.Second, BestEffort: true, Image: "filling-0",
+	ages := map[string]time.Duration{"in time": 0, "late": 4 * time.Second, "past its hard deadline": time.Minute}
+	for reason, cpu := range map[string]int64{"no headroom": 8000, "no unused processors": 15000} {
+		for timeliness, age := range ages {
+			t.Run(reason+", "+timeliness, func(t *testing.T) {
+				f := minimumShareFleet(t)
+				s := f.submission("filling-1", 2, medlarsubmission.Step{
+					Count: 1, Size: medlarsubmission.Size{MilliCPU: cpu}, Estimate: time.Second, BestEffort: true, Image: "filling-0",
+				})
+				s.AcceptedAt = f.now.Add(-age)
+				f.cell.Accept(f.now, s)
+				if got := f.firstRunOf(s.ID, 20*time.Second); got > limit {
+					t.Errorf("first run after %v, want within %v", got, limit)
+				}
 			})
-			s.AcceptedAt = f.now.Add(-time.Minute)
-			f.cell.Accept(f.now, s)
-			if got := f.firstRunOf(s.ID, 20*time.Second); got > limit {
-				t.Errorf("first run after %v, want within %v", got, limit)
-			}
-		})
+		}
 	}
 }
 
