Wait longer with minimum shares of submissions whose result is of use, and move them in the order of the queue

Both wait for 2.5 s now, which is within the 3 s of LOST, and get no second run beside a single one; moves begin after 0.5 s instead of 2 s, with the submission that the queue would place first.

What is left of the price is that of something running of each accepted submission in a backlog.

--- a/internal/scheduling/medlarcell/minimum_share.go
+++ b/internal/scheduling/medlarcell/minimum_share.go
@@ -15,10 +15,10 @@
 // Such a task runs at minimumPace until there is room for it on its worker, where it then gets a full share, or on another one, to which
 // it moves.
 const (
-	// minimumShareDelay is how long nothing of a late submission has run before it gets a minimum share. One that can be in time waits
-	// for minimumShareDelayInTime, since the task can't go to the worker on which there is room first.
-	minimumShareDelay       = time.Second
-	minimumShareDelayInTime = 2 * time.Second
+	// minimumShareDelay is how long nothing of a submission past its hard deadline has run before it gets a minimum share. One whose
+	// result is still of use waits for minimumShareDelayOfUseful, since the task can't go to the worker on which there is room first.
+	minimumShareDelay         = time.Second
+	minimumShareDelayOfUseful = 2500 * time.Millisecond
 	// minimumSharesInterval is the time between two rounds of starts. A worker gets at most one task in each.
 	minimumSharesInterval = 100 * time.Millisecond
 	// maxMinimumShareFailures bounds the number of submissions in a round that no worker has memory for. A round begins after
@@ -28,26 +28,31 @@
 	// room elsewhere: each takes a look at all workers. A run is not moved before minMoveAge.
 	moveInterval    = 250 * time.Millisecond
 	maxMoveFailures = 5
-	minMoveAge      = 2 * time.Second
+	minMoveAge      = 500 * time.Millisecond
 	// minimumPace is the pace of such a task, in percent. Twenty of them interfere as much as one task with a full share.
 	minimumPace = 5
 	// minimumShareMemory is the share of a worker's memory that these tasks leave free for others.
 	minimumShareMemory = 0.5
 )
 
-// moveMinimumShares stops runs with a minimum share for which there is room on other workers.
+// moveMinimumShares stops runs with a minimum share for which there is room on other workers, in the order of the queue.
 func (c *Cell) moveMinimumShares(now time.Time) {
 	if len(c.minimumShareRuns) == 0 || now.Sub(c.minimumSharesMovedAt) < moveInterval {
 		return
 	}
 	c.minimumSharesMovedAt = now
 	usable := slices.Clone(c.listUsableWorkers(now))
-	failed := 0
-	for n := range c.minimumShareRuns {
-		r := c.minimumShareRuns[(c.nextMove+n)%len(c.minimumShareRuns)]
-		if r.phase != runConfirmed || r.stopping || now.Sub(r.confirmedAt) < minMoveAge {
-			continue
+	var runs []*run
+	for _, r := range c.minimumShareRuns {
+		if r.phase == runConfirmed && !r.stopping && now.Sub(r.confirmedAt) >= minMoveAge {
+			r.step.rank = c.rankOf(now, r.step)
+			runs = append(runs, r)
 		}
+	}
+	slices.SortStableFunc(runs, func(a, b *run) int { return compareSteps(a.step, b.step) })
+	failed := 0
+	for n := range runs {
+		r := runs[(c.nextMove+n)%len(runs)]
 		w := c.bestWorker(r.step, r.task(), usable)
 		if w == nil {
 			if failed++; failed == maxMoveFailures {
@@ -167,16 +172,16 @@
 	}
 }
 
-// needsMinimumShare reports whether nothing of the step's submission has run for so long that it gets a minimum share. A late submission
-// with a single run gets one beside it, so that something runs between two of its turns.
+// needsMinimumShare reports whether nothing of the step's submission has run for so long that it gets a minimum share. A submission
+// past its hard deadline with a single run gets one beside it, so that something runs between two of its turns.
 func (c *Cell) needsMinimumShare(now time.Time, s *step) bool {
 	j := s.occurrence.job
 	if !s.isMeasuredBestEffort() || s.spec.Gang || j.minimumShareRuns > 0 || j.runs > 1 || s.isDrained() || !c.isEligible(now, s) {
 		return false
 	}
 	delay := minimumShareDelay
-	if s.rank.Timeliness == medlarrank.TimelinessInTime {
-		delay = minimumShareDelayInTime
+	if s.rank.Timeliness != medlarrank.TimelinessExpired {
+		delay = minimumShareDelayOfUseful
 	} else if j.runs == 1 {
 		return true
 	}
