Try long-running gangs on suspended workers

By the rule, a long-running gang that has ended has to run again within seconds wherever there is room for it, and a single long-running task is tried on a suspended worker after one second.

Cause: the trial skipped gangs. A gang whose room was partly on a suspended worker waited for the end of the suspension, 32 s at most.

A gang is now tried on the suspended workers together with the usable ones, with one trial at a time for each suspended worker as for single tasks, and in full scans only, since it considers all workers.

--- a/internal/scheduling/medlarcell/suspension.go
+++ b/internal/scheduling/medlarcell/suspension.go
@@ -61,32 +61,65 @@
 	if now.After(c.suspensionsEnd) {
 		return
 	}
-	var suspended []*worker
+	suspended := c.listTrialWorkers(now)
+	if len(suspended) == 0 {
+		return
+	}
+	for _, s := range c.listTrialSteps(now) {
+		for _, r := range c.startTrial(now, s, suspended) {
+			w := r.worker
+			if !w.isSuspended(now) {
+				continue
+			}
+			if !w.hasPassedTrial() {
+				w.triedAt, w.trialRun = now, r
+			}
+			suspended = slices.DeleteFunc(suspended, func(other *worker) bool { return other == w })
+		}
+	}
+}
+
+// listTrialWorkers returns the suspended workers on which a task may be tried.
+func (c *Cell) listTrialWorkers(now time.Time) (suspended []*worker) {
 	for _, w := range c.workersByID() {
 		if w.isSuspended(now) && (w.hasPassedTrial() || now.Sub(w.triedAt) >= suspendedTrialDelay) && c.isAvailable(now, w) {
 			suspended = append(suspended, w)
 		}
 	}
+	return suspended
+}
+
+// listTrialSteps returns the long-running steps that have waited for suspendedTrialDelay.
+func (c *Cell) listTrialSteps(now time.Time) (steps []*step) {
 	for _, s := range c.queue {
-		if len(suspended) == 0 {
-			return
-		}
-		if !s.spec.LongRunning || s.spec.Gang || s.isDrained() || !c.isEligible(now, s) {
-			continue
+		if s.spec.LongRunning && !s.isDrained() && c.isEligible(now, s) && now.Sub(s.waitsSince(&s.tasks[s.ready[0]])) >= suspendedTrialDelay {
+			steps = append(steps, s)
 		}
+	}
+	return steps
+}
+
+// startTrial starts the first waiting task of the step on one of the suspended workers, or a gang on these and the usable workers. It
+// returns the runs, or none if there is no room. Since gangs consider all workers, they are tried in full scans only.
+func (c *Cell) startTrial(now time.Time, s *step, suspended []*worker) (started []*run) {
+	if !s.spec.Gang {
 		index := s.ready[0]
-		t := &s.tasks[index]
-		if now.Sub(s.waitsSince(t)) < suspendedTrialDelay {
-			continue
-		}
-		w := c.bestWorker(s, t, suspended)
+		w := c.bestWorker(s, &s.tasks[index], suspended)
 		if w == nil {
-			continue
+			return nil
 		}
 		c.startTask(now, w, s, index, 0)
-		if !w.hasPassedTrial() {
-			w.triedAt, w.trialRun = now, t.runs[len(t.runs)-1]
-		}
-		suspended = slices.DeleteFunc(suspended, func(other *worker) bool { return other == w })
+		return slices.Clone(s.tasks[index].runs)
+	}
+	if len(suspended) == 0 || !now.Equal(c.failureCache.scanStartedAt) {
+		return nil
+	}
+	c.placeGang(now, s, slices.Concat(c.listUsableWorkers(now), suspended))
+	if len(s.ready) > 0 {
+		return nil
+	}
+	for i := range s.tasks {
+		started = append(started, s.tasks[i].runs...)
 	}
+	return started
 }
