Let waiting steps take turns for trials on suspended workers

By the protocol, long-running tasks may fail at any time.

Cause: a suspended worker gets one trial a second, and the first step of the queue took it. A step with several waiting tasks stays first while each of them fails in turn, so that one submission that always fails keeps the tasks of all others from the only worker with room until its suspension ends, 32 s at most.

The step that has waited longest since its last trial is now tried first. With n steps that wait, each is tried within n seconds.

--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -75,7 +75,9 @@
 	remainingTasks    int
 	queued            bool
 	// readySince is when the step last became ready.
-	readySince     time.Time
+	readySince time.Time
+	// triedAt is when a task of the step was last started on a suspended worker.
+	triedAt        time.Time
 	rank           medlarrank.Rank
 	tasksPerWorker map[*worker]int
 	// load is the utilisation of the serving tasks of the step without interference. They share the load evenly.
--- a/internal/scheduling/medlarcell/suspension.go
+++ b/internal/scheduling/medlarcell/suspension.go
@@ -89,16 +89,27 @@
 	return suspended
 }
 
-// listTrialSteps returns the long-running steps that have waited for suspendedTrialDelay.
+// listTrialSteps returns the long-running steps that have waited for suspendedTrialDelay. They take turns, so that tasks that always
+// fail do not take all trials.
 func (c *Cell) listTrialSteps(now time.Time) (steps []*step) {
 	for _, s := range c.queue {
 		if s.spec.LongRunning && !s.isDrained() && c.isEligible(now, s) && now.Sub(s.waitsSince(&s.tasks[s.ready[0]])) >= suspendedTrialDelay {
 			steps = append(steps, s)
 		}
 	}
+	slices.SortStableFunc(steps, func(a, b *step) int { return a.turnSince().Compare(b.turnSince()) })
 	return steps
 }
 
+// turnSince returns since when the step has waited for its turn on a suspended worker.
+func (s *step) turnSince() time.Time {
+	since := s.waitsSince(&s.tasks[s.ready[0]])
+	if s.triedAt.After(since) {
+		return s.triedAt
+	}
+	return since
+}
+
 // startTrial starts the first waiting task of the step on one of the suspended workers, or a gang on these and the usable workers. It
 // returns the runs, or none if there is no room. Since gangs consider all workers, they are tried in full scans only.
 func (c *Cell) startTrial(now time.Time, s *step, suspended []*worker) (started []*run) {
@@ -109,6 +120,7 @@
 			return nil
 		}
 		c.startTask(now, w, s, index, 0)
+		s.triedAt = now
 		return slices.Clone(s.tasks[index].runs)
 	}
 	if len(suspended) == 0 || !now.Equal(c.failureCache.scanStartedAt) {
@@ -118,6 +130,7 @@
 	if len(s.ready) > 0 {
 		return nil
 	}
+	s.triedAt = now
 	for i := range s.tasks {
 		started = append(started, s.tasks[i].runs...)
 	}
--- a/internal/scheduling/medlarcell/suspension_test.go
+++ b/internal/scheduling/medlarcell/suspension_test.go
@@ -92,3 +92,40 @@
 		t.Errorf("starts are %+v, want one on the worker that is not suspended", sc.starts)
 	}
 }
+
+// TestFailingSubmissionDoesNotTakeAllTrials guards against a long-running task that waits for the only worker with room, which is suspended,
+// because the tasks of a submission that always fails are tried there by turns.
+func TestFailingSubmissionDoesNotTakeAllTrials(t *testing.T) {
+	sc := suspendOnlyWorker(t)
+	failing := testStep()
+	failing.LongRunning, failing.Count = true, 6
+	for n := range 2 {
+		s := testSubmissionWithID(100+n, failing, 0)
+		s.AcceptedAt = sc.now
+		sc.cell.Accept(sc.now, s)
+	}
+	suspended := sc.cell.workers["w0"]
+	suspended.suspendedUntil = sc.now.Add(DefaultConfig().SuspendDuration << maxSuspendDoublings)
+	sc.cell.suspensionsEnd = suspended.suspendedUntil
+	sc.advance(500 * time.Millisecond)
+	sound := testSubmission(testStep())
+	sound.AcceptedAt, sound.Steps[0].LongRunning = sc.now, true
+	sc.cell.Accept(sc.now, sound)
+	began := sc.now
+	number := medlarorder.EndNumber(10)
+	for sc.now.Sub(began) < maxRestartTime {
+		sc.advance(50 * time.Millisecond)
+		sc.dispatch()
+		report := medlarorder.Report{}
+		for _, start := range sc.starts {
+			if start.Start.Task.Submission == sound.ID {
+				return
+			}
+			number++
+			report.Ended = append(report.Ended, medlarorder.Ended{Number: number, Task: start.Start.Task, Run: start.Start.Run, Kind: medlarorder.EndFailed})
+		}
+		sc.report(Command{Worker: "w0"}, report)
+		sc.flush()
+	}
+	t.Errorf("the sound task was not tried within %v beside two submissions that fail", maxRestartTime)
+}
