Share placement failures only with steps that may do no more harm

Cause: steps of one class share the failures of a placement pass. A failure applied to all steps of the same or a worse timeliness, but the harm that a step may do to serving tasks also depends on how long it has waited: after MaxDeferral, late work may do as much as work in time. A step that had waited so long was hidden, scan after scan, by a younger one of a higher rank.

The failure now records the harm that the step was allowed to do, and applies only to steps that may do no more. It is zero for steps that are not best-effort, whose place does not depend on timeliness.

Evidence: TestYoungerStepDoesNotHideOneThatMayDoMoreHarm failed before: no start within 1.5 s after MaxDeferral. It passes now.

--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -56,7 +56,7 @@
 // try starts the waiting tasks of a step, unless they have failed on all workers that have not changed since.
 func (p *placementPass) try(s *step) {
 	c := p.cell
-	isKnown := s.failure.appliesTo(s, c.failureCache.scan)
+	isKnown := c.hasFailed(s)
 	if isKnown && s.failure.changesSeen == len(c.failureCache.changes) || s.isDrained() || !c.isEligible(p.now, s) {
 		return
 	}
@@ -86,7 +86,7 @@
 	}
 	if len(s.ready) > 0 {
 		p.failed++
-		c.failureCache.recordFailure(s)
+		c.failureCache.recordFailure(s, c.harmLimit(s))
 	}
 }
 
--- a/internal/scheduling/medlarcell/placement_failures.go
+++ b/internal/scheduling/medlarcell/placement_failures.go
@@ -5,7 +5,6 @@
 
 	"medlarwheel"
 	"medlarwheel/internal/acceptance/medlarsubmission"
-	"medlarwheel/internal/scheduling/medlarrank"
 )
 
 // fullScanInterval is how often all workers are considered again for steps that could not be placed. In between, only
@@ -25,9 +24,10 @@
 // again on the same workers. Steps of one class share it.
 type placementFailure struct {
 	// scan is the full scan in which the step was tried. Later scans ignore the failure.
-	scan       uint64
-	size       medlarsubmission.Size
-	timeliness medlarrank.Timeliness
+	scan uint64
+	size medlarsubmission.Size
+	// maxHarm is the harm that the step was allowed to do. A step that may do more is tried again.
+	maxHarm float64
 	// changesSeen is the number of worker changes, since the scan began, that the step was tried on.
 	changesSeen int
 }
@@ -95,13 +95,22 @@
 	return shared
 }
 
-// appliesTo reports whether a step that asks for no more than s has failed in this scan.
-func (p *placementFailure) appliesTo(s *step, scan uint64) bool {
-	return p.scan == scan && p.size.Fits(s.spec.Size) && s.rank.Timeliness >= p.timeliness
+// hasFailed reports whether the step, or one that asks for no more, has failed in this scan.
+func (c *Cell) hasFailed(s *step) bool {
+	p := s.failure
+	return p.scan == c.failureCache.scan && p.size.Fits(s.spec.Size) && c.harmLimit(s) <= p.maxHarm
 }
 
-// recordFailure records that a step could not be placed on any worker.
-func (p *placementFailureCache) recordFailure(s *step) {
+// harmLimit returns the harm that the step may do. Only best-effort steps are limited by it.
+func (c *Cell) harmLimit(s *step) float64 {
+	if !s.spec.BestEffort {
+		return 0
+	}
+	return c.maxHarm(s)
+}
+
+// recordFailure records that a step with the given harmLimit could not be placed on any worker.
+func (p *placementFailureCache) recordFailure(s *step, maxHarm float64) {
 	if len(s.tasks[s.ready[0]].runs) > 0 {
 		// A speculative copy may not run where the first run is, which says nothing about other tasks.
 		return
@@ -110,11 +119,11 @@
 	known := s.failure
 	// A failure of a step that asks for less is more general, as long as that step is still being tried.
 	isCurrent := known.scan == p.scan && known.changesSeen >= p.previousPassStart
-	asksLess := s.spec.Size.Fits(known.size) && s.rank.Timeliness <= known.timeliness
+	asksLess := s.spec.Size.Fits(known.size) && maxHarm >= known.maxHarm
 	if isCurrent && !asksLess {
 		return
 	}
-	*known = placementFailure{scan: p.scan, size: s.spec.Size, timeliness: s.rank.Timeliness, changesSeen: len(p.changes)}
+	*known = placementFailure{scan: p.scan, size: s.spec.Size, maxHarm: maxHarm, changesSeen: len(p.changes)}
 }
 
 // workersChangedSince returns the usable workers that have changed after the first seen changes of this scan, each once.
--- a/internal/scheduling/medlarcell/placement_failures_test.go
+++ b/internal/scheduling/medlarcell/placement_failures_test.go
@@ -204,3 +204,39 @@
 		}
 	}
 }
+
+// TestYoungerStepDoesNotHideOneThatMayDoMoreHarm guards against a best-effort step that has waited for MaxDeferral and does not start
+// although it may do more harm, since a step of a higher rank that may do less has failed on the same workers.
+func TestYoungerStepDoesNotHideOneThatMayDoMoreHarm(t *testing.T) {
+	config := DefaultConfig()
+	// No harm at all is acceptable for late work, until it has waited for MaxDeferral.
+	config.Interference.MaxHarm = [3]float64{1, -1, -1}
+	sc := newConfiguredCell(t, config, 1, Ownership{Fence: 1 << 12, Term: 1})
+	report := func() { sc.report(Command{Worker: "w0"}, medlarorder.Report{}) }
+	report()
+	step := testStep()
+	step.BestEffort = true
+	accept := func(id medlarsubmission.ID) {
+		s := testSubmission(step)
+		s.ID, s.AcceptedAt = id, sc.now.Add(-4*time.Second)
+		sc.cell.Accept(sc.now, s)
+	}
+	older := medlarsubmission.ID("00000000000000aa")
+	accept(older)
+	for began := sc.now; sc.now.Sub(began) < config.Interference.MaxDeferral-500*time.Millisecond; {
+		sc.advance(50 * time.Millisecond)
+		report()
+		if sc.dispatch(); len(sc.starts) > 0 {
+			t.Fatalf("the late step has started after %v, want it to wait for MaxDeferral", sc.now.Sub(began))
+		}
+	}
+	accept("00000000000000bb")
+	for began := sc.now; len(sc.starts) == 0 && sc.now.Sub(began) < 2*time.Second; {
+		sc.advance(50 * time.Millisecond)
+		report()
+		sc.dispatch()
+	}
+	if len(sc.starts) != 1 || sc.starts[0].Start.Task.Submission != older {
+		t.Errorf("starts are %+v, want one of the step that has waited for MaxDeferral", sc.starts)
+	}
+}
