Stop the rest of a gang that has lost a member

A gang whose worker was lost, short or long-running, could stay without progress for good.

Cause: a gang starts again once all members wait. Members on other workers end by themselves only if one has ended within their sight; by the protocol, "broken" means that another member has ended, and a worker that is lost ends nothing. While one member ran on, the gang was never placed. A member whose start was rejected left the others waiting for gangMs (3 s), with their capacity.

Members that still run are now stopped as soon as the pass finds that another one waits. They cannot make progress, and a stop saves their checkpoint. The stop has no effect on runs that have ended meanwhile.

Evidence: without the change TestGangRestartsAfterLossOfMember failed with "0 members start within 9s of the loss", for gangs that last and others, and TestGangWithRejectedMemberIsNotLeftWaiting with "0 members are stopped, want the 2 that would wait". Both pass now.

--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -167,6 +167,7 @@
 // placeGang starts all tasks of a step or none.
 func (c *Cell) placeGang(now time.Time, s *step, usable []*worker) {
 	if len(s.ready) < len(s.tasks) {
+		c.stopIncompleteGang(now, s)
 		return
 	}
 	var chosen []*run
