Simulate long-running gangs and workers that fail for long

The simulation of long-running tasks had no gangs, no workers that fail all runs or answer late for long, and no owners that change while most workers are away. In it, a gang member that has ended breaks those that are in reach; members of a lost worker break nothing.

--- a/internal/scheduling/medlarcell/sim_test.go
+++ b/internal/scheduling/medlarcell/sim_test.go
@@ -91,6 +91,8 @@
 	// inFlight is the batch that is being written, or nil. check is called after each event of the owner, unless it is nil.
 	inFlight *Batch
 	check    func()
+	// gangs holds the submissions whose tasks work only together.
+	gangs map[medlarsubmission.ID]bool
 }
 
 var simEpoch = time.Unix(1_700_000_000, 0)
@@ -108,6 +110,7 @@
 
 // recordEnd records the end of a run on a worker.
 func (sim *simCluster) recordEnd(e medlarorder.Ended) {
+	sim.breakGang(e.Task.Submission, e.Run)
 	switch e.Kind {
 	case medlarorder.EndDone:
 		sim.doneTasks[e.Task] = true
@@ -254,7 +257,7 @@
 func (sim *simCluster) send(c Command, owner int) {
 	worker := sim.workers[c.Worker]
 	lost := sim.faults && sim.rng.Float64() < 0.05
-	delay := c.Delay + sim.latency()
+	delay := c.Delay + sim.latency() + worker.slowness
 	late := lost && sim.rng.Float64() < 0.5
 	if late {
 		delay += 2*time.Second + time.Duration(sim.rng.Int64N(int64(4*time.Second)))
@@ -284,6 +287,7 @@
 		perform = func() func(error) {
 			sim.checkStart(worker, c.Start, owner)
 			response := worker.start(sim.now, c.Start, sim.rng)
+			sim.awaitGang(worker, c.Start)
 			if _, crashes := sim.crashingStarts[c.Start.Task]; crashes && response.Verdict == medlarorder.VerdictAccepted {
 				sim.crashingStarts[c.Start.Task]++
 				sim.after(10*time.Millisecond, func() { sim.crash(worker) })
--- a/internal/scheduling/medlarcell/sim_waiting_test.go
+++ b/internal/scheduling/medlarcell/sim_waiting_test.go
@@ -35,14 +35,7 @@
 }
 
 func newWaitingSim(t *testing.T, seed uint64, ownerChanges int) *waitingSim {
-	sim := &waitingSim{
-		simCluster: newSimClusterWithOwners(t, seed, ownerChanges), longRunning: map[medlarsubmission.ID]bool{},
-		waitsSince: map[medlarsubmission.TaskName]time.Duration{}, roomSince: map[*simWorker]time.Duration{},
-		faultsUntil: simDuration + time.Second,
-	}
-	for _, worker := range sim.workersInOrder() {
-		worker.longRunning = sim.longRunning
-	}
+	sim := newWaitingSimWithoutWork(t, seed, ownerChanges)
 	for n := range simLongRunningJobs {
 		sim.after(time.Duration(sim.rng.Int64N(int64(simDuration/4))), func() { sim.submitLongRunning(1000 + n) })
 	}
@@ -57,6 +50,18 @@
 		})
 		sim.after(from+time.Second+time.Duration(sim.rng.Int64N(int64(simDuration/4))), func() { worker.failsAll = false })
 	}
+	return sim
+}
+
+func newWaitingSimWithoutWork(t *testing.T, seed uint64, ownerChanges int) *waitingSim {
+	sim := &waitingSim{
+		simCluster: newSimClusterWithOwners(t, seed, ownerChanges), longRunning: map[medlarsubmission.ID]bool{},
+		waitsSince: map[medlarsubmission.TaskName]time.Duration{}, roomSince: map[*simWorker]time.Duration{},
+		faultsUntil: simDuration + time.Second,
+	}
+	for _, worker := range sim.workersInOrder() {
+		worker.longRunning = sim.longRunning
+	}
 	sim.check = sim.checkWaiting
 	return sim
 }
@@ -78,6 +83,9 @@
 			MaxPerWorker: n % 3,
 		}},
 	}
+	if sim.gangs[s.ID] {
+		s.Steps[0].Gang, s.Steps[0].Count = true, simGangSize
+	}
 	sim.longRunning[s.ID] = true
 	sim.accepted = append(sim.accepted, s)
 	if sim.cell != nil {
@@ -144,7 +152,7 @@
 	for _, s := range sim.accepted {
 		for i := range s.Steps[0].Count {
 			name := medlarsubmission.TaskName{Submission: s.ID, Index: i}
-			if !sim.longRunning[s.ID] || running[name] {
+			if !sim.longRunning[s.ID] || sim.gangs[s.ID] || running[name] {
 				delete(sim.waitsSince, name)
 				continue
 			}
@@ -174,6 +182,9 @@
 // checkEnd checks that no long-running task waits at the end beside a worker with room for it.
 func (sim *waitingSim) checkEnd() {
 	for name := range sim.waitsSince {
+		if sim.gangs[name.Submission] {
+			continue
+		}
 		spec := &sim.cell.jobs[name.Submission].submission.Steps[0]
 		for _, worker := range sim.workersInOrder() {
 			if worker.up && worker.used()+simTaskCPU <= worker.info.Capacity.MilliCPU && sim.mayRun(spec, name, worker) {
--- a/internal/scheduling/medlarcell/sim_worker_test.go
+++ b/internal/scheduling/medlarcell/sim_worker_test.go
@@ -41,6 +41,8 @@
 	longRunning map[medlarsubmission.ID]bool
 	// failsAll is true while every run fails right after its start.
 	failsAll bool
+	// slowness delays each order.
+	slowness time.Duration
 }
 
 // simFailDelay is the run time on a worker that fails all runs, and simNever later than the end of every simulation.
