--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -199,6 +199,7 @@
 // placeGang starts all tasks of a step or none.
 func (c *Cell) placeGang(now time.Time, s *step, usable []*worker) {
 	if len(s.ready) < len(s.tasks) {
+		c.stopIncompleteGang(now, s)
 		return
 	}
 	number := c.firstRun
