Start tasks with a minimum share beside workers that are all a little less than half full

A task was not started where it would have taken more than half of the worker's memory.

A worker with at most half of its memory in use now gets one more. TestTaskThatExceedsHalfOfTheMemoryGetsMinimumShare failed before (no start); TestMinimumShareLeavesMemoryForUrgentWork expects the fifth task of a worker with memory for eight. Two tests of deferred steps use a worker that is more than half full, so that nothing but a full share starts there; their checks are the same.

--- a/internal/scheduling/medlarcell/minimum_share.go
+++ b/internal/scheduling/medlarcell/minimum_share.go
@@ -31,7 +31,8 @@
 	minMoveAge      = 500 * time.Millisecond
 	// minimumPace is the pace of such a task, in percent. Twenty of them interfere as much as one task with a full share.
 	minimumPace = 5
-	// minimumShareMemory is the share of a worker's memory that these tasks leave free for others.
+	// minimumShareMemory is the share of a worker's memory in use from which it gets no such task, so that others find room. One
+	// task may exceed it: otherwise none would start beside workers that are all a little less than half full.
 	minimumShareMemory = 0.5
 )
 
@@ -102,7 +103,7 @@
 func (c *Cell) minimumShareWorker(s *step, workers []*worker) int {
 	t := &s.tasks[s.ready[0]]
 	return slices.IndexFunc(workers, func(w *worker) bool {
-		return t.avoidWorker != w.info.ID && c.isFeasibleAtMinimumShare(s, t, w) && w.leavesMemory(s.spec.Size.MemoryMB)
+		return t.avoidWorker != w.info.ID && c.isFeasibleAtMinimumShare(s, t, w)
 	})
 }
 
@@ -203,7 +204,7 @@
 	}
 	var options []option
 	for _, w := range c.listUsableWorkers(now) {
-		if w.leavesMemory(0) {
+		if float64(w.committed.MemoryMB) <= minimumShareMemory*float64(w.info.Capacity.MemoryMB) {
 			options = append(options, option{worker: w, overTarget: w.servingRunsOverTarget(), unusedCPU: c.unusedCPU(w) - w.bestEffortCPU})
 		}
 	}
@@ -227,11 +228,6 @@
 	return n
 }
 
-// leavesMemory reports whether a best-effort task of that size leaves enough of the worker's memory to others.
-func (w *worker) leavesMemory(memoryMB int64) bool {
-	return float64(w.committed.MemoryMB+memoryMB) <= (1-minimumShareMemory)*float64(w.info.Capacity.MemoryMB)
-}
-
 // maxPace returns the highest pace, in percent, that the run may get.
 func (r *run) maxPace() int {
 	if r.hasMinimumShare {
