--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -28,6 +28,8 @@
 	// totalWork is the estimated work of all tasks of one occurrence in core-seconds.
 	totalWork float64
 	started   bool
+	// hasOnlyMinimumShares is true while no run of the job has had a full share.
+	hasOnlyMinimumShares bool
 	// runs is the number of runs of all tasks but those with a minimum share, and idleSince when the last confirmed one has ended.
 	// minimumShareRuns is the number of the others, and minimumShareEndedAt when the last confirmed one has ended.
 	runs, minimumShareRuns         int
--- a/internal/scheduling/medlarcell/minimum_share.go
+++ b/internal/scheduling/medlarcell/minimum_share.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"medlarwheel"
+	"medlarwheel/internal/acceptance/medlarsubmission"
 	"medlarwheel/internal/scheduling/medlarrank"
 )
 
@@ -18,7 +20,7 @@
 	// minimumShareDelay is how long nothing of a submission past its hard deadline has run before it gets a minimum share. One whose
 	// result is still of use waits for minimumShareDelayOfUseful, since the task can't go to the worker on which there is room first.
 	minimumShareDelay         = time.Second
-	minimumShareDelayOfUseful = 2500 * time.Millisecond
+	minimumShareDelayOfUseful = 2 * time.Second
 	// minimumSharesInterval is the time between two rounds of starts. A worker gets at most one task in each.
 	minimumSharesInterval = 100 * time.Millisecond
 	// maxMinimumShareFailures bounds the number of submissions in a round that no worker has memory for. A round begins after
@@ -76,7 +78,7 @@
 	}
 	c.minimumSharesAt = now
 	var workers []*worker
-	failed := 0
+	failures, failed := 0, map[minimumShareClass]medlarsubmission.Size{}
 	for n := range c.queue {
 		s := c.queue[(c.nextMinimumShare+n)%len(c.queue)]
 		if !c.needsMinimumShare(now, s) {
@@ -88,10 +90,16 @@
 		if len(workers) == 0 {
 			return
 		}
+		if smallest, known := failed[s.minimumShareClass()]; known && smallest.Fits(s.reservedSize()) {
+			continue
+		}
 		if i := c.minimumShareWorker(s, workers); i >= 0 {
 			c.startAtMinimumShare(now, workers[i], s)
 			workers = slices.Delete(workers, i, i+1)
-		} else if failed++; failed == maxMinimumShareFailures {
+			continue
+		}
+		failed[s.minimumShareClass()] = s.reservedSize()
+		if failures++; failures == maxMinimumShareFailures {
 			c.nextMinimumShare += n + 1
 			return
 		}
@@ -99,12 +107,35 @@
 	c.nextMinimumShare = 0
 }
 
-// minimumShareWorker returns the index of the first worker for a task of the step, or -1.
+// minimumShareClass identifies steps that differ only in their size in where they may have a minimum share.
+type minimumShareClass struct {
+	service  medlarwheel.ServiceName
+	requires string
+	// spread is the step if it has a limit of tasks per worker.
+	spread *step
+}
+
+func (s *step) minimumShareClass() minimumShareClass {
+	class := minimumShareClass{service: s.occurrence.job.submission.Service, requires: s.spec.RequiredLabel}
+	if s.spec.MaxPerWorker > 0 {
+		class.spread = s
+	}
+	return class
+}
+
+// minimumShareWorker returns the index of the first worker for a task of the step, one that the task avoids only if there is no other, or -1.
 func (c *Cell) minimumShareWorker(s *step, workers []*worker) int {
-	t := &s.tasks[s.ready[0]]
-	return slices.IndexFunc(workers, func(w *worker) bool {
-		return t.avoidWorker != w.info.ID && c.isFeasibleAtMinimumShare(s, t, w)
-	})
+	t, avoided := &s.tasks[s.ready[0]], -1
+	for i, w := range workers {
+		switch {
+		case !c.isFeasibleAtMinimumShare(s, t, w):
+		case w.info.ID == t.avoidWorker:
+			avoided = i
+		default:
+			return i
+		}
+	}
+	return avoided
 }
 
 func (c *Cell) startAtMinimumShare(now time.Time, w *worker, s *step) {
@@ -162,7 +193,7 @@
 	c.removeMinimumShare(r)
 	r.worker.removeRun(r)
 	r.job().minimumShareRuns--
-	r.hasMinimumShare = false
+	r.hasMinimumShare, r.job().hasOnlyMinimumShares = false, false
 	r.job().addRun(r)
 	r.worker.addRun(r)
 }
@@ -173,11 +204,15 @@
 	}
 }
 
+// mayHaveMinimumShare reports whether tasks of the step may have a minimum share. The members of a gang work only together, and tasks that
+// last serve nobody at that pace.
+func (s *step) mayHaveMinimumShare() bool { return s.isMeasuredBestEffort() && !s.spec.Gang }
+
 // needsMinimumShare reports whether nothing of the step's submission has run for so long that it gets a minimum share. A submission
 // past its hard deadline with a single run gets one beside it, so that something runs between two of its turns.
 func (c *Cell) needsMinimumShare(now time.Time, s *step) bool {
 	j := s.occurrence.job
-	if !s.isMeasuredBestEffort() || s.spec.Gang || j.minimumShareRuns > 0 || j.runs > 1 || s.isDrained() || !c.isEligible(now, s) {
+	if !s.mayHaveMinimumShare() || j.minimumShareRuns > 0 || j.runs > 1 || s.isDrained() || !c.isEligible(now, s) {
 		return false
 	}
 	delay := minimumShareDelay
--- a/internal/scheduling/medlarcell/overdue.go
+++ b/internal/scheduling/medlarcell/overdue.go
@@ -17,7 +17,7 @@
 
 // overdueTime returns how long the step has waited beyond maxWaitOfExpired, or zero if it does not come first.
 func (c *Cell) overdueTime(now time.Time, s *step, timeliness medlarrank.Timeliness) time.Duration {
-	if timeliness != medlarrank.TimelinessExpired || !s.isMeasuredBestEffort() || s.occurrence.job.started {
+	if timeliness != medlarrank.TimelinessExpired || !s.isMeasuredBestEffort() || s.occurrence.job.started && !s.occurrence.job.hasOnlyMinimumShares {
 		return 0
 	}
 	service := s.occurrence.job.submission.Service
--- a/internal/scheduling/medlarcell/place.go
+++ b/internal/scheduling/medlarcell/place.go
@@ -245,7 +245,7 @@
 
 // isFeasible reports whether the task may run on the worker and fits its free capacity.
 func (c *Cell) isFeasible(s *step, t *task, w *worker) bool {
-	return c.isFeasibleAtMinimumShare(s, t, w) && (!s.spec.BestEffort || c.hasUnusedCPU(s, w))
+	return c.isFeasibleAtMinimumShare(s, t, w) && !c.isReservedForGang(s, w) && (!s.spec.BestEffort || c.hasUnusedCPU(s, w))
 }
 
 // isFeasibleAtMinimumShare reports the same, but for the CPU of a best-effort task.
@@ -262,7 +262,7 @@
 			return false
 		}
 	}
-	if w.isReservedForSuspect(s.occurrence.job) || c.isReservedForGang(s, w) {
+	if w.isReservedForSuspect(s.occurrence.job) {
 		return false
 	}
 	return s.reservedSize().Fits(w.freeCapacity())
--- a/internal/scheduling/medlarcell/report.go
+++ b/internal/scheduling/medlarcell/report.go
@@ -333,7 +333,7 @@
 	t.inheritedRun = nil
 	r := newRun(now, w, s, running.Task.Index, running.Run)
 	r.adopted, r.paceUncertain = true, s.spec.BestEffort
-	r.hasMinimumShare = s.spec.BestEffort && !c.hasUnusedCPU(s, w)
+	r.hasMinimumShare = s.mayHaveMinimumShare() && !c.hasUnusedCPU(s, w)
 	c.attach(r)
 	if c.reconciled {
 		c.emit(Event{Kind: EventTaskAdopted, Task: running.Task, Run: running.Run, Worker: w.info.ID})
@@ -352,7 +352,7 @@
 	t.waiting = false
 	r.step.removeReady(r.index)
 	c.needsCompaction = true
-	if r.step.rank.Overdue > 0 {
+	if r.step.rank.Overdue > 0 && !r.hasMinimumShare {
 		r.overdueService = r.job().submission.Service
 		c.overdueCPU[r.overdueService] += r.step.spec.Size.MilliCPU
 	}
@@ -378,6 +378,7 @@
 	}
 	c.storeSuspectRun(r)
 	j := r.job()
+	j.hasOnlyMinimumShares = r.hasMinimumShare && (j.hasOnlyMinimumShares || !j.started)
 	if !j.started {
 		c.markStarted(j)
 		c.emit(Event{
