--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -179,8 +179,7 @@
 	overdueService medlarwheel.ServiceName
 	// paceUncertain is true while the worker may have another pace for the run.
 	paceUncertain bool
-	// hasMinimumShare is true if the run was started where there was no room for it but memory. It gets what the others on its
-	// worker leave.
+	// hasMinimumShare is true while the run has minimumPace at most, on a worker with no room for it but memory.
 	hasMinimumShare bool
 	// fullPaceRunTime is the run time up to runTimeUpdatedAt, scaled to full pace.
 	fullPaceRunTime  time.Duration
