Look up no run twice when minimum shares are raised, and share a test's set-up

A pass searched the list of runs for each run on a changed worker; a run that comes twice is now skipped once it has a full share. The comment of job.idle said what held before runs with a minimum share were left out. Two tests use newReportedCell. No behaviour changes.

--- a/internal/scheduling/medlarcell/job.go
+++ b/internal/scheduling/medlarcell/job.go
@@ -233,7 +233,7 @@
 	return &j.runs
 }
 
-// idle returns how long nothing of the job has run, or 0 while it has runs.
+// idle returns how long no run of the job has had a full share, or 0 while one has.
 func (j *job) idle(now time.Time) time.Duration {
 	if j.runs > 0 {
 		return 0
--- a/internal/scheduling/medlarcell/minimum_share.go
+++ b/internal/scheduling/medlarcell/minimum_share.go
@@ -157,7 +157,7 @@
 	runs := c.minimumSharesToRaise(p.now)
 	slices.SortStableFunc(runs, func(a, b *run) int { return a.job().idleSince.Compare(b.job().idleSince) })
 	for _, r := range runs {
-		if r.phase != runConfirmed || r.stopping || !c.hasUnusedCPU(r.step, r.worker) || c.isReservedForGang(r.step, r.worker) {
+		if !r.hasMinimumShare || r.phase != runConfirmed || r.stopping || !c.hasUnusedCPU(r.step, r.worker) || c.isReservedForGang(r.step, r.worker) {
 			continue
 		}
 		if _, ok := c.interferenceCost(r.step, r.worker); ok {
@@ -167,8 +167,8 @@
 	}
 }
 
-// minimumSharesToRaise returns the runs with a minimum share on workers that have changed since the last pass, and once per interval
-// all of them.
+// minimumSharesToRaise returns the runs with a minimum share on workers that have changed since the last pass, several times if the worker
+// has, and once per interval all of them.
 func (c *Cell) minimumSharesToRaise(now time.Time) []*run {
 	if now.Sub(c.minimumSharesRaisedAt) >= minimumSharesInterval {
 		c.minimumSharesRaisedAt = now
@@ -180,7 +180,7 @@
 			continue
 		}
 		for r := range w.runs {
-			if r.hasMinimumShare && !slices.Contains(runs, r) {
+			if r.hasMinimumShare {
 				runs = append(runs, r)
 			}
 		}
--- a/internal/scheduling/medlarcell/minimum_share_test.go
+++ b/internal/scheduling/medlarcell/minimum_share_test.go
@@ -98,8 +98,7 @@
 
 // TestMinimumShareLeavesMemoryForUrgentWork guards against a backlog that takes the memory of all workers, so that urgent work waits.
 func TestMinimumShareLeavesMemoryForUrgentWork(t *testing.T) {
-	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
-	sc.report(sc.renewals[0], medlarorder.Report{})
+	sc := newReportedCell(t, 1)
 	for n := range 20 {
 		s := testSubmissionWithID(n, medlarsubmission.Step{
 			Count: 1, Size: medlarsubmission.Size{MilliCPU: 20000, MemoryMB: 1000}, Estimate: time.Second, BestEffort: true, Image: "etl",
@@ -227,8 +226,7 @@
 // TestTaskThatExceedsHalfOfTheMemoryGetsMinimumShare guards against submissions with nothing running beside workers that are all a little less than
 // half full.
 func TestTaskThatExceedsHalfOfTheMemoryGetsMinimumShare(t *testing.T) {
-	sc := newScriptedCell(t, 1, Ownership{Fence: 1 << 12, Term: 1})
-	sc.report(sc.renewals[0], medlarorder.Report{})
+	sc := newReportedCell(t, 1)
 	s := testSubmission(medlarsubmission.Step{
 		Count: 1, Size: medlarsubmission.Size{MilliCPU: 20000, MemoryMB: 5000}, Estimate: time.Second, BestEffort: true, Image: "etl",
 	})
