--- a/internal/scheduling/medlarcell/gang_reservation.go
+++ b/internal/scheduling/medlarcell/gang_reservation.go
@@ -1,6 +1,9 @@
 package medlarcell
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // A gang starts only when all of its tasks fit at one moment. In a full service, smaller work takes each gap before there are enough of
 // them. Workers are therefore kept free for the gang that has waited the longest, as many as it needs once the work that runs there has
@@ -115,7 +118,7 @@
 			g.tasks[r.worker]++
 		}
 		c.gangReservation = g
-		c.emit(Event{Kind: EventGangReserved, Task: s.name(0), Count: len(g.tasks), Age: now.Sub(s.readySince), Predicted: longest})
+		c.emit(Event{Kind: EventGangReserved, Task: s.name(0), Count: len(g.tasks), Age: now.Sub(s.readySince), Reason: fmt.Sprintf("work there ends in %d ms", longest.Milliseconds())})
 		return
 	}
 }
