--- /dev/null
+++ b/review/_standin3/case_other_kind.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"medlarwheel/platform/medlaremulator"
+)
+
+// otherKind lets a worker crash and start again under its id as a machine of another kind while the store is away. The entry of
+// its earlier life stays in the list of workers until shortly after the store is back.
+func otherKind(w *world) (broken bool, err error) {
+	const (
+		// The longest outage of the whole store in the site files, and a time in which entries are back after one: about a
+		// status report interval, while the pages allow about two seconds.
+		outage, entriesBack = 6600 * time.Millisecond, 1200 * time.Millisecond
+		// The time until the worker runs again.
+		downtime          = 300 * time.Millisecond
+		calm, settling    = 4 * time.Second, 4 * time.Second
+		wanted, instances = "b", 3
+	)
+	config := medlaremulator.DefaultConfig()
+	if w.emulator, err = medlaremulator.Start(config); err != nil {
+		return false, err
+	}
+	if err := w.relabel(workerID(0), wanted); err != nil {
+		return false, err
+	}
+	address, err := w.storeAddress()
+	if err != nil {
+		return false, err
+	}
+	if w.store, err = newProxy(address); err != nil {
+		return false, err
+	}
+	for n := range instances {
+		if err := w.startInstance(n + 1); err != nil {
+			return false, err
+		}
+	}
+	const id = "00000000000000b1"
+	body := `{"spec":"` + medlaremulator.SpecLongRunning + `","steps":[{"count":2,"cpu":1000,"memMb":64,"estimateMs":1000,"longRunning":true,"requires":"` + wanted + `"}]}`
+	if err := w.submit(id, body); err != nil {
+		return false, err
+	}
+	time.Sleep(calm)
+	if w.trouble {
+		w.note("the store goes away, and %s crashes", workerID(0))
+		w.store.setSilent(true)
+		time.AfterFunc(outage, func() {
+			w.store.setSilent(false)
+			w.note("the store is back")
+		})
+		if err := w.emulator.CrashWorker(w.emulator.Workers[0], medlaremulator.Crash{
+			Downtime: downtime, RegistrationDelay: outage + entriesBack - downtime,
+		}); err != nil {
+			return false, err
+		}
+		w.note("the new life of %s, which is of kind a and lacks the label %q, has written its entry", workerID(0), wanted)
+	} else {
+		time.Sleep(outage + entriesBack)
+	}
+	time.Sleep(settling)
+	w.note("GET %s -> state %q", id, w.state(id))
+	w.noteRuns()
+	for _, r := range w.emulator.Runs() {
+		if crashed := w.crashOf(r.Worker); !crashed.IsZero() && r.StartedAt.After(crashed) {
+			w.note("run %d of %s was started on a worker without the label %q", r.Number, r.Task, wanted)
+			broken = true
+		}
+	}
+	return broken, nil
+}
+
+// crashOf returns when the last run on a worker was ended by a crash of the worker, or zero.
+func (w *world) crashOf(worker string) (last time.Time) {
+	for _, r := range w.emulator.Runs() {
+		if r.Worker == worker && r.EndKind == "crashed" && r.EndedAt.After(last) {
+			last = r.EndedAt
+		}
+	}
+	return last
+}
+
+// relabel replaces the kind in a worker's entry in the list of workers.
+func (w *world) relabel(id, kind string) error {
+	address, err := w.storeAddress()
+	if err != nil {
+		return err
+	}
+	response, err := http.Get("http://" + address + "/v1/rows-get?table=servers&part=")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	var page struct {
+		Rows []struct {
+			Key   string
+			Value []byte
+		}
+	}
+	if err := json.Unmarshal(data, &page); err != nil {
+		return err
+	}
+	for _, r := range page.Rows {
+		if r.Key != id {
+			continue
+		}
+		var entry map[string]any
+		if err := json.Unmarshal(r.Value, &entry); err != nil {
+			return err
+		}
+		labels, _ := entry["labels"].([]any)
+		if len(labels) == 0 {
+			return fmt.Errorf("the entry of worker %s has no labels", id)
+		}
+		labels[0] = kind
+		value, err := json.Marshal(entry)
+		if err != nil {
+			return err
+		}
+		w.emulator.Table.Put("servers", id, value)
+		w.note("worker %s registers as %s", id, value)
+		return nil
+	}
+	return fmt.Errorf("worker %s has no entry", id)
+}
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -23,6 +23,7 @@
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
 	"flapping-worker": flappingWorker,
+	"other-kind":      otherKind,
 }
 
 func main() {
--- a/review/_standin3/world.go
+++ b/review/_standin3/world.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"sync"
 	"time"
 
@@ -20,7 +21,9 @@
 
 // world is the surroundings of a case: the emulated platform, the instances, and the record.
 type world struct {
-	emulator  *medlaremulator.Emulator
+	emulator *medlaremulator.Emulator
+	// store, if set, is the proxy through which the instances reach the store.
+	store     *proxy
 	program   string
 	directory string
 	trouble   bool
@@ -101,6 +104,9 @@
 	settings := bytes.ReplaceAll([]byte(w.emulator.Settings(i.name, first)), fmt.Appendf(nil, "127.0.0.1:%d", first+2), fmt.Appendf(nil, "%s:%d", ip, first+2))
 	settings = bytes.ReplaceAll(settings, fmt.Appendf(nil, "127.0.0.1:%d", first+3), fmt.Appendf(nil, "%s:%d", ip, first+3))
 	settings = bytes.ReplaceAll(settings, []byte(`ip = "127.0.0.1"`), fmt.Appendf(nil, "ip = %q", ip))
+	if w.store != nil {
+		settings = bytes.ReplaceAll(settings, []byte(w.store.target), []byte(w.store.address()))
+	}
 	path := filepath.Join(w.directory, i.name+".toml")
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return err
@@ -181,3 +187,12 @@
 
 // workerID returns the id of a worker by its position in the emulator's list.
 func workerID(n int) string { return fmt.Sprintf("i-%d", n) }
+
+// storeAddress returns the address of the store.
+func (w *world) storeAddress() (string, error) {
+	address := regexp.MustCompile(`\[platform\]\naddress = "([^"]+)"`).FindStringSubmatch(w.emulator.Settings("unused", minPort))
+	if address == nil {
+		return "", errors.New("the settings name no address of the store")
+	}
+	return address[1], nil
+}
