--- a/review/_standin3/case_flapping_worker.go
+++ b/review/_standin3/case_flapping_worker.go
@@ -20,6 +20,9 @@
 	if w.emulator, err = medlaremulator.Start(config); err != nil {
 		return false, err
 	}
+	if err := w.completeEntries(nil); err != nil {
+		return false, err
+	}
 	if err := w.startInstance(1); err != nil {
 		return false, err
 	}
@@ -59,6 +62,9 @@
 		if err := w.emulator.CrashWorker(worker, medlaremulator.Crash{Downtime: period / 2}); err != nil {
 			w.note("restart of a worker: %v", err)
 		}
+		if err := w.completeEntries(nil); err != nil {
+			w.note("entry of a worker: %v", err)
+		}
 		time.Sleep(period / 2)
 	}
 }
--- a/review/_standin3/case_other_kind.go
+++ b/review/_standin3/case_other_kind.go
@@ -1,10 +1,6 @@
 package main
 
 import (
-	"encoding/json"
-	"fmt"
-	"io"
-	"net/http"
 	"time"
 
 	"medlarwheel/platform/medlaremulator"
@@ -26,7 +22,7 @@
 	if w.emulator, err = medlaremulator.Start(config); err != nil {
 		return false, err
 	}
-	if err := w.relabel(workerID(0), wanted); err != nil {
+	if err := w.completeEntries(map[string]string{workerID(0): wanted}); err != nil {
 		return false, err
 	}
 	address, err := w.storeAddress()
@@ -59,6 +55,9 @@
 		}); err != nil {
 			return false, err
 		}
+		if err := w.completeEntries(nil); err != nil {
+			return false, err
+		}
 		w.note("the new life of %s, which is of kind a and lacks the label %q, has written its entry", workerID(0), wanted)
 	} else {
 		time.Sleep(outage + entriesBack)
@@ -84,51 +83,3 @@
 	}
 	return last
 }
-
-// relabel replaces the kind in a worker's entry in the list of workers.
-func (w *world) relabel(id, kind string) error {
-	address, err := w.storeAddress()
-	if err != nil {
-		return err
-	}
-	response, err := http.Get("http://" + address + "/v1/rows-get?table=servers&part=")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	var page struct {
-		Rows []struct {
-			Key   string
-			Value []byte
-		}
-	}
-	if err := json.Unmarshal(data, &page); err != nil {
-		return err
-	}
-	for _, r := range page.Rows {
-		if r.Key != id {
-			continue
-		}
-		var entry map[string]any
-		if err := json.Unmarshal(r.Value, &entry); err != nil {
-			return err
-		}
-		labels, _ := entry["labels"].([]any)
-		if len(labels) == 0 {
-			return fmt.Errorf("the entry of worker %s has no labels", id)
-		}
-		labels[0] = kind
-		value, err := json.Marshal(entry)
-		if err != nil {
-			return err
-		}
-		w.emulator.Table.Put("servers", id, value)
-		w.note("worker %s registers as %s", id, value)
-		return nil
-	}
-	return fmt.Errorf("worker %s has no entry", id)
-}
