--- a/review/_standin3/case_other_kind.go
+++ b/review/_standin3/case_other_kind.go
@@ -19,6 +19,8 @@
 		wanted, instances = "b", 3
 	)
 	config := medlaremulator.DefaultConfig()
+	// One worker of eight is within the share of the site file.
+	config.Workers = 8
 	if w.emulator, err = medlaremulator.Start(config); err != nil {
 		return false, err
 	}
